--- /dev/null
+++ b/core/connection/rest/client.go
@@ -0,0 +1,64 @@
+package rest
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/go-faster/errors"
+)
+
+// Client calls one interface with one bearer token. Its errors carry the step
+// and the peer.
+type Client struct {
+	base *sling.Sling
+}
+
+// NewClient returns a client that sends with an HTTP client.
+func NewClient(client *http.Client, token string) *Client {
+	base := sling.New().Client(client)
+	if token != "" {
+		base = base.Set("Authorization", "Bearer "+token)
+	}
+	return &Client{base: base}
+}
+
+// Get reads a resource into answer.
+func (client *Client) Get(ctx context.Context, peer, path string, answer any) error {
+	return client.do(ctx, client.base.New().Get(peer+path), peer, "get "+path, answer)
+}
+
+// Send sends body by a method and reads the answer.
+func (client *Client) Send(ctx context.Context, method, peer, path string, body, answer any) error {
+	request := client.base.New()
+	switch method {
+	case http.MethodPut:
+		request = request.Put(peer + path)
+	case http.MethodDelete:
+		request = request.Delete(peer + path)
+	default:
+		request = request.Post(peer + path)
+	}
+	return client.do(ctx, request.BodyJSON(body), peer, method+" "+path, answer)
+}
+
+func (client *Client) do(ctx context.Context, call *sling.Sling, peer, step string, answer any) error {
+	request, err := call.Request()
+	if err != nil {
+		return errors.Wrapf(err, "%s at %s", step, peer)
+	}
+	var failure ErrorBody
+	//nolint:bodyclose // sling closes the body itself
+	response, err := call.Do(request.WithContext(ctx), answer, &failure)
+	if err != nil {
+		return errors.Wrapf(err, "%s at %s", step, peer)
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	if failure.Error == nil {
+		failure.Error = Unknown(response.StatusCode, "bad_answer", http.StatusText(response.StatusCode))
+	}
+	failure.Error.Status = response.StatusCode
+	return errors.Wrapf(failure.Error, "%s at %s", step, peer)
+}
--- /dev/null
+++ b/core/connection/rest/rest.go
@@ -0,0 +1,157 @@
+// Package rest holds what all HTTP+JSON interfaces of the project share: strict
+// decoding, typed errors with their outcome, bearer credentials and a client.
+//
+// # Usage
+//
+//	mux.Handle("POST /peer/v1/feed", rest.Handle(maxBody, server.feed))
+//	func (server *Server) feed(ctx context.Context, request feed.Request) (feed.Response, error)
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Outcome says whether a refused or failed call ran.
+type Outcome string
+
+// The outcomes that the system itself states.
+const (
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// The headers of the project.
+const (
+	HeaderOutcome   = "Carobline-Outcome"
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Error is an error that is shown to the other side.
+type Error struct {
+	Status  int     `json:"-"`
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    string  `json:"code"`
+	Outcome Outcome `json:"outcome"`
+	// RetryAfter is when to come back; zero says nothing.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error implements error.
+func (restError *Error) Error() string {
+	return strconv.Itoa(restError.Status) + " " + restError.Code + ": " + restError.Message
+}
+
+// ErrorBody is the JSON form of an Error.
+type ErrorBody struct {
+	Error *Error `json:"error"`
+}
+
+// NotRun returns an error that says that nothing was run.
+func NotRun(status int, code, message string) *Error {
+	return &Error{Status: status, Message: message, Type: errorType(status), Code: code, Outcome: OutcomeNotRun}
+}
+
+// Unknown returns an error that leaves open whether the call ran.
+func Unknown(status int, code, message string) *Error {
+	return &Error{Status: status, Message: message, Type: errorType(status), Code: code, Outcome: OutcomeUnknown}
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized || status == http.StatusForbidden:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// WriteError answers with an error. An error that isn't an *Error is shown as
+// an internal one.
+func WriteError(writer http.ResponseWriter, err error) {
+	var known *Error
+	if !errors.As(err, &known) {
+		known = Unknown(http.StatusInternalServerError, "internal", err.Error())
+	}
+	header := writer.Header()
+	header.Set(HeaderOutcome, string(known.Outcome))
+	if known.RetryAfter > 0 {
+		seconds := int(known.RetryAfter.Round(time.Second) / time.Second)
+		header.Set("Retry-After", strconv.Itoa(max(1, seconds)))
+	}
+	WriteJSON(writer, known.Status, ErrorBody{Error: known})
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(writer http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// The other side may be gone; there is nobody left to tell.
+	_, _ = writer.Write(append(data, '\n'))
+}
+
+// Decode reads one JSON value and refuses unknown fields and trailing data.
+func Decode[T any](data []byte) (T, error) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return value, errors.Wrap(err, "decode")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return value, errors.New("decode: data after the value")
+	}
+	return value, nil
+}
+
+// ReadBody reads a body up to a limit.
+func ReadBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, NotRun(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error())
+	}
+	return data, nil
+}
+
+// Handle makes a handler of a function from a JSON body to a JSON answer.
+func Handle[Request, Response any](limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		data, err := ReadBody(writer, request, limit)
+		if err != nil {
+			WriteError(writer, err)
+			return
+		}
+		body, err := Decode[Request](data)
+		if err != nil {
+			WriteError(writer, NotRun(http.StatusBadRequest, "bad_json", err.Error()))
+			return
+		}
+		answer, err := serve(request.Context(), body)
+		if err != nil {
+			WriteError(writer, err)
+			return
+		}
+		WriteJSON(writer, http.StatusOK, answer)
+	})
+}
--- /dev/null
+++ b/core/process/controller/controller.go
@@ -0,0 +1,296 @@
+// Package controller decides for one voter: it applies the replicated log and,
+// while it leads, answers the nodes' reports, forms and repairs groups, sees
+// planned stops through and shares out the contracts' limits.
+//
+// # Usage
+//
+//	voter, err := controller.New(now, config, stored, hosts)
+//	actions := voter.Step(now, controller.Synced{Ticket: 7, Request: request})
+//	actions = voter.Tick(now)
+//	// sync actions.Save, then do the rest
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/clock"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/placer"
+	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+)
+
+const (
+	// compactBytes is how much log is kept before a snapshot replaces it.
+	compactBytes = 4 << 20
+	// compactEntries is the same in entries.
+	compactEntries = 20_000
+	// driftPerMille bounds how far two clocks' rates differ.
+	driftPerMille = 10
+)
+
+// Config is fixed for the life of a process.
+type Config struct {
+	Self        id.Node
+	Incarnation id.Incarnation
+	Voters      []id.Node
+	// Nodes are all nodes that settings name, voters or not.
+	Nodes  []id.Node
+	Timing quorum.Timing
+	Specs  []placer.Spec
+	// GroupLoads bounds the groups that load weights at the same time.
+	GroupLoads int
+	// BreakSafety disables one mechanism, to prove that the checks notice.
+	BreakSafety Fault
+	Rand        *rand.Rand
+}
+
+// Fault names a mechanism that a test switches off.
+type Fault string
+
+// Controller is the decider of one voter. It isn't safe for concurrent use.
+type Controller struct {
+	config   Config
+	quorum   *quorum.Quorum
+	register *register.Register
+	hosts    *roster.Roster
+	clock    *clock.Clock
+	applied  id.Index
+	pending  map[id.Index]pendingProposal
+	reign    *reign
+	sequence uint64
+}
+
+// pendingProposal is a proposal that waits to be committed.
+type pendingProposal struct {
+	ticket Ticket
+	term   id.Term
+}
+
+// New starts a voter from what its disk holds. The roster may be shared with
+// the member of the same process.
+func New(now time.Time, config Config, stored quorum.Stored, hosts *roster.Roster) (*Controller, error) {
+	controller := &Controller{
+		config: config, register: register.New(), hosts: hosts,
+		clock:   clock.New(now, config.Self, config.Incarnation),
+		pending: map[id.Index]pendingProposal{},
+	}
+	if stored.Snapshot != nil {
+		restored, err := register.Restore(stored.Snapshot.Data)
+		if err != nil {
+			return nil, errors.Wrap(err, "restore snapshot")
+		}
+		controller.register = restored
+		controller.applied = stored.Snapshot.Index
+	}
+	controller.quorum = quorum.New(now, quorum.Config{
+		Self: config.Self, Voters: config.Voters, Timing: config.Timing, Rand: config.Rand,
+	}, stored)
+	return controller, nil
+}
+
+// Step takes one event.
+func (controller *Controller) Step(now time.Time, event Event) Actions {
+	var actions Actions
+	switch event := event.(type) {
+	case Received:
+		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.Receive{Message: event.Message}))
+	case Synced:
+		controller.synced(now, &actions, event)
+	case Proposed:
+		controller.proposed(now, &actions, event)
+	case Reconfigured:
+		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.Reconfigure{Membership: event.Membership}))
+	case HandedOver:
+		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.HandOver{}))
+	}
+	controller.follow(now, &actions)
+	return actions
+}
+
+// Tick takes the passing of time.
+func (controller *Controller) Tick(now time.Time) Actions {
+	var actions Actions
+	controller.absorb(now, &actions, controller.quorum.Tick(now))
+	controller.follow(now, &actions)
+	if controller.Leads(now) {
+		controller.govern(now, &actions)
+	}
+	controller.compact(now, &actions)
+	return actions
+}
+
+// Leads tells whether this voter is leader and its lease holds.
+func (controller *Controller) Leads(now time.Time) bool {
+	return controller.reign != nil && now.Before(controller.quorum.LeaseUntil(now))
+}
+
+// Leader is this voter's last word of who leads.
+func (controller *Controller) Leader() id.Node { return controller.quorum.Status().Leader }
+
+// Quorum tells what the voter is in the replicated log.
+func (controller *Controller) Quorum() quorum.Status { return controller.quorum.Status() }
+
+// Register is the state as applied so far, for reading only.
+func (controller *Controller) Register() *register.Register { return controller.register }
+
+// absorb takes what the log decided: it restores, applies, and passes on.
+func (controller *Controller) absorb(now time.Time, actions *Actions, decided quorum.Actions) {
+	actions.add(Actions{Save: decided.Save, Messages: decided.Messages})
+	if decided.Restore != nil {
+		controller.restore(decided.Restore)
+	}
+	for _, entry := range decided.Committed {
+		controller.applyEntry(now, actions, entry)
+	}
+}
+
+func (controller *Controller) restore(snapshot *quorum.Snapshot) {
+	restored, err := register.Restore(snapshot.Data)
+	if err != nil {
+		// The bytes passed their checksum on disk and on the wire, so this is a
+		// program error; going on would fork the state.
+		panic(errors.Wrap(err, "install snapshot"))
+	}
+	controller.register = restored
+	controller.applied = snapshot.Index
+}
+
+func (controller *Controller) applyEntry(now time.Time, actions *Actions, entry quorum.Entry) {
+	if entry.Index <= controller.applied {
+		return
+	}
+	controller.applied = entry.Index
+	waiting, ok := controller.pending[entry.Index]
+	delete(controller.pending, entry.Index)
+	if len(entry.Data) == 0 {
+		if ok {
+			actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: waiting.ticket, Leader: controller.Leader()})
+		}
+		return
+	}
+	var command register.Command
+	result := register.Result{Verdict: register.VerdictRefused, Reason: "unreadable command"}
+	if err := json.Unmarshal(entry.Data, &command); err == nil {
+		result = controller.register.Apply(entry.Index, command)
+	}
+	if !ok {
+		return
+	}
+	if waiting.term != entry.Term {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: waiting.ticket, Leader: controller.Leader()})
+		return
+	}
+	controller.settle(now, actions, waiting.ticket, command, result)
+}
+
+// settle answers a proposal, or waits until its change is in force everywhere.
+func (controller *Controller) settle(now time.Time, actions *Actions, ticket Ticket, command register.Command, result register.Result) {
+	if ticket == 0 {
+		return
+	}
+	changesNodes := command.ApplyContract != nil || command.RetireContract != nil || command.CreateStop != nil
+	accepted := result.Verdict == register.VerdictDone || result.Verdict == register.VerdictUnchanged
+	if !changesNodes || !accepted || controller.reign == nil {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &result, InForce: false})
+		return
+	}
+	controller.reign.waits = append(controller.reign.waits, forceWait{ticket: ticket, result: result, until: now.Add(forceTimeout)})
+}
+
+// propose appends a command; it is false when this voter doesn't lead.
+func (controller *Controller) propose(now time.Time, actions *Actions, ticket Ticket, command register.Command) bool {
+	if !controller.Leads(now) {
+		return false
+	}
+	command.At = now.Round(0).UTC()
+	data, err := json.Marshal(command)
+	if err != nil {
+		refused := register.Result{Verdict: register.VerdictRefused, Reason: err.Error()}
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &refused})
+		return true
+	}
+	status := controller.quorum.Status()
+	index := status.Last + 1
+	controller.pending[index] = pendingProposal{ticket: ticket, term: status.Term}
+	controller.absorb(now, actions, controller.quorum.Step(now, quorum.Propose{Data: data}))
+	return true
+}
+
+// proposeOwn appends a command of the leader itself.
+func (controller *Controller) proposeOwn(now time.Time, actions *Actions, command register.Command) {
+	controller.sequence++
+	status := controller.quorum.Status()
+	command.Change = id.Change(fmt.Sprintf("%s-%d-%d-%d", controller.config.Self, controller.config.Incarnation, status.Term, controller.sequence))
+	command.Actor = "control:" + string(controller.config.Self)
+	if controller.propose(now, actions, 0, command) {
+		controller.reign.ownIndex = controller.quorum.Status().Last
+	}
+}
+
+func (controller *Controller) proposed(now time.Time, actions *Actions, event Proposed) {
+	if !controller.Leads(now) {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Leader: controller.Leader()})
+		return
+	}
+	if event.Command.CreateStop != nil {
+		stop, problem := controller.planStop(now, *event.Command.CreateStop, event.AcceptLoss)
+		if problem != nil {
+			actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Result: problem})
+			return
+		}
+		event.Command.CreateStop = &stop
+	}
+	controller.propose(now, actions, event.Ticket, event.Command)
+}
+
+// follow starts and ends reigns and answers those whom a lost one left waiting.
+func (controller *Controller) follow(now time.Time, actions *Actions) {
+	status := controller.quorum.Status()
+	leads := status.Role == quorum.RoleLeader
+	if controller.reign != nil && (!leads || controller.reign.term != status.Term) {
+		controller.endReign(actions)
+	}
+	if controller.reign == nil && leads && now.Before(controller.quorum.LeaseUntil(now)) {
+		controller.reign = newReign(now, status.Term, controller.config)
+	}
+	if controller.Leads(now) {
+		controller.answerNews(now, actions)
+	}
+}
+
+func (controller *Controller) endReign(actions *Actions) {
+	leader := controller.Leader()
+	for _, poll := range controller.reign.polls {
+		actions.Replies = append(actions.Replies, Reply{Ticket: poll.ticket, Redirect: &feed.Redirect{Leader: leader}})
+	}
+	for _, wait := range controller.reign.waits {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: wait.ticket, Leader: leader})
+	}
+	for index, waiting := range controller.pending {
+		if waiting.ticket != 0 {
+			actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: waiting.ticket, Leader: leader})
+		}
+		delete(controller.pending, index)
+	}
+	controller.reign = nil
+}
+
+// compact replaces a long log by a snapshot.
+func (controller *Controller) compact(now time.Time, actions *Actions) {
+	if controller.quorum.LogBytes() < compactBytes && controller.quorum.LogEntries() < compactEntries {
+		return
+	}
+	data, err := controller.register.Snapshot()
+	if err != nil {
+		panic(errors.Wrap(err, "write snapshot"))
+	}
+	controller.absorb(now, actions, controller.quorum.Step(now, quorum.Compact{Index: controller.applied, Data: data}))
+}
--- /dev/null
+++ b/core/process/controller/events.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
+)
+
+// Ticket ties an answer to the request that waits for it. The caller chooses it.
+type Ticket uint64
+
+// Event is one thing that happened to a controller: Received, Synced, Proposed,
+// Reconfigured or HandedOver.
+type Event interface{ event() }
+
+// Received is a message of another voter.
+type Received struct{ Message quorum.Message }
+
+// Synced is a node's report, to be answered under its ticket.
+type Synced struct {
+	Ticket  Ticket
+	Request feed.Request
+}
+
+// Proposed is a change that an operator or a node asks for.
+type Proposed struct {
+	Ticket  Ticket
+	Command register.Command
+	// AcceptLoss lets a stop begin although it breaks a promise.
+	AcceptLoss bool
+}
+
+// Reconfigured asks for a new set of voters and learners.
+type Reconfigured struct{ Membership quorum.Membership }
+
+// HandedOver asks a leader to pass leadership on.
+type HandedOver struct{}
+
+func (Received) event()     {}
+func (Synced) event()       {}
+func (Proposed) event()     {}
+func (Reconfigured) event() {}
+func (HandedOver) event()   {}
+
+// Reply answers a Synced event: with a Response, or with a Redirect when this
+// voter can't answer.
+type Reply struct {
+	Ticket   Ticket
+	Response *feed.Response
+	Redirect *feed.Redirect
+}
+
+// Outcome answers a Proposed event.
+type Outcome struct {
+	Ticket Ticket `json:"-"`
+	// Result is nil when this voter doesn't lead or stopped leading; the change
+	// may or may not be accepted, and a resend with its change id will tell.
+	Result *register.Result `json:"result,omitempty"`
+	Leader id.Node          `json:"leader,omitempty"`
+	// InForce says that each node has the change in force or takes no new work.
+	InForce bool `json:"in_force"`
+	// Lagging lists the nodes that were waited for in vain.
+	Lagging []id.Node `json:"lagging,omitempty"`
+}
+
+// OrderKind says what a host is told to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+)
+
+// Order tells a host which group it serves in. A host that checks fencing
+// numbers refuses one with a smaller number than it has seen.
+type Order struct {
+	Host    id.Host    `json:"host"`
+	Address string     `json:"-"`
+	Kind    OrderKind  `json:"kind"`
+	Group   id.Group   `json:"group,omitempty"`
+	Model   id.Model   `json:"model,omitempty"`
+	Fencing id.Fencing `json:"fencing"`
+	// Rank is the host's place in the group; rank 0 takes requests.
+	Rank int `json:"rank"`
+	// Peers are the addresses of the group's hosts by rank.
+	Peers []string `json:"peers,omitempty"`
+	// LifetimeMS is how long after receipt the order may be carried out.
+	LifetimeMS int64 `json:"lifetime_ms"`
+}
+
+// Actions are what the caller must do: sync Save first, and when that fails
+// stop and do nothing else. Replies, Outcomes and Orders are dropped when the
+// lease of the leader that made them has run out meanwhile.
+type Actions struct {
+	Save     quorum.Save
+	Messages []quorum.Message
+	Replies  []Reply
+	Outcomes []Outcome
+	Orders   []Order
+}
+
+func (actions *Actions) add(later Actions) {
+	merged := quorum.Actions{Save: actions.Save}
+	merged.Add(quorum.Actions{Save: later.Save})
+	actions.Save = merged.Save
+	actions.Messages = append(actions.Messages, later.Messages...)
+	actions.Replies = append(actions.Replies, later.Replies...)
+	actions.Outcomes = append(actions.Outcomes, later.Outcomes...)
+	actions.Orders = append(actions.Orders, later.Orders...)
+}
--- /dev/null
+++ b/core/process/controller/overview.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+)
+
+// Overview is what a leader knows of the whole system, for operators.
+type Overview struct {
+	Leader    id.Node                   `json:"leader"`
+	Quorum    quorum.Status             `json:"quorum"`
+	Version   id.Version                `json:"version"`
+	Nodes     []NodeOverview            `json:"nodes"`
+	Groups    []GroupOverview           `json:"groups"`
+	Hosts     []HostOverview            `json:"hosts"`
+	Contracts []register.ContractRecord `json:"contracts"`
+	Stops     []register.StopRecord     `json:"stops"`
+}
+
+// NodeOverview is one node in an overview.
+type NodeOverview struct {
+	Node    id.Node    `json:"node"`
+	Live    bool       `json:"live"`
+	Version id.Version `json:"version"`
+	Calls   int        `json:"calls"`
+	Drained bool       `json:"drained"`
+}
+
+// GroupOverview is one group in an overview.
+type GroupOverview struct {
+	register.GroupRecord
+	Ready   bool      `json:"ready"`
+	Missing []id.Host `json:"missing,omitempty"`
+}
+
+// HostOverview is one host in an overview.
+type HostOverview struct {
+	Announcement roster.Announcement `json:"announcement"`
+	Live         bool                `json:"live"`
+	Group        id.Group            `json:"group,omitempty"`
+	Unfreed      bool                `json:"unfreed,omitempty"`
+}
+
+// Audit is a part of the audit trail.
+type Audit struct {
+	Entries []register.AuditEntry `json:"entries"`
+}
+
+// Overview tells what the leader knows. Only a voter that leads may be asked.
+func (controller *Controller) Overview(now time.Time) Overview {
+	overview := Overview{
+		Leader: controller.config.Self, Quorum: controller.quorum.Status(), Version: controller.register.Version(),
+		Contracts: controller.register.Contracts(), Stops: controller.register.Stops(),
+	}
+	for _, name := range sortedKeys(controller.reign.nodes) {
+		node := controller.reign.nodes[name]
+		overview.Nodes = append(overview.Nodes, NodeOverview{
+			Node: name, Live: node.incarnation > 0 && now.Before(node.leaseBound),
+			Version: node.version, Calls: node.calls, Drained: node.drained,
+		})
+	}
+	for _, group := range controller.register.Groups() {
+		if group.Phase == register.PhaseRetired {
+			continue
+		}
+		overview.Groups = append(overview.Groups, GroupOverview{
+			GroupRecord: group, Ready: controller.ready(now, group), Missing: controller.missing(now, group),
+		})
+	}
+	unfreed := controller.register.Unfreed()
+	for _, member := range controller.hosts.Members() {
+		group, _ := controller.register.GroupOf(member.Announcement.Host)
+		_, waits := unfreed[member.Announcement.Host]
+		overview.Hosts = append(overview.Hosts, HostOverview{
+			Announcement: member.Announcement, Live: member.Live(now), Group: group, Unfreed: waits,
+		})
+	}
+	return overview
+}
+
+// LeaseUntil tells until when this voter's lease as leader holds.
+func (controller *Controller) LeaseUntil(now time.Time) time.Time {
+	return controller.quorum.LeaseUntil(now)
+}
--- /dev/null
+++ b/core/process/controller/reign.go
@@ -0,0 +1,205 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/register"
+)
+
+const (
+	// forceTimeout is how long an operator waits for a change to be in force.
+	forceTimeout = 8 * time.Second
+	// governEvery is how often the leader looks for work of its own.
+	governEvery = 100 * time.Millisecond
+	// expireEvery is how often the ledger is swept.
+	expireEvery = time.Minute
+)
+
+// reign is what a leader knows for one term; it is lost with the leadership.
+type reign struct {
+	term    id.Term
+	started time.Time
+	grants  *granter.Granter
+	nodes   map[id.Node]*nodeState
+	polls   map[id.Node]poll
+	waits   []forceWait
+	// ownIndex is the leader's own last proposal; no other follows until it is
+	// applied, so that each decision sees the one before.
+	ownIndex   id.Index
+	governAt   time.Time
+	expireAt   time.Time
+	ordered    map[id.Host]time.Time
+	brokenFrom map[id.Group]time.Time
+	stopSince  map[id.Stop]time.Time
+}
+
+// nodeState is one node's last report.
+type nodeState struct {
+	incarnation id.Incarnation
+	number      uint64
+	version     id.Version
+	running     map[feed.Endpoint]int
+	calls       int
+	drained     bool
+	// leaseBound is when the node's last lease has certainly run out.
+	leaseBound time.Time
+}
+
+// poll is a request that is held back until there is news.
+type poll struct {
+	ticket  Ticket
+	request feed.Request
+	took    bool
+	until   time.Time
+}
+
+// forceWait is a change that is accepted and not yet in force everywhere.
+type forceWait struct {
+	ticket Ticket
+	result register.Result
+	until  time.Time
+}
+
+func newReign(now time.Time, term id.Term, config Config) *reign {
+	reign := &reign{
+		term: term, started: now, grants: granter.New(now, leaseBound(feed.Lease)),
+		nodes: map[id.Node]*nodeState{}, polls: map[id.Node]poll{},
+		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
+		stopSince: map[id.Stop]time.Time{},
+	}
+	// A node that hasn't been heard in this reign may hold a lease of the last.
+	for _, node := range config.Nodes {
+		reign.nodes[node] = &nodeState{leaseBound: now.Add(leaseBound(feed.Lease))}
+	}
+	return reign
+}
+
+// leaseBound lengthens a lease by what another clock may run slower.
+func leaseBound(lease time.Duration) time.Duration {
+	return lease + lease*driftPerMille/1000
+}
+
+func (controller *Controller) synced(now time.Time, actions *Actions, event Synced) {
+	request := event.Request
+	if !controller.Leads(now) {
+		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: &feed.Redirect{Leader: controller.Leader()}})
+		return
+	}
+	reign := controller.reign
+	node := reign.nodes[request.Node]
+	if node == nil {
+		node = &nodeState{}
+		reign.nodes[request.Node] = node
+	}
+	if old := request.Incarnation < node.incarnation || (request.Incarnation == node.incarnation && request.Number <= node.number); old {
+		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: &feed.Redirect{Leader: controller.config.Self}})
+		return
+	}
+	took := controller.hear(now, request)
+	node.incarnation, node.number, node.version = request.Incarnation, request.Number, request.Version
+	node.running, node.calls, node.drained = request.Running, request.Calls, request.Drained
+	if held, ok := reign.polls[request.Node]; ok {
+		// The node has given the older request up for this one.
+		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self}})
+	}
+	reign.polls[request.Node] = poll{ticket: event.Ticket, request: request, took: took, until: now.Add(feed.Wait)}
+}
+
+// hear takes the announcements that a node passes on, as old as they may be.
+func (controller *Controller) hear(now time.Time, request feed.Request) bool {
+	age, ok := controller.clock.Age(now, request.Echo)
+	if !ok {
+		return false
+	}
+	for _, relayed := range request.Heard {
+		remaining := time.Duration(relayed.RemainingMS)*time.Millisecond - age
+		controller.hosts.Hear(now, relayed.Announcement, now.Add(remaining))
+	}
+	return true
+}
+
+// answerNews answers each held request for which there is news, or whose wait
+// is over, and each change that is in force by now.
+func (controller *Controller) answerNews(now time.Time, actions *Actions) {
+	reign := controller.reign
+	reign.grants.SetLimits(controller.limits())
+	pending := reign.grants.Pending(now)
+	for _, name := range sortedKeys(reign.polls) {
+		held := reign.polls[name]
+		if controller.hasNews(held, slices.Contains(pending, name)) || !now.Before(held.until) {
+			delete(reign.polls, name)
+			controller.respond(now, actions, held)
+		}
+	}
+	reign.waits = slices.DeleteFunc(reign.waits, func(wait forceWait) bool {
+		return controller.answerWait(now, actions, wait)
+	})
+}
+
+func (controller *Controller) hasNews(held poll, regrant bool) bool {
+	request := held.request
+	own := feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
+	return !held.took || regrant || request.Epoch != own || request.Version != controller.register.Version() ||
+		request.Cursor < controller.hosts.Material()
+}
+
+func (controller *Controller) respond(now time.Time, actions *Actions, held poll) {
+	request := held.request
+	own := feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
+	cursor := request.Cursor
+	if request.Epoch != own {
+		cursor = 0
+	}
+	offer := controller.reign.grants.Ask(now, granter.Request{Node: request.Node, Held: request.Held, Demand: request.Demand})
+	response := &feed.Response{
+		Number: request.Number, Leader: controller.config.Self, Term: controller.reign.term,
+		Stamp: controller.clock.Stamp(now), Took: held.took, LeaseMS: feed.Lease.Milliseconds(),
+		Delta: controller.register.Since(request.Version),
+		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: controller.hosts.Since(now, cursor),
+		Offer: offer,
+	}
+	controller.reign.nodes[request.Node].leaseBound = now.Add(leaseBound(feed.Lease))
+	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
+}
+
+// limits are the contracts in force as the granter wants them.
+func (controller *Controller) limits() map[id.Customer]granter.Part {
+	limits := map[id.Customer]granter.Part{}
+	for _, record := range controller.register.Contracts() {
+		if record.Retired {
+			continue
+		}
+		limits[record.Contract.Customer] = granter.Part{
+			RequestsPerSecond: float64(record.Contract.RequestsPerSecond),
+			TokensPerSecond:   float64(record.Contract.TokensPerSecond),
+			Concurrency:       float64(record.Contract.Concurrency),
+		}
+	}
+	return limits
+}
+
+// lagging lists the nodes that may still act on a state before a version.
+func (controller *Controller) lagging(now time.Time, version id.Version) []id.Node {
+	var lagging []id.Node
+	for _, name := range sortedKeys(controller.reign.nodes) {
+		node := controller.reign.nodes[name]
+		if node.version < version && now.Before(node.leaseBound) {
+			lagging = append(lagging, name)
+		}
+	}
+	return lagging
+}
+
+func (controller *Controller) answerWait(now time.Time, actions *Actions, wait forceWait) bool {
+	lagging := controller.lagging(now, wait.result.Version)
+	if len(lagging) > 0 && now.Before(wait.until) {
+		return false
+	}
+	result := wait.result
+	actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: wait.ticket, Result: &result, InForce: len(lagging) == 0, Lagging: lagging})
+	return true
+}
--- /dev/null
+++ b/core/process/feed/feed.go
@@ -0,0 +1,108 @@
+// Package feed holds the messages by which every node learns of the state in
+// force and reports its own: one exchange, a Request from a node and a Response
+// from the leader, repeated without end. The leader holds a request back while
+// it has no news, up to the request's wait.
+//
+// # Usage
+//
+//	POST /peer/v1/feed with a Request; 200 with a Response, or 421 with a
+//	Redirect from a node that doesn't lead.
+package feed
+
+import (
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/clock"
+	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+)
+
+const (
+	// Lease is how long a node may act on the state that a response brought,
+	// from when it sent the request.
+	Lease = 5 * time.Second
+	// Wait is how long a leader holds back a request when it has no news.
+	Wait = 250 * time.Millisecond
+)
+
+// Request is a node's report.
+type Request struct {
+	Node        id.Node        `json:"node"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	// Number rises with each request of one incarnation.
+	Number uint64 `json:"number"`
+	// Version is the state that the node has in force.
+	Version id.Version `json:"version"`
+	// Epoch and Cursor say up to where the node knows the leader's roster.
+	Epoch  Epoch  `json:"epoch"`
+	Cursor uint64 `json:"cursor"`
+	// Echo returns the leader's last stamp.
+	Echo clock.Stamp `json:"echo"`
+	// Heard are announcements that hosts made to this node.
+	Heard  []roster.Relayed             `json:"heard,omitempty"`
+	Held   granter.Offer                `json:"held"`
+	Demand map[id.Customer]granter.Part `json:"demand,omitempty"`
+	// Running counts this node's calls in progress by endpoint.
+	Running map[Endpoint]int `json:"running,omitempty"`
+	// Calls counts all calls in progress.
+	Calls int `json:"calls"`
+	// Drained says that the node has stopped taking calls and has none left.
+	Drained bool `json:"drained,omitempty"`
+}
+
+// Endpoint is what a call runs on: a group, or a host of a plain service.
+type Endpoint struct {
+	Group id.Group `json:"group,omitempty"`
+	Host  id.Host  `json:"host,omitempty"`
+}
+
+// MarshalText makes an Endpoint usable as a key in JSON.
+func (endpoint Endpoint) MarshalText() ([]byte, error) {
+	if endpoint.Group != "" {
+		return []byte("group:" + string(endpoint.Group)), nil
+	}
+	return []byte("host:" + string(endpoint.Host)), nil
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (endpoint *Endpoint) UnmarshalText(data []byte) error {
+	*endpoint = Endpoint{}
+	text := string(data)
+	const group, host = "group:", "host:"
+	switch {
+	case len(text) > len(group) && text[:len(group)] == group:
+		endpoint.Group = id.Group(text[len(group):])
+	case len(text) > len(host) && text[:len(host)] == host:
+		endpoint.Host = id.Host(text[len(host):])
+	}
+	return nil
+}
+
+// Epoch names one life of the process whose roster a cursor counts in.
+type Epoch struct {
+	Node        id.Node        `json:"node"`
+	Incarnation id.Incarnation `json:"incarnation"`
+}
+
+// Response is the leader's answer.
+type Response struct {
+	Number uint64      `json:"number"`
+	Leader id.Node     `json:"leader"`
+	Term   id.Term     `json:"term"`
+	Stamp  clock.Stamp `json:"stamp"`
+	// Took says that the leader has heard the request's announcements.
+	Took    bool             `json:"took"`
+	LeaseMS int64            `json:"lease_ms"`
+	Delta   register.Delta   `json:"delta"`
+	Epoch   Epoch            `json:"epoch"`
+	Cursor  uint64           `json:"cursor"`
+	Roster  []roster.Relayed `json:"roster,omitempty"`
+	Offer   granter.Offer    `json:"offer"`
+}
+
+// Redirect names the leader, when it is known.
+type Redirect struct {
+	Leader id.Node `json:"leader"`
+}
--- /dev/null
+++ b/core/process/granter/granter.go
@@ -0,0 +1,284 @@
+// Package granter shares one contract's limits out over the entry hosts. Each
+// host holds a leased part; parts follow demand, and their sum never passes the
+// contract: a part that was given counts in full until its holder has
+// acknowledged a smaller one or its lease has run out.
+//
+// # Usage
+//
+//	grants := granter.New(now, lease)
+//	grants.SetLimits(limits)
+//	offer := grants.Ask(now, granter.Request{Node: "n1", Held: held, Demand: demand})
+package granter
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+)
+
+// Part is an amount of each limit.
+type Part struct {
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	TokensPerSecond   float64 `json:"tokens_per_second"`
+	Concurrency       float64 `json:"concurrency"`
+}
+
+// Serial numbers the offers to one host.
+type Serial uint64
+
+// Request is a host's side of one exchange.
+type Request struct {
+	Node id.Node `json:"node"`
+	// Held is the last offer that the host took, less what has run out.
+	Held   Offer                `json:"held"`
+	Demand map[id.Customer]Part `json:"demand,omitempty"`
+}
+
+// Offer is what a host may use until its lease ends.
+type Offer struct {
+	Serial Serial               `json:"serial"`
+	Parts  map[id.Customer]Part `json:"parts,omitempty"`
+}
+
+// holder is one host as the granter knows it.
+type holder struct {
+	expiry time.Time
+	demand map[id.Customer]Part
+	// offers are those that may still be in use: the last acknowledged one
+	// and all later ones.
+	offers []Offer
+	next   Serial
+}
+
+// refreshEvery bounds how often all hosts' targets are worked out anew.
+const refreshEvery = 20 * time.Millisecond
+
+// Granter shares out limits. It isn't safe for concurrent use.
+type Granter struct {
+	lease   time.Duration
+	started time.Time
+	limits  map[id.Customer]Part
+	holders map[id.Node]*holder
+
+	refreshed time.Time
+	stale     bool
+	targets   map[id.Customer]map[id.Node]Part
+}
+
+// New starts a granter for one reign of a leader. Until one lease has passed
+// since then it gives no host more than that host already held, since hosts
+// that it hasn't heard may still hold parts of an earlier reign.
+func New(now time.Time, lease time.Duration) *Granter {
+	return &Granter{lease: lease, started: now, holders: map[id.Node]*holder{}, stale: true}
+}
+
+// SetLimits takes the limits of the contracts in force.
+func (granter *Granter) SetLimits(limits map[id.Customer]Part) {
+	if maps.Equal(granter.limits, limits) {
+		return
+	}
+	granter.limits = maps.Clone(limits)
+	granter.stale = true
+}
+
+// Ask takes a host's holding and demand and offers it parts. The lease of the
+// offer ends at the returned expiry at the latest.
+func (granter *Granter) Ask(now time.Time, request Request) Offer {
+	granter.expire(now)
+	asking := granter.holders[request.Node]
+	if asking == nil {
+		asking = &holder{next: request.Held.Serial + 1}
+		asking.offers = []Offer{request.Held}
+		granter.holders[request.Node] = asking
+		granter.stale = true
+	}
+	asking.demand = request.Demand
+	asking.acknowledge(request.Held)
+	offer := granter.offer(now, request.Node, asking)
+	asking.expiry = now.Add(granter.lease)
+	return offer
+}
+
+// acknowledge drops the offers before the one that the host has taken.
+func (holder *holder) acknowledge(held Offer) {
+	if held.Serial >= holder.next {
+		// The host holds an offer of another reign; it counts as it stands.
+		holder.offers = append(holder.offers, held)
+		holder.next = held.Serial + 1
+	}
+	holder.offers = slices.DeleteFunc(holder.offers, func(offer Offer) bool { return offer.Serial < held.Serial })
+}
+
+// bound is the most that a host may be using.
+func (holder *holder) bound(customer id.Customer) Part {
+	var most Part
+	for _, offer := range holder.offers {
+		most = larger(most, offer.Parts[customer])
+	}
+	return most
+}
+
+// expire drops hosts whose leases have run out.
+func (granter *Granter) expire(now time.Time) {
+	for node, holder := range granter.holders {
+		if !now.Before(holder.expiry) {
+			delete(granter.holders, node)
+			granter.stale = true
+		}
+	}
+}
+
+func (granter *Granter) offer(now time.Time, node id.Node, asking *holder) Offer {
+	granter.refresh(now)
+	parts := map[id.Customer]Part{}
+	settled := !now.Before(granter.started.Add(granter.lease))
+	for customer, limit := range granter.limits {
+		part := granter.targets[customer][node]
+		part = smaller(part, granter.room(node, customer, limit))
+		if !settled {
+			part = smaller(part, asking.bound(customer))
+		}
+		if part != (Part{}) {
+			parts[customer] = part
+		}
+	}
+	last := asking.offers[len(asking.offers)-1]
+	if maps.Equal(last.Parts, parts) {
+		return last
+	}
+	offer := Offer{Serial: asking.next, Parts: parts}
+	asking.next++
+	asking.offers = append(asking.offers, offer)
+	return offer
+}
+
+// room is what the other hosts leave of a limit.
+func (granter *Granter) room(node id.Node, customer id.Customer, limit Part) Part {
+	for other, holder := range granter.holders {
+		if other == node {
+			continue
+		}
+		used := holder.bound(customer)
+		limit.RequestsPerSecond -= used.RequestsPerSecond
+		limit.TokensPerSecond -= used.TokensPerSecond
+		limit.Concurrency -= used.Concurrency
+	}
+	return larger(limit, Part{})
+}
+
+// Pending lists hosts whose last offer no longer matches their target by much,
+// so that they should be offered anew at once.
+func (granter *Granter) Pending(now time.Time) []id.Node {
+	granter.expire(now)
+	granter.refresh(now)
+	var pending []id.Node
+	for node, holder := range granter.holders {
+		last := holder.offers[len(holder.offers)-1]
+		for customer, limit := range granter.limits {
+			target := smaller(granter.targets[customer][node], granter.room(node, customer, limit))
+			if differsMuch(target, last.Parts[customer], limit) {
+				pending = append(pending, node)
+				break
+			}
+		}
+	}
+	slices.Sort(pending)
+	return pending
+}
+
+func differsMuch(a, b, limit Part) bool {
+	const fraction = 0.05
+	return math.Abs(a.RequestsPerSecond-b.RequestsPerSecond) > fraction*limit.RequestsPerSecond ||
+		math.Abs(a.TokensPerSecond-b.TokensPerSecond) > fraction*limit.TokensPerSecond ||
+		math.Abs(a.Concurrency-b.Concurrency) >= max(1, fraction*limit.Concurrency)
+}
+
+// refresh works out the targets of all hosts when they are old.
+func (granter *Granter) refresh(now time.Time) {
+	if !granter.stale && now.Sub(granter.refreshed) < refreshEvery {
+		return
+	}
+	granter.refreshed, granter.stale = now, false
+	granter.targets = map[id.Customer]map[id.Node]Part{}
+	nodes := slices.Sorted(maps.Keys(granter.holders))
+	demands := make([]Part, len(nodes))
+	for customer, limit := range granter.limits {
+		for index, node := range nodes {
+			demands[index] = granter.holders[node].demand[customer]
+		}
+		requests := split(limit.RequestsPerSecond, column(demands, func(part Part) float64 { return part.RequestsPerSecond }))
+		tokens := split(limit.TokensPerSecond, column(demands, func(part Part) float64 { return part.TokensPerSecond }))
+		concurrency := splitWhole(limit.Concurrency, column(demands, func(part Part) float64 { return part.Concurrency }))
+		parts := make(map[id.Node]Part, len(nodes))
+		for index, node := range nodes {
+			parts[node] = Part{requests[index], tokens[index], concurrency[index]}
+		}
+		granter.targets[customer] = parts
+	}
+}
+
+func column(parts []Part, field func(Part) float64) []float64 {
+	values := make([]float64, len(parts))
+	for index, part := range parts {
+		values[index] = max(0, field(part))
+	}
+	return values
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+// split gives each its demand and the rest evenly; when demand passes the
+// limit it gives each its part by demand.
+func split(limit float64, demands []float64) []float64 {
+	total := sum(demands)
+	parts := make([]float64, len(demands))
+	for index, demand := range demands {
+		if total > limit {
+			parts[index] = limit * demand / total
+			continue
+		}
+		parts[index] = demand + (limit-total)/float64(len(demands))
+	}
+	return parts
+}
+
+// splitWhole is split in whole units; what is left after rounding down goes to
+// the largest remainders, the earliest host first among equals.
+func splitWhole(limit float64, demands []float64) []float64 {
+	limit = math.Floor(limit)
+	exact := split(limit, demands)
+	parts := make([]float64, len(demands))
+	order := make([]int, len(demands))
+	left := limit
+	for index := range exact {
+		parts[index] = math.Floor(exact[index])
+		left -= parts[index]
+		order[index] = index
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(exact[b]-parts[b], exact[a]-parts[a])
+	})
+	for position := 0; position < len(order) && left >= 1; position++ {
+		parts[order[position]]++
+		left--
+	}
+	return parts
+}
+
+func smaller(a, b Part) Part {
+	return Part{min(a.RequestsPerSecond, b.RequestsPerSecond), min(a.TokensPerSecond, b.TokensPerSecond), min(a.Concurrency, b.Concurrency)}
+}
+
+func larger(a, b Part) Part {
+	return Part{max(a.RequestsPerSecond, b.RequestsPerSecond), max(a.TokensPerSecond, b.TokensPerSecond), max(a.Concurrency, b.Concurrency)}
+}
--- /dev/null
+++ b/core/process/roster/announcement.go
@@ -0,0 +1,70 @@
+package roster
+
+import (
+	"time"
+
+	"carobline.dev/core/id"
+)
+
+// Announcement is what a host of a model engine or a service says of itself.
+type Announcement struct {
+	Host        id.Host        `json:"host"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	// Sequence rises with each announcement of one incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Address is the IP number and port for requests and orders.
+	Address    string        `json:"address"`
+	DataCentre id.DataCentre `json:"data_centre"`
+	Domain     id.Domain     `json:"domain"`
+	// Accelerators is how many the host has; a plain service has none.
+	Accelerators int        `json:"accelerators"`
+	Models       []id.Model `json:"models,omitempty"`
+	// Service is set by a plain service and excludes Models.
+	Service id.Service `json:"service,omitempty"`
+	// ChecksFencing says whether the host refuses orders with old numbers.
+	ChecksFencing bool `json:"checks_fencing"`
+	// Resumes says whether a stream can start after its first tokens.
+	Resumes bool    `json:"resumes"`
+	LeaseMS int64   `json:"lease_ms"`
+	Load    Load    `json:"load"`
+	Serving Serving `json:"serving"`
+	Leaving bool    `json:"leaving"`
+}
+
+// Load is what an engine reports of itself, late.
+type Load struct {
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Urgent is how many of them, running or queued, have the first priority.
+	Urgent int `json:"urgent"`
+}
+
+// Serving is the group that a host serves in, by the last order it obeyed.
+type Serving struct {
+	Group   id.Group   `json:"group,omitempty"`
+	Model   id.Model   `json:"model,omitempty"`
+	Fencing id.Fencing `json:"fencing"`
+	// Ready says that the weights are loaded.
+	Ready bool `json:"ready"`
+}
+
+// Lease is how long the announcement holds from when it was sent.
+func (announcement *Announcement) Lease() time.Duration {
+	return time.Duration(announcement.LeaseMS) * time.Millisecond
+}
+
+// newerThan orders the announcements of one host.
+func (announcement *Announcement) newerThan(other *Announcement) bool {
+	if announcement.Incarnation != other.Incarnation {
+		return announcement.Incarnation > other.Incarnation
+	}
+	return announcement.Sequence > other.Sequence
+}
+
+// Relayed is an announcement on its way between processes, with what remains
+// of its lease at sending.
+type Relayed struct {
+	Announcement Announcement `json:"announcement"`
+	RemainingMS  int64        `json:"remaining_ms"`
+}
--- /dev/null
+++ b/core/process/roster/roster.go
@@ -0,0 +1,152 @@
+// Package roster decides which hosts are alive, from their announcements. An
+// announcement is a lease: only one that is newer than all before it, by
+// incarnation and sequence, starts a lease, so that late, doubled and relayed
+// old ones revive nothing. Leaving ends an incarnation for good.
+//
+// # Usage
+//
+//	hosts := roster.New()
+//	changed := hosts.Hear(now, announcement, expiry)
+//	for _, relayed := range hosts.Since(now, cursor) { ... }
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+)
+
+// forgetAfter is how long a dead host stays known, so that its old
+// announcements stay recognisable. It exceeds the life of any message.
+const forgetAfter = 24 * time.Hour
+
+// Member is one host as the roster knows it.
+type Member struct {
+	Announcement Announcement
+	// Expiry is when the lease ends.
+	Expiry time.Time
+	// Cursor is the roster's count at the last change.
+	Cursor uint64
+}
+
+// Live tells whether the host may be used now.
+func (member *Member) Live(now time.Time) bool {
+	return now.Before(member.Expiry) && !member.Announcement.Leaving
+}
+
+// Roster holds the known hosts. It isn't safe for concurrent use.
+type Roster struct {
+	members  map[id.Host]*Member
+	cursor   uint64
+	material uint64
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{members: map[id.Host]*Member{}}
+}
+
+// Change says what an announcement meant.
+type Change string
+
+// The changes.
+const (
+	// ChangeNone is an old announcement, which is dropped.
+	ChangeNone Change = "none"
+	// ChangeRenewed only renews the lease and the load.
+	ChangeRenewed Change = "renewed"
+	// ChangeMaterial is news that others should hear at once.
+	ChangeMaterial Change = "material"
+)
+
+// Hear takes an announcement whose lease ends at expiry.
+func (roster *Roster) Hear(now time.Time, announcement Announcement, expiry time.Time) Change {
+	old := roster.members[announcement.Host]
+	if old != nil && !announcement.newerThan(&old.Announcement) {
+		return ChangeNone
+	}
+	if old != nil && old.Announcement.Leaving && old.Announcement.Incarnation == announcement.Incarnation {
+		announcement.Leaving = true
+	}
+	change := ChangeMaterial
+	if old != nil && old.Live(now) && sameFacts(old.Announcement, announcement) {
+		change = ChangeRenewed
+	}
+	roster.cursor++
+	if change == ChangeMaterial {
+		roster.material = roster.cursor
+	}
+	roster.members[announcement.Host] = &Member{Announcement: announcement, Expiry: expiry, Cursor: roster.cursor}
+	return change
+}
+
+// sameFacts compares all but the lease, the sequence and the load.
+func sameFacts(a, b Announcement) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.DataCentre == b.DataCentre &&
+		a.Domain == b.Domain && a.Accelerators == b.Accelerators && a.Service == b.Service &&
+		a.ChecksFencing == b.ChecksFencing && a.Resumes == b.Resumes && a.Serving == b.Serving &&
+		a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
+}
+
+// Member finds one host, live or not.
+func (roster *Roster) Member(host id.Host) (Member, bool) {
+	member, ok := roster.members[host]
+	if !ok {
+		return Member{}, false
+	}
+	return *member, true
+}
+
+// Live tells whether a host may be used now.
+func (roster *Roster) Live(now time.Time, host id.Host) bool {
+	member, ok := roster.members[host]
+	return ok && member.Live(now)
+}
+
+// Members lists all known hosts by name.
+func (roster *Roster) Members() []Member {
+	members := make([]Member, 0, len(roster.members))
+	for _, host := range slices.Sorted(maps.Keys(roster.members)) {
+		members = append(members, *roster.members[host])
+	}
+	return members
+}
+
+// Cursor counts the changes so far.
+func (roster *Roster) Cursor() uint64 { return roster.cursor }
+
+// Material is the cursor of the last change that others should hear at once.
+func (roster *Roster) Material() uint64 { return roster.material }
+
+// Since lists, oldest first, what changed after a cursor and still has a lease
+// or is leaving.
+func (roster *Roster) Since(now time.Time, cursor uint64) []Relayed {
+	if cursor >= roster.cursor {
+		return nil
+	}
+	var changed []*Member
+	for _, member := range roster.members {
+		if member.Cursor > cursor && (now.Before(member.Expiry) || member.Announcement.Leaving) {
+			changed = append(changed, member)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *Member) int { return cmp.Compare(a.Cursor, b.Cursor) })
+	relayed := make([]Relayed, len(changed))
+	for index, member := range changed {
+		remaining := max(0, member.Expiry.Sub(now))
+		relayed[index] = Relayed{Announcement: member.Announcement, RemainingMS: remaining.Milliseconds()}
+	}
+	return relayed
+}
+
+// Tick forgets hosts that have been dead for a day.
+func (roster *Roster) Tick(now time.Time) {
+	for host, member := range roster.members {
+		if now.Sub(member.Expiry) > forgetAfter {
+			delete(roster.members, host)
+		}
+	}
+}
--- /dev/null
+++ b/core/version/contract/contract.go
@@ -0,0 +1,184 @@
+// Package contract holds what an operator promises one customer. Every limit,
+// share and priority that the customer meets follows from it.
+//
+// # Usage
+//
+//	agreed, err := contract.Decode(data) // strict: unknown fields are errors
+//	err = agreed.Validate()
+package contract
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/id"
+)
+
+// Priority orders customers' work when not all can be served.
+type Priority string
+
+// The priorities, from first served to last.
+const (
+	PriorityInteractive Priority = "interactive"
+	PriorityStandard    Priority = "standard"
+	PriorityBatch       Priority = "batch"
+)
+
+const (
+	maxShare       = 1000
+	maxDeadline    = time.Hour
+	hashCharacters = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Contract is one customer's contract as operators write it.
+type Contract struct {
+	Customer id.Customer `json:"customer"`
+	// TokenSHA256 lists the SHA-256 of each bearer token, in hexadecimal.
+	TokenSHA256 []string `json:"token_sha256"`
+	// Share weighs the customer against others when capacity is short.
+	Share int `json:"share"`
+	// Priority is interactive, standard or batch.
+	Priority Priority `json:"priority"`
+	// RequestsPerSecond bounds calls over all entry hosts together.
+	RequestsPerSecond id.Rate `json:"requests_per_second"`
+	// TokensPerSecond bounds prompt and generated tokens, likewise.
+	TokensPerSecond id.Rate `json:"tokens_per_second"`
+	// Concurrency bounds calls in progress, likewise.
+	Concurrency int `json:"concurrency"`
+	// QueuePlaces bounds the calls that wait at one entry host.
+	QueuePlaces int `json:"queue_places"`
+	// DeadlineMS is how long a call may wait for its first token.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// MaxTokens bounds the tokens that one call may generate.
+	MaxTokens id.Tokens `json:"max_tokens"`
+	// Models and Services list what the customer may call.
+	Models   []id.Model   `json:"models,omitempty"`
+	Services []id.Service `json:"services,omitempty"`
+	// DataCentres lists where its calls may be served; empty means anywhere.
+	DataCentres []id.DataCentre `json:"data_centres,omitempty"`
+	// NonIdempotent lists the service calls that must run at most once.
+	NonIdempotent []CallPattern `json:"non_idempotent,omitempty"`
+	// KeyRetentionHours is how long an answer is kept for its idempotency key.
+	KeyRetentionHours int `json:"key_retention_hours,omitempty"`
+}
+
+// CallPattern names calls of one service.
+type CallPattern struct {
+	Service    id.Service `json:"service"`
+	Methods    []string   `json:"methods"`
+	PathPrefix string     `json:"path_prefix"`
+}
+
+// FieldError names the field at fault and what is allowed.
+type FieldError struct {
+	Field   string
+	Value   any
+	Allowed string
+}
+
+// Error implements error.
+func (fieldError *FieldError) Error() string {
+	value, err := json.Marshal(fieldError.Value)
+	if err != nil {
+		value = []byte("unprintable")
+	}
+	return "field " + fieldError.Field + ": " + string(value) + " is not allowed, want " + fieldError.Allowed
+}
+
+// Decode reads one contract and refuses unknown fields and trailing data.
+func Decode(data []byte) (Contract, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var contract Contract
+	if err := decoder.Decode(&contract); err != nil {
+		return Contract{}, errors.Wrap(err, "decode contract")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Contract{}, errors.New("decode contract: data after the contract")
+	}
+	return contract, contract.Validate()
+}
+
+// Validate returns a *FieldError for the first field at fault.
+func (contract *Contract) Validate() error {
+	checks := []struct {
+		ok      bool
+		field   string
+		value   any
+		allowed string
+	}{
+		{namePattern.MatchString(string(contract.Customer)), "customer", contract.Customer, "1 to 63 of a-z, 0-9, '.', '_' and '-'"},
+		{len(contract.TokenSHA256) > 0, "token_sha256", contract.TokenSHA256, "at least one hash"},
+		{!slices.ContainsFunc(contract.TokenSHA256, badHash), "token_sha256", contract.TokenSHA256, "64 lower-case hexadecimal digits each"},
+		{contract.Share >= 1 && contract.Share <= maxShare, "share", contract.Share, "1 to 1000"},
+		{validPriority(contract.Priority), "priority", contract.Priority, "interactive, standard or batch"},
+		{contract.RequestsPerSecond > 0, "requests_per_second", contract.RequestsPerSecond, "more than 0"},
+		{contract.TokensPerSecond > 0, "tokens_per_second", contract.TokensPerSecond, "more than 0"},
+		{contract.Concurrency >= 1, "concurrency", contract.Concurrency, "1 or more"},
+		{contract.QueuePlaces >= 0, "queue_places", contract.QueuePlaces, "0 or more"},
+		{contract.DeadlineMS >= 1 && contract.Deadline() <= maxDeadline, "deadline_ms", contract.DeadlineMS, "1 to 3600000"},
+		{contract.MaxTokens >= 1, "max_tokens", contract.MaxTokens, "1 or more"},
+		{len(contract.Models)+len(contract.Services) > 0, "models", contract.Models, "at least one model or service"},
+		{contract.KeyRetentionHours >= 0 && contract.KeyRetentionHours <= 8760, "key_retention_hours", contract.KeyRetentionHours, "0 to 8760"},
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return &FieldError{Field: check.field, Value: check.value, Allowed: check.allowed}
+		}
+	}
+	return contract.validatePatterns()
+}
+
+func (contract *Contract) validatePatterns() error {
+	for _, pattern := range contract.NonIdempotent {
+		if !slices.Contains(contract.Services, pattern.Service) {
+			return &FieldError{"non_idempotent.service", pattern.Service, "one of the contract's services"}
+		}
+		if len(pattern.Methods) == 0 {
+			return &FieldError{"non_idempotent.methods", pattern.Methods, "at least one method"}
+		}
+		if !strings.HasPrefix(pattern.PathPrefix, "/") {
+			return &FieldError{"non_idempotent.path_prefix", pattern.PathPrefix, "a path that starts with '/'"}
+		}
+	}
+	return nil
+}
+
+func badHash(hash string) bool {
+	_, err := hex.DecodeString(hash)
+	return err != nil || len(hash) != hashCharacters || strings.ToLower(hash) != hash
+}
+
+func validPriority(priority Priority) bool {
+	return slices.Contains([]Priority{PriorityInteractive, PriorityStandard, PriorityBatch}, priority)
+}
+
+// Deadline is how long a call may wait for its first token.
+func (contract *Contract) Deadline() time.Duration {
+	return time.Duration(contract.DeadlineMS) * time.Millisecond
+}
+
+// KeyRetention is how long an answer is kept for its idempotency key.
+func (contract *Contract) KeyRetention() time.Duration {
+	if contract.KeyRetentionHours == 0 {
+		return 24 * time.Hour
+	}
+	return time.Duration(contract.KeyRetentionHours) * time.Hour
+}
+
+// MustNotRepeat tells whether a service call is marked non-idempotent.
+func (contract *Contract) MustNotRepeat(service id.Service, method, path string) bool {
+	return slices.ContainsFunc(contract.NonIdempotent, func(pattern CallPattern) bool {
+		return pattern.Service == service && slices.Contains(pattern.Methods, method) && strings.HasPrefix(path, pattern.PathPrefix)
+	})
+}
--- /dev/null
+++ b/core/version/view/view.go
@@ -0,0 +1,122 @@
+// Package view holds what a node's request path sees: an immutable picture of
+// the contracts, endpoints and grants at one moment. A request takes one view
+// when it enters and never locks control state.
+//
+// # Usage
+//
+//	current := views.Load()
+//	customer, ok := current.Authenticate(token)
+//	endpoints := current.Models[model]
+package view
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/contract"
+)
+
+// Endpoint is a group or a host of a plain service that may take work.
+type Endpoint struct {
+	Name       feed.Endpoint
+	Model      id.Model
+	Service    id.Service
+	Address    string
+	DataCentre id.DataCentre
+	Fencing    id.Fencing
+	Resumes    bool
+	Load       roster.Load
+	// Report counts the announcements of the host that Load came from.
+	Report uint64
+	// Accepting is false for an endpoint that only finishes its work.
+	Accepting bool
+	// ValidUntil is when the first lease of its hosts runs out.
+	ValidUntil time.Time
+}
+
+// Set is the endpoints that serve one model or service, by name. Sets with
+// equal fingerprints hold endpoints of the same names in the same places.
+type Set struct {
+	Endpoints   []*Endpoint
+	Fingerprint uint64
+}
+
+// NewSet sorts endpoints into a set.
+func NewSet(endpoints []*Endpoint) *Set {
+	slices.SortFunc(endpoints, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Name.Group, b.Name.Group), cmp.Compare(a.Name.Host, b.Name.Host))
+	})
+	hash := fnv.New64a()
+	for _, endpoint := range endpoints {
+		_, _ = hash.Write([]byte(endpoint.Name.Group))
+		_, _ = hash.Write([]byte{0})
+		_, _ = hash.Write([]byte(endpoint.Name.Host))
+		_, _ = hash.Write([]byte{0})
+	}
+	return &Set{Endpoints: endpoints, Fingerprint: hash.Sum64()}
+}
+
+// Customer is a contract in force.
+type Customer struct {
+	Contract contract.Contract
+	Part     granter.Part
+}
+
+// View is one moment's picture. It never changes after it is published.
+type View struct {
+	Version id.Version
+	// LeaseUntil is until when the node may take new work by this view.
+	LeaseUntil time.Time
+	// Stopping says that a planned stop of this node was asked for, Finished
+	// that it is over and the process should exit.
+	Stopping bool
+	Finished bool
+
+	Customers map[id.Customer]*Customer
+	Tokens    map[[sha256.Size]byte]id.Customer
+	Models    map[id.Model]*Set
+	Services  map[id.Service]*Set
+	Endpoints map[feed.Endpoint]*Endpoint
+}
+
+// Empty is the view of a node that knows nothing yet.
+func Empty() *View { return &View{} }
+
+// Authenticate finds the customer that holds a bearer token. The token is
+// looked up by its hash, and the hash is compared in constant time.
+func (view *View) Authenticate(token string) (*Customer, bool) {
+	hash := sha256.Sum256([]byte(token))
+	name, ok := view.Tokens[hash]
+	if !ok {
+		return nil, false
+	}
+	customer := view.Customers[name]
+	want := hex.EncodeToString(hash[:])
+	for _, known := range customer.Contract.TokenSHA256 {
+		if subtle.ConstantTimeCompare([]byte(known), []byte(want)) == 1 {
+			return customer, true
+		}
+	}
+	return nil, false
+}
+
+// InForce tells whether the node may take new work at a time.
+func (view *View) InForce(now time.Time) bool {
+	return now.Before(view.LeaseUntil) && !view.Stopping
+}
+
+// Valid tells whether an endpoint is whole and still the one that a call
+// started on.
+func (view *View) Valid(now time.Time, name feed.Endpoint, fencing id.Fencing) bool {
+	endpoint := view.Endpoints[name]
+	return endpoint != nil && endpoint.Fencing == fencing && now.Before(endpoint.ValidUntil)
+}
