caroblined: the daemon of an entry host

Cause: the deciders need one control goroutine, traffic goroutines and four listeners.

Calls that must not repeat go over a fresh connection each, because net/http itself repeats requests that carry an Idempotency-Key over kept connections.

--- /dev/null
+++ b/caroblined/connection/operatorapi/operatorapi.go
@@ -0,0 +1,152 @@
+// Package operatorapi serves operators: contracts, planned stops, status and
+// the audit trail. Any entry host answers; what only the leader knows is asked
+// of it.
+//
+// # Usage
+//
+//	handler := operatorapi.New(config).Handler()
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"carobline.dev/caroblined/process/control"
+	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/operator"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/register"
+)
+
+const (
+	bodyBytes = 1 << 20
+	// changeTimeout bounds a change until it is in force everywhere.
+	changeTimeout = 15 * time.Second
+	// readTimeout bounds a look at the leader's state.
+	readTimeout = 5 * time.Second
+	// auditLimit bounds one page of the audit trail.
+	auditLimit = 1000
+)
+
+// Config is fixed for the life of a process.
+type Config struct {
+	Control     *control.Control
+	Credentials []rest.Credential
+	Metrics     metrics.Registry
+}
+
+// API serves operators.
+type API struct {
+	config Config
+}
+
+// New returns the API for holders of operators' tokens.
+func New(config Config) *API { return &API{config: config} }
+
+// Handler returns the handler of the operators' listener.
+func (api *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /operator/v1/contracts", rest.Handle(bodyBytes, api.apply))
+	mux.Handle("POST /operator/v1/contracts/retire", rest.Handle(bodyBytes, api.retire))
+	mux.HandleFunc("GET /operator/v1/contracts", api.contracts)
+	mux.Handle("POST /operator/v1/stops", rest.Handle(bodyBytes, api.stop))
+	mux.HandleFunc("GET /operator/v1/stops", api.stops)
+	mux.HandleFunc("GET /operator/v1/status", api.status)
+	mux.HandleFunc("GET /operator/v1/audit", api.audit)
+	mux.HandleFunc("GET /metrics", api.metrics)
+	return rest.Require(api.config.Credentials, mux)
+}
+
+func (api *API) apply(ctx context.Context, request operator.ApplyRequest) (controller.Outcome, error) {
+	if err := request.Contract.Validate(); err != nil {
+		return controller.Outcome{}, rest.NotRun(http.StatusBadRequest, "bad_contract", err.Error())
+	}
+	return api.change(ctx, request.Change, false, register.Command{ApplyContract: &register.ApplyContract{Base: request.Base, Contract: request.Contract}})
+}
+
+func (api *API) retire(ctx context.Context, request operator.RetireRequest) (controller.Outcome, error) {
+	return api.change(ctx, request.Change, false, register.Command{RetireContract: &register.RetireContract{Base: request.Base, Customer: request.Customer}})
+}
+
+func (api *API) stop(ctx context.Context, request operator.StopRequest) (controller.Outcome, error) {
+	switch request.Kind {
+	case register.TargetEndpoint, register.TargetGroup, register.TargetNode, register.TargetDomain, register.TargetDataCentre:
+	default:
+		return controller.Outcome{}, rest.NotRun(http.StatusBadRequest, "bad_stop", "field kind: want endpoint, group, node, domain or data_centre")
+	}
+	create := &register.CreateStop{Stop: request.Stop, Kind: request.Kind, Target: request.Target}
+	return api.change(ctx, request.Change, request.AcceptLoss, register.Command{CreateStop: create})
+}
+
+func (api *API) change(ctx context.Context, change id.Change, acceptLoss bool, command register.Command) (controller.Outcome, error) {
+	if change == "" {
+		return controller.Outcome{}, rest.NotRun(http.StatusBadRequest, "missing_change", "field change: an id of the change that a resend repeats")
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	command.Change, command.Actor = change, rest.Actor(ctx)
+	outcome, err := api.config.Control.Propose(ctx, peers.Proposal{Command: command, AcceptLoss: acceptLoss})
+	if err != nil {
+		return outcome, rest.Unknown(http.StatusServiceUnavailable, "no_leader", err.Error())
+	}
+	return outcome, nil
+}
+
+func (api *API) overview(request *http.Request) (controller.Overview, error) {
+	ctx, cancel := context.WithTimeout(request.Context(), readTimeout)
+	defer cancel()
+	overview, err := api.config.Control.Overview(ctx)
+	if err != nil {
+		return overview, rest.NotRun(http.StatusServiceUnavailable, "no_leader", err.Error())
+	}
+	return overview, nil
+}
+
+func (api *API) status(writer http.ResponseWriter, request *http.Request) {
+	overview, err := api.overview(request)
+	answer(writer, overview, err)
+}
+
+func (api *API) contracts(writer http.ResponseWriter, request *http.Request) {
+	overview, err := api.overview(request)
+	answer(writer, operator.ContractList{Contracts: overview.Contracts}, err)
+}
+
+func (api *API) stops(writer http.ResponseWriter, request *http.Request) {
+	overview, err := api.overview(request)
+	answer(writer, operator.StopList{Stops: overview.Stops}, err)
+}
+
+func (api *API) audit(writer http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	if text := request.URL.Query().Get("after"); err != nil && text != "" {
+		rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_after", "after: the index of an entry"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), readTimeout)
+	defer cancel()
+	audit, err := api.config.Control.Audit(ctx, id.Index(after), auditLimit)
+	if err != nil {
+		err = rest.NotRun(http.StatusServiceUnavailable, "no_leader", err.Error())
+	}
+	answer(writer, audit, err)
+}
+
+func (api *API) metrics(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(api.config.Metrics, writer)
+}
+
+func answer(writer http.ResponseWriter, body any, err error) {
+	if err != nil {
+		rest.WriteError(writer, err)
+		return
+	}
+	rest.WriteJSON(writer, http.StatusOK, body)
+}
--- /dev/null
+++ b/caroblined/connection/peerapi/peerapi.go
@@ -0,0 +1,90 @@
+// Package peerapi serves the other nodes: messages between voters, the nodes'
+// reports, changes on their way to the leader, and what only the leader knows.
+//
+// # Usage
+//
+//	handler := peerapi.New(loop, credentials).Handler()
+package peerapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"carobline.dev/caroblined/process/control"
+	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/feed"
+)
+
+// bodyBytes bounds a message; a snapshot is the largest.
+const bodyBytes = 256 << 20
+
+// API serves other nodes.
+type API struct {
+	control     *control.Control
+	credentials []rest.Credential
+}
+
+// New returns the API for holders of the peers' token.
+func New(control *control.Control, credentials []rest.Credential) *API {
+	return &API{control: control, credentials: credentials}
+}
+
+// Handler returns the handler of the peers' listener.
+func (api *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /peer/v1/quorum", rest.Handle(bodyBytes, api.quorum))
+	mux.Handle("POST /peer/v1/feed", rest.Handle(bodyBytes, api.feed))
+	mux.Handle("POST /peer/v1/propose", rest.Handle(bodyBytes, api.propose))
+	mux.HandleFunc("GET /peer/v1/overview", api.overview)
+	mux.HandleFunc("GET /peer/v1/audit", api.audit)
+	return rest.Require(api.credentials, mux)
+}
+
+func (api *API) quorum(_ context.Context, messages peers.Messages) (peers.Empty, error) {
+	return peers.Empty{}, unavailable(api.control.Deliver(messages.Messages))
+}
+
+func (api *API) feed(ctx context.Context, request feed.Request) (peers.FeedAnswer, error) {
+	answer, err := api.control.Feed(ctx, request)
+	return answer, unavailable(err)
+}
+
+func (api *API) propose(ctx context.Context, proposal peers.Proposal) (controller.Outcome, error) {
+	outcome, err := api.control.ProposeHere(ctx, proposal)
+	return outcome, unavailable(err)
+}
+
+func (api *API) overview(writer http.ResponseWriter, request *http.Request) {
+	overview, ok := api.control.OverviewHere(request.Context())
+	answerIfLeading(writer, overview, ok)
+}
+
+func (api *API) audit(writer http.ResponseWriter, request *http.Request) {
+	after, _ := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	limit, err := strconv.Atoi(request.URL.Query().Get("limit"))
+	if err != nil || limit < 1 {
+		rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_limit", "limit: 1 or more"))
+		return
+	}
+	audit, ok := api.control.AuditHere(request.Context(), id.Index(after), limit)
+	answerIfLeading(writer, audit, ok)
+}
+
+func answerIfLeading(writer http.ResponseWriter, body any, leads bool) {
+	if !leads {
+		rest.WriteError(writer, rest.NotRun(http.StatusMisdirectedRequest, "not_leader", "this node doesn't lead"))
+		return
+	}
+	rest.WriteJSON(writer, http.StatusOK, body)
+}
+
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	return rest.Unknown(http.StatusServiceUnavailable, "unavailable", err.Error())
+}
--- /dev/null
+++ b/caroblined/process/daemon/daemon.go
@@ -0,0 +1,308 @@
+// Package daemon joins the parts of one node and sees to their order of start
+// and stop.
+//
+// # Usage
+//
+//	node, err := daemon.New(known, log, time.Now)
+//	err = node.Run(ctx) // until ctx ends or a planned stop is over
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"carobline.dev/caroblined/connection/callerapi"
+	"carobline.dev/caroblined/connection/hostapi"
+	"carobline.dev/caroblined/connection/operatorapi"
+	"carobline.dev/caroblined/connection/peerapi"
+	"carobline.dev/caroblined/process/control"
+	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/tlsfiles"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/wal"
+	"carobline.dev/core/request/attained"
+	"carobline.dev/core/request/dispatcher"
+	"carobline.dev/core/version/view"
+)
+
+const (
+	// drainPoll is how often a stopping node looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// reloadEvery is how often TLS files are looked at.
+	reloadEvery = 10 * time.Second
+	// headerTimeout bounds the reading of one request's header.
+	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds the reading of one request.
+	bodyTimeout = 60 * time.Second
+	// idleTimeout bounds the life of an unused connection.
+	idleTimeout = 2 * time.Minute
+	// closeTimeout bounds the end of background work once calls are drained.
+	closeTimeout = 5 * time.Second
+)
+
+// Daemon is one running node.
+type Daemon struct {
+	settings settings.Settings
+	log      zerolog.Logger
+	now      func() time.Time
+	metrics  metrics.Registry
+
+	control atomic.Pointer[control.Control]
+	peers   *peers.Peers
+	traffic *traffic.Traffic
+
+	listeners []*listener
+	files     []*tlsfiles.Files
+	engines   *http.Transport
+	once      *http.Transport
+
+	// background runs what outlives a caller.
+	background     sync.WaitGroup
+	backgroundCtx  context.Context //nolint:containedctx // the life of the daemon itself
+	backgroundStop context.CancelFunc
+	finished       chan struct{}
+	finishOnce     sync.Once
+}
+
+// New starts a node's parts and opens its listeners.
+func New(known settings.Settings, log zerolog.Logger, now func() time.Time) (*Daemon, error) {
+	daemon := &Daemon{
+		settings: known, log: log.With().Str("node", string(known.Node)).Logger(), now: now,
+		metrics: metrics.NewRegistry(), finished: make(chan struct{}),
+		engines: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		// A call that must not repeat has a connection of its own, since the
+		// transport repeats requests over kept ones.
+		once: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	}
+	daemon.backgroundCtx, daemon.backgroundStop = context.WithCancel(context.Background())
+	if err := daemon.start(); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	return daemon, nil
+}
+
+func (daemon *Daemon) start() error {
+	peerToken, err := settings.ReadToken(daemon.settings.Credentials.PeerTokenFile)
+	if err != nil {
+		return err
+	}
+	orderToken, err := settings.ReadToken(daemon.settings.Credentials.OrderTokenFile)
+	if err != nil {
+		return err
+	}
+	peerClient, scheme, err := daemon.peerClient()
+	if err != nil {
+		return err
+	}
+	incarnation := id.Incarnation(daemon.now().UnixNano())
+	daemon.startPeers(rest.NewClient(peerClient, peerToken), scheme)
+	daemon.startTraffic(incarnation)
+	if err := daemon.startControl(incarnation, rest.NewClient(&http.Client{Transport: daemon.engines}, orderToken)); err != nil {
+		daemon.traffic.Close()
+		daemon.peers.Close()
+		return err
+	}
+	return daemon.listen(incarnation, peerToken)
+}
+
+// peerClient trusts only the peers' own authority when peers speak TLS.
+func (daemon *Daemon) peerClient() (*http.Client, string, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
+	path := daemon.settings.TLS.PeerAuthorityFile
+	if path == "" {
+		return &http.Client{Transport: transport}, "http://", nil
+	}
+	authority, err := os.ReadFile(path)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "read peer authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, "", errors.Errorf("read peer authority: %s holds no certificate", path)
+	}
+	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: transport}, "https://", nil
+}
+
+func (daemon *Daemon) startPeers(client *rest.Client, scheme string) {
+	addresses := map[id.Node]string{}
+	for _, peer := range daemon.settings.Peers {
+		addresses[peer.Node] = scheme + peer.Address
+	}
+	daemon.peers = peers.New(peers.Config{Self: daemon.settings.Node, Addresses: addresses, Client: client})
+}
+
+func (daemon *Daemon) startTraffic(incarnation id.Incarnation) {
+	daemon.traffic = traffic.New(traffic.Config{
+		Dispatcher: dispatcher.Config{Node: daemon.settings.Node, DataCentre: daemon.settings.DataCentre, Rand: newRand(incarnation)},
+		View:       daemon.view, Now: daemon.now,
+	})
+}
+
+// view is the view in force, and an empty one before there is any.
+func (daemon *Daemon) view() *view.View {
+	loop := daemon.control.Load()
+	if loop == nil {
+		return view.Empty()
+	}
+	return loop.View()
+}
+
+func (daemon *Daemon) startControl(incarnation id.Incarnation, engines *rest.Client) error {
+	known := daemon.settings
+	loop, err := control.New(control.Config{
+		Self: known.Node, Incarnation: incarnation, Voters: known.Voters(), Nodes: known.Nodes(),
+		DataFolder: known.DataFolder, Disk: wal.OS(), Specs: known.Models, GroupLoads: known.GroupLoads,
+		Timing: quorum.DefaultTiming(), Peers: daemon.peers, Log: daemon.log, Now: daemon.now,
+		Order: func(ctx context.Context, order controller.Order) error {
+			return hostapi.Order(ctx, engines, order)
+		},
+		Report:  daemon.traffic.Report,
+		Changed: daemon.viewChanged,
+	})
+	if err != nil {
+		return err
+	}
+	daemon.control.Store(loop)
+	return nil
+}
+
+func (daemon *Daemon) viewChanged(current *view.View) {
+	daemon.traffic.Wake()
+	if current.Finished {
+		daemon.finishOnce.Do(func() { close(daemon.finished) })
+	}
+}
+
+func (daemon *Daemon) listen(incarnation id.Incarnation, peerToken string) error {
+	known, loop := daemon.settings, daemon.control.Load()
+	callers := callerapi.New(callerapi.Config{
+		Owner:   register.Owner{Node: known.Node, Incarnation: incarnation},
+		Traffic: daemon.traffic, View: daemon.view, Now: daemon.now, RequestID: newRequestID,
+		Propose: loop.Propose, Background: daemon.goBackground, Log: daemon.log, Metrics: daemon.metrics,
+		BodyBytes: known.Limits.BodyBytes, Silence: time.Duration(known.Limits.SilenceMS) * time.Millisecond,
+		CallerStall: time.Duration(known.Limits.CallerStallMS) * time.Millisecond,
+		Levels:      attained.New(attained.DefaultThresholds()), Engines: daemon.engines, Once: daemon.once,
+	}).Handler()
+	if known.RouterOff {
+		callers = routerOff()
+	}
+	peerCredentials := []rest.Credential{{Name: "peer", TokenSHA256: rest.HashToken(peerToken)}}
+	interfaces := []struct {
+		name, address string
+		pair          settings.KeyPair
+		handler       http.Handler
+	}{
+		{"callers", known.Listen.Callers, known.TLS.Callers, callers},
+		{"hosts", known.Listen.Hosts, known.TLS.Hosts, hostapi.New(loop, known.Credentials.Announcers).Handler()},
+		{"operators", known.Listen.Operators, known.TLS.Operators, operatorapi.New(operatorapi.Config{
+			Control: loop, Credentials: known.Credentials.Operators, Metrics: daemon.metrics,
+		}).Handler()},
+		{"peers", known.Listen.Peers, known.TLS.Peers, peerapi.New(loop, peerCredentials).Handler()},
+	}
+	for _, entry := range interfaces {
+		if err := daemon.open(entry.name, entry.address, entry.pair, entry.handler); err != nil {
+			return joinErrors(err, daemon.Close())
+		}
+	}
+	return nil
+}
+
+func joinErrors(first, second error) error {
+	if second != nil {
+		return errors.Wrap(first, second.Error())
+	}
+	return first
+}
+
+// goBackground runs work that outlives its caller; Close waits for it.
+func (daemon *Daemon) goBackground(work func(ctx context.Context)) {
+	daemon.background.Go(func() { work(daemon.backgroundCtx) })
+}
+
+// Run serves until ctx ends or a planned stop is over, then drains and closes.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			daemon.reload()
+		case <-daemon.finished:
+			daemon.log.Info().Str("step", "stop").Msg("the planned stop is over")
+			return daemon.Close()
+		case <-ctx.Done():
+			daemon.drain()
+			return daemon.Close()
+		}
+	}
+}
+
+func (daemon *Daemon) reload() {
+	for _, files := range daemon.files {
+		changed, err := files.Reload()
+		if err != nil {
+			daemon.log.Error().Err(err).Str("step", "reload_tls").Msg("the earlier certificate stays in use")
+		}
+		if changed {
+			daemon.log.Info().Str("step", "reload_tls").Msg("a new certificate is in use")
+		}
+	}
+}
+
+// drain takes no new calls, passes leadership on and waits for running calls,
+// however long they take.
+func (daemon *Daemon) drain() {
+	daemon.log.Info().Str("step", "drain").Msg("draining")
+	daemon.traffic.Stop()
+	for !daemon.traffic.Report(daemon.now()).Drained {
+		time.Sleep(drainPoll)
+	}
+	daemon.background.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for len(daemon.settings.Voters()) > 1 && daemon.control.Load().HandOver(ctx) && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
+
+// Close ends all parts and waits for them. It cuts off what still runs; Run
+// drains first.
+func (daemon *Daemon) Close() error {
+	for _, listener := range daemon.listeners {
+		listener.close()
+	}
+	daemon.backgroundStop()
+	daemon.background.Wait()
+	daemon.traffic.Close()
+	err := daemon.control.Load().Close()
+	daemon.peers.Close()
+	daemon.engines.CloseIdleConnections()
+	return err
+}
+
+// Addresses gives the addresses that the listeners really have, by interface.
+func (daemon *Daemon) Addresses() map[string]net.Addr {
+	addresses := map[string]net.Addr{}
+	for _, listener := range daemon.listeners {
+		addresses[listener.name] = listener.socket.Addr()
+	}
+	return addresses
+}
--- /dev/null
+++ b/caroblined/process/daemon/listener.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
+
+	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/tlsfiles"
+	"carobline.dev/core/id"
+)
+
+// listener is one open interface.
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+	done   sync.WaitGroup
+}
+
+func (daemon *Daemon) open(name, address string, pair settings.KeyPair, handler http.Handler) error {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", name)
+	}
+	socket = netutil.LimitListener(socket, daemon.settings.Limits.Connections)
+	if pair.CertificateFile != "" {
+		files, err := tlsfiles.New(pair.CertificateFile, pair.KeyFile)
+		if err != nil {
+			_ = socket.Close()
+			return errors.Wrapf(err, "listen for %s", name)
+		}
+		daemon.files = append(daemon.files, files)
+		socket = tls.NewListener(socket, files.Config())
+	}
+	open := &listener{name: name, socket: socket, server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: daemon.settings.Limits.HeaderBytes,
+	}}
+	daemon.listeners = append(daemon.listeners, open)
+	open.done.Go(func() {
+		if err := open.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			daemon.log.Error().Err(err).Str("step", "serve").Str("interface", name).Msg("the interface is closed")
+		}
+	})
+	daemon.log.Info().Str("step", "listen").Str("interface", name).Str("address", socket.Addr().String()).Msg("listening")
+	return nil
+}
+
+// close lets answers that are being written end, then cuts the rest.
+func (listener *listener) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout/5)
+	defer cancel()
+	if err := listener.server.Shutdown(ctx); err != nil {
+		_ = listener.server.Close()
+	}
+	listener.done.Wait()
+}
+
+// routerOff answers callers on a host that is set aside for control.
+func routerOff() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/healthz" {
+			rest.WriteJSON(writer, http.StatusOK, struct {
+				Status string `json:"status"`
+			}{"alive"})
+			return
+		}
+		rest.WriteError(writer, rest.NotRun(http.StatusServiceUnavailable, "router_off", "this host is set aside for control; another one serves"))
+	})
+}
+
+func newRequestID() id.Request {
+	var raw [16]byte
+	// The system's source of randomness doesn't fail on supported systems.
+	_, _ = rand.Read(raw[:])
+	return id.Request(hex.EncodeToString(raw[:]))
+}
+
+func newRand(incarnation id.Incarnation) *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(uint64(incarnation), 0)) //nolint:gosec // spreads load, keeps no secret
+}
--- /dev/null
+++ b/caroblined/request/traffic/admission.go
@@ -0,0 +1,116 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/request/attained"
+	"carobline.dev/core/request/dispatcher"
+	"carobline.dev/core/version/view"
+)
+
+// ErrEndpointLost is the cause of an attempt that ended because its endpoint
+// lost a host or its lease.
+var ErrEndpointLost = errors.New("the endpoint lost a host")
+
+// paceEvery is how often a stream's pace is sampled.
+const paceEvery = 100 * time.Millisecond
+
+// Admission is one call that has an endpoint. One goroutine uses it.
+type Admission struct {
+	traffic  *Traffic
+	ticket   dispatcher.Ticket
+	endpoint *view.Endpoint
+	cancel   context.CancelCauseFunc
+	level    attained.Level
+	// lastAt and tokens sample the pace.
+	lastAt time.Time
+	tokens int
+}
+
+// Endpoint is where the call runs now.
+func (admission *Admission) Endpoint() *view.Endpoint { return admission.endpoint }
+
+// Level is the priority level that the call has sunk to.
+func (admission *Admission) Level() attained.Level { return admission.level }
+
+// Attempt starts an attempt at the endpoint: its context ends with
+// ErrEndpointLost when the endpoint loses a host. It is false when the node may
+// not begin work any more, which is checked as the last step before the write.
+func (admission *Admission) Attempt(ctx context.Context) (context.Context, context.CancelCauseFunc, bool) {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	now, current := traffic.config.Now(), traffic.config.View()
+	if !now.Before(current.LeaseUntil) || !current.Valid(now, admission.endpoint.Name, admission.endpoint.Fencing) {
+		return nil, nil, false
+	}
+	attempt, cancel := context.WithCancelCause(ctx)
+	admission.cancel = cancel
+	admission.lastAt, admission.tokens = time.Time{}, 0
+	traffic.streams[admission] = struct{}{}
+	return attempt, cancel, true
+}
+
+// Token takes the arrival of a token, for the endpoint's pace.
+func (admission *Admission) Token() {
+	now := admission.traffic.config.Now()
+	if admission.lastAt.IsZero() {
+		admission.lastAt = now
+		return
+	}
+	admission.tokens++
+	elapsed := now.Sub(admission.lastAt)
+	if elapsed < paceEvery {
+		return
+	}
+	gap := elapsed / time.Duration(admission.tokens)
+	admission.lastAt, admission.tokens = now, 0
+	admission.traffic.mutex.Lock()
+	defer admission.traffic.mutex.Unlock()
+	admission.traffic.work.Pace(now, admission.ticket, gap)
+}
+
+// Whole takes how long a service took for a whole answer.
+func (admission *Admission) Whole(took time.Duration) {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.work.Pace(traffic.config.Now(), admission.ticket, took)
+}
+
+// Move ends the attempt and finds an endpoint for the rest of the call.
+func (admission *Admission) Move(level attained.Level, failed bool) bool {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	admission.endAttempt()
+	endpoint, ok := traffic.work.Move(traffic.config.Now(), traffic.config.View(), admission.ticket, level, failed)
+	if ok {
+		admission.endpoint, admission.level = endpoint, level
+	}
+	traffic.pump()
+	return ok
+}
+
+// endAttempt stops watching the attempt. The mutex is held.
+func (admission *Admission) endAttempt() {
+	if admission.cancel != nil {
+		admission.cancel(nil)
+		admission.cancel = nil
+	}
+	delete(admission.traffic.streams, admission)
+}
+
+// Finish gives the call's place back.
+func (admission *Admission) Finish(tokens id.Tokens, failed bool) {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	admission.endAttempt()
+	traffic.work.Finished(traffic.config.Now(), admission.ticket, tokens, failed)
+	traffic.pump()
+}
