--- /dev/null
+++ b/carobline/command/audit/list/list.go
@@ -0,0 +1,68 @@
+// Package list is carobline audit list.
+//
+// # Usage
+//
+//	err := list.Command(ctx, shared, []string{"--after", "120"})
+package list
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"carobline.dev/carobline/connection/printer"
+	"carobline.dev/carobline/process/factory"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+)
+
+// Options are what the command line says.
+type Options struct {
+	After  uint64
+	JSON   bool
+	Client interface {
+		Audit(ctx context.Context, after id.Index) (controller.Audit, error)
+	}
+	Printer *printer.Printer
+}
+
+// New returns the options that arguments give.
+func New(shared *factory.Factory, arguments []string) (*Options, error) {
+	options := &Options{}
+	flags := shared.Flags("carobline audit list")
+	flags.Uint64Var(&options.After, "after", 0, "list entries after this `INDEX`")
+	flags.BoolVar(&options.JSON, "json", false, "print JSON")
+	if err := flags.Parse(arguments); err != nil {
+		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+	}
+	client, err := shared.Client()
+	if err != nil {
+		return nil, err
+	}
+	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	return options, nil
+}
+
+// Command parses, then runs.
+func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
+	options, err := New(shared, arguments)
+	if err != nil {
+		return err
+	}
+	return Run(ctx, options)
+}
+
+// Run prints one page of the audit trail; the last index leads to the next.
+func Run(ctx context.Context, options *Options) error {
+	audit, err := options.Client.Audit(ctx, id.Index(options.After))
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, entry := range audit.Entries {
+		rows = append(rows, []string{
+			fmt.Sprint(entry.Index), entry.At.Format(time.RFC3339), entry.Actor, entry.Action, entry.Subject, entry.From, entry.To,
+		})
+	}
+	return options.Printer.Show(audit.Entries, []string{"INDEX", "WHEN", "WHO", "ACTION", "SUBJECT", "FROM", "TO"}, rows)
+}
--- /dev/null
+++ b/carobline/command/contract/retire/retire.go
@@ -0,0 +1,86 @@
+// Package retire is carobline contract retire.
+//
+// # Usage
+//
+//	err := retire.Command(ctx, shared, []string{"acme"})
+package retire
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/carobline/command/contract/apply"
+	"carobline.dev/carobline/connection/printer"
+	"carobline.dev/carobline/process/factory"
+	"carobline.dev/core/connection/operator"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+)
+
+// Options are what the command line says.
+type Options struct {
+	Customer id.Customer
+	JSON     bool
+	Client   interface {
+		Contracts(ctx context.Context) (operator.ContractList, error)
+		Retire(ctx context.Context, request operator.RetireRequest) (controller.Outcome, error)
+	}
+	NewChange func() id.Change
+	Printer   *printer.Printer
+}
+
+// New returns the options that arguments give.
+func New(shared *factory.Factory, arguments []string) (*Options, error) {
+	options := &Options{NewChange: shared.NewChange}
+	flags := shared.Flags("carobline contract retire CUSTOMER")
+	flags.BoolVar(&options.JSON, "json", false, "print JSON")
+	if err := flags.Parse(arguments); err != nil {
+		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+	}
+	if flags.NArg() != 1 {
+		return nil, factory.Usage("name one customer; carobline contract list lists them")
+	}
+	options.Customer = id.Customer(flags.Arg(0))
+	client, err := shared.Client()
+	if err != nil {
+		return nil, err
+	}
+	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	return options, nil
+}
+
+// Command parses, then runs.
+func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
+	options, err := New(shared, arguments)
+	if err != nil {
+		return err
+	}
+	return Run(ctx, options)
+}
+
+// Run ends one contract, from the revision that it has now.
+func Run(ctx context.Context, options *Options) error {
+	list, err := options.Client.Contracts(ctx)
+	if err != nil {
+		return err
+	}
+	base := id.Revision(0)
+	for _, record := range list.Contracts {
+		if record.Contract.Customer == options.Customer {
+			base = record.Revision
+		}
+	}
+	if base == 0 {
+		return errors.Errorf("customer %s has no contract; carobline contract list lists them", options.Customer)
+	}
+	outcome, err := options.Client.Retire(ctx, operator.RetireRequest{Change: options.NewChange(), Base: base, Customer: options.Customer})
+	if err != nil {
+		return err
+	}
+	if err := apply.Verdict(*outcome.Result, string(options.Customer)); err != nil {
+		return err
+	}
+	return options.Printer.Show(outcome, []string{"CUSTOMER", "STATE", "IN FORCE"}, [][]string{{string(options.Customer), "retired", fmt.Sprint(outcome.InForce)}})
+}
--- /dev/null
+++ b/carobline/command/contract/show/show.go
@@ -0,0 +1,69 @@
+// Package show is carobline contract show.
+//
+// # Usage
+//
+//	err := show.Command(ctx, shared, []string{"acme"})
+package show
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/carobline/connection/printer"
+	"carobline.dev/carobline/process/factory"
+	"carobline.dev/core/connection/operator"
+	"carobline.dev/core/id"
+)
+
+// Options are what the command line says.
+type Options struct {
+	Customer id.Customer
+	Client   interface {
+		Contracts(ctx context.Context) (operator.ContractList, error)
+	}
+	Printer *printer.Printer
+}
+
+// New returns the options that arguments give.
+func New(shared *factory.Factory, arguments []string) (*Options, error) {
+	options := &Options{}
+	flags := shared.Flags("carobline contract show CUSTOMER")
+	_ = flags.Bool("json", true, "print JSON, as it always does")
+	if err := flags.Parse(arguments); err != nil {
+		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+	}
+	if flags.NArg() != 1 {
+		return nil, factory.Usage("name one customer; carobline contract list lists them")
+	}
+	options.Customer = id.Customer(flags.Arg(0))
+	client, err := shared.Client()
+	if err != nil {
+		return nil, err
+	}
+	options.Client, options.Printer = client, printer.New(shared.Out, true)
+	return options, nil
+}
+
+// Command parses, then runs.
+func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
+	options, err := New(shared, arguments)
+	if err != nil {
+		return err
+	}
+	return Run(ctx, options)
+}
+
+// Run prints one contract in the form in which it is kept in files.
+func Run(ctx context.Context, options *Options) error {
+	list, err := options.Client.Contracts(ctx)
+	if err != nil {
+		return err
+	}
+	for _, record := range list.Contracts {
+		if record.Contract.Customer == options.Customer {
+			return options.Printer.Show(record, nil, nil)
+		}
+	}
+	return errors.Errorf("customer %s has no contract; carobline contract list lists them", options.Customer)
+}
--- /dev/null
+++ b/carobline/command/stop/list/list.go
@@ -0,0 +1,77 @@
+// Package list is carobline stop list.
+//
+// # Usage
+//
+//	err := list.Command(ctx, shared, nil)
+package list
+
+import (
+	"context"
+	"time"
+
+	"carobline.dev/carobline/connection/printer"
+	"carobline.dev/carobline/process/factory"
+	"carobline.dev/core/connection/operator"
+	"carobline.dev/core/process/register"
+)
+
+// Options are what the command line says.
+type Options struct {
+	JSON   bool
+	Client interface {
+		Stops(ctx context.Context) (operator.StopList, error)
+	}
+	Printer *printer.Printer
+}
+
+// New returns the options that arguments give.
+func New(shared *factory.Factory, arguments []string) (*Options, error) {
+	options := &Options{}
+	flags := shared.Flags("carobline stop list")
+	flags.BoolVar(&options.JSON, "json", false, "print JSON")
+	if err := flags.Parse(arguments); err != nil {
+		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+	}
+	client, err := shared.Client()
+	if err != nil {
+		return nil, err
+	}
+	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	return options, nil
+}
+
+// Command parses, then runs.
+func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
+	options, err := New(shared, arguments)
+	if err != nil {
+		return err
+	}
+	return Run(ctx, options)
+}
+
+// Run prints all planned stops.
+func Run(ctx context.Context, options *Options) error {
+	list, err := options.Client.Stops(ctx)
+	if err != nil {
+		return err
+	}
+	return options.Printer.Show(list.Stops, Head, Rows(list.Stops))
+}
+
+// Head is the head of a table of stops.
+var Head = []string{"STOP", "KIND", "TARGET", "STATE", "ASKED BY", "ASKED"}
+
+// Rows are the rows of a table of stops.
+func Rows(stops []register.StopRecord) [][]string {
+	var rows [][]string
+	for _, stop := range stops {
+		state := "running"
+		if stop.Done {
+			state = "done"
+		}
+		rows = append(rows, []string{
+			string(stop.Stop), string(stop.Kind), stop.Target, state, stop.Actor, stop.Asked.Format(time.RFC3339),
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure runs the measurements of docs/.
+package main
+
+func main() {}
