--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -122,7 +122,7 @@
 	control.voter, err = controller.New(now, controller.Config{
 		Self: control.config.Self, Incarnation: control.config.Incarnation,
 		Voters: control.config.Voters, Nodes: control.config.Nodes, Timing: control.config.Timing,
-		Specs: control.config.Specs, GroupLoads: control.config.GroupLoads,
+		Specs: control.config.Specs, GroupLoads: control.config.GroupLoads, CompactEntries: controller.CompactEntries,
 		Rand: rand.New(rand.NewPCG(seed, hashNode(control.config.Self))), //nolint:gosec // spreads elections, keeps no secret
 	}, stored, control.hosts)
 	return step.Wrap(err, "open voter")
--- a/core/process/clock/clock.go
+++ b/core/process/clock/clock.go
@@ -42,6 +42,9 @@
 	return &Clock{node: node, incarnation: incarnation, epoch: now}
 }
 
+// Reading is the time since the process started.
+func (clock *Clock) Reading(now time.Time) time.Duration { return now.Sub(clock.epoch) }
+
 // Stamp reads the clock.
 func (clock *Clock) Stamp(now time.Time) Stamp {
 	return Stamp{Node: clock.node, Incarnation: clock.incarnation, Nanos: int64(now.Sub(clock.epoch))}
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -30,8 +30,8 @@
 const (
 	// compactBytes is how much log is kept before a snapshot replaces it.
 	compactBytes = 4 << 20
-	// compactEntries is the same in entries.
-	compactEntries = 20_000
+	// CompactEntries is the same in entries.
+	CompactEntries = 20_000
 	// driftPerMille bounds how far two clocks' rates differ.
 	driftPerMille = 10
 )
@@ -47,14 +47,12 @@
 	Specs  []placer.Spec
 	// GroupLoads bounds the groups that load weights at the same time.
 	GroupLoads int
-	// BreakSafety disables one mechanism, to prove that the checks notice.
-	BreakSafety Fault
-	Rand        *rand.Rand
+	// CompactEntries bounds the entries of the log before a snapshot replaces
+	// them.
+	CompactEntries int
+	Rand           *rand.Rand
 }
 
-// Fault names a mechanism that a test switches off.
-type Fault string
-
 // Controller is the decider of one voter. It isn't safe for concurrent use.
 type Controller struct {
 	config   Config
@@ -210,14 +208,15 @@
 	if !controller.Leads(now) {
 		return false
 	}
+	status := controller.quorum.Status()
 	command.At = now.Round(0).UTC()
+	command.Term, command.Clock = status.Term, controller.clock.Reading(now)
 	data, err := json.Marshal(command)
 	if err != nil {
 		refused := register.Result{Verdict: register.VerdictRefused, Reason: err.Error()}
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &refused})
 		return true
 	}
-	status := controller.quorum.Status()
 	index := status.Last + 1
 	controller.pending[index] = pendingProposal{ticket: ticket, term: status.Term}
 	controller.absorb(now, actions, controller.quorum.Step(now, quorum.Propose{Data: data}))
@@ -285,7 +284,7 @@
 
 // compact replaces a long log by a snapshot.
 func (controller *Controller) compact(now time.Time, actions *Actions) {
-	if controller.quorum.LogBytes() < compactBytes && controller.quorum.LogEntries() < compactEntries {
+	if controller.quorum.LogBytes() < compactBytes && controller.quorum.LogEntries() < controller.config.CompactEntries {
 		return
 	}
 	data, err := controller.register.Snapshot()
@@ -294,3 +293,6 @@
 	}
 	controller.absorb(now, actions, controller.quorum.Step(now, quorum.Compact{Index: controller.applied, Data: data}))
 }
+
+// Applied is the index up to which the state is applied.
+func (controller *Controller) Applied() id.Index { return controller.applied }
--- a/core/process/controller/govern.go
+++ b/core/process/controller/govern.go
@@ -69,7 +69,7 @@
 		return false
 	}
 	controller.reign.expireAt = now.Add(expireEvery)
-	if !controller.register.HasExpired(now) {
+	if !controller.register.HasExpired(controller.reign.term, controller.clock.Reading(now)) {
 		return false
 	}
 	controller.proposeOwn(now, actions, register.Command{ExpireCalls: &register.ExpireCalls{}})
@@ -77,11 +77,15 @@
 }
 
 // freeHosts frees hosts that acknowledged leaving their group, or that are
-// dead for longer than any order to them lives.
+// dead for longer than any order to them lives; and only once no node can route
+// to the old group any more.
 func (controller *Controller) freeHosts(now time.Time, actions *Actions) bool {
 	unfreed := controller.register.Unfreed()
 	for _, name := range sortedKeys(unfreed) {
 		record := unfreed[name]
+		if len(controller.lagging(now, record.Version)) > 0 {
+			continue
+		}
 		member, known := controller.hosts.Member(name)
 		acknowledged := known && now.Before(member.Expiry) &&
 			member.Announcement.Serving.Group == "" && member.Announcement.Serving.Fencing >= record.Fencing
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -411,3 +411,9 @@
 	}
 	return heard
 }
+
+// Group is a group as the node has it in force.
+func (member *Member) Group(name id.Group) (register.GroupRecord, bool) {
+	record, ok := member.groups[name]
+	return record, ok
+}
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -12,6 +12,7 @@
 
 // Apply carries out one committed command.
 func (register *Register) Apply(index id.Index, command Command) Result {
+	register.state.Clock.advance(command.Term, command.Clock)
 	memory, keep := &register.state.Changes, changeMemory
 	if command.BeginCall != nil || command.FinishCall != nil {
 		memory, keep = &register.state.Attempts, attemptMemory
@@ -20,7 +21,7 @@
 		return result
 	}
 	result := register.apply(index, command)
-	memory.add(command.Change, command.At, result, keep)
+	memory.add(command.Change, register.state.Clock.Elapsed, result, keep)
 	return result
 }
 
@@ -47,11 +48,11 @@
 	case command.BeginCall != nil:
 		return register.beginCall(command, *command.BeginCall)
 	case command.FinishCall != nil:
-		return register.finishCall(command, *command.FinishCall)
+		return register.finishCall(*command.FinishCall)
 	case command.LoseOwner != nil:
 		return register.loseOwner(*command.LoseOwner)
 	case command.ExpireCalls != nil:
-		return register.expireCalls(command)
+		return register.expireCalls()
 	default:
 		return refused("unknown command")
 	}
--- a/core/process/register/command.go
+++ b/core/process/register/command.go
@@ -13,8 +13,12 @@
 	Change id.Change `json:"change"`
 	// Actor is who asked, for the audit trail.
 	Actor string `json:"actor"`
-	// At is the leader's wall clock, the only time that Apply sees.
+	// At is the leader's wall clock, for people to read.
 	At time.Time `json:"at"`
+	// Term and Clock date the command for the state's own clock: time passes
+	// in the state only between two commands of one term.
+	Term  id.Term       `json:"term"`
+	Clock time.Duration `json:"clock"`
 
 	ApplyContract  *ApplyContract  `json:"apply_contract,omitempty"`
 	RetireContract *RetireContract `json:"retire_contract,omitempty"`
--- a/core/process/register/groups.go
+++ b/core/process/register/groups.go
@@ -67,7 +67,7 @@
 	register.state.Fencing++
 	for _, host := range old.Hosts {
 		if !slices.Contains(repair.Hosts, host) {
-			register.state.Hosts[host] = HostRecord{Fencing: register.state.Fencing}
+			register.state.Hosts[host] = HostRecord{Fencing: register.state.Fencing, Version: id.Version(index)}
 		}
 	}
 	fresh := &GroupRecord{
@@ -99,7 +99,7 @@
 	}
 	register.state.Fencing++
 	for _, host := range old.Hosts {
-		register.state.Hosts[host] = HostRecord{Fencing: register.state.Fencing}
+		register.state.Hosts[host] = HostRecord{Fencing: register.state.Fencing, Version: id.Version(index)}
 	}
 	fresh := *old
 	fresh.Phase, fresh.Version = PhaseRetired, id.Version(index)
--- a/core/process/register/ledger.go
+++ b/core/process/register/ledger.go
@@ -5,7 +5,7 @@
 	if old == nil {
 		record := &CallRecord{
 			State: CallInFlight, BodyHash: begin.BodyHash, Owner: begin.Owner,
-			Attempt: command.Change, Expires: command.At.Add(begin.Retention),
+			Attempt: command.Change, Expires: register.state.Clock.Elapsed + begin.Retention,
 		}
 		register.calls[begin.Key] = record
 		return Result{Verdict: VerdictGranted}
@@ -17,13 +17,13 @@
 	return Result{Verdict: VerdictKnown, Call: &known}
 }
 
-func (register *Register) finishCall(command Command, finish FinishCall) Result {
+func (register *Register) finishCall(finish FinishCall) Result {
 	record := register.calls[finish.Key]
 	if record == nil && finish.NotRun {
 		// The owner gave up before its record was committed; should that still
 		// arrive, it must not hold the key.
 		given := refused("the owner gave this attempt up")
-		register.state.Attempts.add(finish.Attempt, command.At, given, attemptMemory)
+		register.state.Attempts.add(finish.Attempt, register.state.Clock.Elapsed, given, attemptMemory)
 		return Result{Verdict: VerdictDone}
 	}
 	if record == nil || record.Attempt != finish.Attempt {
@@ -55,9 +55,9 @@
 	return Result{Verdict: VerdictDone}
 }
 
-func (register *Register) expireCalls(command Command) Result {
+func (register *Register) expireCalls() Result {
 	for _, record := range register.calls {
-		if record.State == CallDone && command.At.After(record.Expires) {
+		if record.State == CallDone && register.state.Clock.Elapsed > record.Expires {
 			record.State, record.Answer = CallExpired, nil
 		}
 	}
--- a/core/process/register/recent.go
+++ b/core/process/register/recent.go
@@ -13,8 +13,8 @@
 }
 
 type recentEntry struct {
-	Change id.Change `json:"change"`
-	At     time.Time `json:"at"`
+	Change id.Change     `json:"change"`
+	At     time.Duration `json:"at"`
 }
 
 func (recent *recent) find(change id.Change) (Result, bool) {
@@ -22,14 +22,14 @@
 	return result, ok
 }
 
-func (recent *recent) add(change id.Change, at time.Time, result Result, memory time.Duration) {
+func (recent *recent) add(change id.Change, at time.Duration, result Result, memory time.Duration) {
 	if change == "" {
 		return
 	}
 	recent.Results[change] = result
 	recent.Order = append(recent.Order, recentEntry{change, at})
 	drop := 0
-	for drop < len(recent.Order) && at.Sub(recent.Order[drop].At) > memory {
+	for drop < len(recent.Order) && at-recent.Order[drop].At > memory {
 		delete(recent.Results, recent.Order[drop].Change)
 		drop++
 	}
--- a/core/process/register/records.go
+++ b/core/process/register/records.go
@@ -50,6 +50,8 @@
 // than that of the group it left.
 type HostRecord struct {
 	Fencing id.Fencing `json:"fencing"`
+	// Version is that of the change that took it out.
+	Version id.Version `json:"version"`
 }
 
 // CallState is what is known of a non-idempotent call.
@@ -71,7 +73,8 @@
 	Owner    Owner     `json:"owner"`
 	Attempt  id.Change `json:"attempt"`
 	Answer   *Answer   `json:"answer,omitempty"`
-	Expires  time.Time `json:"expires"`
+	// Expires is when the answer may go, by the state's own clock.
+	Expires time.Duration `json:"expires"`
 }
 
 // AuditEntry says who changed what, when, from what and to what.
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -49,6 +49,31 @@
 	Changes   recent                          `json:"changes"`
 	Attempts  recent                          `json:"attempts"`
 	Audit     []AuditEntry                    `json:"audit"`
+	Clock     stateClock                      `json:"clock"`
+}
+
+// stateClock measures time by the log alone. The clocks of two leaders may be
+// far apart, so the step from one term to the next counts as no time; what is
+// kept for a while is then kept longer, never shorter.
+type stateClock struct {
+	Term    id.Term       `json:"term"`
+	Last    time.Duration `json:"last"`
+	Elapsed time.Duration `json:"elapsed"`
+}
+
+// at is the state's clock at a command or a moment of a leader's reign.
+func (clock *stateClock) at(term id.Term, reading time.Duration) time.Duration {
+	if term != clock.Term || reading <= clock.Last {
+		return clock.Elapsed
+	}
+	return clock.Elapsed + reading - clock.Last
+}
+
+func (clock *stateClock) advance(term id.Term, reading time.Duration) {
+	clock.Elapsed = clock.at(term, reading)
+	if term != clock.Term || reading > clock.Last {
+		clock.Term, clock.Last = term, reading
+	}
 }
 
 type callEntry struct {
@@ -176,10 +201,12 @@
 	return slices.Collect(maps.Keys(owners))
 }
 
-// HasExpired tells whether ExpireCalls would drop anything at a wall time.
-func (register *Register) HasExpired(at time.Time) bool {
+// HasExpired tells whether ExpireCalls would drop anything at a moment of a
+// leader's term, by that leader's clock.
+func (register *Register) HasExpired(term id.Term, reading time.Duration) bool {
+	now := register.state.Clock.at(term, reading)
 	for _, record := range register.calls {
-		if record.State == CallDone && at.After(record.Expires) {
+		if record.State == CallDone && now > record.Expires {
 			return true
 		}
 	}
