--- a/core/process/controller/checks_test.go
+++ b/core/process/controller/checks_test.go
@@ -114,12 +114,26 @@
 		}
 	}
 	checks.groups(node)
+	checks.oneLeader()
 	if world.chance(0.2) {
 		checks.sums()
 		checks.noHostTwice()
 	}
 }
 
+// oneLeader checks that no two voters hold a leader's lease at once.
+func (checks *checks) oneLeader() {
+	leader := id.Node("")
+	for _, node := range checks.world.nodes {
+		if node.up && node.voter != nil && node.voter.Leads(node.local()) {
+			if leader != "" {
+				checks.world.fail("%s and %s lead at once", leader, node.name)
+			}
+			leader = node.name
+		}
+	}
+}
+
 // groups checks that each group that a node would send work to is whole: each
 // host has said within its lease that it serves there.
 func (checks *checks) groups(node *node) {
@@ -202,7 +216,7 @@
 
 func fakeContract(customer id.Customer, share int) contract.Contract {
 	return contract.Contract{
-		Customer: customer, TokenSHA256: []string{fmt.Sprintf("%064x", len(customer)*1000+int(customer[0]))}, Share: share,
+		Customer: customer, TokenSHA256: []string{fmt.Sprintf("%064x", []byte(customer))}, Share: share,
 		Priority: contract.PriorityStandard, RequestsPerSecond: fixedRate, TokensPerSecond: 1000, Concurrency: fixedConcurrency,
 		DeadlineMS: 1000, MaxTokens: 100, Models: []id.Model{fakeModel},
 	}
@@ -220,6 +234,11 @@
 				return
 			}
 			voter := world.nodes[world.rand.IntN(fakeVoters)]
+			for _, hinted := range world.nodes[:fakeVoters] {
+				if hinted.name == from.member.Leader() && try%2 == 0 {
+					voter = hinted
+				}
+			}
 			from.ask(voter.name, func(other *node2) {
 				ticket := other.wait(func(content any) {
 					outcome := content.(controller.Outcome)
@@ -330,8 +349,11 @@
 			world.fail("contract %s is at revision %d, %d was in force", customer, record.Revision, revision)
 		}
 	}
-	serving := len(leader.view.Models[fakeModel].Endpoints)
-	if want := len(world.hosts) / hostsInUnit; serving != want {
+	serving := 0
+	if set := leader.view.Models[fakeModel]; set != nil {
+		serving = len(set.Endpoints)
+	}
+	if want := fakeDomains * (fakeHosts / fakeDomains / hostsInUnit); serving != want {
 		world.fail("%d groups serve, %d could: %+v", serving, want, leader.voter.Register().Groups())
 	}
 }
--- a/core/process/controller/cluster_test.go
+++ b/core/process/controller/cluster_test.go
@@ -94,7 +94,7 @@
 	node := world.nodes[world.rand.IntN(len(world.nodes))]
 	host := world.hosts[world.rand.IntN(len(world.hosts))]
 	length := time.Duration(world.rand.Int64N(int64(9 * time.Second)))
-	switch world.rand.IntN(8) {
+	switch world.rand.IntN(10) {
 	case 0, 1:
 		if node.up {
 			node.crash()
@@ -104,6 +104,16 @@
 				}
 			})
 		}
+	case 8:
+		world.deposeLeader(length)
+	case 9:
+		// Quick restarts of all voters, as after a loss of power.
+		for _, voter := range world.nodes[:fakeVoters] {
+			if voter.up {
+				voter.crash()
+				world.after(time.Duration(world.rand.Int64N(int64(700*time.Millisecond))), voter.start)
+			}
+		}
 	case 2:
 		node.pausedTill = world.now + length
 	case 3:
@@ -122,6 +132,27 @@
 	}
 }
 
+// deposeLeader cuts the leader off, or pauses it, and restarts another voter
+// that has just heard from it.
+func (world *world) deposeLeader(length time.Duration) {
+	for _, node := range world.nodes[:fakeVoters] {
+		if !node.up || node.voter == nil || !node.voter.Leads(node.local()) {
+			continue
+		}
+		if world.chance(0.5) {
+			node.pausedTill = world.now + length
+		} else {
+			world.cut(node, length, true)
+		}
+		other := world.nodes[world.rand.IntN(fakeVoters)]
+		if other != node && other.up {
+			other.crash()
+			world.after(time.Duration(world.rand.Int64N(int64(100*time.Millisecond))), other.start)
+		}
+		return
+	}
+}
+
 // cut keeps a node from hearing others, or from being heard.
 func (world *world) cut(node *node, length time.Duration, hears bool) {
 	for _, other := range world.nodes {
--- a/core/process/controller/world_test.go
+++ b/core/process/controller/world_test.go
@@ -25,7 +25,8 @@
 	fakeModel   = id.Model("m")
 	fakeVoters  = 3
 	fakeNodes   = 9
-	fakeHosts   = 12
+	fakeDomains = 3
+	fakeHosts   = 15 // two groups and a spare in each domain
 	hostsInUnit = 2
 )
 
@@ -389,7 +390,7 @@
 func newHost(world *world, index int) *host {
 	host := &host{
 		world: world, name: id.Host(fmt.Sprintf("h%02d", index)), clock: world.newClock(),
-		checks: index%3 != 0, domain: id.Domain(fmt.Sprintf("f%d", index%3)), up: true, incarnation: 1,
+		checks: index%4 != 0, domain: id.Domain(fmt.Sprintf("f%d", index%fakeDomains)), up: true, incarnation: 1,
 		said: map[roster.Serving]time.Duration{},
 	}
 	world.after(time.Duration(world.rand.Int64N(int64(renewEvery))), host.renew)
