--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -71,16 +71,17 @@
 	meters  meters
 }
 
-// meters are the figures that callers' calls leave.
+// meters are the figures that callers' calls leave. They need no goroutine of
+// the metrics library's own, unlike its meters and timers.
 type meters struct {
 	calls      metrics.Counter
 	refused    metrics.Counter
 	failed     metrics.Counter
 	resumed    metrics.Counter
 	demoted    metrics.Counter
-	tokens     metrics.Meter
-	firstToken metrics.Timer
-	duration   metrics.Timer
+	tokens     metrics.Counter
+	firstToken metrics.Histogram
+	duration   metrics.Histogram
 }
 
 // New returns the API.
@@ -94,13 +95,20 @@
 			failed:     metrics.GetOrRegisterCounter("calls_failed", registry),
 			resumed:    metrics.GetOrRegisterCounter("streams_resumed", registry),
 			demoted:    metrics.GetOrRegisterCounter("streams_demoted", registry),
-			tokens:     metrics.GetOrRegisterMeter("tokens", registry),
-			firstToken: metrics.GetOrRegisterTimer("first_token", registry),
-			duration:   metrics.GetOrRegisterTimer("call_duration", registry),
+			tokens:     metrics.GetOrRegisterCounter("tokens", registry),
+			firstToken: metrics.GetOrRegisterHistogram("first_token_us", registry, newSample()),
+			duration:   metrics.GetOrRegisterHistogram("call_duration_us", registry, newSample()),
 		},
 	}
 }
 
+// newSample keeps the last minutes' values (Cormode and others, "Forward Decay",
+// 2009, as the library has it).
+func newSample() metrics.Sample {
+	const size, alpha = 1028, 0.015
+	return metrics.NewExpDecaySample(size, alpha)
+}
+
 // Handler returns the handler of the callers' listener.
 func (api *API) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -195,7 +203,7 @@
 
 func (api *API) finish(writer http.ResponseWriter, current *call, err error) {
 	elapsed := api.config.Now().Sub(current.began)
-	api.meters.duration.Update(elapsed)
+	api.meters.duration.Update(elapsed.Microseconds())
 	if err == nil {
 		current.log.Debug().Str("step", "done").Str("endpoint", current.endpoint).Dur("elapsed", elapsed).Msg("call answered")
 		return
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -368,10 +368,10 @@
 		return nil
 	}
 	if relay.tokens == 0 {
-		relay.api.meters.firstToken.Update(relay.api.config.Now().Sub(relay.call.began))
+		relay.api.meters.firstToken.Update(relay.api.config.Now().Sub(relay.call.began).Microseconds())
 	}
 	relay.tokens = id.Tokens(event.ID)
-	relay.api.meters.tokens.Mark(1)
+	relay.api.meters.tokens.Inc(1)
 	relay.admission.Token()
 	return nil
 }
--- a/caroblined/main.go
+++ b/caroblined/main.go
@@ -66,7 +66,7 @@
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(diagnostics).Level(level).With().Timestamp().Logger()
-	node, err := daemon.New(known, log, time.Now)
+	node, err := daemon.New(known, log, daemon.TCP())
 	if err != nil {
 		log.Error().Err(err).Str("step", "start").Msg("can't start")
 		return exitFailed
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	node, err := daemon.New(known, log, time.Now)
+//	node, err := daemon.New(known, log, daemon.TCP())
 //	err = node.Run(ctx) // until ctx ends or a planned stop is over
 package daemon
 
@@ -53,15 +53,33 @@
 	bodyTimeout = 60 * time.Second
 	// idleTimeout bounds the life of an unused connection.
 	idleTimeout = 2 * time.Minute
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
 	// closeTimeout bounds the end of background work once calls are drained.
 	closeTimeout = 5 * time.Second
 )
 
+// Network is how a node reaches the outside. Tests replace its fields.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the machine's own network.
+func TCP() Network {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return Network{
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   dialer.DialContext,
+	}
+}
+
 // Daemon is one running node.
 type Daemon struct {
 	settings settings.Settings
 	log      zerolog.Logger
 	now      func() time.Time
+	network  Network
 	metrics  metrics.Registry
 
 	control atomic.Pointer[control.Control]
@@ -77,19 +95,21 @@
 	background     sync.WaitGroup
 	backgroundCtx  context.Context //nolint:containedctx // the life of the daemon itself
 	backgroundStop context.CancelFunc
-	finished       chan struct{}
-	finishOnce     sync.Once
+	// closePeers drops the kept connections to other nodes.
+	closePeers func()
+	finished   chan struct{}
+	finishOnce sync.Once
 }
 
 // New starts a node's parts and opens its listeners.
-func New(known settings.Settings, log zerolog.Logger, now func() time.Time) (*Daemon, error) {
+func New(known settings.Settings, log zerolog.Logger, network Network) (*Daemon, error) {
 	daemon := &Daemon{
-		settings: known, log: log.With().Str("node", string(known.Node)).Logger(), now: now,
+		settings: known, log: log.With().Str("node", string(known.Node)).Logger(), now: time.Now, network: network,
 		metrics: metrics.NewRegistry(), finished: make(chan struct{}),
-		engines: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		engines: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true},
 		// A call that must not repeat has a connection of its own, since the
 		// transport repeats requests over kept ones.
-		once: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		once: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true, DisableCompression: true},
 	}
 	daemon.backgroundCtx, daemon.backgroundStop = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
@@ -124,7 +144,8 @@
 
 // peerClient trusts only the peers' own authority when peers speak TLS.
 func (daemon *Daemon) peerClient() (*http.Client, string, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{DialContext: daemon.network.Dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
+	daemon.closePeers = transport.CloseIdleConnections
 	path := daemon.settings.TLS.PeerAuthorityFile
 	if path == "" {
 		return &http.Client{Transport: transport}, "http://", nil
@@ -295,6 +316,7 @@
 	err := daemon.control.Load().Close()
 	daemon.peers.Close()
 	daemon.engines.CloseIdleConnections()
+	daemon.closePeers()
 	return err
 }
 
--- a/caroblined/process/daemon/listener.go
+++ b/caroblined/process/daemon/listener.go
@@ -28,7 +28,7 @@
 }
 
 func (daemon *Daemon) open(name, address string, pair settings.KeyPair, handler http.Handler) error {
-	socket, err := net.Listen("tcp", address)
+	socket, err := daemon.network.Listen(address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", name)
 	}
--- /dev/null
+++ b/caroblined/process/daemon/system_test.go
@@ -0,0 +1,344 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carobline.dev/caroblined/process/daemon"
+	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/core/connection/operator"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/placer"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/version/contract"
+	"carobline.dev/fakeengine/process/announcer"
+	"carobline.dev/fakeengine/process/engine"
+)
+
+const (
+	modelName   = id.Model("pulp")
+	serviceName = id.Service("orders")
+	renewEvery  = 500 * time.Millisecond
+)
+
+// system is some nodes and hosts on one network of pipes.
+type system struct {
+	t       *testing.T
+	memory  *memory
+	folder  string
+	nodes   []*running
+	engines []*engine.Engine
+	service *engine.Engine
+	client  *http.Client
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	closers []func()
+}
+
+// running is one node that runs.
+type running struct {
+	settings settings.Settings
+	daemon   *daemon.Daemon
+	stop     context.CancelFunc
+	ended    chan struct{}
+}
+
+// newSystem starts three nodes, engine hosts that form pairs, and one order
+// service, and waits until all of them serve.
+func newSystem(t *testing.T, hosts int, change func(config *engine.Config)) *system {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	system := &system{t: t, memory: newMemory(), folder: t.TempDir(), stop: stop}
+	transport := &http.Transport{DialContext: system.memory.dial}
+	system.client = &http.Client{Transport: transport}
+	system.closers = append(system.closers, transport.CloseIdleConnections)
+	for index := range 3 {
+		system.nodes = append(system.nodes, &running{settings: system.settings(index)})
+		system.start(index)
+	}
+	for index := range hosts {
+		config := engine.Config{
+			Host: id.Host(fmt.Sprintf("h%d", index)), DataCentre: "dc1", Domain: "fabric", Accelerators: 2, Models: []id.Model{modelName},
+			ChecksFencing: true, Resumes: true, Slots: 4, Pace: 10 * time.Millisecond, LoadTime: 100 * time.Millisecond, Lease: 4 * time.Second,
+		}
+		if change != nil {
+			change(&config)
+		}
+		system.engines = append(system.engines, system.startEngine(ctx, config))
+	}
+	system.service = system.startEngine(ctx, engine.Config{Host: "orders-1", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second})
+	system.applyUntilDone(testContract("acme", "acme-token"))
+	system.until("all groups serve", func() bool {
+		overview, err := system.operator().Status(context.Background())
+		if err != nil || len(overview.Groups) != hosts/2 {
+			return false
+		}
+		for _, group := range overview.Groups {
+			if !group.Ready {
+				return false
+			}
+		}
+		return true
+	})
+	// One exchange of reports later, every node has the groups in its view.
+	time.Sleep(time.Second)
+	return system
+}
+
+func (system *system) settings(index int) settings.Settings {
+	system.t.Helper()
+	for _, name := range []string{"peer", "order"} {
+		if err := os.WriteFile(filepath.Join(system.folder, name), []byte(name+"-token"), 0o600); err != nil {
+			system.t.Fatal(err)
+		}
+	}
+	known := settings.Settings{
+		Node: id.Node(fmt.Sprintf("n%d", index)), DataCentre: "dc1",
+		Listen: settings.Listen{
+			Callers: fmt.Sprintf("127.0.0.1:1%d", index), Hosts: fmt.Sprintf("127.0.0.1:2%d", index),
+			Operators: fmt.Sprintf("127.0.0.1:3%d", index), Peers: fmt.Sprintf("127.0.0.1:4%d", index),
+		},
+		DataFolder: filepath.Join(system.folder, fmt.Sprint(index)), GroupLoads: 4,
+		Models: []placer.Spec{{Model: modelName, Hosts: 2, Weight: 1}},
+		Credentials: settings.Credentials{
+			Operators:     []rest.Credential{{Name: "op", TokenSHA256: rest.HashToken("op-token")}},
+			Announcers:    []rest.Credential{{Name: "hosts", TokenSHA256: rest.HashToken("host-token")}},
+			PeerTokenFile: filepath.Join(system.folder, "peer"), OrderTokenFile: filepath.Join(system.folder, "order"),
+		},
+		LogLevel: "disabled",
+	}
+	for other := range 3 {
+		known.Peers = append(known.Peers, settings.Peer{Node: id.Node(fmt.Sprintf("n%d", other)), Address: fmt.Sprintf("127.0.0.1:4%d", other), Voter: true})
+	}
+	data, err := json.Marshal(known)
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	checked, err := settings.Parse(data)
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	return checked
+}
+
+func (system *system) start(index int) {
+	system.t.Helper()
+	node := system.nodes[index]
+	started, err := daemon.New(node.settings, zerolog.Nop(), system.memory.network())
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node.daemon, node.stop, node.ended = started, stop, make(chan struct{})
+	ended := node.ended
+	go func() {
+		defer close(ended)
+		if err := started.Run(ctx); err != nil {
+			system.t.Errorf("node %s: %v", node.settings.Node, err)
+		}
+	}()
+}
+
+// kill ends a node at once, without draining it.
+func (system *system) kill(index int) {
+	system.t.Helper()
+	if err := system.nodes[index].daemon.Close(); err != nil {
+		system.t.Errorf("kill: %v", err)
+	}
+}
+
+func (system *system) startEngine(ctx context.Context, config engine.Config) *engine.Engine {
+	system.t.Helper()
+	config.Address = "127.0.0.1:5" + fmt.Sprint(len(system.engines))
+	if config.Service != "" {
+		config.Address = "127.0.0.1:60"
+	}
+	host := engine.New(config, time.Now)
+	listener, err := system.memory.listen(config.Address)
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	server := &http.Server{Handler: host.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	transport := &http.Transport{DialContext: system.memory.dial}
+	system.closers = append(system.closers, func() { _ = server.Close(); transport.CloseIdleConnections() })
+	loop := announcer.New(announcer.Config{
+		Entries: []string{"http://127.0.0.1:20", "http://127.0.0.1:21", "http://127.0.0.1:22"},
+		Client:  rest.NewClient(&http.Client{Transport: transport, Timeout: time.Second}, "host-token"), Next: host.Announcement, Now: time.Now,
+	})
+	system.done.Go(func() {
+		for ctx.Err() == nil {
+			_ = loop.Once(ctx) // a node may be down; the next round tries again
+			select {
+			case <-ctx.Done():
+			case <-time.After(renewEvery):
+			}
+		}
+	})
+	return host
+}
+
+// close stops everything; a goroutine that is left fails the test's bubble.
+func (system *system) close() {
+	system.stop()
+	system.done.Wait()
+	for _, node := range system.nodes {
+		node.stop()
+		<-node.ended
+	}
+	for _, closer := range system.closers {
+		closer()
+	}
+}
+
+func (system *system) operator() *operator.Client {
+	return operator.New([]string{"http://127.0.0.1:30", "http://127.0.0.1:31", "http://127.0.0.1:32"}, rest.NewClient(system.client, "op-token"))
+}
+
+func testContract(customer id.Customer, token string) contract.Contract {
+	return contract.Contract{
+		Customer: customer, TokenSHA256: []string{rest.HashToken(token)}, Share: 1, Priority: contract.PriorityStandard,
+		RequestsPerSecond: 1000, TokensPerSecond: 1e6, Concurrency: 300, QueuePlaces: 300, DeadlineMS: 20_000, MaxTokens: 10_000,
+		Models: []id.Model{modelName}, Services: []id.Service{serviceName},
+		NonIdempotent: []contract.CallPattern{{Service: serviceName, Methods: []string{"POST"}, PathPrefix: "/bookings"}},
+	}
+}
+
+func (system *system) applyUntilDone(agreed contract.Contract) {
+	system.t.Helper()
+	system.until("the contract is in force", func() bool {
+		outcome, err := system.operator().Apply(context.Background(), operator.ApplyRequest{Change: id.Change("apply-" + string(agreed.Customer)), Contract: agreed})
+		return err == nil && outcome.Result != nil && outcome.InForce
+	})
+}
+
+func (system *system) until(what string, done func() bool) {
+	system.t.Helper()
+	for range 600 {
+		if done() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	system.t.Fatalf("in a minute of the test's time it never came true that %s", what)
+}
+
+// reply is an answer to a caller. Broken says that it ended in mid-air.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	broken bool
+}
+
+func (system *system) call(ctx context.Context, node int, method, path, token string, header map[string]string, body string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://127.0.0.1:1%d%s", node, path), bytes.NewReader([]byte(body)))
+	if err != nil {
+		system.t.Error(err)
+		return reply{broken: true}
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := system.client.Do(request)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), broken: err != nil}
+}
+
+func (system *system) stream(node int, prompt string) reply {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"prompt":%q}`, modelName, prompt)
+	return system.call(context.Background(), node, http.MethodPost, "/v1/completions", "acme-token", nil, body)
+}
+
+func (system *system) book(ctx context.Context, node int, key, body string) reply {
+	return system.call(ctx, node, http.MethodPost, "/services/orders/bookings", "acme-token", map[string]string{"Idempotency-Key": key}, body)
+}
+
+// words are the tokens of the whole answer to a prompt.
+func words(prompt string) string {
+	quoted, _ := json.Marshal(prompt)
+	var text strings.Builder
+	for index := range engine.Length(string(quoted), 10_000) {
+		text.WriteString(engine.Word(string(quoted), index+1))
+	}
+	return text.String()
+}
+
+// streamed reads the tokens of a stream; whole tells whether it has its mark.
+func streamed(body string) (text string, whole bool) {
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var part struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &part); err == nil && len(part.Choices) > 0 {
+			text += part.Choices[0].Text
+		}
+	}
+	return text, false
+}
+
+func (system *system) leader() int {
+	overview, err := system.operator().Status(context.Background())
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	for index, node := range system.nodes {
+		if node.settings.Node == overview.Leader {
+			return index
+		}
+	}
+	system.t.Fatal("no leader")
+	return 0
+}
+
+func (system *system) askStop(kind register.TargetKind, target string) controller.Outcome {
+	system.t.Helper()
+	outcome, err := system.operator().Stop(context.Background(), operator.StopRequest{Change: id.Change("stop-" + target), Stop: id.Stop(target), Kind: kind, Target: target})
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	return outcome
+}
+
+func (system *system) stopDone(name string) bool {
+	list, err := system.operator().Stops(context.Background())
+	if err != nil {
+		return false
+	}
+	for _, stop := range list.Stops {
+		if string(stop.Stop) == name {
+			return stop.Done
+		}
+	}
+	return false
+}
