traffic: a call that loses its endpoint waits for another; at most once, stops and load under faults

Cause: under load with an engine cut off and a host silent, 24 of 288 calls failed: when an attempt failed and no other endpoint had room at that moment, the call was given up; and the saved-up retries (20) were fewer than the streams that one lost group carries.

Change: a call that has lost its endpoint is displaced, goes before all queued ones and waits up to its contract's deadline; 128 retries are saved up. Closing a node twice is allowed. New tables: ten cases around a call that must not repeat, with the order service's own count of runs; planned stops of an endpoint, a domain, an entry host and the leader under running streams; load with faults.

Ruled out: too slow ejection (the cut engine was ejected after two failures).

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -31,8 +31,9 @@
 const (
 	// retryPart is the part of calls that may be tried a second time.
 	retryPart = 0.1
-	// retrySavings bounds the retries that are saved up.
-	retrySavings = 20
+	// retrySavings bounds the retries that are saved up: the streams that one
+	// node may have on a group that is lost at once.
+	retrySavings = 128
 	// mostAttempts bounds the attempts of one call beside the budget.
 	mostAttempts = 4
 )
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -176,14 +176,14 @@
 			return nil
 		case errors.Is(err, errSunk):
 			relay.api.meters.demoted.Inc(1)
-			if !relay.admission.Move(relay.api.config.Levels.Level(relay.tokens), false) {
+			if !relay.admission.Move(ctx, relay.api.config.Levels.Level(relay.tokens), false) {
 				return relay.giveUp(errors.New("no endpoint for the rest of the answer"))
 			}
 			relay.attempt-- // sinking isn't a failure
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return rest.Unknown(statusClientClosed, "caller_gone", "the caller went away")
 		default:
-			if again := relay.recover(err); !again {
+			if again := relay.recover(ctx, err); !again {
 				return relay.giveUp(err)
 			}
 		}
@@ -194,7 +194,7 @@
 const statusClientClosed = 499
 
 // recover finds another endpoint after a failed attempt, if one may be tried.
-func (relay *relay) recover(err error) bool {
+func (relay *relay) recover(ctx context.Context, err error) bool {
 	var refused *engineError
 	if errors.As(err, &refused) && !refused.retry {
 		return false
@@ -208,7 +208,7 @@
 	if relay.tokens > 0 {
 		relay.api.meters.resumed.Inc(1)
 	}
-	return relay.admission.Move(relay.admission.Level(), true)
+	return relay.admission.Move(ctx, relay.admission.Level(), true)
 }
 
 // giveUp tells the caller that there is no whole answer.
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -129,7 +129,7 @@
 		}
 		asked.call.log.Warn().Err(err).Str("step", "service").Int("attempt", attempt).Bool("sent", sent).Msg("attempt failed")
 		again := (!sent || repeatable(asked.method)) && ctx.Err() == nil && attempt < mostAttempts
-		if again && api.retries.Spend() && admission.Move(0, true) {
+		if again && api.retries.Spend() && admission.Move(ctx, 0, true) {
 			continue
 		}
 		admission.Finish(0, true)
@@ -336,7 +336,7 @@
 			admission.Finish(0, true)
 			api.concludeNow(ctx, register.FinishCall{Key: key, Attempt: attempt})
 			return nil, serviceError(err, true)
-		case try < mostAttempts && ctx.Err() == nil && admission.Move(0, true):
+		case try < mostAttempts && ctx.Err() == nil && admission.Move(ctx, 0, true):
 			continue
 		default:
 			admission.Finish(0, true)
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -99,6 +99,8 @@
 	closePeers func()
 	finished   chan struct{}
 	finishOnce sync.Once
+	closeOnce  sync.Once
+	closeError error
 }
 
 // New starts a node's parts and opens its listeners.
@@ -305,8 +307,13 @@
 }
 
 // Close ends all parts and waits for them. It cuts off what still runs; Run
-// drains first.
+// drains first. A second call waits for the first and returns its error.
 func (daemon *Daemon) Close() error {
+	daemon.closeOnce.Do(func() { daemon.closeError = daemon.closeParts() })
+	return daemon.closeError
+}
+
+func (daemon *Daemon) closeParts() error {
 	for _, listener := range daemon.listeners {
 		listener.close()
 	}
--- /dev/null
+++ b/caroblined/process/daemon/once_test.go
@@ -0,0 +1,258 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/process/register"
+	"carobline.dev/fakeengine/process/engine"
+)
+
+// TestCallsThatMustNotRepeat is a table of what can happen around one booking.
+// The order service counts the runs of each key.
+func TestCallsThatMustNotRepeat(t *testing.T) {
+	const key, body = "booking-1", `{"batch":7}`
+	tests := []struct {
+		name string
+		// play returns the last answer.
+		play     func(system *system) reply
+		runs     int
+		status   int
+		contains string
+		outcome  string
+	}{
+		{"a resend at another entry host gets the first answer", func(system *system) reply {
+			system.book(context.Background(), 0, key, body)
+			return system.book(context.Background(), 2, key, body)
+		}, 1, 201, `"run":1`, ""},
+		{"another body under the same key is refused", func(system *system) reply {
+			system.book(context.Background(), 0, key, body)
+			return system.book(context.Background(), 1, key, `{"batch":8}`)
+		}, 1, 422, "key_reused", "not_run"},
+		{"a resend while the first is in flight waits for its answer", func(system *system) reply {
+			system.service.SetFaults(engine.Faults{Delay: 3 * time.Second})
+			first := make(chan reply)
+			go func() { first <- system.book(context.Background(), 0, key, body) }()
+			time.Sleep(time.Second)
+			second := system.book(context.Background(), 1, key, body)
+			<-first
+			return second
+		}, 1, 201, `"run":1`, ""},
+		{"a lost answer leaves the outcome unknown, and a resend doesn't run", func(system *system) reply {
+			system.service.SetFaults(engine.Faults{DropAnswer: true})
+			if first := system.book(context.Background(), 0, key, body); first.status != 502 || first.header.Get(rest.HeaderOutcome) != "unknown" {
+				system.t.Errorf("first: %d %s", first.status, first.body)
+			}
+			system.service.SetFaults(engine.Faults{})
+			return system.book(context.Background(), 1, key, body)
+		}, 1, 409, "outcome_unknown", "unknown"},
+		{"a service that says it didn't run it lets a resend run", func(system *system) reply {
+			system.service.SetFaults(engine.Faults{RefuseUnrun: true})
+			if first := system.book(context.Background(), 0, key, body); first.status != 503 || first.header.Get(rest.HeaderOutcome) != "not_run" {
+				system.t.Errorf("first: %d %s", first.status, first.body)
+			}
+			system.service.SetFaults(engine.Faults{})
+			return system.book(context.Background(), 1, key, body)
+		}, 1, 201, `"run":1`, ""},
+		{"a service that can't be reached lets a resend run", func(system *system) reply {
+			system.memory.setCut("127.0.0.1:60", true)
+			if first := system.book(context.Background(), 0, key, body); first.status != 503 || first.header.Get(rest.HeaderOutcome) != "not_run" {
+				system.t.Errorf("first: %d %s", first.status, first.body)
+			}
+			system.memory.setCut("127.0.0.1:60", false)
+			return system.book(context.Background(), 1, key, body)
+		}, 1, 201, `"run":1`, ""},
+		{"a caller that goes away leaves its answer for the resend", func(system *system) reply {
+			system.service.SetFaults(engine.Faults{Delay: 2 * time.Second})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			system.book(ctx, 0, key, body)
+			return system.book(context.Background(), 1, key, body)
+		}, 1, 201, `"run":1`, ""},
+		{"the death of the owner after dispatch leaves the outcome unknown", func(system *system) reply {
+			owner := (system.leader() + 1) % 3
+			system.service.SetFaults(engine.Faults{Delay: time.Minute})
+			go system.book(context.Background(), owner, key, body)
+			time.Sleep(time.Second)
+			system.kill(owner)
+			time.Sleep(20 * time.Second)
+			system.service.SetFaults(engine.Faults{})
+			return system.book(context.Background(), (owner+1)%3, key, body)
+		}, 1, 409, "outcome_unknown", "unknown"},
+		{"the death of the leader keeps the ledger", func(system *system) reply {
+			leader := system.leader()
+			system.book(context.Background(), leader, key, body)
+			system.kill(leader)
+			return system.retried((leader+1)%3, key, body)
+		}, 1, 201, `"run":1`, ""},
+		{"without a majority nothing is run", func(system *system) reply {
+			leader := system.leader()
+			system.kill((leader + 1) % 3)
+			system.kill((leader + 2) % 3)
+			return system.book(context.Background(), leader, key, body)
+		}, 0, 503, "", "not_run"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newSystem(t, 2, nil)
+				defer system.close()
+				got := test.play(system)
+				if got.status != test.status || !strings.Contains(got.body, test.contains) {
+					t.Errorf("last answer: %d %s, want %d with %q", got.status, got.body, test.status, test.contains)
+				}
+				if outcome := got.header.Get(rest.HeaderOutcome); outcome != test.outcome {
+					t.Errorf("outcome %q, want %q", outcome, test.outcome)
+				}
+				if runs := system.service.Runs(key); runs != test.runs {
+					t.Errorf("the service ran the key %d times, want %d", runs, test.runs)
+				}
+			})
+		})
+	}
+}
+
+// retried sends a booking until an answer other than not_run comes, as a caller
+// does after a refusal.
+func (system *system) retried(node int, key, body string) reply {
+	var got reply
+	system.until("the booking is answered", func() bool {
+		got = system.book(context.Background(), node, key, body)
+		return got.status != 0 && got.header.Get(rest.HeaderOutcome) != "not_run"
+	})
+	return got
+}
+
+// TestLookupsAreRepeated shows that an idempotent call is tried again.
+func TestLookupsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		got := system.call(context.Background(), 0, http.MethodGet, "/services/orders/stock?item=7", "acme-token", nil, "")
+		if got.status != http.StatusOK || !strings.Contains(got.body, `"stock"`) {
+			t.Errorf("lookup: %d %s", got.status, got.body)
+		}
+	})
+}
+
+// TestPlannedStopsCutNothing stops a host, an entry host and the leader while
+// long streams run through them. Each stream comes to its end.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	const prompt = "long shift log, tokens=2000"
+	tests := []struct {
+		name string
+		stop func(system *system, node int)
+	}{
+		{"of an endpoint", func(system *system, _ int) {
+			for index, host := range system.engines {
+				if host.Busy() {
+					system.checkStop("endpoint", fmt.Sprintf("h%d", index))
+					return
+				}
+			}
+			system.t.Error("no engine runs the stream")
+		}},
+		{"of a domain", func(system *system, _ int) {
+			outcome := system.askStop("domain", "fabric")
+			if outcome.Result.Verdict != "refused" || !strings.Contains(outcome.Result.Reason, "no group for model") {
+				system.t.Errorf("the stop of all groups was not refused: %+v", outcome.Result)
+			}
+		}},
+		{"of an entry host that follows", func(system *system, node int) { system.checkStop("node", fmt.Sprintf("n%d", node)) }},
+		{"of the leader", func(system *system, _ int) { system.checkStop("node", fmt.Sprintf("n%d", system.leader())) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newSystem(t, 6, nil)
+				defer system.close()
+				node := (system.leader() + 1) % 3
+				streams := make(chan reply, 2)
+				for _, through := range []int{node, system.leader()} {
+					go func() { streams <- system.stream(through, prompt) }()
+				}
+				time.Sleep(2 * time.Second)
+				test.stop(system, node)
+				for range 2 {
+					got := <-streams
+					if text, whole := streamed(got.body); !whole || text != words(prompt) {
+						t.Errorf("a stream was cut off after %d of %d bytes", len(text), len(words(prompt)))
+					}
+				}
+			})
+		})
+	}
+}
+
+// checkStop asks for a stop and waits until it is done.
+func (system *system) checkStop(kind, target string) {
+	outcome := system.askStop(register.TargetKind(kind), target)
+	if outcome.Result.Verdict != "done" {
+		system.t.Errorf("stop of %s %s: %+v", kind, target, outcome.Result)
+		return
+	}
+	system.until("the stop is done", func() bool { return system.stopDone(target) })
+	for _, node := range system.nodes {
+		if string(node.settings.Node) == target {
+			<-node.ended
+		}
+	}
+}
+
+// TestLoadWithFaults sends calls of many callers through three nodes while an
+// engine is cut off, a host falls silent and a contract changes. Each answer is
+// its own caller's and whole.
+func TestLoadWithFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 8, nil)
+		defer system.close()
+		const callers, calls = 24, 12
+		results := make(chan string, callers*calls)
+		for caller := range callers {
+			go func() {
+				for number := range calls {
+					prompt := fmt.Sprintf("caller %d call %d, tokens=%d", caller, number, 5+(caller*7+number*13)%60)
+					results <- judge(system.stream((caller+number)%3, prompt), prompt)
+				}
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		system.memory.setCut("127.0.0.1:50", true)
+		system.engines[0].SetFaults(engine.Faults{CutAfter: 1})
+		time.Sleep(300 * time.Millisecond)
+		system.engines[3].SetFaults(engine.Faults{Silent: true})
+		changed := testContract("acme", "acme-token")
+		changed.Share = 2
+		system.changeContract(changed, 1)
+		counts := map[string]int{}
+		for range callers * calls {
+			counts[<-results]++
+		}
+		if counts["wrong"] > 0 || counts["partial"] > 0 || counts["whole"] < callers*calls*95/100 {
+			t.Errorf("answers: %v", counts)
+		}
+	})
+}
+
+// judge sorts an answer: whole, refused as not run, partial or wrong.
+func judge(got reply, prompt string) string {
+	text, whole := streamed(got.body)
+	switch {
+	case whole && text == words(prompt):
+		return "whole"
+	case whole || !strings.HasPrefix(words(prompt), text):
+		return "wrong"
+	case got.header.Get(rest.HeaderOutcome) == "not_run":
+		return "refused"
+	case got.status == http.StatusOK && !got.broken:
+		return "partial"
+	default:
+		return "failed"
+	}
+}
--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -226,6 +226,14 @@
 	})
 }
 
+func (system *system) changeContract(agreed contract.Contract, base id.Revision) {
+	system.t.Helper()
+	outcome, err := system.operator().Apply(context.Background(), operator.ApplyRequest{Change: "change-" + id.Change(agreed.Customer), Base: base, Contract: agreed})
+	if err != nil || outcome.Result.Verdict != register.VerdictDone {
+		system.t.Errorf("change of contract: %+v, %v", outcome, err)
+	}
+}
+
 func (system *system) until(what string, done func() bool) {
 	system.t.Helper()
 	for range 600 {
--- a/caroblined/request/traffic/admission.go
+++ b/caroblined/request/traffic/admission.go
@@ -82,15 +82,41 @@
 	traffic.work.Pace(traffic.config.Now(), admission.ticket, took)
 }
 
-// Move ends the attempt and finds an endpoint for the rest of the call.
-func (admission *Admission) Move(level attained.Level, failed bool) bool {
+// Move ends the attempt and finds an endpoint for the rest of the call, waiting
+// for one when none has room. It is false when there is none in time.
+func (admission *Admission) Move(ctx context.Context, level attained.Level, failed bool) bool {
+	answer := make(chan dispatcher.Decision, 1)
+	if admission.move(level, failed, answer) {
+		return true
+	}
+	traffic := admission.traffic
+	select {
+	case decision := <-answer:
+		if decision.Endpoint == nil {
+			return false
+		}
+		admission.endpoint = decision.Endpoint
+		return true
+	case <-ctx.Done():
+		traffic.mutex.Lock()
+		defer traffic.mutex.Unlock()
+		delete(traffic.waiting, admission.ticket)
+		return false
+	}
+}
+
+// move is true when an endpoint was found at once; else the answer will come.
+func (admission *Admission) move(level attained.Level, failed bool, answer chan dispatcher.Decision) bool {
 	traffic := admission.traffic
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	admission.endAttempt()
+	admission.level = level
 	endpoint, ok := traffic.work.Move(traffic.config.Now(), traffic.config.View(), admission.ticket, level, failed)
 	if ok {
-		admission.endpoint, admission.level = endpoint, level
+		admission.endpoint = endpoint
+	} else {
+		traffic.waiting[admission.ticket] = answer
 	}
 	traffic.pump()
 	return ok
--- a/core/request/dispatcher/call.go
+++ b/core/request/dispatcher/call.go
@@ -58,6 +58,10 @@
 	expected float64
 	endpoint feed.Endpoint
 	level    attained.Level
+	// avoid and until matter while the call is displaced: it has lost its
+	// endpoint and waits for another.
+	avoid feed.Endpoint
+	until time.Time
 }
 
 // waiting is a call in the queue.
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -65,6 +65,8 @@
 	Slow int `json:"slow,omitempty"`
 	// DropAnswer runs a service call and cuts the connection.
 	DropAnswer bool `json:"drop_answer,omitempty"`
+	// Delay holds back the answer to a service call that has run.
+	Delay time.Duration `json:"delay,omitempty"`
 	// RefuseUnrun refuses service calls and says that they weren't run.
 	RefuseUnrun bool `json:"refuse_unrun,omitempty"`
 	// WrongRequest answers with another request's id.
--- a/fakeengine/process/engine/orders.go
+++ b/fakeengine/process/engine/orders.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"carobline.dev/core/connection/rest"
 )
@@ -59,5 +60,14 @@
 		<-request.Context().Done()
 		return
 	}
+	if faults.Delay > 0 {
+		timer := time.NewTimer(faults.Delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-request.Context().Done():
+			return
+		}
+	}
 	rest.WriteJSON(writer, http.StatusCreated, booking{Key: key, Run: run, Body: string(data)})
 }
