measure: policies on a model of the engines, beside two baselines and a bound

Cause: the decisions under load need figures, always beside round robin with first-in-first-out, least connections, and a bound that knows all lengths.

Change: a model of batching engines (priorities, pause and resume, prefix cache) that drives the product's own dispatcher on nine nodes with reports 0.5 s late; script/measure traffic with SEED=n.

--- a/measure/main.go
+++ b/measure/main.go
@@ -1,4 +1,55 @@
-// Command measure runs the measurements of docs/.
+// Command measure runs the measurements that docs/ quotes.
+//
+//	measure traffic     policies on a model of the engines; SEED=n changes arrivals
 package main
 
-func main() {}
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"carobline.dev/measure/process/report"
+	"carobline.dev/measure/process/traffic"
+)
+
+// The exit codes.
+const (
+	exitDone   = 0
+	exitMissed = 1
+	exitUsage  = 2
+)
+
+// measurement prints some figures.
+type measurement func(seed uint64, lines *report.Report)
+
+var measurements = map[string][]measurement{
+	"traffic": {traffic.HeadOfLine, traffic.Crest, traffic.SlowEngines, traffic.Prefixes, traffic.DecisionCost},
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
+
+func run(arguments []string, environment func(string) string, out, diagnostics io.Writer) int {
+	seed := uint64(1)
+	if text := environment("SEED"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			fmt.Fprintf(diagnostics, "measure: SEED: %q is not a number\n", text)
+			return exitUsage
+		}
+		seed = number
+	}
+	if len(arguments) != 1 || measurements[arguments[0]] == nil {
+		fmt.Fprintln(diagnostics, "measure: usage: measure traffic")
+		return exitUsage
+	}
+	lines := report.New(out)
+	for _, one := range measurements[arguments[0]] {
+		one(seed, lines)
+	}
+	if lines.Missed() > 0 {
+		fmt.Fprintf(diagnostics, "measure: %d targets were missed\n", lines.Missed())
+		return exitMissed
+	}
+	return exitDone
+}
