chooser: nodes share out the free slots that a report shows; slow endpoints are left

Cause: in the crest 16% of a steady customer's calls were late. Nine nodes see the same free slots in the same late report, all fill them, and calls wait at the engines, where the fair queue has no say. On slow engines calls stayed, and an ejected endpoint came back to a full load.

Change: a node adds only its part of the free slots until the next report, by its part of all calls, which the leader tells; it goes beyond by a call where a quarter of the slots is free. A call at an endpoint that is ejected as slow moves on; one whose ejection is over takes a single call on trial.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -164,6 +164,9 @@
 // errSunk ends an attempt whose call has sunk to a lower level.
 var errSunk = errors.New("the call has sunk a level")
 
+// errSlow ends an attempt at an endpoint that has been ejected as slow.
+var errSlow = errors.New("the endpoint has turned slow")
+
 // errCallerGone ends a call whose caller takes no more.
 var errCallerGone = errors.New("the caller took no more")
 
@@ -180,6 +183,12 @@
 				return relay.giveUp(errors.New("no endpoint for the rest of the answer"))
 			}
 			relay.attempt-- // sinking isn't a failure
+		case errors.Is(err, errSlow):
+			relay.api.meters.resumed.Inc(1)
+			if !relay.admission.Move(ctx, relay.admission.Level(), true) {
+				return relay.giveUp(err)
+			}
+			relay.attempt-- // nor is leaving a slow endpoint; ejections bound it
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return rest.Unknown(statusClientClosed, "caller_gone", "the caller went away")
 		default:
@@ -260,7 +269,7 @@
 		return err
 	}
 	err = relay.copy(response.Body, silence)
-	if err != nil && !errors.Is(err, errSunk) && !errors.Is(err, errCallerGone) {
+	if err != nil && !errors.Is(err, errSunk) && !errors.Is(err, errSlow) && !errors.Is(err, errCallerGone) {
 		return errors.Wrapf(causeOf(attempt, err), "read engine at %s", endpoint.Address)
 	}
 	return err
@@ -339,10 +348,14 @@
 		if event.HasID && event.ID != int64(relay.tokens)+1 {
 			return errors.Errorf("the stream left out tokens after %d", relay.tokens)
 		}
-		if err := relay.deliver(&event); err != nil {
+		slow, err := relay.deliver(&event)
+		if err != nil {
 			return err
 		}
 		silence.Reset(relay.api.config.Silence)
+		if slow && relay.admission.Endpoint().Resumes {
+			return errSlow
+		}
 		if event.HasID && relay.api.config.Levels.Level(relay.tokens) > level && relay.admission.Endpoint().Resumes {
 			return errSunk
 		}
@@ -357,21 +370,21 @@
 	_, _ = io.CopyN(io.Discard, body, most)
 }
 
-func (relay *relay) deliver(event *sse.Event) error {
+// deliver hands one event on, and tells whether the endpoint has turned slow.
+func (relay *relay) deliver(event *sse.Event) (slow bool, err error) {
 	if !json.Valid(event.Data) {
-		return errors.New("the engine sent an event that isn't JSON")
+		return false, errors.New("the engine sent an event that isn't JSON")
 	}
 	if err := relay.sink.event(event); err != nil {
-		return err
+		return false, err
 	}
 	if !event.HasID {
-		return nil
+		return false, nil
 	}
 	if relay.tokens == 0 {
 		relay.api.meters.firstToken.Update(relay.api.config.Now().Sub(relay.call.began).Microseconds())
 	}
 	relay.tokens = id.Tokens(event.ID)
 	relay.api.meters.tokens.Inc(1)
-	relay.admission.Token()
-	return nil
+	return relay.admission.Token(), nil
 }
--- a/caroblined/request/traffic/admission.go
+++ b/caroblined/request/traffic/admission.go
@@ -55,23 +55,24 @@
 	return attempt, cancel, true
 }
 
-// Token takes the arrival of a token, for the endpoint's pace.
-func (admission *Admission) Token() {
+// Token takes the arrival of a token, for the endpoint's pace. It is true when
+// the endpoint has turned slow, so that the call had better move.
+func (admission *Admission) Token() bool {
 	now := admission.traffic.config.Now()
 	if admission.lastAt.IsZero() {
 		admission.lastAt = now
-		return
+		return false
 	}
 	admission.tokens++
 	elapsed := now.Sub(admission.lastAt)
 	if elapsed < paceEvery {
-		return
+		return false
 	}
 	gap := elapsed / time.Duration(admission.tokens)
 	admission.lastAt, admission.tokens = now, 0
 	admission.traffic.mutex.Lock()
 	defer admission.traffic.mutex.Unlock()
-	admission.traffic.work.Pace(now, admission.ticket, gap)
+	return admission.traffic.work.Pace(now, admission.ticket, gap)
 }
 
 // Whole takes how long a service took for a whole answer.
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -160,12 +160,25 @@
 		Stamp: controller.clock.Stamp(now), Took: held.took, LeaseMS: feed.Lease.Milliseconds(),
 		Delta: controller.register.Since(request.Version),
 		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: controller.hosts.Since(now, cursor),
-		Offer: offer,
+		Offer: offer, Share: controller.share(now, request),
 	}
 	controller.reign.nodes[request.Node].leaseBound = now.Add(leaseBound(feed.Lease))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
 
+// share is a node's part of the calls of all nodes. Each node counts for one
+// call at least, so that one that is idle can begin.
+func (controller *Controller) share(now time.Time, request feed.Request) float64 {
+	total := 0
+	for _, node := range controller.reign.nodes {
+		if node.incarnation > 0 && now.Before(node.leaseBound) {
+			total += 1 + node.calls
+		}
+	}
+	own := 1 + request.Calls
+	return float64(own) / float64(max(own, total))
+}
+
 // limits are the contracts in force as the granter wants them.
 func (controller *Controller) limits() map[id.Customer]granter.Part {
 	limits := map[id.Customer]granter.Part{}
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -100,6 +100,8 @@
 	Cursor  uint64           `json:"cursor"`
 	Roster  []roster.Relayed `json:"roster,omitempty"`
 	Offer   granter.Offer    `json:"offer"`
+	// Share is the node's part of the calls of all nodes.
+	Share float64 `json:"share"`
 }
 
 // Redirect names the leader, when it is known.
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -112,6 +112,7 @@
 	leaseUntil time.Time
 
 	offer     granter.Offer
+	share     float64
 	report    Reported
 	pending   map[id.Host]roster.Announcement
 	urgent    bool
@@ -218,7 +219,7 @@
 	if response.Offer.Serial != member.offer.Serial {
 		member.urgent = true
 	}
-	member.offer = response.Offer
+	member.offer, member.share = response.Offer, response.Share
 	lease := sentAt.Add(time.Duration(response.LeaseMS) * time.Millisecond)
 	if lease.After(member.leaseUntil) {
 		member.leaseUntil = lease
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -17,6 +17,7 @@
 	drawn := &view.View{
 		Version:    member.version,
 		LeaseUntil: member.leaseUntil,
+		Share:      member.share,
 		Customers:  map[id.Customer]*view.Customer{},
 		Tokens:     map[[sha256.Size]byte]id.Customer{},
 		Models:     map[id.Model]*view.Set{},
--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -35,6 +35,9 @@
 	loadBound = 1.25
 	// prefixTries bounds how many places of the ring are tried.
 	prefixTries = 4
+	// plenty is the part of the slots, as one in this many, that must be free
+	// before a node may go beyond its share by a call.
+	plenty = 4
 	// slowFactor is how much slower than the median of its peers an endpoint
 	// must be to be ejected.
 	slowFactor = 3
@@ -66,22 +69,38 @@
 	Allowed []id.DataCentre
 	// Avoid is an endpoint that has just failed this call.
 	Avoid feed.Endpoint
+	// Share is this node's part of the demand of all nodes; 0 means all of it.
+	Share float64
+}
+
+func (ask Ask) share() float64 {
+	if ask.Share <= 0 {
+		return 1
+	}
+	return ask.Share
 }
 
 // state is what a node knows of an endpoint beyond its reports.
 type state struct {
 	running int
 	urgent  int
-	report  uint64
-	// others and othersUrgent are the calls of other nodes by the last report.
-	others       int
-	othersUrgent int
+	// reported says that report is the last one taken.
+	reported bool
+	report   uint64
+	// others are the calls of other nodes by the last report.
+	others int
+	// allowed and allowedUrgent bound this node's calls until the next report.
+	allowed       int
+	allowedUrgent int
 
 	pace         float64
 	samples      int
 	ejectedUntil time.Time
 	ejections    int
 	failures     int
+	// trial says that an ejection is over and that the endpoint hasn't yet
+	// shown that it is well again.
+	trial bool
 }
 
 // Chooser chooses endpoints for one node. It isn't safe for concurrent use.
@@ -89,8 +108,11 @@
 	config Config
 	states map[feed.Endpoint]*state
 	sets   map[uint64]*set
-	// checked is when the endpoints' paces were last compared.
-	checked time.Time
+	// checked is when the endpoints' paces were last compared, and the medians
+	// are what came of it.
+	checked       time.Time
+	groupMedian   float64
+	serviceMedian float64
 }
 
 // set is what is kept for one set of endpoints, by their places in it, until
@@ -115,31 +137,61 @@
 	return known
 }
 
-// load estimates the calls at an endpoint that a call of a level contends with.
-func (chooser *Chooser) load(endpoint *view.Endpoint, known *state, level attained.Level) int {
-	if endpoint.Report != known.report {
-		known.report = endpoint.Report
-		known.others = max(0, endpoint.Load.Running+endpoint.Load.Queued-known.running)
-		known.othersUrgent = max(0, endpoint.Load.Urgent-known.urgent)
+// take brings what is known of an endpoint up to its last report. The free
+// slots that it shows are shared out over the nodes, since all nodes see the
+// same report at about the same time: this node may add its share to what it
+// runs, and gives up its share of what is too much.
+func (chooser *Chooser) take(endpoint *view.Endpoint, known *state, share float64) {
+	if known.reported && endpoint.Report == known.report {
+		return
 	}
-	if level == 0 {
-		return known.urgent + known.othersUrgent
+	known.reported, known.report = true, endpoint.Report
+	load := endpoint.Load
+	known.others = max(0, load.Running+load.Queued-known.running)
+	known.allowed = chooser.allow(load.Slots, load.Running+load.Queued, known.running, share)
+	known.allowedUrgent = chooser.allow(load.Slots, load.Urgent, known.urgent, share)
+}
+
+// allow rounds up or down by chance, so that the nodes' parts add up right in
+// the mean however small they are.
+func (chooser *Chooser) allow(slots, total, own int, share float64) int {
+	free := slots - max(total, own)
+	exact := max(float64(own)+float64(free)*share, float64(slots)*share)
+	allowed := int(exact + chooser.config.Rand.Float64())
+	if free*plenty >= slots {
+		// With slots to spare a call may go where it likes best.
+		allowed = max(allowed, own+1)
 	}
-	return known.running + known.others
+	return allowed
 }
 
-// Room tells whether an endpoint has a free slot for a call of a level. An
-// endpoint that reports no slots takes any number.
-func (chooser *Chooser) Room(endpoint *view.Endpoint, level attained.Level) bool {
-	return endpoint.Load.Slots == 0 || chooser.load(endpoint, chooser.state(endpoint.Name), level) < endpoint.Load.Slots
+// room tells whether this node may start a call of a level at an endpoint. One
+// that reports no slots takes any number, one on trial a single call.
+func (chooser *Chooser) room(endpoint *view.Endpoint, known *state, ask Ask) bool {
+	chooser.take(endpoint, known, ask.share())
+	switch {
+	case known.trial && known.running > 0:
+		return false
+	case endpoint.Load.Slots == 0:
+		return true
+	case ask.Level == 0:
+		return known.urgent < known.allowedUrgent
+	default:
+		return known.running < known.allowed
+	}
 }
 
+// load estimates the calls at an endpoint.
+func load(known *state) int { return known.running + known.others }
+
 // Choose picks an endpoint with room; it is false when there is none.
 func (chooser *Chooser) Choose(now time.Time, endpoints *view.Set, ask Ask) (*view.Endpoint, bool) {
 	if endpoints == nil || len(endpoints.Endpoints) == 0 {
 		return nil, false
 	}
 	known := chooser.set(endpoints)
+	// A node that considers only some endpoints has a larger part of each.
+	ask.Share = min(1, ask.share()*float64(len(endpoints.Endpoints))/float64(len(known.subset)))
 	if ask.Prefix != 0 {
 		if endpoint := chooser.byPrefix(now, endpoints, known, ask); endpoint != nil {
 			return endpoint, true
@@ -159,7 +211,7 @@
 	if len(ask.Allowed) > 0 && !slices.Contains(ask.Allowed, endpoint.DataCentre) {
 		return false
 	}
-	return endpoint.Load.Slots == 0 || chooser.load(endpoint, known, ask.Level) < endpoint.Load.Slots
+	return chooser.room(endpoint, known, ask)
 }
 
 // byLoad takes the better of two random endpoints of the node's subset.
@@ -196,11 +248,16 @@
 	return best, best != nil
 }
 
-// cost weighs an endpoint's load, its pace and its distance. Level 0 also
-// minds the calls behind it, which its arrival would push aside.
+// cost weighs an endpoint's load, its pace and its distance. Level 0 minds the
+// calls behind it, which its arrival would push aside, less than those beside it.
 func (chooser *Chooser) cost(endpoint *view.Endpoint, state *state, ask Ask) float64 {
 	slots := float64(max(1, endpoint.Load.Slots))
-	cost := float64(chooser.load(endpoint, state, ask.Level))/slots + 0.25*float64(state.running+state.others)/slots
+	cost := float64(load(state)) / slots
+	if ask.Level == 0 {
+		const behind = 0.25
+		beside := float64(max(state.urgent, endpoint.Load.Urgent))
+		cost = beside/slots + behind*cost
+	}
 	if state.samples >= minSamples {
 		cost = (cost + 1/slots) * state.pace
 	}
--- a/core/request/chooser/eject.go
+++ b/core/request/chooser/eject.go
@@ -7,6 +7,9 @@
 	"carobline.dev/core/process/feed"
 )
 
+// compareEvery is how often the endpoints' median pace is worked out.
+const compareEvery = 100 * time.Millisecond
+
 // Pace takes the time between two tokens, or of a whole call of a service, at
 // an endpoint. An endpoint that is slow beside its peers is ejected.
 func (chooser *Chooser) Pace(now time.Time, name feed.Endpoint, gap time.Duration) {
@@ -17,56 +20,55 @@
 	}
 	known.pace += smoothing * (sample - known.pace)
 	known.samples++
-	if known.samples < minSamples || now.Before(known.ejectedUntil) {
-		return
+	if now.Sub(chooser.checked) >= compareEvery {
+		chooser.checked = now
+		chooser.compare()
 	}
-	const checkEvery = 100 * time.Millisecond
-	if now.Sub(chooser.checked) < checkEvery {
+	if now.Before(known.ejectedUntil) {
 		return
 	}
-	chooser.checked = now
-	chooser.compare(now)
+	median, peers := chooser.median(name)
+	switch {
+	case known.trial && median > 0 && sample > slowFactor*median:
+		chooser.eject(now, known, peers)
+	case known.samples < minSamples:
+	case median > 0 && known.pace > slowFactor*median:
+		chooser.eject(now, known, peers)
+	default:
+		known.trial = false
+	}
 }
 
-// compare ejects the endpoints that are slow beside the median of all that
-// have enough samples. Groups and services are compared apart.
-func (chooser *Chooser) compare(now time.Time) {
-	var groups, services []*state
+// median is the pace of an endpoint's peers; groups and services are compared
+// apart. Peers counts all endpoints that this node has used.
+func (chooser *Chooser) median(name feed.Endpoint) (pace float64, peers int) {
+	if name.Group != "" {
+		return chooser.groupMedian, len(chooser.states)
+	}
+	return chooser.serviceMedian, len(chooser.states)
+}
+
+func (chooser *Chooser) compare() {
+	var groups, services []float64
 	for name, known := range chooser.states {
 		switch {
 		case known.samples < minSamples:
 		case name.Group != "":
-			groups = append(groups, known)
+			groups = append(groups, known.pace)
 		default:
-			services = append(services, known)
+			services = append(services, known.pace)
 		}
 	}
-	for _, peers := range [][]*state{groups, services} {
-		chooser.comparePeers(now, peers)
-	}
+	chooser.groupMedian, chooser.serviceMedian = medianOf(groups), medianOf(services)
 }
 
-func (chooser *Chooser) comparePeers(now time.Time, peers []*state) {
-	if len(peers) < minPeers {
-		return
-	}
-	slices.SortFunc(peers, func(a, b *state) int {
-		switch {
-		case a.pace < b.pace:
-			return -1
-		case a.pace > b.pace:
-			return 1
-		default:
-			return 0
-		}
-	})
-	median := peers[len(peers)/2].pace
-	for _, known := range slices.Backward(peers) {
-		if known.pace <= slowFactor*median {
-			break
-		}
-		chooser.eject(now, known, len(peers))
+// medianOf is zero when there are too few to compare.
+func medianOf(paces []float64) float64 {
+	if len(paces) < minPeers {
+		return 0
 	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
 }
 
 // eject keeps an endpoint out for a while, unless too many are out already.
@@ -76,23 +78,22 @@
 	}
 	out := 0
 	for _, other := range chooser.states {
-		if now.Before(other.ejectedUntil) {
+		if now.Before(other.ejectedUntil) || other.trial {
 			out++
 		}
 	}
-	if (out+1)*ejectPart > peers {
+	if !known.trial && (out+1)*ejectPart > peers {
 		return
 	}
-	pause := min(lastEjection, firstEjection<<min(known.ejections, 8))
-	// One that has served well since its last ejection starts over.
+	// One that has served well for long since its last ejection starts over.
 	if now.Sub(known.ejectedUntil) > lastEjection {
 		known.ejections = 0
-		pause = firstEjection
 	}
+	pause := min(lastEjection, firstEjection<<min(known.ejections, 8))
 	known.ejections++
 	known.ejectedUntil = now.Add(pause)
-	// Half the samples needed: one that is still slow is soon out again.
-	known.samples = minSamples / 2
+	known.trial = true
+	known.samples = 0
 }
 
 // Ejected tells whether an endpoint is kept out at a time.
--- a/core/request/chooser/prefix.go
+++ b/core/request/chooser/prefix.go
@@ -35,7 +35,7 @@
 	place, _ := slices.BinarySearchFunc(known.ring, mix(ask.Prefix), func(point ringPoint, hash uint64) int {
 		return cmp.Compare(point.hash, hash)
 	})
-	bound := chooser.bound(endpoints, known, ask)
+	bound := bound(known)
 	last := -1
 	for tries := 0; tries < prefixTries; place++ {
 		if place >= len(known.ring) {
@@ -48,7 +48,7 @@
 		}
 		last = index
 		endpoint, state := endpoints.Endpoints[index], known.states[index]
-		if chooser.usable(now, endpoint, state, ask) && float64(chooser.load(endpoint, state, ask.Level)) < bound {
+		if chooser.usable(now, endpoint, state, ask) && float64(load(state)) < bound {
 			return endpoint
 		}
 	}
@@ -57,10 +57,10 @@
 
 // bound is the load up to which a prefix decides: the mean over the node's
 // subset with a margin, and never less than one call.
-func (chooser *Chooser) bound(endpoints *view.Set, known *set, ask Ask) float64 {
+func bound(known *set) float64 {
 	total := 0
 	for _, index := range known.subset {
-		total += chooser.load(endpoints.Endpoints[index], known.states[index], ask.Level)
+		total += load(known.states[index])
 	}
 	return max(1, loadBound*float64(total+1)/float64(len(known.subset)))
 }
--- a/core/request/dispatcher/dispatcher.go
+++ b/core/request/dispatcher/dispatcher.go
@@ -237,7 +237,7 @@
 		return nil
 	}
 	endpoint, ok := dispatcher.choice.Choose(now, endpoints(current, call), chooser.Ask{
-		Prefix: call.Prefix, Allowed: current.Customers[call.Customer].Contract.DataCentres,
+		Prefix: call.Prefix, Allowed: current.Customers[call.Customer].Contract.DataCentres, Share: current.Share,
 	})
 	if !ok {
 		return nil
@@ -305,7 +305,7 @@
 	if !now.Before(current.LeaseUntil) {
 		return nil, false
 	}
-	ask := chooser.Ask{Prefix: call.call.Prefix, Level: call.level, Avoid: call.avoid}
+	ask := chooser.Ask{Prefix: call.call.Prefix, Level: call.level, Avoid: call.avoid, Share: current.Share}
 	if customer := current.Customers[call.call.Customer]; customer != nil {
 		ask.Allowed = customer.Contract.DataCentres
 	}
@@ -344,11 +344,15 @@
 	return decisions
 }
 
-// Pace takes the time between two tokens of a running call.
-func (dispatcher *Dispatcher) Pace(now time.Time, ticket Ticket, gap time.Duration) {
-	if call := dispatcher.calls[ticket]; call != nil && call.endpoint != (feed.Endpoint{}) {
-		dispatcher.choice.Pace(now, call.endpoint, gap)
+// Pace takes the time between two tokens of a running call. It is true when the
+// endpoint has been ejected as slow, so that the call had better move.
+func (dispatcher *Dispatcher) Pace(now time.Time, ticket Ticket, gap time.Duration) bool {
+	call := dispatcher.calls[ticket]
+	if call == nil || call.endpoint == (feed.Endpoint{}) {
+		return false
 	}
+	dispatcher.choice.Pace(now, call.endpoint, gap)
+	return dispatcher.choice.Ejected(now, call.endpoint)
 }
 
 // expected is the work that a call is thought to make beside its prompt. A call
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -80,6 +80,8 @@
 	// that it is over and the process should exit.
 	Stopping bool
 	Finished bool
+	// Share is this node's part of the demand of all nodes.
+	Share float64
 
 	Customers map[id.Customer]*Customer
 	Tokens    map[[sha256.Size]byte]id.Customer
--- a/measure/process/traffic/run.go
+++ b/measure/process/traffic/run.go
@@ -85,12 +85,16 @@
 	SlowAt      time.Duration
 	SlowEngines int
 	SlowFactor  int
+	// WindowFrom and WindowTo bound the time in which tokens are counted.
+	WindowFrom, WindowTo time.Duration
 }
 
 // Outcome is what became of one call.
 type Outcome struct {
 	Arrival Arrival
 	Refused bool
+	// InWindow counts the tokens in the scenario's window.
+	InWindow int
 	// First and Total are the times to the first and the last token; 0 when
 	// there was none before the scenario's end.
 	First, Total time.Duration
@@ -204,7 +208,7 @@
 	for _, node := range run.nodes {
 		fresh := &view.View{
 			LeaseUntil: start.Add(time.Hour * 24), Customers: map[id.Customer]*view.Customer{},
-			Models: map[id.Model]*view.Set{}, Endpoints: map[feed.Endpoint]*view.Endpoint{},
+			Share: run.share(node), Models: map[id.Model]*view.Set{}, Endpoints: map[feed.Endpoint]*view.Endpoint{},
 		}
 		run.addCustomers(fresh)
 		var endpoints []*view.Endpoint
@@ -223,6 +227,15 @@
 	}
 }
 
+// share is a node's part of all calls, as the leader works it out.
+func (run *run) share(of *node) float64 {
+	total := 0
+	for _, node := range run.nodes {
+		total += 1 + len(node.calls)
+	}
+	return float64(1+len(of.calls)) / float64(total)
+}
+
 func (run *run) addCustomers(fresh *view.View) {
 	const free = 1e9
 	for _, customer := range run.scenario.Customers {
@@ -341,6 +354,9 @@
 	if stream.Done == 1 {
 		outcome.First = at - outcome.Arrival.At
 	}
+	if at > run.scenario.WindowFrom && at <= run.scenario.WindowTo {
+		outcome.InWindow++
+	}
 	ended := stream.Done >= stream.Length
 	if ended {
 		outcome.Total = at - outcome.Arrival.At
@@ -349,36 +365,39 @@
 	if call.ticket == 0 {
 		return
 	}
-	run.pace(call, at)
 	now := start.Add(at)
+	slow := run.pace(call, at)
 	if ended {
 		call.node.work.Finished(now, call.ticket, id.Tokens(stream.Done), false)
 		delete(call.node.calls, call.ticket)
 		return
 	}
 	level := run.levels.Level(id.Tokens(stream.Done))
-	if level <= call.level {
+	if level <= call.level && !slow {
 		return
 	}
 	call.level = level
+	call.last = 0
 	call.node.running[call.engine]--
 	run.engines[call.engine].Leave(stream)
-	if endpoint, ok := call.node.work.Move(now, call.node.view, call.ticket, level, false); ok {
+	if endpoint, ok := call.node.work.Move(now, call.node.view, call.ticket, level, slow); ok {
 		run.attach(call, endpoint)
 		call.node.running[call.engine]++
 	}
 }
 
 // pace samples the time between tokens as the product does.
-func (run *run) pace(call *call, at time.Duration) {
+func (run *run) pace(call *call, at time.Duration) bool {
 	if call.last == 0 {
 		call.last = at
-		return
+		return false
 	}
 	const sampleEvery = 100 * time.Millisecond
-	if at-call.last >= sampleEvery {
-		tokens := max(1, int((at-call.last)/Step)/run.engines[call.engine].Slow)
-		call.node.work.Pace(start.Add(at), call.ticket, (at-call.last)/time.Duration(tokens))
-		call.last = at
+	if at-call.last < sampleEvery {
+		return false
 	}
+	tokens := max(1, int((at-call.last)/Step)/run.engines[call.engine].Slow)
+	gap := (at - call.last) / time.Duration(tokens)
+	call.last = at
+	return call.node.work.Pace(start.Add(at), call.ticket, gap)
 }
--- a/measure/process/traffic/scenarios.go
+++ b/measure/process/traffic/scenarios.go
@@ -22,6 +22,7 @@
 	warmUp       = 20 * time.Second
 	usualLoad    = 0.8
 	deadline     = 2 * time.Second
+	tokenPace    = 55 * time.Millisecond
 	longDeadline = time.Hour
 )
 
@@ -123,19 +124,22 @@
 	arrivals = append(arrivals, mixed(random, []id.Customer{"flood-1", "flood-2"}, 0.4, 0, end)...)
 	arrivals = append(arrivals, mixed(random, []id.Customer{"flood-1", "flood-2"}, 3-steadyLoad-0.4, crestFrom, crestTo)...)
 	slices.SortFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
-	scenario := Scenario{Seed: seed, Nodes: nodes, Engines: engines, Slots: slots, Customers: customers, Arrivals: arrivals, Length: end + 60*time.Second}
+	scenario := Scenario{Seed: seed, Nodes: nodes, Engines: engines, Slots: slots, Customers: customers, Arrivals: arrivals, Length: end + 60*time.Second, WindowFrom: crestFrom, WindowTo: crestTo}
 	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastConnections, PolicyCarobline} {
 		result := Run(scenario, policy)
-		served, steadyAll, steadyOnTime := 0.0, 0.0, 0.0
+		served, paced, steadyAll, steadyOnTime := 0.0, 0.0, 0.0, 0.0
 		for _, outcome := range result.Outcomes {
 			at := outcome.Arrival.At
 			onTime := !outcome.Refused && outcome.First > 0 && outcome.First <= deadline
+			if onTime {
+				served += float64(outcome.InWindow)
+			}
+			if pace := time.Duration(outcome.Arrival.Length) * tokenPace; onTime && outcome.Total > 0 && outcome.Total <= deadline+pace {
+				paced += float64(outcome.InWindow)
+			}
 			if at < crestFrom || at >= crestTo {
 				continue
 			}
-			if onTime {
-				served += float64(outcome.Arrival.Length)
-			}
 			if outcome.Arrival.Customer == "steady" {
 				steadyAll++
 				if onTime {
@@ -144,6 +148,7 @@
 			}
 		}
 		goodput := served / (capacity() * (crestTo - crestFrom).Seconds())
+		lines.Figure("crest_goodput_at_55_ms_a_token."+string(policy), paced/(capacity()*(crestTo-crestFrom).Seconds()), "of capacity")
 		recovery := recoveryTime(result, crestTo)
 		if policy != PolicyCarobline {
 			lines.Figure("crest_goodput."+string(policy), goodput, "of capacity")
