dispatcher: calls leave stalled endpoints, and deadlines leave time for the first token

Change: a call of the first level without a token for far longer than first tokens or peers take moves on, within the retry budget; the queue keeps back what a first token takes; trials are rarer. The model's capacity counts steps with a slot, so that prefill is work too.

Found: a first sample smoothed from zero made the limit for first tokens too short, so that healthy engines were left (table of engine faults).

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -29,11 +29,6 @@
 )
 
 const (
-	// retryPart is the part of calls that may be tried a second time.
-	retryPart = 0.1
-	// retrySavings bounds the retries that are saved up: the streams that one
-	// node may have on a group that is lost at once.
-	retrySavings = 128
 	// mostAttempts bounds the attempts of one call beside the budget.
 	mostAttempts = 4
 )
@@ -58,6 +53,8 @@
 	// CallerStall is how long a caller may take to accept one write.
 	CallerStall time.Duration
 	Levels      *attained.Attained
+	// Retries bounds repeated attempts.
+	Retries *budget.Budget
 	// Engines carries requests to engines over kept connections.
 	Engines http.RoundTripper
 	// Once carries calls that must not repeat, each over a new connection, so
@@ -67,9 +64,8 @@
 
 // API serves callers.
 type API struct {
-	config  Config
-	retries *budget.Budget
-	meters  meters
+	config Config
+	meters meters
 }
 
 // meters are the figures that callers' calls leave. They need no goroutine of
@@ -89,7 +85,7 @@
 func New(config Config) *API {
 	registry := config.Metrics
 	return &API{
-		config: config, retries: budget.New(retryPart, retrySavings),
+		config: config,
 		meters: meters{
 			calls:      metrics.GetOrRegisterCounter("calls", registry),
 			refused:    metrics.GetOrRegisterCounter("calls_refused", registry),
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	api.retries.Earn()
+	api.config.Retries.Earn()
 	relay := &relay{api: api, call: current, admission: admission, path: request.URL.Path, body: body}
 	if asked.Stream {
 		relay.sink = &streamSink{writer: writer, control: http.NewResponseController(writer), stall: api.config.CallerStall, call: current}
@@ -183,7 +183,7 @@
 				return relay.giveUp(errors.New("no endpoint for the rest of the answer"))
 			}
 			relay.attempt-- // sinking isn't a failure
-		case errors.Is(err, errSlow):
+		case errors.Is(err, errSlow), errors.Is(err, traffic.ErrStalled):
 			relay.api.meters.resumed.Inc(1)
 			if !relay.admission.Move(ctx, relay.admission.Level(), true) {
 				return relay.giveUp(err)
@@ -209,7 +209,7 @@
 		return false
 	}
 	resumable := relay.tokens == 0 || relay.admission.Endpoint().Resumes
-	if !resumable || relay.attempt >= mostAttempts || !relay.api.retries.Spend() {
+	if !resumable || relay.attempt >= mostAttempts || !relay.api.config.Retries.Spend() {
 		relay.failed = true
 		return false
 	}
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api.retries.Earn()
+	api.config.Retries.Earn()
 	for attempt := 1; ; attempt++ {
 		answer, sent, err := api.exchange(ctx, admission, asked, attempt, api.config.Engines)
 		if err == nil {
@@ -129,7 +129,7 @@
 		}
 		asked.call.log.Warn().Err(err).Str("step", "service").Int("attempt", attempt).Bool("sent", sent).Msg("attempt failed")
 		again := (!sent || repeatable(asked.method)) && ctx.Err() == nil && attempt < mostAttempts
-		if again && api.retries.Spend() && admission.Move(ctx, 0, true) {
+		if again && api.config.Retries.Spend() && admission.Move(ctx, 0, true) {
 			continue
 		}
 		admission.Finish(0, true)
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/wal"
 	"carobline.dev/core/request/attained"
+	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/dispatcher"
 	"carobline.dev/core/version/view"
 )
@@ -53,6 +54,11 @@
 	bodyTimeout = 60 * time.Second
 	// idleTimeout bounds the life of an unused connection.
 	idleTimeout = 2 * time.Minute
+	// retryPart is the part of calls that may be tried a second time.
+	retryPart = 0.1
+	// retrySavings bounds the retries that are saved up: the streams that one
+	// node may have on a group that is lost at once.
+	retrySavings = 128
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
 	// closeTimeout bounds the end of background work once calls are drained.
@@ -85,6 +91,7 @@
 	control atomic.Pointer[control.Control]
 	peers   *peers.Peers
 	traffic *traffic.Traffic
+	retries *budget.Budget
 
 	listeners []*listener
 	files     []*tlsfiles.Files
@@ -173,7 +180,9 @@
 }
 
 func (daemon *Daemon) startTraffic(incarnation id.Incarnation) {
+	daemon.retries = budget.New(retryPart, retrySavings)
 	daemon.traffic = traffic.New(traffic.Config{
+		Retries:    daemon.retries,
 		Dispatcher: dispatcher.Config{Node: daemon.settings.Node, DataCentre: daemon.settings.DataCentre, Rand: newRand(incarnation)},
 		View:       daemon.view, Now: daemon.now,
 	})
@@ -222,7 +231,7 @@
 		Propose: loop.Propose, Background: daemon.goBackground, Log: daemon.log, Metrics: daemon.metrics,
 		BodyBytes: known.Limits.BodyBytes, Silence: time.Duration(known.Limits.SilenceMS) * time.Millisecond,
 		CallerStall: time.Duration(known.Limits.CallerStallMS) * time.Millisecond,
-		Levels:      attained.New(attained.DefaultThresholds()), Engines: daemon.engines, Once: daemon.once,
+		Levels:      attained.New(attained.DefaultThresholds()), Retries: daemon.retries, Engines: daemon.engines, Once: daemon.once,
 	}).Handler()
 	if known.RouterOff {
 		callers = routerOff()
--- a/caroblined/request/traffic/admission.go
+++ b/caroblined/request/traffic/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +17,10 @@
 // lost a host or its lease.
 var ErrEndpointLost = errors.New("the endpoint lost a host")
 
+// ErrStalled is the cause of an attempt that was without a token for so long
+// that the call had better go elsewhere.
+var ErrStalled = errors.New("the endpoint stalled")
+
 // paceEvery is how often a stream's pace is sampled.
 const paceEvery = 100 * time.Millisecond
 
@@ -29,6 +34,11 @@
 	// lastAt and tokens sample the pace.
 	lastAt time.Time
 	tokens int
+	// began is when the present attempt began.
+	began time.Time
+	// heard is when the last token of the attempt came, as the time since the
+	// process's traffic began; zero before the first.
+	heard atomic.Int64
 }
 
 // Endpoint is where the call runs now.
@@ -50,7 +60,8 @@
 	}
 	attempt, cancel := context.WithCancelCause(ctx)
 	admission.cancel = cancel
-	admission.lastAt, admission.tokens = time.Time{}, 0
+	admission.lastAt, admission.tokens, admission.began = time.Time{}, 0, now
+	admission.heard.Store(0)
 	traffic.streams[admission] = struct{}{}
 	return attempt, cancel, true
 }
@@ -59,7 +70,9 @@
 // the endpoint has turned slow, so that the call had better move.
 func (admission *Admission) Token() bool {
 	now := admission.traffic.config.Now()
+	admission.heard.Store(int64(now.Sub(admission.traffic.epoch)))
 	if admission.lastAt.IsZero() {
+		admission.firstToken(now)
 		admission.lastAt = now
 		return false
 	}
@@ -75,6 +88,13 @@
 	return admission.traffic.work.Pace(now, admission.ticket, gap)
 }
 
+func (admission *Admission) firstToken(now time.Time) {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.work.FirstToken(now.Sub(admission.began))
+}
+
 // Whole takes how long a service took for a whole answer.
 func (admission *Admission) Whole(took time.Duration) {
 	traffic := admission.traffic
@@ -123,6 +143,17 @@
 	return ok
 }
 
+// stalled tells whether the attempt has been without a token for too long. The
+// mutex is held.
+func (admission *Admission) stalled(now time.Time) bool {
+	traffic := admission.traffic
+	silent, heard := now.Sub(admission.began), admission.heard.Load()
+	if heard > 0 {
+		silent = now.Sub(traffic.epoch) - time.Duration(heard)
+	}
+	return traffic.work.Stalled(now, admission.ticket, silent, heard > 0)
+}
+
 // endAttempt stops watching the attempt. The mutex is held.
 func (admission *Admission) endAttempt() {
 	if admission.cancel != nil {
--- a/caroblined/request/traffic/traffic.go
+++ b/caroblined/request/traffic/traffic.go
@@ -17,6 +17,7 @@
 
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/process/member"
+	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/dispatcher"
 	"carobline.dev/core/version/view"
 )
@@ -24,6 +25,8 @@
 const (
 	// pumpEvery is how often waiting calls are looked at when nothing happens.
 	pumpEvery = 5 * time.Millisecond
+	// watchEvery is how often running streams are looked at.
+	watchEvery = 20 * time.Millisecond
 	// statusClientClosed is the customary status for a caller that has gone.
 	statusClientClosed = 499
 )
@@ -33,11 +36,14 @@
 	Dispatcher dispatcher.Config
 	View       func() *view.View
 	Now        func() time.Time
+	// Retries bounds how many stalled calls are moved.
+	Retries *budget.Budget
 }
 
 // Traffic is the request path's side of a node. It is safe for concurrent use.
 type Traffic struct {
 	config Config
+	epoch  time.Time
 
 	mutex    sync.Mutex
 	work     *dispatcher.Dispatcher
@@ -54,7 +60,7 @@
 func New(config Config) *Traffic {
 	ctx, stop := context.WithCancel(context.Background())
 	traffic := &Traffic{
-		config: config, work: dispatcher.New(config.Now(), config.Dispatcher),
+		config: config, epoch: config.Now(), work: dispatcher.New(config.Now(), config.Dispatcher),
 		waiting: map[dispatcher.Ticket]chan dispatcher.Decision{},
 		streams: map[*Admission]struct{}{},
 		wake:    make(chan struct{}, 1), stop: stop,
@@ -103,6 +109,7 @@
 func (traffic *Traffic) run(ctx context.Context) {
 	ticker := time.NewTicker(pumpEvery)
 	defer ticker.Stop()
+	var watched time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,7 +119,10 @@
 		}
 		traffic.mutex.Lock()
 		traffic.pump()
-		traffic.watch()
+		if now := traffic.config.Now(); now.Sub(watched) >= watchEvery {
+			watched = now
+			traffic.watch()
+		}
 		traffic.mutex.Unlock()
 	}
 }
@@ -133,6 +143,9 @@
 	for admission := range traffic.streams {
 		if !current.Valid(now, admission.endpoint.Name, admission.endpoint.Fencing) {
 			admission.cancel(ErrEndpointLost)
+		} else if admission.endpoint.Resumes && admission.stalled(now) && traffic.config.Retries.Spend() {
+			admission.cancel(ErrStalled)
+			delete(traffic.streams, admission) // once is enough
 		}
 	}
 }
--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -40,15 +40,15 @@
 	plenty = 4
 	// slowFactor is how much slower than the median of its peers an endpoint
 	// must be to be ejected.
-	slowFactor = 3
+	slowFactor = 2
 	// minPeers and minSamples are needed before any is ejected.
 	minPeers   = 3
 	minSamples = 8
 	// ejectPart bounds the endpoints ejected at a time: one in this many.
 	ejectPart = 3
 	// firstEjection doubles with each ejection in a row, up to lastEjection.
-	firstEjection = 2 * time.Second
-	lastEjection  = 32 * time.Second
+	firstEjection = 5 * time.Second
+	lastEjection  = 80 * time.Second
 	// smoothing is the weight of a new sample of pace.
 	smoothing = 0.2
 )
--- a/core/request/chooser/eject.go
+++ b/core/request/chooser/eject.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// MedianPace is the median time between tokens, in seconds, at the peers of an
+// endpoint; it is zero while too few are known.
+func (chooser *Chooser) MedianPace(name feed.Endpoint) float64 {
+	pace, _ := chooser.median(name)
+	return pace
+}
+
 // median is the pace of an endpoint's peers; groups and services are compared
 // apart. Peers counts all endpoints that this node has used.
 func (chooser *Chooser) median(name feed.Endpoint) (pace float64, peers int) {
--- a/core/request/dispatcher/dispatcher.go
+++ b/core/request/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 package dispatcher
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,8 @@
 	guessSmoothing = 0.05
 	// rateWindow is what a limit may save up.
 	rateWindow = time.Second
+	// stallAtLeast is the shortest silence that counts as a stall.
+	stallAtLeast = 100 * time.Millisecond
 	// drainWindow smooths the rate at which the queue drains.
 	drainWindow = time.Second
 	// retryAtLeast and retryAtMost bound what callers are told to wait.
@@ -69,7 +72,11 @@
 	calls    map[Ticket]*running
 	accounts map[id.Customer]*account
 	drain    rate
-	next     Ticket
+	// firstMean and firstSpread are the time from the start at an endpoint to
+	// the first token, and how far it strays, in seconds.
+	firstMean   float64
+	firstSpread float64
+	next        Ticket
 	// displaced are running calls that wait for another endpoint.
 	displaced []Ticket
 }
@@ -104,12 +111,13 @@
 	if dispatcher.queue.LenOf(call.Customer) > customer.Contract.QueuePlaces {
 		return 0, dispatcher.refuse(ReasonQueueFull, dispatcher.wait(now, customer))
 	}
-	if wait := dispatcher.wait(now, customer); wait > customer.Contract.Deadline() {
+	patience := customer.Contract.Deadline() - dispatcher.margin(customer)
+	if wait := dispatcher.wait(now, customer); wait > patience {
 		return 0, dispatcher.refuse(ReasonDeadline, wait)
 	}
 	dispatcher.next++
 	ticket := dispatcher.next
-	work := &waiting{ticket: ticket, call: call, arrived: now, until: now.Add(customer.Contract.Deadline())}
+	work := &waiting{ticket: ticket, call: call, arrived: now, until: now.Add(patience)}
 	expected := account.expected(call)
 	cost := float64(call.Prompt)*promptWeight + expected
 	item, ok := dispatcher.queue.Push(call.Customer, float64(customer.Contract.Share), rank(customer.Contract.Priority), cost, work)
@@ -121,6 +129,25 @@
 	return ticket, nil
 }
 
+// margin is what a call's deadline must leave for the time between its start at
+// an endpoint and its first token. It never takes more than half the deadline.
+func (dispatcher *Dispatcher) margin(customer *view.Customer) time.Duration {
+	const spreads = 3
+	margin := time.Duration((dispatcher.firstMean + spreads*dispatcher.firstSpread) * float64(time.Second))
+	return min(margin, customer.Contract.Deadline()/2)
+}
+
+// FirstToken takes the time from a call's start at an endpoint to its first
+// token.
+func (dispatcher *Dispatcher) FirstToken(took time.Duration) {
+	if dispatcher.firstMean == 0 {
+		dispatcher.firstMean, dispatcher.firstSpread = took.Seconds(), took.Seconds()/2
+	}
+	stray := took.Seconds() - dispatcher.firstMean
+	dispatcher.firstMean += guessSmoothing * stray
+	dispatcher.firstSpread += guessSmoothing * (math.Abs(stray) - dispatcher.firstSpread)
+}
+
 // rank orders priorities for the queue.
 func rank(priority contract.Priority) int {
 	return slices.Index([]contract.Priority{contract.PriorityInteractive, contract.PriorityStandard, contract.PriorityBatch}, priority)
@@ -364,6 +391,27 @@
 	return account.guess
 }
 
+// Stalled tells whether a call has been without a token for so long that it had
+// better move: before its first token by what first tokens take, after it by the
+// pace of the endpoint's peers. Only calls of the first level are judged, since
+// others may rightly be paused.
+func (dispatcher *Dispatcher) Stalled(now time.Time, ticket Ticket, silent time.Duration, began bool) bool {
+	call := dispatcher.calls[ticket]
+	if call == nil || call.endpoint == (feed.Endpoint{}) || call.level > 0 || call.call.Service != "" {
+		return false
+	}
+	const spreads, factor, gaps = 8, 3, 10
+	limit := max(dispatcher.firstMean+spreads*dispatcher.firstSpread, factor*dispatcher.firstMean)
+	if began {
+		limit = gaps * dispatcher.choice.MedianPace(call.endpoint)
+	}
+	if limit == 0 || silent < stallAtLeast || silent.Seconds() <= limit {
+		return false
+	}
+	dispatcher.choice.Pace(now, call.endpoint, silent)
+	return true
+}
+
 // Finished takes the end of a running call and what it really generated.
 func (dispatcher *Dispatcher) Finished(now time.Time, ticket Ticket, tokens id.Tokens, failed bool) {
 	call := dispatcher.calls[ticket]
--- a/measure/process/model/engine.go
+++ b/measure/process/model/engine.go
@@ -29,6 +29,8 @@
 type Stream struct {
 	// Length and Done count tokens.
 	Length, Done int
+	// Worked counts the steps in which the stream had a slot.
+	Worked int
 	// Prefill is how many steps pass before the first token, or before the
 	// next one after a move.
 	Prefill  int
@@ -110,9 +112,11 @@
 	for _, stream := range running {
 		if stream.Prefill > 0 {
 			stream.Prefill--
+			stream.Worked++
 			continue
 		}
 		stream.Done++
+		stream.Worked++
 		engine.Served++
 		if stream.Done >= stream.Length {
 			engine.Leave(stream)
--- a/measure/process/traffic/run.go
+++ b/measure/process/traffic/run.go
@@ -9,7 +9,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"carobline.dev/core/id"
@@ -17,6 +19,7 @@
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/request/attained"
+	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/dispatcher"
 	"carobline.dev/core/version/contract"
 	"carobline.dev/core/version/view"
@@ -93,7 +96,7 @@
 type Outcome struct {
 	Arrival Arrival
 	Refused bool
-	// InWindow counts the tokens in the scenario's window.
+	// InWindow counts the steps with a slot in the scenario's window.
 	InWindow int
 	// First and Total are the times to the first and the last token; 0 when
 	// there was none before the scenario's end.
@@ -122,6 +125,7 @@
 // node is one entry host.
 type node struct {
 	work    *dispatcher.Dispatcher
+	retries *budget.Budget
 	view    *view.View
 	calls   map[dispatcher.Ticket]*call
 	running []int
@@ -136,6 +140,9 @@
 	stream *model.Stream
 	level  attained.Level
 	last   time.Duration
+	began  time.Duration
+	token  time.Duration
+	worked int
 }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -164,6 +171,7 @@
 			next++
 		}
 		run.pump()
+		run.moveStalled()
 		for _, engine := range run.engines {
 			engine.Advance()
 		}
@@ -196,6 +204,7 @@
 func (run *run) newNode(index int) *node {
 	seed := run.scenario.Seed*100 + uint64(index)
 	return &node{
+		retries: budget.New(0.1, 128),
 		work: dispatcher.New(start, dispatcher.Config{
 			Node: id.Node(fmt.Sprintf("n%d", index)), Rand: rand.New(rand.NewPCG(seed, 5)),
 		}),
@@ -302,6 +311,7 @@
 		run.outcomes[index].Refused = true
 		return
 	}
+	node.retries.Earn()
 	node.calls[ticket] = &call{index: index, node: node, ticket: ticket, engine: -1}
 }
 
@@ -333,6 +343,8 @@
 		call.stream.Prefill = sinkSteps
 	}
 	call.engine = engine
+	call.node.running[engine]++
+	call.began = run.now
 	call.stream.Priority = int(call.level)
 	run.engines[engine].Join(call.stream)
 }
@@ -342,6 +354,7 @@
 	arrival := run.scenario.Arrivals[call.index]
 	call.stream = &model.Stream{Length: arrival.Length, Prefill: prefillSteps, Priority: priority, Prefix: arrival.Prefix}
 	call.stream.Token = func(stream *model.Stream) { run.token(call, stream) }
+	call.began = run.now
 	call.node.running[call.engine]++
 	if run.engines[call.engine].Join(call.stream) {
 		call.stream.Prefill = 0
@@ -355,8 +368,9 @@
 		outcome.First = at - outcome.Arrival.At
 	}
 	if at > run.scenario.WindowFrom && at <= run.scenario.WindowTo {
-		outcome.InWindow++
+		outcome.InWindow += stream.Worked - call.worked
 	}
+	call.worked = stream.Worked
 	ended := stream.Done >= stream.Length
 	if ended {
 		outcome.Total = at - outcome.Arrival.At
@@ -367,6 +381,10 @@
 	}
 	now := start.Add(at)
 	slow := run.pace(call, at)
+	call.token = at
+	if stream.Done == 1 {
+		call.node.work.FirstToken(at - call.began)
+	}
 	if ended {
 		call.node.work.Finished(now, call.ticket, id.Tokens(stream.Done), false)
 		delete(call.node.calls, call.ticket)
@@ -377,13 +395,38 @@
 		return
 	}
 	call.level = level
+	run.move(call, now, slow)
+}
+
+// moveStalled moves the calls that have been without a token for too long,
+// within the budget for retries, as the product does.
+func (run *run) moveStalled() {
+	for _, node := range run.nodes {
+		for _, ticket := range slices.Sorted(maps.Keys(node.calls)) {
+			call := node.calls[ticket]
+			if call.engine < 0 || call.stream == nil {
+				continue
+			}
+			since := max(call.began, call.token)
+			if node.work.Stalled(run.time(), ticket, run.now-since, call.stream.Done > 0) && node.retries.Spend() {
+				run.move(call, run.time(), true)
+			}
+		}
+	}
+}
+
+// move takes a call from its engine and gives it to the one that its node's
+// dispatcher picks.
+func (run *run) move(call *call, now time.Time, failed bool) {
 	call.last = 0
 	call.node.running[call.engine]--
-	run.engines[call.engine].Leave(stream)
-	if endpoint, ok := call.node.work.Move(now, call.node.view, call.ticket, level, slow); ok {
-		run.attach(call, endpoint)
-		call.node.running[call.engine]++
+	run.engines[call.engine].Leave(call.stream)
+	endpoint, ok := call.node.work.Move(now, call.node.view, call.ticket, call.level, failed)
+	if !ok {
+		call.engine = -1
+		return
 	}
+	run.attach(call, endpoint)
 }
 
 // pace samples the time between tokens as the product does.
