--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -38,6 +38,7 @@
 	headerGroup       = "Carobline-Group"
 	headerFencing     = "Carobline-Fencing"
 	headerPriority    = "Carobline-Priority"
+	headerPrefix      = "Carobline-Prefix"
 	headerLastEventID = "Last-Event-ID"
 )
 
@@ -61,15 +62,16 @@
 	if err != nil {
 		return err
 	}
+	prefix := prefixOf(current, asked)
 	admission, err := api.config.Traffic.Admit(request.Context(), dispatcher.Call{
 		Customer: current.customer.Contract.Customer, Model: asked.Model,
-		Prompt: id.Tokens(len(data) / bytesPerToken), Prefix: prefixOf(current, asked),
+		Prompt: id.Tokens(len(data) / bytesPerToken), Prefix: prefix,
 	})
 	if err != nil {
 		return err
 	}
 	api.config.Retries.Earn()
-	relay := &relay{api: api, call: current, admission: admission, path: request.URL.Path, body: body}
+	relay := &relay{api: api, call: current, admission: admission, path: request.URL.Path, body: body, prefix: prefix}
 	if asked.Stream {
 		relay.sink = &streamSink{writer: writer, control: http.NewResponseController(writer), stall: api.config.CallerStall, call: current}
 	} else {
@@ -143,6 +145,7 @@
 	admission *traffic.Admission
 	path      string
 	body      []byte
+	prefix    uint64
 	sink      sink
 
 	attempt int
@@ -295,6 +298,7 @@
 	header.Set(headerGroup, string(endpoint.Name.Group))
 	header.Set(headerFencing, strconv.FormatUint(uint64(endpoint.Fencing), 10))
 	header.Set(headerPriority, strconv.Itoa(int(relay.admission.Level())))
+	header.Set(headerPrefix, strconv.FormatUint(relay.prefix, 10))
 	if relay.tokens > 0 {
 		header.Set(headerLastEventID, strconv.FormatInt(int64(relay.tokens), 10))
 	}
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -102,6 +102,7 @@
 			endpoint.DataCentre = host.Announcement.DataCentre
 			endpoint.Resumes = host.Announcement.Resumes
 			endpoint.Load = host.Announcement.Load
+			endpoint.Prefixes = host.Announcement.Prefixes
 			endpoint.Report = host.Announcement.Sequence
 		}
 		endpoint.Accepting = endpoint.Accepting && !host.Announcement.Leaving
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -24,11 +24,14 @@
 	// ChecksFencing says whether the host refuses orders with old numbers.
 	ChecksFencing bool `json:"checks_fencing"`
 	// Resumes says whether a stream can start after its first tokens.
-	Resumes bool    `json:"resumes"`
-	LeaseMS int64   `json:"lease_ms"`
-	Load    Load    `json:"load"`
-	Serving Serving `json:"serving"`
-	Leaving bool    `json:"leaving"`
+	Resumes bool  `json:"resumes"`
+	LeaseMS int64 `json:"lease_ms"`
+	Load    Load  `json:"load"`
+	// Prefixes are the hashes of cached prompt prefixes that requests named,
+	// as far as the engine tells; late and with gaps.
+	Prefixes []uint64 `json:"prefixes,omitempty"`
+	Serving  Serving  `json:"serving"`
+	Leaving  bool     `json:"leaving"`
 }
 
 // Load is what an engine reports of itself, late.
--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -32,7 +32,7 @@
 	subsetSize = 48
 	// loadBound is how far above the mean an endpoint's load may go for the
 	// sake of a prefix.
-	loadBound = 1.25
+	loadBound = 1.5
 	// prefixTries bounds how many places of the ring are tried.
 	prefixTries = 4
 	// plenty is the part of the slots, as one in this many, that must be free
@@ -71,6 +71,8 @@
 	Avoid feed.Endpoint
 	// Share is this node's part of the demand of all nodes; 0 means all of it.
 	Share float64
+	// holds is set while endpoints that have the prefix cached are looked at.
+	holds bool
 }
 
 func (ask Ask) share() float64 {
@@ -174,6 +176,8 @@
 		return false
 	case endpoint.Load.Slots == 0:
 		return true
+	case ask.holds && load(known)*plenty < endpoint.Load.Slots*(plenty-1):
+		return true
 	case ask.Level == 0:
 		return known.urgent < known.allowedUrgent
 	default:
--- a/core/request/chooser/prefix.go
+++ b/core/request/chooser/prefix.go
@@ -29,30 +29,53 @@
 	return ring
 }
 
-// byPrefix walks the ring from a prefix's place to the first endpoint that is
-// usable and not far above the mean load. All nodes walk the same ring.
+// byPrefix finds the endpoint for a prefix: the least loaded one that says it
+// has it cached, else the one with the fewest cached prefixes among the first on
+// the ring from the prefix's place. All nodes walk the same ring, so that they
+// agree before a cache's late report tells. None may be far above the mean load.
 func (chooser *Chooser) byPrefix(now time.Time, endpoints *view.Set, known *set, ask Ask) *view.Endpoint {
+	most := bound(known)
+	var best *view.Endpoint
+	bestLoad := 0
+	holding := ask
+	holding.holds = true
+	for _, index := range endpoints.Holders[ask.Prefix] {
+		endpoint, state := endpoints.Endpoints[index], known.states[index]
+		if own := load(state); float64(own) < most && (best == nil || own < bestLoad) && chooser.usable(now, endpoint, state, holding) {
+			best, bestLoad = endpoint, own
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return chooser.byRing(now, endpoints, known, ask, most)
+}
+
+func (chooser *Chooser) byRing(now time.Time, endpoints *view.Set, known *set, ask Ask, most float64) *view.Endpoint {
 	place, _ := slices.BinarySearchFunc(known.ring, mix(ask.Prefix), func(point ringPoint, hash uint64) int {
 		return cmp.Compare(point.hash, hash)
 	})
-	bound := bound(known)
+	var best *view.Endpoint
 	last := -1
 	for tries := 0; tries < prefixTries; place++ {
 		if place >= len(known.ring) {
 			place = 0
 		}
-		index := known.ring[place].index
 		tries++
+		index := known.ring[place].index
 		if index == last {
 			continue
 		}
 		last = index
 		endpoint, state := endpoints.Endpoints[index], known.states[index]
-		if chooser.usable(now, endpoint, state, ask) && float64(load(state)) < bound {
-			return endpoint
+		if !chooser.usable(now, endpoint, state, ask) || float64(load(state)) >= most {
+			continue
+		}
+		if best == nil || len(endpoint.Prefixes) < len(best.Prefixes) {
+			best = endpoint
 		}
 	}
-	return nil
+	return best
 }
 
 // bound is the load up to which a prefix decides: the mean over the node's
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -35,6 +35,8 @@
 	Fencing    id.Fencing
 	Resumes    bool
 	Load       roster.Load
+	// Prefixes are the prompt prefixes that the endpoint says it has cached.
+	Prefixes []uint64
 	// Report counts the announcements of the host that Load came from.
 	Report uint64
 	// Accepting is false for an endpoint that only finishes its work.
@@ -48,6 +50,8 @@
 type Set struct {
 	Endpoints   []*Endpoint
 	Fingerprint uint64
+	// Holders are the places of the endpoints that have a prefix cached.
+	Holders map[uint64][]int
 }
 
 // NewSet sorts endpoints into a set.
@@ -62,7 +66,13 @@
 		_, _ = hash.Write([]byte(endpoint.Name.Host))
 		_, _ = hash.Write([]byte{0})
 	}
-	return &Set{Endpoints: endpoints, Fingerprint: hash.Sum64()}
+	set := &Set{Endpoints: endpoints, Fingerprint: hash.Sum64(), Holders: map[uint64][]int{}}
+	for place, endpoint := range endpoints {
+		for _, prefix := range endpoint.Prefixes {
+			set.Holders[prefix] = append(set.Holders[prefix], place)
+		}
+	}
+	return set
 }
 
 // Customer is a contract in force.
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -16,6 +16,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -89,6 +90,8 @@
 	faults      Faults
 	reports     []report
 	runs        map[string]int
+	// prefixes are the cached ones, the latest used last.
+	prefixes []uint64
 }
 
 // report is a load at one moment, sent when it is old enough.
@@ -175,7 +178,7 @@
 		Host: config.Host, Incarnation: engine.incarnation, Sequence: engine.sequence, Address: config.Address,
 		DataCentre: config.DataCentre, Domain: config.Domain, Accelerators: config.Accelerators, Models: config.Models,
 		Service: config.Service, ChecksFencing: config.ChecksFencing, Resumes: config.Resumes,
-		LeaseMS: config.Lease.Milliseconds(), Load: engine.lateLoad(), Serving: serving, Leaving: engine.leaving,
+		LeaseMS: config.Lease.Milliseconds(), Load: engine.lateLoad(), Prefixes: slices.Clone(engine.prefixes), Serving: serving, Leaving: engine.leaving,
 	}, true
 }
 
@@ -191,6 +194,21 @@
 	return engine.reports[0].load
 }
 
+// cachePrefix makes a prefix the latest used one and forgets the oldest.
+func (engine *Engine) cachePrefix(prefix uint64) {
+	const places = 32
+	if prefix == 0 {
+		return
+	}
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.prefixes = slices.DeleteFunc(engine.prefixes, func(other uint64) bool { return other == prefix })
+	engine.prefixes = append(engine.prefixes, prefix)
+	if len(engine.prefixes) > places {
+		engine.prefixes = engine.prefixes[1:]
+	}
+}
+
 // conflict is an order or a request with an old number.
 func conflict(message string) error {
 	return rest.NotRun(http.StatusConflict, "old_fencing_number", message)
--- a/measure/process/model/engine.go
+++ b/measure/process/model/engine.go
@@ -87,6 +87,9 @@
 	return place >= 0
 }
 
+// Prefixes lists the cached prefixes.
+func (engine *Engine) Prefixes() []uint64 { return slices.Clone(engine.cache) }
+
 // Leave takes a stream out.
 func (engine *Engine) Leave(stream *Stream) {
 	if place := slices.Index(engine.streams, stream); place >= 0 {
--- a/measure/process/traffic/run.go
+++ b/measure/process/traffic/run.go
@@ -226,7 +226,8 @@
 			endpoint := &view.Endpoint{
 				Name: feed.Endpoint{Group: id.Group(fmt.Sprintf("g%03d", index))}, Model: modelName, Address: fmt.Sprint(index),
 				Resumes: true, Accepting: true, ValidUntil: fresh.LeaseUntil, Report: uint64(run.now/reportEvery) + 1,
-				Load: roster.Load{Slots: run.scenario.Slots, Running: running, Queued: queued, Urgent: urgent},
+				Prefixes: engine.Prefixes(),
+				Load:     roster.Load{Slots: run.scenario.Slots, Running: running, Queued: queued, Urgent: urgent},
 			}
 			fresh.Endpoints[endpoint.Name] = endpoint
 			endpoints = append(endpoints, endpoint)
