roster: renewals are relayed without what the other side knows

Cause: each node gets each host's renewal every second; whole announcements of about 450 bytes make 32 KB/s a node at today's 72 hosts, twice the 14 KB/s that the users allow for control at any size.

Change: a node whose cursor is past an announcement's last change of facts gets a short renewal; cached prefixes count as news every 5 s and are bounded to 16.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -298,7 +298,7 @@
 	header.Set(headerGroup, string(endpoint.Name.Group))
 	header.Set(headerFencing, strconv.FormatUint(uint64(endpoint.Fencing), 10))
 	header.Set(headerPriority, strconv.Itoa(int(relay.admission.Level())))
-	header.Set(headerPrefix, strconv.FormatUint(relay.prefix, 10))
+	header.Set(headerPrefix, strconv.FormatUint(uint64(uint32(relay.prefix)), 10))
 	if relay.tokens > 0 {
 		header.Set(headerLastEventID, strconv.FormatInt(int64(relay.tokens), 10))
 	}
--- a/caroblined/connection/hostapi/hostapi.go
+++ b/caroblined/connection/hostapi/hostapi.go
@@ -24,6 +24,8 @@
 
 const (
 	bodyBytes = 64 << 10
+	// mostPrefixes bounds what one host tells of its cache.
+	mostPrefixes = 16
 	// shortestLease and longestLease bound what a host may ask for.
 	shortestLease = 500 * time.Millisecond
 	longestLease  = time.Minute
@@ -79,6 +81,7 @@
 		{announcement.DataCentre != "", "data_centre", "a name"},
 		{announcement.Service != "" || announcement.Domain != "", "domain", "a name, for a host of an engine"},
 		{(announcement.Service != "") != (len(announcement.Models) > 0), "models", "models or a service, one of the two"},
+		{len(announcement.Prefixes) <= mostPrefixes, "prefixes", "16 at most"},
 		{announcement.Accelerators >= 0, "accelerators", "0 or more"},
 		{announcement.Lease() >= shortestLease && announcement.Lease() <= longestLease, "lease_ms", "500 to 60000"},
 	}
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -155,11 +155,12 @@
 		cursor = 0
 	}
 	offer := controller.reign.grants.Ask(now, granter.Request{Node: request.Node, Held: request.Held, Demand: request.Demand})
+	relayed, renewals := controller.hosts.Since(now, cursor)
 	response := &feed.Response{
 		Number: request.Number, Leader: controller.config.Self, Term: controller.reign.term,
 		Stamp: controller.clock.Stamp(now), Took: held.took, LeaseMS: feed.Lease.Milliseconds(),
 		Delta: controller.register.Since(request.Version),
-		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: controller.hosts.Since(now, cursor),
+		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: relayed, Renewals: renewals,
 		Offer: offer, Share: controller.share(now, request),
 	}
 	controller.reign.nodes[request.Node].leaseBound = now.Add(leaseBound(feed.Lease))
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -99,7 +99,9 @@
 	Epoch   Epoch            `json:"epoch"`
 	Cursor  uint64           `json:"cursor"`
 	Roster  []roster.Relayed `json:"roster,omitempty"`
-	Offer   granter.Offer    `json:"offer"`
+	// Renewals are of hosts whose announcements the node has.
+	Renewals []roster.Renewal `json:"renewals,omitempty"`
+	Offer    granter.Offer    `json:"offer"`
 	// Share is the node's part of the calls of all nodes.
 	Share float64 `json:"share"`
 }
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -299,6 +299,9 @@
 		expiry := sentAt.Add(time.Duration(relayed.RemainingMS) * time.Millisecond)
 		member.hosts.Hear(sentAt, relayed.Announcement, expiry)
 	}
+	for _, renewal := range response.Renewals {
+		member.hosts.Renew(sentAt, renewal, sentAt.Add(time.Duration(renewal.RemainingMS)*time.Millisecond))
+	}
 	if response.Epoch != member.epoch {
 		member.epoch, member.cursor = response.Epoch, 0
 	}
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -28,8 +28,8 @@
 	LeaseMS int64 `json:"lease_ms"`
 	Load    Load  `json:"load"`
 	// Prefixes are the hashes of cached prompt prefixes that requests named,
-	// as far as the engine tells; late and with gaps.
-	Prefixes []uint64 `json:"prefixes,omitempty"`
+	// as far as the engine tells, the latest used last; late and with gaps.
+	Prefixes []uint32 `json:"prefixes,omitempty"`
 	Serving  Serving  `json:"serving"`
 	Leaving  bool     `json:"leaving"`
 }
@@ -71,3 +71,15 @@
 	Announcement Announcement `json:"announcement"`
 	RemainingMS  int64        `json:"remaining_ms"`
 }
+
+// Renewal stands for an announcement of which the other side knows all but the
+// lease and the load.
+type Renewal struct {
+	Host        id.Host        `json:"h"`
+	Incarnation id.Incarnation `json:"i"`
+	Sequence    uint64         `json:"s"`
+	RemainingMS int64          `json:"r"`
+	Running     int            `json:"n,omitempty"`
+	Queued      int            `json:"q,omitempty"`
+	Urgent      int            `json:"u,omitempty"`
+}
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -23,13 +23,20 @@
 // announcements stay recognisable. It exceeds the life of any message.
 const forgetAfter = 24 * time.Hour
 
+// prefixesEvery is how often news of cached prefixes is taken over.
+const prefixesEvery = 5 * time.Second
+
 // Member is one host as the roster knows it.
 type Member struct {
 	Announcement Announcement
 	// Expiry is when the lease ends.
 	Expiry time.Time
-	// Cursor is the roster's count at the last change.
+	// Cursor is the roster's count at the last change, and Facts that at the
+	// last change of more than the lease and the load.
 	Cursor uint64
+	Facts  uint64
+	// prefixesAt is when the prefixes were last taken over.
+	prefixesAt time.Time
 }
 
 // Live tells whether the host may be used now.
@@ -76,13 +83,33 @@
 		change = ChangeRenewed
 	}
 	roster.cursor++
-	if change == ChangeMaterial {
+	fresh := &Member{Announcement: announcement, Expiry: expiry, Cursor: roster.cursor, Facts: roster.cursor, prefixesAt: now}
+	switch {
+	case change == ChangeMaterial:
 		roster.material = roster.cursor
+	case slices.Equal(old.Announcement.Prefixes, announcement.Prefixes):
+		fresh.Facts, fresh.prefixesAt = old.Facts, old.prefixesAt
+	case now.Sub(old.prefixesAt) < prefixesEvery:
+		fresh.Announcement.Prefixes = old.Announcement.Prefixes
+		fresh.Facts, fresh.prefixesAt = old.Facts, old.prefixesAt
 	}
-	roster.members[announcement.Host] = &Member{Announcement: announcement, Expiry: expiry, Cursor: roster.cursor}
+	roster.members[announcement.Host] = fresh
 	return change
 }
 
+// Renew takes a renewal whose lease ends at expiry. One of a host or a life of
+// it that isn't known is dropped.
+func (roster *Roster) Renew(now time.Time, renewal Renewal, expiry time.Time) {
+	old := roster.members[renewal.Host]
+	if old == nil || old.Announcement.Incarnation != renewal.Incarnation {
+		return
+	}
+	announcement := old.Announcement
+	announcement.Sequence = renewal.Sequence
+	announcement.Load.Running, announcement.Load.Queued, announcement.Load.Urgent = renewal.Running, renewal.Queued, renewal.Urgent
+	roster.Hear(now, announcement, expiry)
+}
+
 // sameFacts compares all but the lease, the sequence and the load.
 func sameFacts(a, b Announcement) bool {
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.DataCentre == b.DataCentre &&
@@ -122,10 +149,11 @@
 func (roster *Roster) Material() uint64 { return roster.material }
 
 // Since lists, oldest first, what changed after a cursor and still has a lease
-// or is leaving.
-func (roster *Roster) Since(now time.Time, cursor uint64) []Relayed {
+// or is leaving: whole announcements where more than the lease and the load
+// changed, else renewals.
+func (roster *Roster) Since(now time.Time, cursor uint64) ([]Relayed, []Renewal) {
 	if cursor >= roster.cursor {
-		return nil
+		return nil, nil
 	}
 	var changed []*Member
 	for _, member := range roster.members {
@@ -134,12 +162,20 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *Member) int { return cmp.Compare(a.Cursor, b.Cursor) })
-	relayed := make([]Relayed, len(changed))
-	for index, member := range changed {
-		remaining := max(0, member.Expiry.Sub(now))
-		relayed[index] = Relayed{Announcement: member.Announcement, RemainingMS: remaining.Milliseconds()}
+	var relayed []Relayed
+	var renewals []Renewal
+	for _, member := range changed {
+		announcement, remaining := member.Announcement, max(0, member.Expiry.Sub(now)).Milliseconds()
+		if member.Facts > cursor {
+			relayed = append(relayed, Relayed{Announcement: announcement, RemainingMS: remaining})
+			continue
+		}
+		renewals = append(renewals, Renewal{
+			Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: remaining,
+			Running: announcement.Load.Running, Queued: announcement.Load.Queued, Urgent: announcement.Load.Urgent,
+		})
 	}
-	return relayed
+	return relayed, renewals
 }
 
 // Tick forgets hosts that have been dead for a day.
--- a/core/request/chooser/prefix.go
+++ b/core/request/chooser/prefix.go
@@ -39,7 +39,7 @@
 	bestLoad := 0
 	holding := ask
 	holding.holds = true
-	for _, index := range endpoints.Holders[ask.Prefix] {
+	for _, index := range endpoints.Holders[uint32(ask.Prefix)] {
 		endpoint, state := endpoints.Endpoints[index], known.states[index]
 		if own := load(state); float64(own) < most && (best == nil || own < bestLoad) && chooser.usable(now, endpoint, state, holding) {
 			best, bestLoad = endpoint, own
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -36,7 +36,7 @@
 	Resumes    bool
 	Load       roster.Load
 	// Prefixes are the prompt prefixes that the endpoint says it has cached.
-	Prefixes []uint64
+	Prefixes []uint32
 	// Report counts the announcements of the host that Load came from.
 	Report uint64
 	// Accepting is false for an endpoint that only finishes its work.
@@ -51,7 +51,7 @@
 	Endpoints   []*Endpoint
 	Fingerprint uint64
 	// Holders are the places of the endpoints that have a prefix cached.
-	Holders map[uint64][]int
+	Holders map[uint32][]int
 }
 
 // NewSet sorts endpoints into a set.
@@ -66,7 +66,7 @@
 		_, _ = hash.Write([]byte(endpoint.Name.Host))
 		_, _ = hash.Write([]byte{0})
 	}
-	set := &Set{Endpoints: endpoints, Fingerprint: hash.Sum64(), Holders: map[uint64][]int{}}
+	set := &Set{Endpoints: endpoints, Fingerprint: hash.Sum64(), Holders: map[uint32][]int{}}
 	for place, endpoint := range endpoints {
 		for _, prefix := range endpoint.Prefixes {
 			set.Holders[prefix] = append(set.Holders[prefix], place)
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -91,7 +91,7 @@
 	reports     []report
 	runs        map[string]int
 	// prefixes are the cached ones, the latest used last.
-	prefixes []uint64
+	prefixes []uint32
 }
 
 // report is a load at one moment, sent when it is old enough.
@@ -195,14 +195,14 @@
 }
 
 // cachePrefix makes a prefix the latest used one and forgets the oldest.
-func (engine *Engine) cachePrefix(prefix uint64) {
-	const places = 32
+func (engine *Engine) cachePrefix(prefix uint32) {
+	const places = 16
 	if prefix == 0 {
 		return
 	}
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	engine.prefixes = slices.DeleteFunc(engine.prefixes, func(other uint64) bool { return other == prefix })
+	engine.prefixes = slices.DeleteFunc(engine.prefixes, func(other uint32) bool { return other == prefix })
 	engine.prefixes = append(engine.prefixes, prefix)
 	if len(engine.prefixes) > places {
 		engine.prefixes = engine.prefixes[1:]
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -33,7 +33,7 @@
 	priority, _ := strconv.Atoi(request.Header.Get("Carobline-Priority"))
 	from, _ := strconv.Atoi(request.Header.Get("Last-Event-ID"))
 	prefix, _ := strconv.ParseUint(request.Header.Get("Carobline-Prefix"), 10, 64)
-	engine.cachePrefix(prefix)
+	engine.cachePrefix(uint32(prefix))
 	turn := engine.slots.Join(priority)
 	defer engine.slots.Leave(turn)
 	stream := &stream{
--- a/measure/process/model/engine.go
+++ b/measure/process/model/engine.go
@@ -88,7 +88,13 @@
 }
 
 // Prefixes lists the cached prefixes.
-func (engine *Engine) Prefixes() []uint64 { return slices.Clone(engine.cache) }
+func (engine *Engine) Prefixes() []uint32 {
+	prefixes := make([]uint32, len(engine.cache))
+	for place, prefix := range engine.cache {
+		prefixes[place] = uint32(prefix)
+	}
+	return prefixes
+}
 
 // Leave takes a stream out.
 func (engine *Engine) Leave(stream *Stream) {
