member: views are drawn up at most every 50 ms for leases and loads alone

Change: news of facts, of the state in force and of parts draws a view at once, renewals wait up to 50 ms. Parts must not wait: the leader gives a part away again once it is acknowledged.

--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -30,6 +30,9 @@
 	retryPause = 50 * time.Millisecond
 	// urgentPause is the least time between two requests with news.
 	urgentPause = 5 * time.Millisecond
+	// drawEvery bounds how often the view is drawn up anew for the sake of
+	// leases and loads alone.
+	drawEvery = 50 * time.Millisecond
 )
 
 // Config is fixed for the life of a process.
@@ -127,6 +130,10 @@
 	sent      map[uint64]time.Time
 	sentHeard map[uint64][]roster.Relayed
 	notBefore time.Time
+	// dirty says that there is news since the view was last drawn up.
+	dirty   bool
+	drawnAt time.Time
+	drawn   drawing
 }
 
 // New starts a node that knows nothing. The roster may be shared with the
@@ -152,7 +159,7 @@
 	case Announced:
 		actions = member.announced(now, event)
 	case Responded:
-		actions.Changed = member.responded(now, event.Response)
+		member.responded(now, event.Response)
 	case Redirected:
 		member.redirected(now, event)
 	case Failed:
@@ -161,9 +168,29 @@
 		member.reported(event)
 	}
 	actions.Send = member.next(now)
+	actions.Changed = member.due(now)
 	return actions
 }
 
+// drawing is what a drawn view must never lag behind: facts of hosts, the state
+// in force, and the parts, which the leader counts as taken once acknowledged.
+type drawing struct {
+	material uint64
+	version  id.Version
+	serial   granter.Serial
+}
+
+// due tells whether the view should be drawn up anew: at once for what it must
+// not lag behind, else when it is old enough.
+func (member *Member) due(now time.Time) bool {
+	latest := drawing{member.hosts.Material(), member.version, member.offer.Serial}
+	if latest == member.drawn && (!member.dirty || now.Sub(member.drawnAt) < drawEvery) {
+		return false
+	}
+	member.dirty, member.drawnAt, member.drawn = false, now, latest
+	return true
+}
+
 // Tick takes the passing of time.
 func (member *Member) Tick(now time.Time) Actions {
 	for number, at := range member.sent {
@@ -171,7 +198,7 @@
 			member.failed(now, number)
 		}
 	}
-	return Actions{Send: member.next(now)}
+	return Actions{Send: member.next(now), Changed: member.due(now)}
 }
 
 // Version is the state that the node has in force.
@@ -197,21 +224,23 @@
 	}
 	member.pending[event.Announcement.Host] = event.Announcement
 	member.urgent = member.urgent || change == roster.ChangeMaterial
-	return Actions{Welcome: welcome, Changed: true}
+	member.dirty = true
+	return Actions{Welcome: welcome}
 }
 
-func (member *Member) responded(now time.Time, response feed.Response) bool {
+func (member *Member) responded(now time.Time, response feed.Response) {
 	sentAt, ok := member.sent[response.Number]
 	if !ok || response.Number <= member.processed {
-		return false
+		return
 	}
 	member.processed = response.Number
 	heard := member.sentHeard[response.Number]
 	member.forget(response.Number)
 	member.leader = response.Leader
 	if !member.takeDelta(response.Delta) {
-		return false
+		return
 	}
+	member.dirty = true
 	member.settle(response.Took, heard)
 	// Counted from the receipt, the echo never runs ahead of the leader.
 	member.stamp, member.stampAt = response.Stamp, now
@@ -224,7 +253,6 @@
 	if lease.After(member.leaseUntil) {
 		member.leaseUntil = lease
 	}
-	return true
 }
 
 // forget drops a request and those before it, which have been overtaken.
--- a/measure/main.go
+++ b/measure/main.go
@@ -1,6 +1,7 @@
 // Command measure runs the measurements that docs/ quotes.
 //
 //	measure traffic     policies on a model of the engines; SEED=n changes arrivals
+//	measure capacity    cost of control at several sizes, with fitted lines
 package main
 
 import (
@@ -9,6 +10,7 @@
 	"os"
 	"strconv"
 
+	"carobline.dev/measure/process/capacity"
 	"carobline.dev/measure/process/report"
 	"carobline.dev/measure/process/traffic"
 )
@@ -24,7 +26,20 @@
 type measurement func(seed uint64, lines *report.Report)
 
 var measurements = map[string][]measurement{
-	"traffic": {traffic.HeadOfLine, traffic.Crest, traffic.SlowEngines, traffic.Prefixes, traffic.DecisionCost},
+	"capacity": {capacityFigures},
+	"traffic":  {traffic.HeadOfLine, traffic.Crest, traffic.SlowEngines, traffic.Prefixes, traffic.DecisionCost},
+}
+
+// capacityFigures prints each point, line and residual.
+func capacityFigures(_ uint64, lines *report.Report) {
+	for _, slope := range capacity.Fit(capacity.Measure()) {
+		for _, point := range slope.Points {
+			lines.Figure(fmt.Sprintf("%s.%g", slope.Figure, point.Size), point.Value*1e6, "millionths")
+		}
+		lines.Figure(slope.Figure+".base", slope.Base*1e6, "millionths")
+		lines.Figure(slope.Figure+".slope", slope.Slope*1e6, "millionths")
+		lines.Figure(slope.Figure+".residual", slope.Residual, "of largest")
+	}
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
@@ -40,7 +55,7 @@
 		seed = number
 	}
 	if len(arguments) != 1 || measurements[arguments[0]] == nil {
-		fmt.Fprintln(diagnostics, "measure: usage: measure traffic")
+		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|capacity")
 		return exitUsage
 	}
 	lines := report.New(out)
