--- a/measure/main.go
+++ b/measure/main.go
@@ -2,6 +2,8 @@
 //
 //	measure traffic     policies on a model of the engines; SEED=n changes arrivals
 //	measure capacity    cost of control at several sizes, with fitted lines
+//	measure capacity-page   the same, written into docs/CAPACITY.md
+//	measure capacity-table  docs/CAPACITY.md again from the committed slopes
 package main
 
 import (
@@ -10,7 +12,6 @@
 	"os"
 	"strconv"
 
-	"carobline.dev/measure/process/capacity"
 	"carobline.dev/measure/process/report"
 	"carobline.dev/measure/process/traffic"
 )
@@ -18,27 +19,29 @@
 // The exit codes.
 const (
 	exitDone   = 0
+	exitFailed = 1
 	exitMissed = 1
 	exitUsage  = 2
 )
 
 // measurement prints some figures.
-type measurement func(seed uint64, lines *report.Report)
+type measurement func(seed uint64, lines *report.Report) error
 
 var measurements = map[string][]measurement{
-	"capacity": {capacityFigures},
-	"traffic":  {traffic.HeadOfLine, traffic.Crest, traffic.SlowEngines, traffic.Prefixes, traffic.DecisionCost},
+	"capacity":       {capacityFigures},
+	"capacity-page":  {capacityPage},
+	"capacity-table": {capacityTable},
+	"traffic": {
+		always(traffic.HeadOfLine), always(traffic.Crest), always(traffic.SlowEngines),
+		always(traffic.Prefixes), always(traffic.DecisionCost),
+	},
 }
 
-// capacityFigures prints each point, line and residual.
-func capacityFigures(_ uint64, lines *report.Report) {
-	for _, slope := range capacity.Fit(capacity.Measure()) {
-		for _, point := range slope.Points {
-			lines.Figure(fmt.Sprintf("%s.%g", slope.Figure, point.Size), point.Value*1e6, "millionths")
-		}
-		lines.Figure(slope.Figure+".base", slope.Base*1e6, "millionths")
-		lines.Figure(slope.Figure+".slope", slope.Slope*1e6, "millionths")
-		lines.Figure(slope.Figure+".residual", slope.Residual, "of largest")
+// always makes a measurement of one that can't fail.
+func always(measure func(seed uint64, lines *report.Report)) measurement {
+	return func(seed uint64, lines *report.Report) error {
+		measure(seed, lines)
+		return nil
 	}
 }
 
@@ -55,12 +58,15 @@
 		seed = number
 	}
 	if len(arguments) != 1 || measurements[arguments[0]] == nil {
-		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|capacity")
+		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|capacity|capacity-page|capacity-table")
 		return exitUsage
 	}
 	lines := report.New(out)
 	for _, one := range measurements[arguments[0]] {
-		one(seed, lines)
+		if err := one(seed, lines); err != nil {
+			fmt.Fprintf(diagnostics, "measure: %v\n", err)
+			return exitFailed
+		}
 	}
 	if lines.Missed() > 0 {
 		fmt.Fprintf(diagnostics, "measure: %d targets were missed\n", lines.Missed())
