--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -156,8 +156,9 @@
 
 // sink is where events go: straight to the caller, or into a whole answer.
 type sink interface {
-	// event takes one event that isn't the end mark.
-	event(event *sse.Event) error
+	// event takes one event that isn't the end mark. More says that another one
+	// has arrived whole.
+	event(event *sse.Event, more bool) error
 	// end takes the end mark and completes the answer.
 	end(raw []byte) error
 	// cut tells the caller that a begun answer stays incomplete.
@@ -352,7 +353,7 @@
 		if event.HasID && event.ID != int64(relay.tokens)+1 {
 			return errors.Errorf("the stream left out tokens after %d", relay.tokens)
 		}
-		slow, err := relay.deliver(&event)
+		slow, err := relay.deliver(&event, reader.Ready())
 		if err != nil {
 			return err
 		}
@@ -375,11 +376,11 @@
 }
 
 // deliver hands one event on, and tells whether the endpoint has turned slow.
-func (relay *relay) deliver(event *sse.Event) (slow bool, err error) {
+func (relay *relay) deliver(event *sse.Event, more bool) (slow bool, err error) {
 	if !json.Valid(event.Data) {
 		return false, errors.New("the engine sent an event that isn't JSON")
 	}
-	if err := relay.sink.event(event); err != nil {
+	if err := relay.sink.event(event, more); err != nil {
 		return false, err
 	}
 	if !event.HasID {
--- a/caroblined/connection/callerapi/sinks.go
+++ b/caroblined/connection/callerapi/sinks.go
@@ -20,13 +20,16 @@
 	control *http.ResponseController
 	stall   time.Duration
 	call    *call
+	// extended is when the deadline was last moved.
+	extended time.Time
 }
 
-func (sink *streamSink) event(event *sse.Event) error { return sink.write(event.Raw) }
+func (sink *streamSink) event(event *sse.Event, more bool) error { return sink.write(event.Raw, more) }
 
-func (sink *streamSink) end(raw []byte) error { return sink.write(raw) }
+func (sink *streamSink) end(raw []byte) error { return sink.write(raw, false) }
 
-func (sink *streamSink) write(raw []byte) error {
+// write sends at once, unless more has arrived already and goes with it.
+func (sink *streamSink) write(raw []byte, more bool) error {
 	if !sink.call.answered {
 		header := sink.writer.Header()
 		header.Set("Content-Type", "text/event-stream")
@@ -34,26 +37,42 @@
 		sink.writer.WriteHeader(http.StatusOK)
 		sink.call.answered = true
 	}
-	// A caller that doesn't read must not hold its place for ever.
-	if err := sink.control.SetWriteDeadline(time.Now().Add(sink.stall)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := sink.extend(time.Now()); err != nil {
 		return errCallerGone
 	}
 	if _, err := sink.writer.Write(raw); err != nil {
 		return errCallerGone
 	}
+	if more {
+		return nil
+	}
 	if err := sink.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return errCallerGone
 	}
 	return nil
 }
 
+// extend moves the deadline for writes now and then: a caller that doesn't read
+// must not hold its place for ever.
+func (sink *streamSink) extend(now time.Time) error {
+	if now.Sub(sink.extended) < sink.stall/10 {
+		return nil
+	}
+	sink.extended = now
+	err := sink.control.SetWriteDeadline(now.Add(sink.stall))
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return err
+}
+
 func (sink *streamSink) cut(shown *rest.Error) {
 	data, err := json.Marshal(rest.ErrorBody{Error: shown})
 	if err != nil {
 		return
 	}
 	// The connection is cut after this; whether it arrives changes nothing.
-	_ = sink.write([]byte("event: error\ndata: " + string(data) + "\n\n"))
+	_ = sink.write([]byte("event: error\ndata: "+string(data)+"\n\n"), false)
 }
 
 // wholeSink gathers events into one answer.
@@ -115,7 +134,7 @@
 	Content string `json:"content"`
 }
 
-func (sink *wholeSink) event(event *sse.Event) error {
+func (sink *wholeSink) event(event *sse.Event, _ bool) error {
 	var part chunk
 	if err := json.Unmarshal(event.Data, &part); err != nil {
 		return errors.Wrap(err, "event of another protocol")
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -324,7 +324,7 @@
 		case reply.Response != nil:
 			event = member.Responded{Response: *reply.Response}
 		case reply.Redirect != nil:
-			event = member.Redirected{Number: number, Leader: reply.Redirect.Leader}
+			event = member.Redirected{Number: number, Redirect: *reply.Redirect}
 		default:
 			event = member.Failed{Number: number}
 		}
--- a/caroblined/process/daemon/memory_test.go
+++ b/caroblined/process/daemon/memory_test.go
@@ -17,10 +17,14 @@
 	listeners map[string]*pipeListener
 	// cut holds addresses that nobody reaches.
 	cut map[string]bool
+	// loopback carries connections over TCP instead, for benchmarks; real holds
+	// the addresses that listeners really have.
+	loopback bool
+	real     map[string]string
 }
 
 func newMemory() *memory {
-	return &memory{listeners: map[string]*pipeListener{}, cut: map[string]bool{}}
+	return &memory{listeners: map[string]*pipeListener{}, cut: map[string]bool{}, real: map[string]string{}}
 }
 
 func (memory *memory) network() daemon.Network {
@@ -30,6 +34,13 @@
 func (memory *memory) listen(address string) (net.Listener, error) {
 	memory.mutex.Lock()
 	defer memory.mutex.Unlock()
+	if memory.loopback {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err == nil {
+			memory.real[address] = listener.Addr().String()
+		}
+		return listener, err
+	}
 	listener := &pipeListener{memory: memory, address: pipeAddress(address), incoming: make(chan net.Conn), closed: make(chan struct{})}
 	memory.listeners[address] = listener
 	return listener, nil
@@ -37,8 +48,11 @@
 
 func (memory *memory) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	memory.mutex.Lock()
-	listener, cut := memory.listeners[address], memory.cut[address]
+	listener, cut, real := memory.listeners[address], memory.cut[address], memory.real[address]
 	memory.mutex.Unlock()
+	if real != "" && !cut {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", real)
+	}
 	if listener == nil || cut {
 		return nil, errors.Errorf("connection to %s refused", address)
 	}
--- a/caroblined/process/daemon/once_test.go
+++ b/caroblined/process/daemon/once_test.go
@@ -240,6 +240,39 @@
 	})
 }
 
+// TestFloodKeepsTheLease floods a contract far beyond its limits for a while.
+// The node goes on reporting to the leader and keeps its configuration lease.
+func TestFloodKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		small := testContract("small", "small-token")
+		small.RequestsPerSecond, small.Concurrency, small.QueuePlaces, small.DeadlineMS = 30, 2, 20, 500
+		system.applyUntilDone(small)
+		const callers = 30
+		codes := make(chan string, callers)
+		end := time.Now().Add(15 * time.Second)
+		for range callers {
+			go func() {
+				code := ""
+				for time.Now().Before(end) {
+					got := system.call(context.Background(), 0, http.MethodPost, "/v1/completions", "small-token", nil, `{"model":"pulp","prompt":"x tokens=3"}`)
+					if strings.Contains(got.body, "no_configuration_lease") {
+						code = got.body
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				codes <- code
+			}()
+		}
+		for range callers {
+			if code := <-codes; code != "" {
+				t.Errorf("the node lost its lease: %s", code)
+			}
+		}
+	})
+}
+
 // judge sorts an answer: whole, refused as not run, partial or wrong.
 func judge(got reply, prompt string) string {
 	text, whole := streamed(got.body)
--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -37,7 +37,7 @@
 
 // system is some nodes and hosts on one network of pipes.
 type system struct {
-	t       *testing.T
+	t       testing.TB
 	memory  *memory
 	folder  string
 	nodes   []*running
@@ -59,10 +59,15 @@
 
 // newSystem starts three nodes, engine hosts that form pairs, and one order
 // service, and waits until all of them serve.
-func newSystem(t *testing.T, hosts int, change func(config *engine.Config)) *system {
+func newSystem(t testing.TB, hosts int, change func(config *engine.Config)) *system {
+	t.Helper()
+	return newSystemOn(t, newMemory(), hosts, change)
+}
+
+func newSystemOn(t testing.TB, memory *memory, hosts int, change func(config *engine.Config)) *system {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	system := &system{t: t, memory: newMemory(), folder: t.TempDir(), stop: stop}
+	system := &system{t: t, memory: memory, folder: t.TempDir(), stop: stop}
 	transport := &http.Transport{DialContext: system.memory.dial}
 	system.client = &http.Client{Transport: transport}
 	system.closers = append(system.closers, transport.CloseIdleConnections)
@@ -212,7 +217,7 @@
 func testContract(customer id.Customer, token string) contract.Contract {
 	return contract.Contract{
 		Customer: customer, TokenSHA256: []string{rest.HashToken(token)}, Share: 1, Priority: contract.PriorityStandard,
-		RequestsPerSecond: 1000, TokensPerSecond: 1e6, Concurrency: 300, QueuePlaces: 300, DeadlineMS: 20_000, MaxTokens: 10_000,
+		RequestsPerSecond: 1e6, TokensPerSecond: 1e9, Concurrency: 9000, QueuePlaces: 9000, DeadlineMS: 20_000, MaxTokens: 10_000,
 		Models: []id.Model{modelName}, Services: []id.Service{serviceName},
 		NonIdempotent: []contract.CallPattern{{Service: serviceName, Methods: []string{"POST"}, PathPrefix: "/bookings"}},
 	}
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -51,6 +51,13 @@
 	return &Reader{source: bufio.NewReaderSize(source, 4096), limit: limit}
 }
 
+// Ready tells whether the next event has arrived whole already, so that Next
+// won't wait.
+func (reader *Reader) Ready() bool {
+	waiting, err := reader.source.Peek(reader.source.Buffered())
+	return err == nil && bytes.Contains(waiting, []byte("\n\n"))
+}
+
 // Next reads one event.
 func (reader *Reader) Next() (Event, error) {
 	reader.buffer = reader.buffer[:0]
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -45,6 +45,10 @@
 	running     map[feed.Endpoint]int
 	calls       int
 	drained     bool
+	// answered is when the node last got a response. A request is held back no
+	// longer than feed.Wait from then, so that a node that keeps asking out of
+	// turn has its lease renewed all the same.
+	answered time.Time
 	// leaseBound is when the node's last lease has certainly run out.
 	leaseBound time.Time
 }
@@ -96,7 +100,7 @@
 		reign.nodes[request.Node] = node
 	}
 	if old := request.Incarnation < node.incarnation || (request.Incarnation == node.incarnation && request.Number <= node.number); old {
-		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: &feed.Redirect{Leader: controller.config.Self}})
+		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
 		return
 	}
 	took := controller.hear(now, request)
@@ -104,9 +108,9 @@
 	node.running, node.calls, node.drained = request.Running, request.Calls, request.Drained
 	if held, ok := reign.polls[request.Node]; ok {
 		// The node has given the older request up for this one.
-		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self}})
+		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
 	}
-	reign.polls[request.Node] = poll{ticket: event.Ticket, request: request, took: took, until: now.Add(feed.Wait)}
+	reign.polls[request.Node] = poll{ticket: event.Ticket, request: request, took: took, until: node.answered.Add(feed.Wait)}
 }
 
 // hear takes the announcements that a node passes on, as old as they may be.
@@ -163,7 +167,8 @@
 		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: relayed, Renewals: renewals,
 		Offer: offer, Share: controller.share(now, request),
 	}
-	controller.reign.nodes[request.Node].leaseBound = now.Add(leaseBound(feed.Lease))
+	node := controller.reign.nodes[request.Node]
+	node.answered, node.leaseBound = now, now.Add(leaseBound(feed.Lease))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
 
--- a/core/process/controller/world_test.go
+++ b/core/process/controller/world_test.go
@@ -61,7 +61,7 @@
 
 // world drives voters, members and hosts on one seeded schedule.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	seed    uint64
 	rand    *rand.Rand
 	now     time.Duration
@@ -77,7 +77,7 @@
 
 var worldStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newWorld(t *testing.T, seed uint64, nodes, hosts int) *world {
+func newWorld(t testing.TB, seed uint64, nodes, hosts int) *world {
 	t.Helper()
 	world := &world{t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]string]bool{}}
 	world.checks = newChecks(world)
@@ -363,7 +363,7 @@
 	case reply.Response != nil:
 		node.follow(node.member.Step(node.local(), member.Responded{Response: *reply.Response}))
 	case reply.Redirect != nil:
-		node.follow(node.member.Step(node.local(), member.Redirected{Number: number, Leader: reply.Redirect.Leader}))
+		node.follow(node.member.Step(node.local(), member.Redirected{Number: number, Redirect: *reply.Redirect}))
 	}
 }
 
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -24,7 +24,7 @@
 	// from when it sent the request.
 	Lease = 5 * time.Second
 	// Wait is how long a leader holds back a request when it has no news.
-	Wait = 250 * time.Millisecond
+	Wait = 200 * time.Millisecond
 )
 
 // Request is a node's report.
@@ -109,4 +109,6 @@
 // Redirect names the leader, when it is known.
 type Redirect struct {
 	Leader id.Node `json:"leader"`
+	// Superseded says that the node's own later request took this one's place.
+	Superseded bool `json:"superseded,omitempty"`
 }
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -24,12 +24,18 @@
 )
 
 const (
-	// answerTimeout is how long a node waits before it asks another voter.
-	answerTimeout = time.Second
+	// answerTimeout is how long a node waits before it asks again; a leader
+	// holds no request back for longer than feed.Wait.
+	answerTimeout = feed.Wait + 100*time.Millisecond
+	// failuresToRotate is how many requests in a row may stay without an answer
+	// before a node asks another voter.
+	failuresToRotate = 2
 	// retryPause is the pause after a voter could not be reached.
 	retryPause = 50 * time.Millisecond
 	// urgentPause is the least time between two requests with news.
 	urgentPause = 5 * time.Millisecond
+	// pleadEvery bounds how often a node asks out of turn for larger parts.
+	pleadEvery = 50 * time.Millisecond
 	// drawEvery bounds how often the view is drawn up anew for the sake of
 	// leases and loads alone.
 	drawEvery = 50 * time.Millisecond
@@ -58,8 +64,8 @@
 
 // Redirected is the answer of a voter that doesn't lead.
 type Redirected struct {
-	Number uint64
-	Leader id.Node
+	Number   uint64
+	Redirect feed.Redirect
 }
 
 // Failed says that a request got no answer.
@@ -121,6 +127,8 @@
 	urgent    bool
 	leader    id.Node
 	rotation  int
+	failures  int
+	pleadedAt time.Time
 	stamp     clock.Stamp
 	stampAt   time.Time
 	epoch     feed.Epoch
@@ -165,7 +173,7 @@
 	case Failed:
 		member.failed(now, event.Number)
 	case Reported:
-		member.reported(event)
+		member.reported(now, event)
 	}
 	actions.Send = member.next(now)
 	actions.Changed = member.due(now)
@@ -234,6 +242,7 @@
 		return
 	}
 	member.processed = response.Number
+	member.failures = 0
 	heard := member.sentHeard[response.Number]
 	member.forget(response.Number)
 	member.leader = response.Leader
@@ -340,12 +349,17 @@
 	if _, ok := member.sent[event.Number]; !ok {
 		return
 	}
+	if event.Redirect.Superseded {
+		delete(member.sent, event.Number)
+		delete(member.sentHeard, event.Number)
+		return
+	}
 	member.forget(event.Number)
-	if event.Leader == "" || event.Leader == member.leader {
+	if event.Redirect.Leader == "" || event.Redirect.Leader == member.leader {
 		member.rotate(now)
 		return
 	}
-	member.leader = event.Leader
+	member.leader = event.Redirect.Leader
 }
 
 func (member *Member) failed(now time.Time, number uint64) {
@@ -353,17 +367,26 @@
 		return
 	}
 	member.forget(number)
-	member.rotate(now)
+	member.failures++
+	if member.failures >= failuresToRotate {
+		member.rotate(now)
+		return
+	}
+	member.notBefore = now.Add(urgentPause)
 }
 
 func (member *Member) rotate(now time.Time) {
 	member.rotation++
+	member.failures = 0
 	member.leader = member.config.Voters[member.rotation%len(member.config.Voters)]
 	member.notBefore = now.Add(retryPause)
 }
 
-func (member *Member) reported(report Reported) {
-	if member.needsMore(report) || report.Drained != member.report.Drained ||
+func (member *Member) reported(now time.Time, report Reported) {
+	if now.Sub(member.pleadedAt) >= pleadEvery && member.needsMore(report) {
+		member.pleadedAt, member.urgent = now, true
+	}
+	if report.Drained != member.report.Drained ||
 		(report.Calls == 0) != (member.report.Calls == 0) || finished(member.report.Running, report.Running) {
 		member.urgent = true
 	}
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -138,8 +138,13 @@
 
 // Busy tells whether streams are in progress.
 func (engine *Engine) Busy() bool {
+	return engine.Streams() > 0
+}
+
+// Streams counts the streams in progress.
+func (engine *Engine) Streams() int {
 	running, queued, _ := engine.slots.Load()
-	return running+queued > 0
+	return running + queued
 }
 
 func (engine *Engine) currentFaults() Faults {
