quorum: elections begin after 0.45 to 0.9 s of silence

Cause: the time without a leader after its death had a p99 of 2.13 s (target 2 s); two voters that stood at once cost a whole second round.

Change: election timeout 450 ms (was 600), heartbeat 75 ms (was 100).

--- a/core/process/quorum/messages.go
+++ b/core/process/quorum/messages.go
@@ -172,5 +172,5 @@
 
 // DefaultTiming suits voters that are up to a few milliseconds apart.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 100 * time.Millisecond, Election: 600 * time.Millisecond, DriftPerMille: 10}
+	return Timing{Heartbeat: 75 * time.Millisecond, Election: 450 * time.Millisecond, DriftPerMille: 10}
 }
