--- a/core/process/quorum/election.go
+++ b/core/process/quorum/election.go
@@ -81,7 +81,7 @@
 }
 
 func (quorum *Quorum) receive(now time.Time, message Message) {
-	if message.To != quorum.config.Self {
+	if message.To != quorum.config.Self || !message.wellFormed() {
 		return
 	}
 	switch message.Kind {
--- a/core/process/quorum/messages.go
+++ b/core/process/quorum/messages.go
@@ -6,6 +6,9 @@
 	"carobline.dev/core/id"
 )
 
+// maxIndex is beyond any log's length.
+const maxIndex = id.Index(1) << 62
+
 // Kind says what a Message asks or answers.
 type Kind string
 
@@ -52,6 +55,20 @@
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 }
 
+// wellFormed tells whether a message can be what a voter sends: its entries
+// follow each other and a snapshot comes with its kind.
+func (message *Message) wellFormed() bool {
+	for position := range message.Entries {
+		if message.Entries[position].Index != message.LogIndex+id.Index(position)+1 || message.Entries[position].Term > message.Term {
+			return false
+		}
+	}
+	if message.Kind == KindSnapshot {
+		return message.Snapshot != nil && message.Snapshot.Index > 0
+	}
+	return message.LogIndex < maxIndex && message.Match < maxIndex
+}
+
 // Entry is one place of the replicated log. An entry holds Data, a new
 // Membership, or neither (the empty entry that opens a term).
 type Entry struct {
