--- a/carobline/command/audit/list/list.go
+++ b/carobline/command/audit/list/list.go
@@ -19,7 +19,6 @@
 // Options are what the command line says.
 type Options struct {
 	After  uint64
-	JSON   bool
 	Client interface {
 		Audit(ctx context.Context, after id.Index) (controller.Audit, error)
 	}
@@ -31,26 +30,19 @@
 	options := &Options{}
 	flags := shared.Flags("carobline audit list")
 	flags.Uint64Var(&options.After, "after", 0, "list entries after this `INDEX`")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	client, err := shared.Client()
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run prints one page of the audit trail; the last index leads to the next.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/command/contract/apply/apply.go
+++ b/carobline/command/contract/apply/apply.go
@@ -30,7 +30,6 @@
 type Options struct {
 	Path   string
 	DryRun bool
-	JSON   bool
 	// Client reads and changes contracts.
 	Client interface {
 		Contracts(ctx context.Context) (operator.ContractList, error)
@@ -46,9 +45,8 @@
 	flags := shared.Flags("carobline contract apply")
 	flags.StringVar(&options.Path, "f", "", "a contract's `FILE`, or a folder of .json files")
 	flags.BoolVar(&options.DryRun, "dry-run", false, "show what would change and change nothing")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	if options.Path == "" || flags.NArg() > 0 {
 		return nil, factory.Usage("name the contracts with -f FILE or -f FOLDER")
@@ -58,18 +56,12 @@
 		return nil, err
 	}
 	options.Client = client
-	options.Printer = printer.New(shared.Out, options.JSON)
+	options.Printer = printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // change is what became, or would become, of one contract.
 type change struct {
--- a/carobline/command/contract/list/list.go
+++ b/carobline/command/contract/list/list.go
@@ -16,7 +16,6 @@
 
 // Options are what the command line says.
 type Options struct {
-	JSON   bool
 	Client interface {
 		Contracts(ctx context.Context) (operator.ContractList, error)
 	}
@@ -27,26 +26,19 @@
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{}
 	flags := shared.Flags("carobline contract list")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	client, err := shared.Client()
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run prints all contracts.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/command/contract/retire/retire.go
+++ b/carobline/command/contract/retire/retire.go
@@ -22,7 +22,6 @@
 // Options are what the command line says.
 type Options struct {
 	Customer id.Customer
-	JSON     bool
 	Client   interface {
 		Contracts(ctx context.Context) (operator.ContractList, error)
 		Retire(ctx context.Context, request operator.RetireRequest) (controller.Outcome, error)
@@ -35,9 +34,8 @@
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{NewChange: shared.NewChange}
 	flags := shared.Flags("carobline contract retire CUSTOMER")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	if flags.NArg() != 1 {
 		return nil, factory.Usage("name one customer; carobline contract list lists them")
@@ -47,18 +45,12 @@
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run ends one contract, from the revision that it has now.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/command/contract/show/show.go
+++ b/carobline/command/contract/show/show.go
@@ -29,9 +29,8 @@
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{}
 	flags := shared.Flags("carobline contract show CUSTOMER")
-	_ = flags.Bool("json", true, "print JSON, as it always does")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	if flags.NArg() != 1 {
 		return nil, factory.Usage("name one customer; carobline contract list lists them")
@@ -46,13 +45,7 @@
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run prints one contract in the form in which it is kept in files.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/command/stop/create/create.go
+++ b/carobline/command/stop/create/create.go
@@ -22,7 +22,6 @@
 // Options are what the command line says.
 type Options struct {
 	Request operator.StopRequest
-	JSON    bool
 	Client  interface {
 		Stop(ctx context.Context, request operator.StopRequest) (controller.Outcome, error)
 	}
@@ -43,9 +42,8 @@
 	flags.StringVar(&options.Request.Target, "target", "", "the `NAME` of what to stop; carobline status lists names")
 	flags.StringVar((*string)(&options.Request.Stop), "name", "stop-"+string(change), "a `NAME` for the stop")
 	flags.BoolVar(&options.Request.AcceptLoss, "accept-loss", false, "stop even if a promise can't be kept meanwhile")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	if !slices.Contains(kinds, string(options.Request.Kind)) {
 		return nil, factory.Usage("--kind: want one of %s", strings.Join(kinds, ", "))
@@ -57,18 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run asks for the stop; carobline stop show follows it.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/command/stop/show/show.go
+++ b/carobline/command/stop/show/show.go
@@ -26,7 +26,6 @@
 type Options struct {
 	Stop   id.Stop
 	Follow bool
-	JSON   bool
 	Client interface {
 		Stops(ctx context.Context) (operator.StopList, error)
 	}
@@ -40,9 +39,8 @@
 	options := &Options{Wait: wait}
 	flags := shared.Flags("carobline stop show STOP")
 	flags.BoolVar(&options.Follow, "follow", false, "wait until the stop is done")
-	flags.BoolVar(&options.JSON, "json", false, "print JSON")
 	if err := flags.Parse(arguments); err != nil {
-		return nil, &factory.Error{Code: factory.ExitUsage, Err: err}
+		return nil, err
 	}
 	if flags.NArg() != 1 {
 		return nil, factory.Usage("name one stop; carobline stop list lists them")
@@ -52,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, options.JSON)
+	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
 	return options, nil
 }
 
@@ -66,13 +64,7 @@
 }
 
 // Command parses, then runs.
-func Command(ctx context.Context, shared *factory.Factory, arguments []string) error {
-	options, err := New(shared, arguments)
-	if err != nil {
-		return err
-	}
-	return Run(ctx, options)
-}
+var Command = factory.Verb(New, Run)
 
 // Run prints one stop, once it is done when it is followed.
 func Run(ctx context.Context, options *Options) error {
--- a/carobline/process/factory/factory.go
+++ b/carobline/process/factory/factory.go
@@ -8,6 +8,7 @@
 package factory
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"flag"
@@ -81,10 +82,38 @@
 	return factory
 }
 
+// Flags are the flags of one command.
+type Flags struct {
+	*flag.FlagSet
+	// JSON asks for JSON in place of tables.
+	JSON bool
+}
+
+// Parse reads the command line; a bad one is an error of usage.
+func (flags *Flags) Parse(arguments []string) error {
+	if err := flags.FlagSet.Parse(arguments); err != nil {
+		return &Error{ExitUsage, err}
+	}
+	return nil
+}
+
+// Verb makes a command of the function that parses its options and the one that
+// runs them.
+func Verb[Options any](parse func(*Factory, []string) (*Options, error), run func(context.Context, *Options) error) func(context.Context, *Factory, []string) error {
+	return func(ctx context.Context, shared *Factory, arguments []string) error {
+		options, err := parse(shared, arguments)
+		if err != nil {
+			return err
+		}
+		return run(ctx, options)
+	}
+}
+
 // Flags returns a flag set with the flags that all commands share.
-func (factory *Factory) Flags(name string) *flag.FlagSet {
-	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+func (factory *Factory) Flags(name string) *Flags {
+	flags := &Flags{FlagSet: flag.NewFlagSet(name, flag.ContinueOnError)}
 	flags.SetOutput(factory.Err)
+	flags.BoolVar(&flags.JSON, "json", false, "print JSON")
 	flags.StringVar(&factory.entries, "entries", factory.entries, "base `URLS` of entry hosts' operator interfaces, separated by commas (or CAROBLINE_ENTRIES)")
 	flags.StringVar(&factory.tokenFile, "token-file", factory.tokenFile, "the `FILE` that holds the operator's token (or CAROBLINE_TOKEN_FILE)")
 	return flags
