member, dispatcher: one file for each job

Change: events, the exchange with the leader and the view stand in files of their own; so do displaced calls and the estimates of waiting. Code is moved, not changed.

--- a/core/request/dispatcher/dispatcher.go
+++ b/core/request/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 package dispatcher
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,7 +17,6 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/granter"
-	"carobline.dev/core/request/attained"
 	"carobline.dev/core/request/bucket"
 	"carobline.dev/core/request/chooser"
 	"carobline.dev/core/request/fairqueue"
@@ -129,49 +127,11 @@
 	return ticket, nil
 }
 
-// margin is what a call's deadline must leave for the time between its start at
-// an endpoint and its first token. It never takes more than half the deadline.
-func (dispatcher *Dispatcher) margin(customer *view.Customer) time.Duration {
-	const spreads = 3
-	margin := time.Duration((dispatcher.firstMean + spreads*dispatcher.firstSpread) * float64(time.Second))
-	return min(margin, customer.Contract.Deadline()/2)
-}
-
-// FirstToken takes the time from a call's start at an endpoint to its first
-// token.
-func (dispatcher *Dispatcher) FirstToken(took time.Duration) {
-	if dispatcher.firstMean == 0 {
-		dispatcher.firstMean, dispatcher.firstSpread = took.Seconds(), took.Seconds()/2
-	}
-	stray := took.Seconds() - dispatcher.firstMean
-	dispatcher.firstMean += guessSmoothing * stray
-	dispatcher.firstSpread += guessSmoothing * (math.Abs(stray) - dispatcher.firstSpread)
-}
-
 // rank orders priorities for the queue.
 func rank(priority contract.Priority) int {
 	return slices.Index([]contract.Priority{contract.PriorityInteractive, contract.PriorityStandard, contract.PriorityBatch}, priority)
 }
 
-// wait estimates how long a customer's next call would wait: its queued work
-// over its part of the rate at which the queue drains.
-func (dispatcher *Dispatcher) wait(now time.Time, customer *view.Customer) time.Duration {
-	queued := dispatcher.queue.CostOf(customer.Contract.Customer)
-	drain := dispatcher.drain.perSecond(now)
-	if queued == 0 || drain == 0 {
-		return 0
-	}
-	weight := float64(customer.Contract.Share)
-	part := weight / max(weight, dispatcher.queue.ActiveWeight(rank(customer.Contract.Priority)))
-	return time.Duration(queued / (drain * part) * float64(time.Second))
-}
-
-func (dispatcher *Dispatcher) refuse(reason Reason, wait time.Duration) *Refusal {
-	base := min(max(wait, retryAtLeast), retryAtMost)
-	spread := time.Duration(dispatcher.config.Rand.Int64N(int64(base)))
-	return &Refusal{Reason: reason, RetryAfter: base + spread}
-}
-
 func (dispatcher *Dispatcher) account(now time.Time, customer *view.Customer) *account {
 	known := dispatcher.accounts[customer.Contract.Customer]
 	if known == nil {
@@ -296,81 +256,6 @@
 	return dispatcher.queue.Remove(item)
 }
 
-// Move ends a running call's stay at its endpoint and picks one for the rest of
-// it, at a level. When none has room the call is displaced: it goes before all
-// queued ones, and a later Pump decides. Failed says that the old endpoint was
-// at fault.
-func (dispatcher *Dispatcher) Move(now time.Time, current *view.View, ticket Ticket, level attained.Level, failed bool) (*view.Endpoint, bool) {
-	call := dispatcher.calls[ticket]
-	if call == nil {
-		return nil, false
-	}
-	old := call.endpoint
-	dispatcher.choice.Finished(now, old, call.level, failed)
-	call.endpoint, call.level, call.avoid = feed.Endpoint{}, level, feed.Endpoint{}
-	if failed {
-		call.avoid = old
-	}
-	if endpoint, ok := dispatcher.place(now, current, call); ok {
-		return endpoint, true
-	}
-	if endpoint := current.Endpoints[old]; !failed && endpoint != nil && now.Before(endpoint.ValidUntil) {
-		// A sinking call has its place in the queue of its own endpoint.
-		dispatcher.settle(call, endpoint)
-		return endpoint, true
-	}
-	call.until = now
-	if customer := current.Customers[call.call.Customer]; customer != nil {
-		call.until = now.Add(customer.Contract.Deadline())
-	}
-	dispatcher.displaced = append(dispatcher.displaced, ticket)
-	return nil, false
-}
-
-// place finds an endpoint for a call that has lost its own.
-func (dispatcher *Dispatcher) place(now time.Time, current *view.View, call *running) (*view.Endpoint, bool) {
-	if !now.Before(current.LeaseUntil) {
-		return nil, false
-	}
-	ask := chooser.Ask{Prefix: call.call.Prefix, Level: call.level, Avoid: call.avoid, Share: current.Share}
-	if customer := current.Customers[call.call.Customer]; customer != nil {
-		ask.Allowed = customer.Contract.DataCentres
-	}
-	endpoint, ok := dispatcher.choice.Choose(now, endpoints(current, call.call), ask)
-	if ok {
-		dispatcher.settle(call, endpoint)
-	}
-	return endpoint, ok
-}
-
-func (dispatcher *Dispatcher) settle(call *running, endpoint *view.Endpoint) {
-	call.endpoint = endpoint.Name
-	dispatcher.choice.Started(endpoint.Name, call.level)
-}
-
-// pumpDisplaced places displaced calls, the longest displaced first.
-func (dispatcher *Dispatcher) pumpDisplaced(now time.Time, current *view.View) []Decision {
-	var decisions []Decision
-	waiting := dispatcher.displaced[:0]
-	for _, ticket := range dispatcher.displaced {
-		call := dispatcher.calls[ticket]
-		if call == nil {
-			continue
-		}
-		if endpoint, ok := dispatcher.place(now, current, call); ok {
-			decisions = append(decisions, Decision{Ticket: ticket, Endpoint: endpoint})
-			continue
-		}
-		if !now.Before(call.until) {
-			decisions = append(decisions, Decision{Ticket: ticket, Refusal: dispatcher.refuse(ReasonDeadline, 0)})
-			continue
-		}
-		waiting = append(waiting, ticket)
-	}
-	dispatcher.displaced = waiting
-	return decisions
-}
-
 // Pace takes the time between two tokens of a running call. It is true when the
 // endpoint has been ejected as slow, so that the call had better move.
 func (dispatcher *Dispatcher) Pace(now time.Time, ticket Ticket, gap time.Duration) bool {
@@ -391,27 +276,6 @@
 	return account.guess
 }
 
-// Stalled tells whether a call has been without a token for so long that it had
-// better move: before its first token by what first tokens take, after it by the
-// pace of the endpoint's peers. Only calls of the first level are judged, since
-// others may rightly be paused.
-func (dispatcher *Dispatcher) Stalled(now time.Time, ticket Ticket, silent time.Duration, began bool) bool {
-	call := dispatcher.calls[ticket]
-	if call == nil || call.endpoint == (feed.Endpoint{}) || call.level > 0 || call.call.Service != "" {
-		return false
-	}
-	const spreads, factor, gaps = 8, 3, 10
-	limit := max(dispatcher.firstMean+spreads*dispatcher.firstSpread, factor*dispatcher.firstMean)
-	if began {
-		limit = gaps * dispatcher.choice.MedianPace(call.endpoint)
-	}
-	if limit == 0 || silent < stallAtLeast || silent.Seconds() <= limit {
-		return false
-	}
-	dispatcher.choice.Pace(now, call.endpoint, silent)
-	return true
-}
-
 // Finished takes the end of a running call and what it really generated.
 func (dispatcher *Dispatcher) Finished(now time.Time, ticket Ticket, tokens id.Tokens, failed bool) {
 	call := dispatcher.calls[ticket]
