--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -59,6 +59,9 @@
 	// retrySavings bounds the retries that are saved up: the streams that one
 	// node may have on a group that is lost at once.
 	retrySavings = 128
+	// engineBuffer is what a connection to an engine buffers each way; a stream
+	// stays open for long and sends little at a time.
+	engineBuffer = 1 << 10
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
 	// closeTimeout bounds the end of background work once calls are drained.
@@ -115,7 +118,10 @@
 	daemon := &Daemon{
 		settings: known, log: log.With().Str("node", string(known.Node)).Logger(), now: time.Now, network: network,
 		metrics: metrics.NewRegistry(), finished: make(chan struct{}),
-		engines: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		engines: &http.Transport{
+			DialContext: network.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			ReadBufferSize: engineBuffer, WriteBufferSize: engineBuffer,
+		},
 		// A call that must not repeat has a connection of its own, since the
 		// transport repeats requests over kept ones.
 		once: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true, DisableCompression: true},
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -15,6 +15,9 @@
 	"github.com/go-faster/errors"
 )
 
+// readBytes is what one read may take; longer events are put together.
+const readBytes = 1 << 10
+
 // ErrTooLong reports an event that doesn't fit into the reader's buffer.
 var ErrTooLong = errors.New("event is too long")
 
@@ -48,7 +51,7 @@
 
 // NewReader returns a reader of events of up to limit bytes.
 func NewReader(source io.Reader, limit int) *Reader {
-	return &Reader{source: bufio.NewReaderSize(source, 4096), limit: limit}
+	return &Reader{source: bufio.NewReaderSize(source, readBytes), limit: limit}
 }
 
 // Ready tells whether the next event has arrived whole already, so that Next
