field: one error for fields of contracts and settings

Cause: contracts and settings each had the same type for a field at fault; some names in tests needed explaining.

Change: package field; plainer names in the cluster test and the measurement.

--- a/caroblined/process/settings/settings.go
+++ b/caroblined/process/settings/settings.go
@@ -8,7 +8,6 @@
 
 import (
 	"crypto/tls"
-	"encoding/json"
 	"net"
 	"os"
 	"regexp"
@@ -18,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/field"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/step"
@@ -97,22 +97,6 @@
 	CallerStallMS int64 `json:"caller_stall_ms,omitempty"`
 }
 
-// FieldError names the field at fault and what is allowed.
-type FieldError struct {
-	Field   string
-	Value   any
-	Allowed string
-}
-
-// Error implements error.
-func (fieldError *FieldError) Error() string {
-	value, err := json.Marshal(fieldError.Value)
-	if err != nil {
-		value = []byte("unprintable")
-	}
-	return "field " + fieldError.Field + ": " + string(value) + " is not allowed, want " + fieldError.Allowed
-}
-
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // Load reads and checks a settings file.
@@ -157,7 +141,7 @@
 // check is one test of one field.
 type check struct {
 	ok      bool
-	field   string
+	name    string
 	value   any
 	allowed string
 }
@@ -188,7 +172,7 @@
 	checks = append(checks, settings.tlsChecks()...)
 	for _, check := range checks {
 		if !check.ok {
-			return &FieldError{Field: check.field, Value: check.value, Allowed: check.allowed}
+			return &field.Error{Name: check.name, Value: check.value, Allowed: check.allowed}
 		}
 	}
 	return nil
@@ -199,12 +183,12 @@
 	seen := map[id.Node]bool{}
 	voters := 0
 	for index, peer := range settings.Peers {
-		field := "peers[" + strconv.Itoa(index) + "]"
+		name := "peers[" + strconv.Itoa(index) + "]"
 		checks = append(
 			checks,
-			check{namePattern.MatchString(string(peer.Node)), field + ".node", peer.Node, "1 to 63 of a-z, 0-9, '.', '_' and '-'"},
-			check{!seen[peer.Node], field + ".node", peer.Node, "each node once"},
-			check{validAddress(peer.Address), field + ".address", peer.Address, "an IP number and a port"},
+			check{namePattern.MatchString(string(peer.Node)), name + ".node", peer.Node, "1 to 63 of a-z, 0-9, '.', '_' and '-'"},
+			check{!seen[peer.Node], name + ".node", peer.Node, "each node once"},
+			check{validAddress(peer.Address), name + ".address", peer.Address, "an IP number and a port"},
 		)
 		seen[peer.Node] = true
 		if peer.Voter {
@@ -227,12 +211,12 @@
 	var checks []check
 	const mostModels = 16
 	for index, model := range settings.Models {
-		field := "models[" + strconv.Itoa(index) + "]"
+		name := "models[" + strconv.Itoa(index) + "]"
 		checks = append(
 			checks,
-			check{namePattern.MatchString(string(model.Model)), field + ".model", model.Model, "1 to 63 of a-z, 0-9, '.', '_' and '-'"},
-			check{model.Hosts >= 1, field + ".hosts", model.Hosts, "1 or more"},
-			check{model.Weight >= 1, field + ".weight", model.Weight, "1 or more"},
+			check{namePattern.MatchString(string(model.Model)), name + ".model", model.Model, "1 to 63 of a-z, 0-9, '.', '_' and '-'"},
+			check{model.Hosts >= 1, name + ".hosts", model.Hosts, "1 or more"},
+			check{model.Weight >= 1, name + ".weight", model.Weight, "1 or more"},
 		)
 	}
 	return append(checks, check{len(settings.Models) <= mostModels, "models", len(settings.Models), "16 models at most"})
@@ -243,13 +227,13 @@
 	lists := map[string][]rest.Credential{
 		"credentials.operators": settings.Credentials.Operators, "credentials.announcers": settings.Credentials.Announcers,
 	}
-	for field, list := range lists {
+	for name, list := range lists {
 		for _, credential := range list {
 			valid := len(credential.TokenSHA256) == 64 && strings.ToLower(credential.TokenSHA256) == credential.TokenSHA256
 			checks = append(
 				checks,
-				check{credential.Name != "", field + ".name", credential.Name, "a name"},
-				check{valid, field + ".token_sha256", credential.TokenSHA256, "64 lower-case hexadecimal digits"},
+				check{credential.Name != "", name + ".name", credential.Name, "a name"},
+				check{valid, name + ".token_sha256", credential.TokenSHA256, "64 lower-case hexadecimal digits"},
 			)
 		}
 	}
@@ -262,9 +246,9 @@
 		"tls.callers": settings.TLS.Callers, "tls.hosts": settings.TLS.Hosts,
 		"tls.operators": settings.TLS.Operators, "tls.peers": settings.TLS.Peers,
 	}
-	for field, pair := range pairs {
+	for name, pair := range pairs {
 		checks = append(checks, check{
-			(pair.CertificateFile == "") == (pair.KeyFile == ""), field, pair.CertificateFile, "both certificate_file and key_file, or neither",
+			(pair.CertificateFile == "") == (pair.KeyFile == ""), name, pair.CertificateFile, "both certificate_file and key_file, or neither",
 		})
 	}
 	peersTLS := settings.TLS.Peers.CertificateFile != ""
--- a/core/process/controller/checks_test.go
+++ b/core/process/controller/checks_test.go
@@ -239,7 +239,7 @@
 					voter = hinted
 				}
 			}
-			from.ask(voter.name, func(other *node2) {
+			from.ask(voter.name, func(other *peer) {
 				ticket := other.wait(func(content any) {
 					outcome := content.(controller.Outcome)
 					if outcome.Result == nil {
--- a/core/process/controller/world_test.go
+++ b/core/process/controller/world_test.go
@@ -163,6 +163,10 @@
 	next        controller.Ticket
 }
 
+// peer is a node that another one asks; a node's own methods can't name their
+// type, which their receiver hides.
+type peer = node
+
 func nodeName(index int) id.Node { return id.Node(fmt.Sprintf("n%d", index)) }
 
 func voterNames() []id.Node {
@@ -273,8 +277,8 @@
 
 func (node *node) execute(actions controller.Actions) {
 	world := node.world
-	const crashPart = 0.00002
-	if !actions.Save.Empty() && world.checks.crashes && world.chance(crashPart*100) {
+	const crashPart = 0.002
+	if !actions.Save.Empty() && world.checks.crashes && world.chance(crashPart) {
 		if world.chance(0.5) {
 			saveNaively(&node.stored, actions.Save)
 		}
@@ -334,7 +338,7 @@
 		return
 	}
 	request := actions.Send.Request
-	node.ask(actions.Send.To, func(other *node2) {
+	node.ask(actions.Send.To, func(other *peer) {
 		ticket := other.wait(func(content any) {
 			reply := content.(controller.Reply)
 			other.world.send(string(other.name), string(node.name), node.guard(func() { node.fed(request.Number, reply) }))
@@ -343,11 +347,8 @@
 	})
 }
 
-// node2 only shortens a signature.
-type node2 = node
-
 // ask carries a question to a voter, which answers it in its own time.
-func (node *node) ask(name id.Node, question func(other *node2)) {
+func (node *node) ask(name id.Node, question func(other *peer)) {
 	for _, other := range node.world.nodes {
 		if other.name == name {
 			node.world.send(string(node.name), string(other.name), func() {
--- a/core/request/dispatcher/rate.go
+++ b/core/request/dispatcher/rate.go
@@ -13,16 +13,17 @@
 }
 
 func (rate *rate) fade(now time.Time) {
+	if rate.at.IsZero() {
+		rate.at = now
+	}
 	elapsed := now.Sub(rate.at)
-	if rate.at.IsZero() || elapsed <= 0 {
-		if rate.at.IsZero() {
-			rate.at = now
-		}
+	if elapsed <= 0 {
 		return
 	}
 	rate.value *= math.Exp(-elapsed.Seconds() / rate.window.Seconds())
 	rate.at = now
-	if rate.value < 1e-9 {
+	const negligible = 1e-9
+	if rate.value < negligible {
 		rate.value = 0
 	}
 }
--- a/core/version/contract/contract.go
+++ b/core/version/contract/contract.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/field"
 	"carobline.dev/core/id"
 )
 
@@ -79,22 +80,6 @@
 	PathPrefix string     `json:"path_prefix"`
 }
 
-// FieldError names the field at fault and what is allowed.
-type FieldError struct {
-	Field   string
-	Value   any
-	Allowed string
-}
-
-// Error implements error.
-func (fieldError *FieldError) Error() string {
-	value, err := json.Marshal(fieldError.Value)
-	if err != nil {
-		value = []byte("unprintable")
-	}
-	return "field " + fieldError.Field + ": " + string(value) + " is not allowed, want " + fieldError.Allowed
-}
-
 // Decode reads one contract and refuses unknown fields and trailing data.
 func Decode(data []byte) (Contract, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
@@ -109,11 +94,11 @@
 	return contract, contract.Validate()
 }
 
-// Validate returns a *FieldError for the first field at fault.
+// Validate returns a *field.Error for the first field at fault.
 func (contract *Contract) Validate() error {
 	checks := []struct {
 		ok      bool
-		field   string
+		name    string
 		value   any
 		allowed string
 	}{
@@ -133,7 +118,7 @@
 	}
 	for _, check := range checks {
 		if !check.ok {
-			return &FieldError{Field: check.field, Value: check.value, Allowed: check.allowed}
+			return &field.Error{Name: check.name, Value: check.value, Allowed: check.allowed}
 		}
 	}
 	return contract.validatePatterns()
@@ -142,13 +127,13 @@
 func (contract *Contract) validatePatterns() error {
 	for _, pattern := range contract.NonIdempotent {
 		if !slices.Contains(contract.Services, pattern.Service) {
-			return &FieldError{"non_idempotent.service", pattern.Service, "one of the contract's services"}
+			return &field.Error{Name: "non_idempotent.service", Value: pattern.Service, Allowed: "one of the contract's services"}
 		}
 		if len(pattern.Methods) == 0 {
-			return &FieldError{"non_idempotent.methods", pattern.Methods, "at least one method"}
+			return &field.Error{Name: "non_idempotent.methods", Value: pattern.Methods, Allowed: "at least one method"}
 		}
 		if !strings.HasPrefix(pattern.PathPrefix, "/") {
-			return &FieldError{"non_idempotent.path_prefix", pattern.PathPrefix, "a path that starts with '/'"}
+			return &field.Error{Name: "non_idempotent.path_prefix", Value: pattern.PathPrefix, Allowed: "a path that starts with '/'"}
 		}
 	}
 	return nil
--- a/measure/process/traffic/run.go
+++ b/measure/process/traffic/run.go
@@ -47,7 +47,7 @@
 	PolicyCarobline Policy = "carobline"
 	// PolicyNoSinking is carobline without levels.
 	PolicyNoSinking Policy = "carobline_without_levels"
-	// PolicySlots keeps a quarter of the slots free of work past a threshold.
+	// PolicyOneLevel and PolicyManyLevels have other thresholds.
 	PolicyOneLevel         Policy = "carobline_one_level"
 	PolicyManyLevels       Policy = "carobline_many_levels"
 	PolicyRoundRobin       Policy = "round_robin"
