capacity: what voters say to each other and what an announcer spends

Cause: two roles of the page had no slope of their own.

The line for heartbeats' processor time strays by 15%, and the page shows that.

--- a/measure/process/capacity/capacity.go
+++ b/measure/process/capacity/capacity.go
@@ -69,6 +69,8 @@
 		)
 	}
 	points = append(points, memoryPoints()...)
+	points = append(points, announcerPoints()...)
+	points = append(points, voterPoints()...)
 	return append(points, changePoints()...)
 }
 
--- a/measure/process/capacity/table.go
+++ b/measure/process/capacity/table.go
@@ -47,6 +47,7 @@
 	for _, size := range []Size{Today, Target} {
 		nodeRows(&page, lines, size)
 		leaderRows(&page, lines, size)
+		voterRows(&page, lines, size)
 	}
 	designRows(&page, lines)
 	return page.String()
@@ -110,6 +111,26 @@
 	row(page, size.Name+", voter, as it runs", "heap", sum, calls.Slope*size.Calls+changes.Slope*size.Changes, 0, "B")
 }
 
+// votersToday is the usual number of voters; at the target each region has as
+// many.
+const votersToday = 3.0
+
+// voterRows are what voters say to each other and what an announcer spends.
+func voterRows(page *strings.Builder, lines map[string]Slope, size Size) {
+	role := size.Name + ", voter, as it runs"
+	heartbeats, changes := lines["heartbeat_bytes_by_voters"], lines["change_bytes_by_changes"]
+	sum := fmt.Sprintf("(%s + %s × %g) / %g + %s × %g / %g", plain(heartbeats.Base), plain(heartbeats.Slope), votersToday, votersToday, plain(changes.Slope), size.Changes, daySeconds)
+	value := heartbeats.At(votersToday)/votersToday + changes.Slope*size.Changes/daySeconds
+	row(page, role, "bytes among voters", sum, value, 0, "B/s")
+	cores := lines["heartbeat_cpu_by_voters"]
+	sum = fmt.Sprintf("(%s + %s × %g) / %g", plain(cores.Base), plain(cores.Slope), votersToday, votersToday)
+	row(page, role, "processor time for heartbeats", sum, max(0, cores.At(votersToday)/votersToday), 0, "cores")
+	role = size.Name + ", engine's announcer"
+	bytes, processor := lines["announcer_bytes_by_announcements"], lines["announcer_cpu_by_announcements"]
+	row(page, role, "bytes", fmt.Sprintf("%s × 1 a second", plain(bytes.Slope)), bytes.Slope, 0, "B/s")
+	row(page, role, "processor time", fmt.Sprintf("%s × 1 a second", plain(processor.Slope)), processor.Slope, 0, "cores")
+}
+
 // designRows are the target size with relays and subsets, which are designed
 // and don't run yet.
 func designRows(page *strings.Builder, lines map[string]Slope) {
