deciders: the same seed gives the same run

Change: all of these go in order; a test plays seeds twice, another applies one clashing contract to fifty equal states.

Ruled out: the test's own order (its random draws don't depend on a map).

--- a/core/process/controller/cluster_test.go
+++ b/core/process/controller/cluster_test.go
@@ -34,7 +34,7 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	t.Helper()
-	world := newWorld(t, seed, fakeNodes, fakeHosts)
+	world := newWorld(t, seed)
 	world.checks.crashes = false
 	world.run(4 * time.Second)
 	world.checks.propose(world.nodes[0], register.Command{Change: "fixed", ApplyContract: &register.ApplyContract{Contract: fakeContract(fixedCustomer, 1)}}, 5, func(controller.Outcome) {})
@@ -181,3 +181,28 @@
 		}
 	}
 }
+
+// TestSeedsRepeat plays one schedule twice: the deciders must do the same, so
+// that a failure's seed shows it again.
+func TestSeedsRepeat(t *testing.T) {
+	play := func(seed uint64) (uint64, int, string) {
+		world := newWorld(t, seed)
+		world.run(5 * time.Second)
+		world.weather = weather{lose: 0.02, double: 0.02, late: 0.01}
+		world.after(0, world.operate)
+		world.after(0, world.disturb)
+		world.run(25 * time.Second)
+		state := ""
+		for _, node := range world.nodes {
+			state += fmt.Sprintf("%s %d %v\n", node.name, node.member.Version(), node.member.LeaseUntil())
+		}
+		return world.order, world.checks.begun, state
+	}
+	for seed := uint64(16); seed < 20; seed++ {
+		events, begun, state := play(seed)
+		eventsAgain, begunAgain, stateAgain := play(seed)
+		if events != eventsAgain || begun != begunAgain || state != stateAgain {
+			t.Errorf("seed %d: %d events and %d calls, then %d and %d\n%s\n%s", seed, events, begun, eventsAgain, begunAgain, state, stateAgain)
+		}
+	}
+}
--- a/core/process/controller/control_bench_test.go
+++ b/core/process/controller/control_bench_test.go
@@ -13,7 +13,7 @@
 
 // quietWorld is a world without faults whose groups have formed.
 func quietWorld(b *testing.B, seed uint64) *world {
-	world := newWorld(b, seed, fakeNodes, fakeHosts)
+	world := newWorld(b, seed)
 	world.checks.crashes = false
 	world.run(15 * time.Second)
 	return world
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -307,18 +307,18 @@
 
 func (controller *Controller) endReign(actions *Actions) {
 	leader := controller.Leader()
-	for _, poll := range controller.reign.polls {
-		actions.Replies = append(actions.Replies, Reply{Ticket: poll.ticket, Redirect: &feed.Redirect{Leader: leader}})
+	for _, name := range sortedKeys(controller.reign.polls) {
+		actions.Replies = append(actions.Replies, Reply{Ticket: controller.reign.polls[name].ticket, Redirect: &feed.Redirect{Leader: leader}})
 	}
 	for _, wait := range controller.reign.waits {
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: wait.ticket, Leader: leader})
 	}
-	for index, waiting := range controller.pending {
-		if waiting.ticket != 0 {
+	for _, index := range sortedKeys(controller.pending) {
+		if waiting := controller.pending[index]; waiting.ticket != 0 {
 			actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: waiting.ticket, Leader: leader})
 		}
-		delete(controller.pending, index)
 	}
+	clear(controller.pending)
 	controller.reign = nil
 }
 
--- a/core/process/controller/voters_test.go
+++ b/core/process/controller/voters_test.go
@@ -16,7 +16,7 @@
 // new one must be part of the majority, and hold all that was accepted before.
 func TestVoterIsReplaced(t *testing.T) {
 	for seed := range uint64(10) {
-		world := newWorld(t, seed+1, fakeNodes, fakeHosts)
+		world := newWorld(t, seed+1)
 		world.checks.crashes = false
 		spare := world.nodes[fakeVoters]
 		spare.becomeVoter()
--- a/core/process/controller/world_test.go
+++ b/core/process/controller/world_test.go
@@ -76,14 +76,14 @@
 
 var worldStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newWorld(t testing.TB, seed uint64, nodes, hosts int) *world {
+func newWorld(t testing.TB, seed uint64) *world {
 	t.Helper()
 	world := &world{t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]string]bool{}}
 	world.checks = newChecks(world)
-	for index := range nodes {
+	for index := range fakeNodes {
 		world.nodes = append(world.nodes, newNode(world, index))
 	}
-	for index := range hosts {
+	for index := range fakeHosts {
 		world.hosts = append(world.hosts, newHost(world, index))
 	}
 	return world
--- a/core/process/granter/granter.go
+++ b/core/process/granter/granter.go
@@ -158,11 +158,12 @@
 
 // room is what the other hosts leave of a limit.
 func (granter *Granter) room(node id.Node, customer id.Customer, limit Part) Part {
-	for other, holder := range granter.holders {
+	// In order, since sums of fractions depend on it.
+	for _, other := range slices.Sorted(maps.Keys(granter.holders)) {
 		if other == node {
 			continue
 		}
-		used := holder.bound(customer)
+		used := granter.holders[other].bound(customer)
 		limit.RequestsPerSecond -= used.RequestsPerSecond
 		limit.TokensPerSecond -= used.TokensPerSecond
 		limit.Concurrency -= used.Concurrency
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"carobline.dev/core/id"
@@ -141,8 +142,8 @@
 
 // Tick takes the passing of time.
 func (member *Member) Tick(now time.Time) Actions {
-	for number, at := range member.sent {
-		if now.Sub(at) >= answerTimeout {
+	for _, number := range slices.Sorted(maps.Keys(member.sent)) {
+		if at, waits := member.sent[number]; waits && now.Sub(at) >= answerTimeout {
 			member.failed(now, number)
 		}
 	}
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 
@@ -101,7 +102,9 @@
 
 // tokenOwner finds another customer that holds one of the same tokens.
 func (register *Register) tokenOwner(apply ApplyContract) (id.Customer, bool) {
-	for name, record := range register.state.Contracts {
+	// In order, since the answer is part of the state.
+	for _, name := range slices.Sorted(maps.Keys(register.state.Contracts)) {
+		record := register.state.Contracts[name]
 		if name == apply.Contract.Customer || record.Retired {
 			continue
 		}
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -12,6 +12,7 @@
 package register
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -190,7 +191,7 @@
 	return *record, true
 }
 
-// Owners lists the processes that own calls in flight.
+// Owners lists the processes that own calls in flight, in order.
 func (register *Register) Owners() []Owner {
 	owners := map[Owner]bool{}
 	for _, record := range register.calls {
@@ -198,7 +199,9 @@
 			owners[record.Owner] = true
 		}
 	}
-	return slices.Collect(maps.Keys(owners))
+	return slices.SortedFunc(maps.Keys(owners), func(a, b Owner) int {
+		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 }
 
 // HasExpired tells whether ExpireCalls would drop anything at a moment of a
--- a/core/process/register/register_test.go
+++ b/core/process/register/register_test.go
@@ -194,3 +194,24 @@
 		})
 	}
 }
+
+// TestRefusalsAreTheSameAtEachVoter applies one command to many equal states; the
+// answer is part of the state, so it may not depend on the order of a map.
+func TestRefusalsAreTheSameAtEachVoter(t *testing.T) {
+	answers := map[string]bool{}
+	for range 50 {
+		state := register.New()
+		clash := agreed("z", 1)
+		clash.TokenSHA256 = nil
+		for index, customer := range []id.Customer{"a", "b", "c", "d"} {
+			one := agreed(customer, 1)
+			clash.TokenSHA256 = append(clash.TokenSHA256, one.TokenSHA256...)
+			state.Apply(id.Index(index+1), register.Command{ApplyContract: &register.ApplyContract{Contract: one}})
+		}
+		got := state.Apply(9, register.Command{ApplyContract: &register.ApplyContract{Contract: clash}})
+		answers[string(got.Verdict)+got.Reason] = true
+	}
+	if len(answers) != 1 {
+		t.Errorf("voters would answer differently: %v", answers)
+	}
+}
