--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -193,7 +193,7 @@
 	}
 	err = http.NewResponseController(writer).SetReadDeadline(time.Time{})
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, rest.NotRun(statusClientClosed, "caller_gone", "the caller went away")
+		return nil, rest.NotRun(rest.StatusClientClosed, "caller_gone", "the caller went away")
 	}
 	return data, nil
 }
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -194,7 +194,7 @@
 			}
 			relay.attempt-- // nor is leaving a slow endpoint; ejections bound it
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
-			return rest.Unknown(statusClientClosed, "caller_gone", "the caller went away")
+			return rest.Unknown(rest.StatusClientClosed, "caller_gone", "the caller went away")
 		default:
 			if again := relay.recover(ctx, err); !again {
 				return relay.giveUp(err)
@@ -203,9 +203,6 @@
 	}
 }
 
-// statusClientClosed is the customary status for a caller that has gone.
-const statusClientClosed = 499
-
 // recover finds another endpoint after a failed attempt, if one may be tried.
 func (relay *relay) recover(ctx context.Context, err error) bool {
 	var refused *engineError
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -316,7 +316,7 @@
 	case result := <-ended:
 		return result.answer, result.err
 	case <-ctx.Done():
-		return nil, rest.Unknown(statusClientClosed, "caller_gone", "the caller went away; the call goes on")
+		return nil, rest.Unknown(rest.StatusClientClosed, "caller_gone", "the caller went away; the call goes on")
 	}
 }
 
--- a/caroblined/process/settings/settings.go
+++ b/caroblined/process/settings/settings.go
@@ -7,7 +7,6 @@
 package settings
 
 import (
-	"crypto/tls"
 	"net"
 	"os"
 	"regexp"
@@ -299,12 +298,3 @@
 	}
 	return token, nil
 }
-
-// ReadKeyPair checks that a key pair can be used.
-func ReadKeyPair(pair KeyPair) error {
-	if pair.CertificateFile == "" {
-		return nil
-	}
-	_, err := tls.LoadX509KeyPair(pair.CertificateFile, pair.KeyFile)
-	return step.Wrap(err, "load key pair")
-}
--- a/caroblined/request/traffic/traffic.go
+++ b/caroblined/request/traffic/traffic.go
@@ -28,8 +28,6 @@
 	pumpEvery  = 5 * time.Millisecond
 	watchEvery = 20 * time.Millisecond
 	idleEvery  = 100 * time.Millisecond
-	// statusClientClosed is the customary status for a caller that has gone.
-	statusClientClosed = 499
 )
 
 // Config is fixed for the life of a process.
@@ -214,7 +212,7 @@
 		traffic.work.Finished(traffic.config.Now(), ticket, 0, false)
 	}
 	traffic.pump()
-	return nil, rest.NotRun(statusClientClosed, "caller_gone", "the caller went away before the call ran")
+	return nil, rest.NotRun(rest.StatusClientClosed, "caller_gone", "the caller went away before the call ran")
 }
 
 // refusalError shows a refusal to the caller.
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -28,6 +28,9 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
+// StatusClientClosed is the customary status for a caller that has gone.
+const StatusClientClosed = 499
+
 // The headers of the project.
 const (
 	HeaderOutcome   = "Carobline-Outcome"
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -24,9 +24,11 @@
 	term    id.Term
 	started time.Time
 	grants  *granter.Granter
-	nodes   map[id.Node]*nodeState
-	polls   map[id.Node]poll
-	waits   []forceWait
+	// limitsAt is the version whose contracts the grants keep to.
+	limitsAt id.Version
+	nodes    map[id.Node]*nodeState
+	polls    map[id.Node]poll
+	waits    []forceWait
 	// ownIndex is the leader's own last proposal; no other follows until it is
 	// applied, so that each decision sees the one before.
 	ownIndex   id.Index
@@ -130,7 +132,10 @@
 // is over, and each change that is in force by now.
 func (controller *Controller) answerNews(now time.Time, actions *Actions) {
 	reign := controller.reign
-	reign.grants.SetLimits(controller.limits())
+	if version := controller.register.Version(); version != reign.limitsAt {
+		reign.limitsAt = version
+		reign.grants.SetLimits(controller.limits())
+	}
 	pending := reign.grants.Pending(now)
 	for _, name := range sortedKeys(reign.polls) {
 		held := reign.polls[name]
