--- a/carobline/command/root/root.go
+++ b/carobline/command/root/root.go
@@ -23,6 +23,7 @@
 	"carobline.dev/carobline/command/stop/create"
 	stoplist "carobline.dev/carobline/command/stop/list"
 	stopshow "carobline.dev/carobline/command/stop/show"
+	voterset "carobline.dev/carobline/command/voter/set"
 	"carobline.dev/carobline/process/factory"
 )
 
@@ -39,6 +40,7 @@
   stop create       ask for a planned stop
   stop list         list planned stops
   stop show         show, or follow, one planned stop
+  voter set         change which nodes vote, one at a time
   status            show groups, hosts, entry hosts and customers
   audit list        list who changed what, when, from what and to what
 
@@ -64,6 +66,7 @@
 	"stop list":       stoplist.Command,
 	"stop show":       stopshow.Command,
 	"status":          status.Command,
+	"voter set":       voterset.Command,
 	"audit list":      auditlist.Command,
 }
 
--- a/carobline/command/root/root_test.go
+++ b/carobline/command/root/root_test.go
@@ -27,6 +27,7 @@
 		{"contract show", 2, "name one customer"},
 		{"stop create --kind moon --target x", 2, "--kind"},
 		{"stop create --kind node", 2, "--target"},
+		{"voter set", 2, "name all nodes"},
 		{"status --json", 2, "CAROBLINE_TOKEN_FILE"},
 	}
 	for _, test := range tests {
--- a/caroblined/connection/operatorapi/operatorapi.go
+++ b/caroblined/connection/operatorapi/operatorapi.go
@@ -57,6 +57,7 @@
 	mux.HandleFunc("GET /operator/v1/contracts", api.contracts)
 	mux.Handle("POST /operator/v1/stops", rest.Handle(bodyBytes, api.stop))
 	mux.HandleFunc("GET /operator/v1/stops", api.stops)
+	mux.Handle("POST /operator/v1/voters", rest.Handle(bodyBytes, api.voters))
 	mux.HandleFunc("GET /operator/v1/status", api.status)
 	mux.HandleFunc("GET /operator/v1/audit", api.audit)
 	mux.HandleFunc("GET /metrics", api.metrics)
@@ -98,6 +99,19 @@
 	return outcome, nil
 }
 
+func (api *API) voters(ctx context.Context, request operator.VotersRequest) (controller.Outcome, error) {
+	if len(request.Voters) == 0 {
+		return controller.Outcome{}, rest.NotRun(http.StatusBadRequest, "bad_voters", "field voters: at least one node")
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	outcome, err := api.config.Control.Propose(ctx, peers.Proposal{Voters: request.Voters, Actor: rest.Actor(ctx)})
+	if err != nil {
+		return outcome, rest.Unknown(http.StatusServiceUnavailable, "no_leader", err.Error())
+	}
+	return outcome, nil
+}
+
 func (api *API) overview(request *http.Request) (controller.Overview, error) {
 	ctx, cancel := context.WithTimeout(request.Context(), readTimeout)
 	defer cancel()
--- a/caroblined/process/control/propose.go
+++ b/caroblined/process/control/propose.go
@@ -30,6 +30,11 @@
 			return
 		}
 		ticket := control.wait(func(content any) { result <- content })
+		if proposal.Voters != nil {
+			membership := quorum.Membership{Voters: proposal.Voters}
+			control.step(now, controller.Reconfigured{Ticket: ticket, Actor: proposal.Actor, Membership: membership})
+			return
+		}
 		control.step(now, controller.Proposed{Ticket: ticket, Command: proposal.Command, AcceptLoss: proposal.AcceptLoss})
 	})
 	if !ok {
--- a/caroblined/process/peers/peers.go
+++ b/caroblined/process/peers/peers.go
@@ -48,6 +48,9 @@
 type Proposal struct {
 	Command    register.Command `json:"command"`
 	AcceptLoss bool             `json:"accept_loss,omitempty"`
+	// Voters asks for a new set of voters in place of Command.
+	Voters []id.Node `json:"voters,omitempty"`
+	Actor  string    `json:"actor,omitempty"`
 }
 
 // Messages is one delivery between voters.
--- a/core/connection/operator/messages.go
+++ b/core/connection/operator/messages.go
@@ -30,6 +30,11 @@
 	AcceptLoss bool `json:"accept_loss,omitempty"`
 }
 
+// VotersRequest asks for a new set of voters, one more or one fewer than now.
+type VotersRequest struct {
+	Voters []id.Node `json:"voters"`
+}
+
 // ContractList is the answer to a listing of contracts.
 type ContractList struct {
 	Contracts []register.ContractRecord `json:"contracts"`
--- a/core/connection/operator/operator.go
+++ b/core/connection/operator/operator.go
@@ -45,6 +45,12 @@
 	return client.change(ctx, "/operator/v1/stops", request)
 }
 
+// SetVoters asks for a new set of voters. A resend of the same set changes
+// nothing.
+func (client *Client) SetVoters(ctx context.Context, request VotersRequest) (controller.Outcome, error) {
+	return client.change(ctx, "/operator/v1/voters", request)
+}
+
 // Contracts lists all contracts.
 func (client *Client) Contracts(ctx context.Context) (ContractList, error) {
 	var list ContractList
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -105,7 +106,7 @@
 	case Proposed:
 		controller.proposed(now, &actions, event)
 	case Reconfigured:
-		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.Reconfigure{Membership: event.Membership}))
+		controller.reconfigured(now, &actions, event)
 	case HandedOver:
 		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.HandOver{}))
 	}
@@ -169,9 +170,7 @@
 	waiting, ok := controller.pending[entry.Index]
 	delete(controller.pending, entry.Index)
 	if len(entry.Data) == 0 {
-		if ok {
-			actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: waiting.ticket, Leader: controller.Leader()})
-		}
+		controller.applyMembership(actions, entry, waiting, ok)
 		return
 	}
 	var command register.Command
@@ -189,6 +188,47 @@
 	controller.settle(now, actions, waiting.ticket, command, result)
 }
 
+// applyMembership answers whoever asked for a membership that is committed now.
+func (controller *Controller) applyMembership(actions *Actions, entry quorum.Entry, waiting pendingProposal, waited bool) {
+	if !waited {
+		return
+	}
+	outcome := Outcome{Ticket: waiting.ticket, Leader: controller.Leader()}
+	if entry.Membership != nil && waiting.term == entry.Term {
+		outcome.Result = &register.Result{Verdict: register.VerdictDone}
+	}
+	actions.Outcomes = append(actions.Outcomes, outcome)
+}
+
+// reconfigured appends a membership. The log takes one change of one voter at a
+// time, and refuses any other.
+func (controller *Controller) reconfigured(now time.Time, actions *Actions, event Reconfigured) {
+	if !controller.Leads(now) {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Leader: controller.Leader()})
+		return
+	}
+	before := controller.quorum.Status()
+	if sameVoters(before.Membership.Voters, event.Membership.Voters) {
+		unchanged := register.Result{Verdict: register.VerdictUnchanged}
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Result: &unchanged})
+		return
+	}
+	note := register.Command{Actor: event.Actor, RecordVoters: &register.RecordVoters{From: before.Membership.Voters, To: event.Membership.Voters}}
+	controller.pending[before.Last+1] = pendingProposal{ticket: event.Ticket, term: before.Term}
+	controller.absorb(now, actions, controller.quorum.Step(now, quorum.Reconfigure{Membership: event.Membership}))
+	if controller.quorum.Status().Last == before.Last {
+		delete(controller.pending, before.Last+1)
+		refused := register.Result{Verdict: register.VerdictRefused, Reason: "voters change one at a time, and only once the change before is committed"}
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Result: &refused})
+		return
+	}
+	controller.propose(now, actions, 0, note)
+}
+
+func sameVoters(a, b []id.Node) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
 // settle answers a proposal, or waits until its change is in force everywhere.
 func (controller *Controller) settle(now time.Time, actions *Actions, ticket Ticket, command register.Command, result register.Result) {
 	if ticket == 0 {
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -31,8 +31,13 @@
 	AcceptLoss bool
 }
 
-// Reconfigured asks for a new set of voters and learners.
-type Reconfigured struct{ Membership quorum.Membership }
+// Reconfigured asks for a new set of voters, which differs from the present one
+// by one voter.
+type Reconfigured struct {
+	Ticket     Ticket
+	Actor      string
+	Membership quorum.Membership
+}
 
 // HandedOver asks a leader to pass leadership on.
 type HandedOver struct{}
--- /dev/null
+++ b/core/process/controller/voters_test.go
@@ -0,0 +1,81 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
+)
+
+// TestVoterIsReplaced loses a voter with its disk, takes it out and takes a new
+// one with an empty disk in, while changes go on. Then an old voter dies too: the
+// new one must be part of the majority, and hold all that was accepted before.
+func TestVoterIsReplaced(t *testing.T) {
+	for seed := range uint64(10) {
+		world := newWorld(t, seed+1, fakeNodes, fakeHosts)
+		world.checks.crashes = false
+		spare := world.nodes[fakeVoters]
+		spare.becomeVoter()
+		world.run(10 * time.Second)
+		accepted := world.accept(t, 0)
+		lost := world.nodes[1]
+		lost.crash()
+		world.run(3 * time.Second)
+		stay := []id.Node{nodeName(0), nodeName(2)}
+		world.setVoters(t, append(stay, spare.name), register.VerdictRefused)
+		world.setVoters(t, stay, register.VerdictDone)
+		world.setVoters(t, append(stay, spare.name), register.VerdictDone)
+		accepted = append(accepted, world.accept(t, 1)...)
+		world.run(2 * time.Second)
+		world.nodes[2].crash()
+		world.run(10 * time.Second)
+		leader := world.leading()
+		if leader == nil {
+			t.Fatalf("seed %d: no leader among the old and the new voter", seed)
+		}
+		for _, customer := range accepted {
+			if _, ok := leader.voter.Register().Contract(customer); !ok {
+				t.Errorf("seed %d: the contract of %s is lost", seed, customer)
+			}
+		}
+	}
+}
+
+// becomeVoter gives a node an empty disk and the new voters in its settings.
+func (node *node) becomeVoter() {
+	node.extraVoter = true
+	node.up = false
+	node.start()
+}
+
+// accept makes a change and waits until it is accepted.
+func (world *world) accept(t *testing.T, number int) []id.Customer {
+	t.Helper()
+	customer := id.Customer(fmt.Sprintf("kept-%d", number))
+	command := register.Command{Change: id.Change(customer), ApplyContract: &register.ApplyContract{Contract: fakeContract(customer, 1)}}
+	done := false
+	leader := world.leading()
+	ticket := leader.wait(func(content any) { done = content.(controller.Outcome).Result != nil })
+	leader.step(controller.Proposed{Ticket: ticket, Command: command})
+	world.run(12 * time.Second)
+	if !done {
+		t.Fatalf("seed %d: change %s wasn't answered", world.seed, customer)
+	}
+	return []id.Customer{customer}
+}
+
+func (world *world) setVoters(t *testing.T, voters []id.Node, want register.Verdict) {
+	t.Helper()
+	var got *register.Result
+	leader := world.leading()
+	ticket := leader.wait(func(content any) { got = content.(controller.Outcome).Result })
+	leader.step(controller.Reconfigured{Ticket: ticket, Actor: "test", Membership: quorum.Membership{Voters: voters}})
+	world.run(2 * time.Second)
+	if got == nil || got.Verdict != want {
+		t.Fatalf("seed %d: voters %v: %+v, want %s", world.seed, voters, got, want)
+	}
+}
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -51,6 +51,8 @@
 		return register.finishCall(*command.FinishCall)
 	case command.LoseOwner != nil:
 		return register.loseOwner(*command.LoseOwner)
+	case command.RecordVoters != nil:
+		return register.done(index, command, "voters_change", "voters", text(command.RecordVoters.From), text(command.RecordVoters.To))
 	case command.ExpireCalls != nil:
 		return register.expireCalls()
 	default:
--- a/core/process/register/command.go
+++ b/core/process/register/command.go
@@ -33,6 +33,14 @@
 	FinishCall     *FinishCall     `json:"finish_call,omitempty"`
 	LoseOwner      *LoseOwner      `json:"lose_owner,omitempty"`
 	ExpireCalls    *ExpireCalls    `json:"expire_calls,omitempty"`
+	RecordVoters   *RecordVoters   `json:"record_voters,omitempty"`
+}
+
+// RecordVoters notes a change of voters in the audit trail; the log itself keeps
+// who votes.
+type RecordVoters struct {
+	From []id.Node `json:"from"`
+	To   []id.Node `json:"to"`
 }
 
 // ApplyContract creates or changes a contract. Base is the revision that the
