--- /dev/null
+++ b/caroblined/connection/metricsapi/metricsapi.go
@@ -0,0 +1,24 @@
+// Package metricsapi serves a node's counters and histograms as JSON.
+//
+// # Usage
+//
+//	mux.Handle("GET /metrics", metricsapi.New(registry))
+package metricsapi
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// API serves one registry.
+type API struct{ registry metrics.Registry }
+
+// New returns the API of a registry.
+func New(registry metrics.Registry) *API { return &API{registry: registry} }
+
+// ServeHTTP writes all metrics.
+func (api *API) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(api.registry, writer)
+}
--- a/caroblined/connection/operatorapi/operatorapi.go
+++ b/caroblined/connection/operatorapi/operatorapi.go
@@ -15,6 +15,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"carobline.dev/caroblined/connection/metricsapi"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/core/connection/operator"
@@ -60,7 +61,7 @@
 	mux.Handle("POST /operator/v1/voters", rest.Handle(bodyBytes, api.voters))
 	mux.HandleFunc("GET /operator/v1/status", api.status)
 	mux.HandleFunc("GET /operator/v1/audit", api.audit)
-	mux.HandleFunc("GET /metrics", api.metrics)
+	mux.Handle("GET /metrics", metricsapi.New(api.config.Metrics))
 	return rest.Require(api.config.Credentials, mux)
 }
 
@@ -152,11 +153,6 @@
 	answer(writer, audit, err)
 }
 
-func (api *API) metrics(writer http.ResponseWriter, _ *http.Request) {
-	writer.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(api.config.Metrics, writer)
-}
-
 func answer(writer http.ResponseWriter, body any, err error) {
 	if err != nil {
 		rest.WriteError(writer, err)
--- a/caroblined/connection/peerapi/peerapi.go
+++ b/caroblined/connection/peerapi/peerapi.go
@@ -34,14 +34,18 @@
 }
 
 // Handler returns the handler of the peers' listener.
-func (api *API) Handler() http.Handler {
+func (api *API) Handler() http.Handler { return rest.Require(api.credentials, api.Open()) }
+
+// Open is Handler without credentials, for networks that only nodes reach.
+func (api *API) Open() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST /peer/v1/quorum", rest.Handle(bodyBytes, api.quorum))
 	mux.Handle("POST /peer/v1/feed", rest.Handle(bodyBytes, api.feed))
 	mux.Handle("POST /peer/v1/propose", rest.Handle(bodyBytes, api.propose))
 	mux.HandleFunc("GET /peer/v1/overview", api.overview)
 	mux.HandleFunc("GET /peer/v1/audit", api.audit)
-	return rest.Require(api.credentials, mux)
+	mux.HandleFunc("GET /peer/v1/declaration", api.declaration)
+	return mux
 }
 
 func (api *API) quorum(_ context.Context, messages peers.Messages) (peers.Empty, error) {
@@ -63,6 +67,11 @@
 	answerIfLeading(writer, overview, ok)
 }
 
+func (api *API) declaration(writer http.ResponseWriter, request *http.Request) {
+	record, ok := api.control.DeclarationHere(request.Context())
+	answerIfLeading(writer, record, ok)
+}
+
 func (api *API) audit(writer http.ResponseWriter, request *http.Request) {
 	after, _ := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
 	limit, err := strconv.Atoi(request.URL.Query().Get("limit"))
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,6 @@
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/process/wal"
-	"carobline.dev/core/step"
 	"carobline.dev/core/version/view"
 )
 
@@ -52,15 +52,20 @@
 	Incarnation id.Incarnation
 	Voters      []id.Node
 	Nodes       []id.Node
+	// Seeds are nodes that may know the voters, where settings don't name them.
+	Seeds []id.Node
 	// DataFolder is set on voters.
 	DataFolder string
 	Disk       wal.Disk
 	Specs      []placer.Spec
 	GroupLoads int
-	Timing     quorum.Timing
-	Peers      *peers.Peers
-	Log        zerolog.Logger
-	Now        func() time.Time
+	// VotersWanted and Stall are those of the controller.
+	VotersWanted int
+	Stall        time.Duration
+	Timing       quorum.Timing
+	Peers        *peers.Peers
+	Log          zerolog.Logger
+	Now          func() time.Time
 	// Order sends an order to a host.
 	Order func(ctx context.Context, order controller.Order) error
 	// Report tells what the request path needs and does.
@@ -69,6 +74,17 @@
 	Changed func(*view.View)
 }
 
+// Contacts are the nodes that may lead or know who does, at the start.
+func (config *Config) Contacts() []id.Node {
+	contacts := slices.Clone(config.Voters)
+	for _, seed := range config.Seeds {
+		if !slices.Contains(contacts, seed) {
+			contacts = append(contacts, seed)
+		}
+	}
+	return contacts
+}
+
 // Control runs the deciders of one node.
 type Control struct {
 	config Config
@@ -101,7 +117,7 @@
 		hosts: roster.New(), tickets: map[controller.Ticket]func(any){},
 	}
 	control.view.Store(view.Empty())
-	control.member = member.New(now, member.Config{Self: config.Self, Incarnation: config.Incarnation, Voters: config.Voters}, control.hosts)
+	control.member = member.New(now, member.Config{Self: config.Self, Incarnation: config.Incarnation, Voters: config.Contacts(), Disk: config.DataFolder != ""}, control.hosts)
 	if config.DataFolder != "" {
 		if err := control.openVoter(now); err != nil {
 			return nil, err
@@ -123,9 +139,15 @@
 		Self: control.config.Self, Incarnation: control.config.Incarnation,
 		Voters: control.config.Voters, Nodes: control.config.Nodes, Timing: control.config.Timing,
 		Specs: control.config.Specs, GroupLoads: control.config.GroupLoads, CompactEntries: controller.CompactEntries,
+		VotersWanted: control.config.VotersWanted, Stall: control.config.Stall,
 		Rand: rand.New(rand.NewPCG(seed, hashNode(control.config.Self))), //nolint:gosec // spreads elections, keeps no secret
 	}, stored, control.hosts)
-	return step.Wrap(err, "open voter")
+	if err != nil {
+		return errors.Wrap(err, "open voter")
+	}
+	known := control.voter.Quorum().Membership.Voters
+	control.member.Step(now, member.Introduced{Nodes: known})
+	return nil
 }
 
 func hashNode(node id.Node) uint64 {
@@ -358,6 +380,42 @@
 	}
 }
 
+// Renew takes the announcement of a host that echoes no stamp. It returns once
+// the announcement is on its way to the leader.
+func (control *Control) Renew(ctx context.Context, announcement roster.Announcement) error {
+	return control.tell(ctx, "renew", member.Renewed{Announcement: announcement})
+}
+
+// Depart marks a host as leaving. It returns once that is on its way.
+func (control *Control) Depart(ctx context.Context, host id.Host, incarnation id.Incarnation) error {
+	return control.tell(ctx, "depart", member.Departed{Host: host, Incarnation: incarnation})
+}
+
+// tell gives the member an event and waits until it is taken.
+func (control *Control) tell(ctx context.Context, name string, event member.Event) error {
+	done := make(chan struct{})
+	ok := control.post(func(now time.Time) {
+		control.follow(now, control.member.Step(now, event))
+		close(done)
+	})
+	if !ok {
+		return ErrClosed
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), name)
+	case <-control.ctx.Done():
+		return ErrClosed
+	}
+}
+
+// Introduce names nodes that may know who leads.
+func (control *Control) Introduce(nodes []id.Node) {
+	control.post(func(now time.Time) { control.follow(now, control.member.Step(now, member.Introduced{Nodes: nodes})) })
+}
+
 // Deliver takes messages of another voter.
 func (control *Control) Deliver(messages []quorum.Message) error {
 	ok := control.post(func(now time.Time) {
@@ -376,7 +434,7 @@
 	result := make(chan any, 1)
 	ok := control.post(func(now time.Time) {
 		if control.voter == nil {
-			result <- controller.Reply{Redirect: &feed.Redirect{Leader: control.member.Leader()}}
+			result <- controller.Reply{Redirect: &feed.Redirect{Leader: control.member.Leader(), Voters: control.member.Voters()}}
 			return
 		}
 		ticket := control.wait(func(content any) { result <- content })
--- a/caroblined/process/control/propose.go
+++ b/caroblined/process/control/propose.go
@@ -11,6 +11,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/quorum"
+	"carobline.dev/core/process/register"
 )
 
 // retryPause is the pause between two tries to reach a leader.
@@ -70,10 +71,9 @@
 // atLeader calls try with one voter after another, following hints, until one
 // answers or ctx is done.
 func (control *Control) atLeader(ctx context.Context, try func(node id.Node) (done bool, leader id.Node)) error {
-	voters := control.config.Voters
-	node := control.leaderHint(ctx)
+	node, voters := control.leaderHint(ctx)
 	for attempt := 0; ; attempt++ {
-		if node == "" {
+		if node == "" && len(voters) > 0 {
 			node = voters[attempt%len(voters)]
 		}
 		done, leader := try(node)
@@ -87,28 +87,37 @@
 			node = leader
 			continue
 		}
-		node = ""
 		select {
 		case <-ctx.Done():
 			return ErrNoLeader
 		case <-time.After(retryPause):
 		}
+		var latest id.Node
+		latest, voters = control.leaderHint(ctx)
+		if latest == node {
+			latest = ""
+		}
+		node = latest
 	}
 }
 
-func (control *Control) leaderHint(ctx context.Context) id.Node {
-	result := make(chan id.Node, 1)
-	if !control.post(func(time.Time) { result <- control.member.Leader() }) {
-		return ""
+// leaderHint is this node's last word of who leads and who may.
+func (control *Control) leaderHint(ctx context.Context) (id.Node, []id.Node) {
+	type hint struct {
+		leader id.Node
+		voters []id.Node
+	}
+	result := make(chan hint, 1)
+	if !control.post(func(time.Time) { result <- hint{control.member.Leader(), control.member.Voters()} }) {
+		return "", nil
 	}
 	select {
-	case leader := <-result:
-		return leader
+	case known := <-result:
+		return known.leader, known.voters
 	case <-ctx.Done():
-		return ""
 	case <-control.ctx.Done():
-		return ""
 	}
+	return "", nil
 }
 
 // HandOver asks the voter to pass leadership on, and tells whether it leads.
@@ -178,6 +187,37 @@
 	})
 }
 
+// Declaration asks the leader for the declaration in force, with its source.
+func (control *Control) Declaration(ctx context.Context) (*register.DeclarationRecord, error) {
+	var record *register.DeclarationRecord
+	err := control.atLeader(ctx, func(node id.Node) (bool, id.Node) {
+		if node == control.config.Self {
+			here, ok := control.DeclarationHere(ctx)
+			record = here
+			return ok, ""
+		}
+		var answer register.DeclarationRecord
+		if control.config.Peers.Read(ctx, node, "/peer/v1/declaration", &answer) != nil {
+			return false, ""
+		}
+		record = &answer
+		return true, ""
+	})
+	return record, err
+}
+
+// DeclarationHere is Declaration on this node; it is false when it doesn't
+// lead, also when it has lost the lead while it answered.
+func (control *Control) DeclarationHere(ctx context.Context) (*register.DeclarationRecord, bool) {
+	record, ok := readHere(ctx, control, func(time.Time) *register.DeclarationRecord {
+		if declared := control.voter.Register().Declared(); declared != nil {
+			return declared
+		}
+		return &register.DeclarationRecord{}
+	})
+	return record, ok && control.stillLeads()
+}
+
 // readHere reads from the voter on the control goroutine while it leads.
 func readHere[T any](ctx context.Context, control *Control, read func(now time.Time) T) (T, bool) {
 	type answer struct {
--- /dev/null
+++ b/caroblined/process/identity/identity.go
@@ -0,0 +1,135 @@
+// Package identity keeps what a node with a disk must remember of itself: a
+// name that lives and dies with the disk, and how often the node has started. A
+// voter that has lost its disk has forgotten its votes, so it must come back
+// under another name, even at its old address.
+//
+// # Usage
+//
+//	own, err := identity.Open(folder, "10.0.0.4:7340", founder)
+//	own.Node        // "10.0.0.4:7340~5f3a..."
+//	own.Incarnation // 1 at the first start
+package identity
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/step"
+)
+
+const (
+	fileName   = "identity"
+	folderPerm = 0o700
+	filePerm   = 0o600
+	// founderSuffix names the nodes that begin a system together, so that each
+	// of them knows the names of the others.
+	founderSuffix = "founder"
+	suffixBytes   = 8
+)
+
+// Identity is what a node is called in this life.
+type Identity struct {
+	Node        id.Node        `json:"node"`
+	Incarnation id.Incarnation `json:"incarnation"`
+}
+
+// Founder is the name of the founding node at an address.
+func Founder(address string) id.Node { return id.Node(address + "~" + founderSuffix) }
+
+// Diskless is a new name for a life of a node that remembers nothing.
+func Diskless(address string) Identity {
+	return Identity{Node: named(address), Incarnation: 1}
+}
+
+func named(address string) id.Node {
+	var raw [suffixBytes]byte
+	// The system's source of randomness doesn't fail on supported systems.
+	_, _ = rand.Read(raw[:])
+	return id.Node(address + "~" + hex.EncodeToString(raw[:]))
+}
+
+// Open reads the identity that a data folder holds, or makes one when the
+// folder is new, and counts the start. It returns once all is synced. The name
+// of a founder is only given to a folder that is new.
+func Open(folder, address string, founder bool) (Identity, error) {
+	if err := os.MkdirAll(folder, folderPerm); err != nil {
+		return Identity{}, errors.Wrap(err, "make data folder")
+	}
+	path := filepath.Join(folder, fileName)
+	known, err := read(path)
+	if err != nil {
+		return Identity{}, err
+	}
+	if known.Node == "" {
+		known.Node = named(address)
+		if founder {
+			known.Node = Founder(address)
+		}
+	}
+	known.Incarnation++
+	return known, write(folder, path, known)
+}
+
+func read(path string) (Identity, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return Identity{}, nil
+	}
+	if err != nil {
+		return Identity{}, errors.Wrap(err, "read identity")
+	}
+	var known Identity
+	if err := json.Unmarshal(data, &known); err != nil {
+		return Identity{}, errors.Wrapf(err, "read identity %s", path)
+	}
+	return known, nil
+}
+
+// write replaces the file, so that a crash leaves the old or the new one.
+func write(folder, path string, known Identity) error {
+	data, err := json.Marshal(known)
+	if err != nil {
+		return errors.Wrap(err, "write identity")
+	}
+	if err := writeSynced(path+".new", data); err != nil {
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return errors.Wrap(err, "rename identity")
+	}
+	return syncFolder(folder)
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "create identity")
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return step.Wrap(err, "write identity")
+}
+
+func syncFolder(folder string) error {
+	opened, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "open data folder")
+	}
+	err = opened.Sync()
+	if closeErr := opened.Close(); err == nil {
+		err = closeErr
+	}
+	return step.Wrap(err, "sync data folder")
+}
--- a/caroblined/process/peers/peers.go
+++ b/caroblined/process/peers/peers.go
@@ -30,7 +30,7 @@
 	// queuedMessages bounds what waits for one peer.
 	queuedMessages = 512
 	// sendTimeout bounds one delivery of messages.
-	sendTimeout = time.Second
+	sendTimeout = 500 * time.Millisecond
 )
 
 // ErrUnknownPeer reports a node that settings don't name.
@@ -41,7 +41,9 @@
 	Self id.Node
 	// Addresses are base URLs by node.
 	Addresses map[id.Node]string
-	Client    *rest.Client
+	// Resolve gives the base URL of a node that Addresses doesn't name.
+	Resolve func(id.Node) (string, bool)
+	Client  *rest.Client
 }
 
 // Proposal is a change on its way to the leader.
@@ -65,23 +67,15 @@
 type Peers struct {
 	config Config
 	queues map[id.Node]chan quorum.Message
+	ctx    context.Context //nolint:containedctx // the life of all deliveries
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 }
 
-// New starts a goroutine for each other node.
+// New returns a carrier that starts a goroutine for each node it sends to.
 func New(config Config) *Peers {
 	ctx, stop := context.WithCancel(context.Background())
-	peers := &Peers{config: config, queues: map[id.Node]chan quorum.Message{}, stop: stop}
-	for node := range config.Addresses {
-		if node == config.Self {
-			continue
-		}
-		queue := make(chan quorum.Message, queuedMessages)
-		peers.queues[node] = queue
-		peers.done.Go(func() { peers.deliver(ctx, node, queue) })
-	}
-	return peers
+	return &Peers{config: config, queues: map[id.Node]chan quorum.Message{}, ctx: ctx, stop: stop}
 }
 
 // Close stops all deliveries and waits for them.
@@ -90,10 +84,10 @@
 	peers.done.Wait()
 }
 
-// Send queues messages and never waits.
+// Send queues messages and never waits. One goroutine uses it at a time.
 func (peers *Peers) Send(messages []quorum.Message) {
 	for _, message := range messages {
-		queue := peers.queues[message.To]
+		queue := peers.queue(message.To)
 		if queue == nil {
 			continue
 		}
@@ -104,6 +98,30 @@
 	}
 }
 
+// queue finds or starts the deliveries to a node.
+func (peers *Peers) queue(node id.Node) chan quorum.Message {
+	if queue := peers.queues[node]; queue != nil {
+		return queue
+	}
+	if _, ok := peers.address(node); !ok || node == peers.config.Self {
+		return nil
+	}
+	queue := make(chan quorum.Message, queuedMessages)
+	peers.queues[node] = queue
+	peers.done.Go(func() { peers.deliver(peers.ctx, node, queue) })
+	return queue
+}
+
+func (peers *Peers) address(node id.Node) (string, bool) {
+	if address, ok := peers.config.Addresses[node]; ok {
+		return address, true
+	}
+	if peers.config.Resolve == nil {
+		return "", false
+	}
+	return peers.config.Resolve(node)
+}
+
 func (peers *Peers) deliver(ctx context.Context, node id.Node, queue chan quorum.Message) {
 	for {
 		select {
@@ -134,7 +152,7 @@
 }
 
 func (peers *Peers) post(ctx context.Context, node id.Node, path string, body, answer any) error {
-	address, ok := peers.config.Addresses[node]
+	address, ok := peers.address(node)
 	if !ok {
 		return errors.Wrapf(ErrUnknownPeer, "%s for %s", path, node)
 	}
@@ -163,7 +181,7 @@
 
 // Read asks a voter for what only the leader knows.
 func (peers *Peers) Read(ctx context.Context, node id.Node, path string, answer any) error {
-	address, ok := peers.config.Addresses[node]
+	address, ok := peers.address(node)
 	if !ok {
 		return errors.Wrapf(ErrUnknownPeer, "%s for %s", path, node)
 	}
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -51,7 +51,13 @@
 	// CompactEntries bounds the entries of the log before a snapshot replaces
 	// them.
 	CompactEntries int
-	Rand           *rand.Rand
+	// VotersWanted is how many nodes should vote; the leader fills the log up
+	// to it by itself. Zero leaves the voters to operators.
+	VotersWanted int
+	// Stall is how long a group goes on waiting for an engine that it has lost
+	// before it gives itself up.
+	Stall time.Duration
+	Rand  *rand.Rand
 }
 
 // Controller is the decider of one voter. It isn't safe for concurrent use.
@@ -279,6 +285,10 @@
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Leader: controller.Leader()})
 		return
 	}
+	if event.Command.Declare != nil && !controller.bearsLosses(now) {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Leader: controller.config.Self})
+		return
+	}
 	if event.Command.CreateStop != nil {
 		stop, problem := controller.planStop(now, *event.Command.CreateStop, event.AcceptLoss)
 		if problem != nil {
--- /dev/null
+++ b/core/process/controller/engines.go
@@ -0,0 +1,330 @@
+package controller
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/placer"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// joinPatience is how long the hosts of a group may take to become ready.
+	joinPatience = 45 * time.Second
+	// stallMargin is added to the time after which a group without one of its
+	// hosts has certainly given itself up.
+	stallMargin = 1500 * time.Millisecond
+	// loadWindow is the time over which starts of loads are counted.
+	loadWindow = time.Second
+	// weightScale turns parts of the work into whole weights.
+	weightScale = 1000
+)
+
+// governEngines sees to the groups of engines, which join, open, close and
+// leave by order. It tells whether it proposed a change.
+func (controller *Controller) governEngines(now time.Time, actions *Actions) bool {
+	declared := controller.register.Declared()
+	if declared == nil {
+		return false
+	}
+	proposed := controller.retireBroken(now, actions)
+	proposed = controller.emptyRetired(now, actions) || proposed
+	controller.driveGroups(now, actions)
+	if proposed {
+		return true
+	}
+	for index := range declared.Declaration.Services {
+		service := &declared.Declaration.Services[index]
+		if service.Engine != nil && controller.formEngines(now, actions, service) {
+			proposed = true
+		}
+	}
+	return proposed
+}
+
+// engineGroups lists the groups of engines in use, the oldest first.
+func (controller *Controller) engineGroups() []register.GroupRecord {
+	groups := slices.DeleteFunc(controller.register.Groups(), func(group register.GroupRecord) bool {
+		return group.Service == "" || group.Phase == register.PhaseRetired
+	})
+	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
+	return groups
+}
+
+// within tells whether a host says that it is in a group under its committed
+// fencing number.
+func within(host roster.Member, group register.GroupRecord) bool {
+	serving := host.Announcement.Serving
+	return serving.Group == group.Group && serving.Fencing == group.Fencing
+}
+
+// retireBroken retires each group that can't serve any more.
+func (controller *Controller) retireBroken(now time.Time, actions *Actions) bool {
+	proposed := false
+	for _, group := range controller.engineGroups() {
+		if !controller.mustRetire(now, group) {
+			continue
+		}
+		controller.proposeOwn(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+		proposed = true
+	}
+	return proposed
+}
+
+// mustRetire tells whether a host of a group is gone, leaving or no longer in
+// it, or the group never became ready.
+func (controller *Controller) mustRetire(now time.Time, group register.GroupRecord) bool {
+	head, _ := controller.hosts.Member(group.Hosts[0])
+	open := within(head, group) && head.Announcement.Serving.Open
+	for _, name := range group.Hosts {
+		host, ok := controller.hosts.Member(name)
+		if !ok || !host.Live(now) || (within(host, group) && host.Announcement.Serving.Broken) {
+			return true
+		}
+		if open && !within(host, group) {
+			return true
+		}
+	}
+	formed := controller.reign.formed[group.Group]
+	return !open && !formed.IsZero() && now.Sub(formed) > joinPatience
+}
+
+// emptyRetired orders the head of each retired group out of it, and frees the
+// hosts once the head certainly serves no more.
+func (controller *Controller) emptyRetired(now time.Time, actions *Actions) bool {
+	unfreed := controller.register.Unfreed()
+	proposed := false
+	for _, name := range sortedKeys(unfreed) {
+		record := unfreed[name]
+		if record.Left == nil {
+			continue
+		}
+		if !controller.released(now, actions, name, *record.Left) {
+			continue
+		}
+		delete(controller.reign.leftAt, name)
+		controller.proposeOwn(now, actions, register.Command{FreeHost: &register.FreeHost{Host: name, Base: record.Fencing}})
+		proposed = true
+	}
+	return proposed
+}
+
+// released tells whether a host of a retired group may join another one. No
+// engine may do so while the head of its group is open: the head must have left
+// itself, or, when it can't be reached, must have been without one of its hosts
+// for so long that it has given the group up.
+func (controller *Controller) released(now time.Time, actions *Actions, name id.Host, left register.GroupRecord) bool {
+	head, known := controller.hosts.Member(left.Hosts[0])
+	if known && now.Before(head.Expiry) {
+		if !within(head, left) {
+			return true
+		}
+		if name == left.Hosts[0] {
+			controller.orderOut(now, actions, head, left)
+		}
+		return false
+	}
+	host, ok := controller.hosts.Member(name)
+	if !ok || !now.Before(host.Expiry) {
+		return false
+	}
+	if within(host, left) {
+		controller.orderEngine(now, actions, host, left, OrderUnload)
+		return false
+	}
+	if controller.reign.leftAt[name].IsZero() {
+		controller.reign.leftAt[name] = now
+	}
+	return now.Sub(controller.reign.leftAt[name]) > controller.config.Stall+stallMargin
+}
+
+// orderOut lets a head that is whole finish its work before it leaves.
+func (controller *Controller) orderOut(now time.Time, actions *Actions, head roster.Member, left register.GroupRecord) {
+	whole := !slices.ContainsFunc(left.Hosts, func(name id.Host) bool {
+		host, ok := controller.hosts.Member(name)
+		return !ok || !now.Before(host.Expiry) || !within(host, left)
+	})
+	switch serving := head.Announcement.Serving; {
+	case whole && serving.Closing:
+	case whole && serving.Open && !serving.Broken:
+		controller.orderEngine(now, actions, head, left, OrderClose)
+	default:
+		controller.orderEngine(now, actions, head, left, OrderUnload)
+	}
+}
+
+// driveGroups orders the hosts of each group to join, and its head to open once
+// all are ready.
+func (controller *Controller) driveGroups(now time.Time, actions *Actions) {
+	groups := controller.engineGroups()
+	loading := controller.loading(groups)
+	for _, group := range groups {
+		head, ok := controller.hosts.Member(group.Hosts[0])
+		if !ok || (within(head, group) && head.Announcement.Serving.Open) {
+			continue
+		}
+		ready := true
+		for _, name := range group.Hosts {
+			host, known := controller.hosts.Member(name)
+			if !known {
+				ready = false
+				continue
+			}
+			joined := within(host, group)
+			ready = ready && joined && host.Announcement.Serving.Ready
+			if !joined && controller.mayJoin(now, host, group, &loading) {
+				controller.orderEngine(now, actions, host, group, OrderLoad)
+			}
+		}
+		if ready {
+			controller.orderEngine(now, actions, head, group, OrderOpen)
+		}
+	}
+}
+
+// loading counts the hosts that are loading weights.
+func (controller *Controller) loading(groups []register.GroupRecord) int {
+	loading := 0
+	for _, group := range groups {
+		for _, name := range group.Hosts {
+			host, ok := controller.hosts.Member(name)
+			if ok && within(host, group) && !host.Announcement.Serving.Ready && !slices.Contains(host.Announcement.Staged, group.Model) {
+				loading++
+			}
+		}
+	}
+	return loading
+}
+
+// mayJoin tells whether a host may be ordered to join now. One that holds the
+// weights may at any time; others wait for the weight store. Before any calls
+// come, the store takes all.
+func (controller *Controller) mayJoin(now time.Time, host roster.Member, group register.GroupRecord, loading *int) bool {
+	reign := controller.reign
+	if reign.formed[group.Group].IsZero() {
+		reign.formed[group.Group] = now
+	}
+	if reign.orderedLately(now, host.Announcement.Host, OrderLoad, group.Fencing) {
+		return false
+	}
+	if slices.Contains(host.Announcement.Staged, group.Model) || !reign.busy {
+		return true
+	}
+	engine := controller.engine(group.Service)
+	reign.loads = slices.DeleteFunc(reign.loads, func(at time.Time) bool { return now.Sub(at) >= loadWindow })
+	if engine == nil || *loading >= engine.LoadsAtOnce || float64(len(reign.loads)) >= engine.LoadsPerSecond {
+		return false
+	}
+	*loading++
+	reign.loads = append(reign.loads, now)
+	return true
+}
+
+func (controller *Controller) engine(service id.Service) *routing.Engine {
+	declared := controller.register.Declared()
+	if declared == nil {
+		return nil
+	}
+	found, ok := declared.Declaration.Service(service)
+	if !ok {
+		return nil
+	}
+	return found.Engine
+}
+
+// engineOrder is an order that was sent to an engine.
+type engineOrder struct {
+	kind    OrderKind
+	fencing id.Fencing
+	at      time.Time
+}
+
+// orderedLately tells whether an order was sent so lately that its effect may yet
+// show.
+func (reign *reign) orderedLately(now time.Time, host id.Host, kind OrderKind, fencing id.Fencing) bool {
+	last := reign.engineOrders[host]
+	return last.kind == kind && last.fencing == fencing && now.Before(last.at.Add(orderEvery))
+}
+
+// orderEngine sends an order to one host of a group, at most once a second.
+func (controller *Controller) orderEngine(now time.Time, actions *Actions, host roster.Member, group register.GroupRecord, kind OrderKind) {
+	name := host.Announcement.Host
+	if !now.Before(host.Expiry) || controller.reign.orderedLately(now, name, kind, group.Fencing) {
+		return
+	}
+	controller.reign.engineOrders[name] = engineOrder{kind: kind, fencing: group.Fencing, at: now}
+	actions.Orders = append(actions.Orders, Order{
+		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
+		Fencing: group.Fencing, Rank: slices.Index(group.Hosts, name), Members: group.Hosts,
+		Term: controller.reign.term,
+	})
+}
+
+// formEngines makes groups of the free engines of a service.
+func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
+	free := controller.freeEngines(now, service)
+	if len(free) == 0 {
+		return false
+	}
+	existing := map[id.Model]int{}
+	for _, group := range controller.engineGroups() {
+		if group.Service == service.Name {
+			existing[group.Model]++
+		}
+	}
+	plan := placer.Plan(free, engineSpecs(service.Engine), existing)
+	for place, assignment := range plan {
+		controller.proposeOwn(now, actions, register.Command{CommitGroup: &register.CommitGroup{
+			Group: controller.engineGroupName(place), Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
+		}})
+	}
+	return len(plan) > 0
+}
+
+// engineGroupName is new for each place in the log and each term.
+func (controller *Controller) engineGroupName(place int) id.Group {
+	status := controller.quorum.Status()
+	return id.Group(fmt.Sprintf("g%d-%d-%d", status.Term, status.Last, place))
+}
+
+// engineSpecs weighs models by the engines that their part of the work needs.
+func engineSpecs(engine *routing.Engine) []placer.Spec {
+	specs := make([]placer.Spec, len(engine.Models))
+	for index, model := range engine.Models {
+		hosts := max(1, model.Hosts)
+		weight := max(1, int(model.Share*weightScale)/hosts)
+		specs[index] = placer.Spec{Model: model.Name, Hosts: hosts, Weight: weight}
+	}
+	return specs
+}
+
+func (controller *Controller) freeEngines(now time.Time, service *routing.Service) []placer.Host {
+	models := make([]id.Model, len(service.Engine.Models))
+	for index, model := range service.Engine.Models {
+		models[index] = model.Name
+	}
+	unfreed := controller.register.Unfreed()
+	var free []placer.Host
+	for _, host := range controller.hosts.Members() {
+		announcement := host.Announcement
+		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) {
+			continue
+		}
+		if _, waits := unfreed[announcement.Host]; waits {
+			continue
+		}
+		if _, assigned := controller.register.GroupOf(announcement.Host); assigned {
+			continue
+		}
+		free = append(free, placer.Host{
+			Host: announcement.Host, DataCentre: announcement.DataCentre, Domain: announcement.Domain,
+			Accelerators: 1, Models: models,
+		})
+	}
+	return free
+}
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -76,6 +76,10 @@
 const (
 	OrderLoad   OrderKind = "load"
 	OrderUnload OrderKind = "unload"
+	// OrderOpen lets the head of a group whose hosts are all ready serve.
+	OrderOpen OrderKind = "open"
+	// OrderClose lets the head of a group finish its work and take no more.
+	OrderClose OrderKind = "close"
 )
 
 // Order tells a host which group it serves in. A host that checks fencing
@@ -91,6 +95,13 @@
 	Rank int `json:"rank"`
 	// Peers are the addresses of the group's hosts by rank.
 	Peers []string `json:"peers,omitempty"`
+	// Members are the group's hosts by rank, for engines.
+	Members []id.Host `json:"members,omitempty"`
+	// Expected is how many orders the engine had begun when this one was made;
+	// an engine refuses the order when it has begun others since.
+	Expected uint64 `json:"expected,omitempty"`
+	// Term is the reign in which an order to an engine was made.
+	Term id.Term `json:"term,omitempty"`
 	// LifetimeMS is how long after receipt the order may be carried out.
 	LifetimeMS int64 `json:"lifetime_ms"`
 }
--- a/core/process/controller/govern.go
+++ b/core/process/controller/govern.go
@@ -40,12 +40,15 @@
 		return
 	}
 	controller.sendOrders(now, actions)
-	if reign.ownIndex > controller.applied {
+	if controller.governVoters(now, actions) || reign.ownIndex > controller.applied {
 		return
 	}
 	if now.Before(reign.started.Add(settleTime)) {
 		return
 	}
+	if controller.governEngines(now, actions) {
+		return
+	}
 	if controller.sweepLedger(now, actions) || controller.freeHosts(now, actions) {
 		return
 	}
@@ -83,6 +86,9 @@
 	unfreed := controller.register.Unfreed()
 	for _, name := range sortedKeys(unfreed) {
 		record := unfreed[name]
+		if record.Left != nil {
+			continue
+		}
 		if len(controller.lagging(now, record.Version)) > 0 {
 			continue
 		}
@@ -107,7 +113,7 @@
 	groups := controller.register.Groups()
 	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
 	for _, group := range groups {
-		if group.Phase != register.PhaseServing || controller.ready(now, group) {
+		if group.Service != "" || group.Phase != register.PhaseServing || controller.ready(now, group) {
 			continue
 		}
 		if loading >= controller.config.GroupLoads && !controller.holdsOrders(group) {
@@ -118,6 +124,9 @@
 	}
 	unfreed := controller.register.Unfreed()
 	for _, name := range sortedKeys(unfreed) {
+		if unfreed[name].Left != nil {
+			continue
+		}
 		controller.order(now, actions, Order{Host: name, Kind: OrderUnload, Fencing: unfreed[name].Fencing})
 	}
 }
@@ -222,7 +231,7 @@
 func (controller *Controller) repairGroups(now time.Time, actions *Actions) bool {
 	var stuck []register.GroupRecord
 	for _, group := range controller.register.Groups() {
-		if group.Phase == register.PhaseRetired {
+		if group.Phase == register.PhaseRetired || group.Service != "" {
 			continue
 		}
 		missing := controller.missing(now, group)
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -37,6 +37,18 @@
 	ordered    map[id.Host]time.Time
 	brokenFrom map[id.Group]time.Time
 	stopSince  map[id.Stop]time.Time
+	// running sums the nodes' calls in progress by endpoint.
+	running map[feed.Endpoint]int
+	// formed is when a group's hosts were first ordered to join, and leftAt
+	// when a host was first seen outside the group that was retired.
+	formed map[id.Group]time.Time
+	leftAt map[id.Host]time.Time
+	// engineOrders are the last orders to each engine.
+	engineOrders map[id.Host]engineOrder
+	// loads are the latest starts of loads of weights.
+	loads []time.Time
+	// busy says that calls have been seen in this reign.
+	busy bool
 }
 
 // nodeState is one node's last report.
@@ -47,6 +59,9 @@
 	running     map[feed.Endpoint]int
 	calls       int
 	drained     bool
+	disk        bool
+	// heard is when the node last asked.
+	heard time.Time
 	// answered is when the node last got a response. A request is held back no
 	// longer than feed.Wait from then, so that a node that keeps asking out of
 	// turn has its lease renewed all the same.
@@ -75,7 +90,9 @@
 		term: term, started: now, grants: granter.New(now, leaseBound(feed.Lease)),
 		nodes: map[id.Node]*nodeState{}, polls: map[id.Node]poll{},
 		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
-		stopSince: map[id.Stop]time.Time{},
+		stopSince: map[id.Stop]time.Time{}, running: map[feed.Endpoint]int{},
+		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{},
+		engineOrders: map[id.Host]engineOrder{},
 	}
 	// A node that hasn't been heard in this reign may hold a lease of the last.
 	for _, node := range config.Nodes {
@@ -92,7 +109,7 @@
 func (controller *Controller) synced(now time.Time, actions *Actions, event Synced) {
 	request := event.Request
 	if !controller.Leads(now) {
-		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: &feed.Redirect{Leader: controller.Leader()}})
+		actions.Replies = append(actions.Replies, Reply{Ticket: event.Ticket, Redirect: controller.redirect()})
 		return
 	}
 	reign := controller.reign
@@ -107,7 +124,10 @@
 	}
 	took := controller.hear(now, request)
 	node.incarnation, node.number, node.version = request.Incarnation, request.Number, request.Version
+	reign.count(node.running, request.Running)
 	node.running, node.calls, node.drained = request.Running, request.Calls, request.Drained
+	node.disk, node.heard = request.Disk, now
+	reign.busy = reign.busy || request.Calls > 0
 	if held, ok := reign.polls[request.Node]; ok {
 		// The node has given the older request up for this one.
 		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
@@ -115,6 +135,34 @@
 	reign.polls[request.Node] = poll{ticket: event.Ticket, request: request, took: took, until: node.answered.Add(feed.Wait)}
 }
 
+// count puts a node's calls in progress in the place of those it had before.
+func (reign *reign) count(before, after map[feed.Endpoint]int) {
+	for endpoint, calls := range before {
+		reign.running[endpoint] -= calls
+		if reign.running[endpoint] <= 0 {
+			delete(reign.running, endpoint)
+		}
+	}
+	for endpoint, calls := range after {
+		reign.running[endpoint] += calls
+	}
+}
+
+// elsewhere is what all nodes but one have in progress.
+func (reign *reign) elsewhere(own map[feed.Endpoint]int) map[feed.Endpoint]int {
+	others := make(map[feed.Endpoint]int, len(reign.running))
+	for endpoint, calls := range reign.running {
+		if rest := calls - own[endpoint]; rest > 0 {
+			others[endpoint] = rest
+		}
+	}
+	return others
+}
+
+func (controller *Controller) redirect() *feed.Redirect {
+	return &feed.Redirect{Leader: controller.Leader(), Voters: controller.quorum.Status().Membership.Voters}
+}
+
 // hear takes the announcements that a node passes on, as old as they may be.
 func (controller *Controller) hear(now time.Time, request feed.Request) bool {
 	age, ok := controller.clock.Age(now, request.Echo)
@@ -171,8 +219,10 @@
 		Delta: controller.register.Since(request.Version),
 		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: relayed, Renewals: renewals,
 		Offer: offer, Share: controller.share(now, request),
+		Voters: controller.quorum.Status().Membership.Voters,
 	}
 	node := controller.reign.nodes[request.Node]
+	response.Elsewhere = controller.reign.elsewhere(node.running)
 	node.answered, node.leaseBound = now, now.Add(leaseBound(feed.Lease))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -50,6 +50,8 @@
 	Calls int `json:"calls"`
 	// Drained says that the node has stopped taking calls and has none left.
 	Drained bool `json:"drained,omitempty"`
+	// Disk says that the node could vote.
+	Disk bool `json:"disk,omitempty"`
 }
 
 // Endpoint is what a call runs on: a group, or a host of a plain service.
@@ -104,11 +106,17 @@
 	Offer    granter.Offer    `json:"offer"`
 	// Share is the node's part of the calls of all nodes.
 	Share float64 `json:"share"`
+	// Voters are the nodes that vote at present.
+	Voters []id.Node `json:"voters,omitempty"`
+	// Elsewhere counts the calls in progress by endpoint at all other nodes.
+	Elsewhere map[Endpoint]int `json:"elsewhere,omitempty"`
 }
 
 // Redirect names the leader, when it is known.
 type Redirect struct {
 	Leader id.Node `json:"leader"`
+	// Voters are the nodes that vote, as far as the answering one knows.
+	Voters []id.Node `json:"voters,omitempty"`
 	// Superseded says that the node's own later request took this one's place.
 	Superseded bool `json:"superseded,omitempty"`
 }
--- a/core/process/member/events.go
+++ b/core/process/member/events.go
@@ -8,8 +8,8 @@
 	"carobline.dev/core/process/roster"
 )
 
-// Event is one thing that happened to a node: Announced, Responded, Redirected,
-// Failed or Reported.
+// Event is one thing that happened to a node: Announced, Renewed, Departed,
+// Introduced, Responded, Redirected, Failed or Reported.
 type Event interface{ event() }
 
 // Announced is a host's announcement to this node, with the stamp it echoes.
@@ -18,6 +18,20 @@
 	Echo         clock.Stamp
 }
 
+// Renewed is the announcement of a host that echoes no stamp, so that its age
+// isn't known: its lease counts from the receipt.
+type Renewed struct{ Announcement roster.Announcement }
+
+// Departed says that a host's incarnation takes no more work. An incarnation
+// of zero means the one that is known.
+type Departed struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+}
+
+// Introduced names nodes that may know who leads.
+type Introduced struct{ Nodes []id.Node }
+
 // Responded is the leader's answer to one request.
 type Responded struct{ Response feed.Response }
 
@@ -39,6 +53,9 @@
 }
 
 func (Announced) event()  {}
+func (Renewed) event()    {}
+func (Departed) event()   {}
+func (Introduced) event() {}
 func (Responded) event()  {}
 func (Redirected) event() {}
 func (Failed) event()     {}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -32,7 +32,10 @@
 	if response.Offer.Serial != member.offer.Serial {
 		member.urgent = true
 	}
-	member.offer, member.share = response.Offer, response.Share
+	member.offer, member.share, member.elsewhere = response.Offer, response.Share, response.Elsewhere
+	if len(response.Voters) > 0 {
+		member.voters = response.Voters
+	}
 	lease := sentAt.Add(time.Duration(response.LeaseMS) * time.Millisecond)
 	if lease.After(member.leaseUntil) {
 		member.leaseUntil = lease
@@ -90,6 +93,7 @@
 		return
 	}
 	member.forget(event.Number)
+	member.introduced(event.Redirect.Voters)
 	if event.Redirect.Leader == "" || event.Redirect.Leader == member.leader {
 		member.rotate(now)
 		return
@@ -113,7 +117,10 @@
 func (member *Member) rotate(now time.Time) {
 	member.rotation++
 	member.failures = 0
-	member.leader = member.config.Voters[member.rotation%len(member.config.Voters)]
+	if len(member.voters) == 0 {
+		return
+	}
+	member.leader = member.voters[member.rotation%len(member.voters)]
 	member.notBefore = now.Add(retryPause)
 }
 
@@ -159,11 +166,11 @@
 
 // next sends a request when none is on its way, or when there is news.
 func (member *Member) next(now time.Time) *Send {
-	if now.Before(member.notBefore) || (len(member.sent) > 0 && !member.urgent) {
+	if len(member.voters) == 0 || now.Before(member.notBefore) || (len(member.sent) > 0 && !member.urgent) {
 		return nil
 	}
 	if member.leader == "" {
-		member.leader = member.config.Voters[member.rotation%len(member.config.Voters)]
+		member.leader = member.voters[member.rotation%len(member.voters)]
 	}
 	member.urgent = false
 	member.notBefore = now.Add(urgentPause)
@@ -177,6 +184,7 @@
 		Echo: member.stamp.Advance(now.Sub(member.stampAt)), Heard: heard,
 		Held:   granter.Offer{Serial: member.offer.Serial, Parts: member.held(now)},
 		Demand: member.report.Demand, Running: member.report.Running, Calls: member.report.Calls, Drained: member.report.Drained,
+		Disk: member.config.Disk,
 	}
 	return &Send{To: member.leader, Request: request}
 }
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -21,6 +21,7 @@
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
 )
 
 const (
@@ -45,8 +46,10 @@
 type Config struct {
 	Self        id.Node
 	Incarnation id.Incarnation
-	// Voters are the nodes that may lead.
+	// Voters are the nodes that may lead, as known at the start.
 	Voters []id.Node
+	// Disk says that the node could vote.
+	Disk bool
 }
 
 // Member is the decider of one node. It isn't safe for concurrent use.
@@ -55,7 +58,12 @@
 	clock  *clock.Clock
 	hosts  *roster.Roster
 
+	// voters are the nodes that may lead, by the latest word.
+	voters     []id.Node
 	version    id.Version
+	declared   *register.DeclarationRecord
+	table      *routing.Table
+	elsewhere  map[feed.Endpoint]int
 	contracts  map[id.Customer]register.ContractRecord
 	stops      map[id.Stop]register.StopRecord
 	groups     map[id.Group]register.GroupRecord
@@ -90,6 +98,7 @@
 func New(now time.Time, config Config, hosts *roster.Roster) *Member {
 	return &Member{
 		config:    config,
+		voters:    slices.Clone(config.Voters),
 		clock:     clock.New(now, config.Self, config.Incarnation),
 		hosts:     hosts,
 		contracts: map[id.Customer]register.ContractRecord{},
@@ -107,6 +116,12 @@
 	switch event := event.(type) {
 	case Announced:
 		actions = member.announced(now, event)
+	case Renewed:
+		member.hear(event.Announcement, member.hosts.Hear(now, event.Announcement, now.Add(event.Announcement.Lease())))
+	case Departed:
+		member.departed(now, event)
+	case Introduced:
+		member.introduced(event.Nodes)
 	case Responded:
 		member.responded(now, event.Response)
 	case Redirected:
@@ -167,16 +182,46 @@
 		return Actions{Welcome: welcome}
 	}
 	expiry := now.Add(event.Announcement.Lease() - age)
-	change := member.hosts.Hear(now, event.Announcement, expiry)
+	member.hear(event.Announcement, member.hosts.Hear(now, event.Announcement, expiry))
+	return Actions{Welcome: welcome}
+}
+
+// hear queues what is news for the leader.
+func (member *Member) hear(announcement roster.Announcement, change roster.Change) {
 	if change == roster.ChangeNone {
-		return Actions{Welcome: welcome}
+		return
 	}
-	member.pending[event.Announcement.Host] = event.Announcement
+	member.pending[announcement.Host] = announcement
 	member.urgent = member.urgent || change == roster.ChangeMaterial
 	member.dirty = true
-	return Actions{Welcome: welcome}
 }
 
+// departed marks a host as leaving; one that isn't known, or is known by a
+// later life, takes no work that this could stop.
+func (member *Member) departed(now time.Time, event Departed) {
+	known, ok := member.hosts.Member(event.Host)
+	if !ok || (event.Incarnation != 0 && event.Incarnation != known.Announcement.Incarnation) {
+		return
+	}
+	announcement := known.Announcement
+	announcement.Leaving = true
+	announcement.Sequence++
+	member.hear(announcement, member.hosts.Hear(now, announcement, now.Add(announcement.Lease())))
+}
+
+// introduced adds nodes that may know who leads, for a node that has lost
+// touch with all that it knew.
+func (member *Member) introduced(nodes []id.Node) {
+	for _, node := range nodes {
+		if !slices.Contains(member.voters, node) {
+			member.voters = append(member.voters, node)
+		}
+	}
+}
+
+// Voters are the nodes that may lead, by the latest word.
+func (member *Member) Voters() []id.Node { return slices.Clone(member.voters) }
+
 // takeDelta brings the state in force forward, never back. It is false for a
 // delta that doesn't join on to what the node holds.
 func (member *Member) takeDelta(delta register.Delta) bool {
@@ -206,6 +251,10 @@
 			member.groups[record.Group] = record
 		}
 	}
+	if delta.Declared != nil && (member.declared == nil || delta.Declared.Version > member.declared.Version) {
+		member.declared = delta.Declared
+		member.table = routing.NewTable(&delta.Declared.Declaration)
+	}
 	member.prune()
 	member.version = delta.To
 	member.urgent = true
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -18,6 +18,7 @@
 		Version:    member.version,
 		LeaseUntil: member.leaseUntil,
 		Share:      member.share,
+		Routing:    member.table,
 		Customers:  map[id.Customer]*view.Customer{},
 		Tokens:     map[[sha256.Size]byte]id.Customer{},
 		Models:     map[id.Model]*view.Set{},
@@ -30,7 +31,7 @@
 		member.drawGroup(now, drawn, group)
 	}
 	for _, host := range member.hosts.Members() {
-		drawService(now, drawn, host, stopping[host.Announcement.Host] == host.Announcement.Incarnation)
+		member.drawService(now, drawn, host, stopping[host.Announcement.Host] == host.Announcement.Incarnation)
 	}
 	gather(drawn)
 	member.drawStop(drawn)
@@ -88,6 +89,10 @@
 // serves in this group with the committed fencing number. A group with a host
 // that is leaving finishes its work and takes no more.
 func (member *Member) drawGroup(now time.Time, drawn *view.View, group register.GroupRecord) {
+	if group.Service != "" {
+		member.drawOpened(drawn, group)
+		return
+	}
 	endpoint := &view.Endpoint{
 		Name: feed.Endpoint{Group: group.Group}, Model: group.Model, Fencing: group.Fencing,
 		Accepting: group.Phase == register.PhaseServing,
@@ -113,21 +118,46 @@
 	drawn.Endpoints[endpoint.Name] = endpoint
 }
 
+// drawOpened adds a group of engines once its head says that it is open under
+// the committed fencing number; the head was told so only after all others were
+// ready. The head itself notices a host that it has lost, and control retires
+// the group, so that silence towards control alone takes nothing away.
+func (member *Member) drawOpened(drawn *view.View, group register.GroupRecord) {
+	head, ok := member.hosts.Member(group.Hosts[0])
+	serving := head.Announcement.Serving
+	if !ok || !serving.Open || serving.Broken || serving.Group != group.Group || serving.Fencing != group.Fencing {
+		return
+	}
+	endpoint := &view.Endpoint{
+		Name: feed.Endpoint{Group: group.Group}, Model: group.Model, Engines: group.Service, Fencing: group.Fencing,
+		Host: group.Hosts[0], Address: head.Announcement.Address, DataCentre: head.Announcement.DataCentre,
+		Load: head.Announcement.Load, Report: head.Announcement.Sequence,
+		Accepting: group.Phase == register.PhaseServing, ValidUntil: member.leaseUntil,
+	}
+	for _, name := range group.Hosts {
+		host, known := member.hosts.Member(name)
+		endpoint.Accepting = endpoint.Accepting && (!known || !host.Announcement.Leaving)
+	}
+	endpoint.Elsewhere = member.elsewhere[endpoint.Name]
+	drawn.Endpoints[endpoint.Name] = endpoint
+}
+
 func servesIn(announcement *roster.Announcement, group register.GroupRecord) bool {
 	serving := announcement.Serving
 	return serving.Ready && serving.Group == group.Group && serving.Fencing == group.Fencing
 }
 
-func drawService(now time.Time, drawn *view.View, host roster.Member, stopping bool) {
+func (member *Member) drawService(now time.Time, drawn *view.View, host roster.Member, stopping bool) {
 	announcement := host.Announcement
-	if announcement.Service == "" || !now.Before(host.Expiry) {
+	if announcement.Service == "" || announcement.Engine || !now.Before(host.Expiry) {
 		return
 	}
 	endpoint := &view.Endpoint{
-		Name: feed.Endpoint{Host: announcement.Host}, Service: announcement.Service, Address: announcement.Address,
+		Name: feed.Endpoint{Host: announcement.Host}, Service: announcement.Service, Address: announcement.Address, Host: announcement.Host,
 		DataCentre: announcement.DataCentre, Load: announcement.Load, Report: announcement.Sequence,
 		Accepting: !stopping && !announcement.Leaving, ValidUntil: host.Expiry,
 	}
+	endpoint.Elsewhere = member.elsewhere[endpoint.Name]
 	drawn.Endpoints[endpoint.Name] = endpoint
 }
 
--- a/core/process/quorum/quorum.go
+++ b/core/process/quorum/quorum.go
@@ -230,3 +230,21 @@
 
 // LogEntries counts the uncompacted entries.
 func (quorum *Quorum) LogEntries() int { return len(quorum.entries) }
+
+// Progress is what a leader knows of one other member.
+type Progress struct {
+	// Behind counts the entries that it isn't known to hold.
+	Behind id.Index
+	// Acked is when the last message was sent that it has answered.
+	Acked time.Time
+}
+
+// Progress tells how far a member has come; it is false on a voter that
+// doesn't lead and for a node that isn't a member.
+func (quorum *Quorum) Progress(node id.Node) (Progress, bool) {
+	follower, ok := quorum.followers[node]
+	if quorum.role != RoleLeader || !ok {
+		return Progress{}, false
+	}
+	return Progress{Behind: quorum.lastIndex() - follower.match, Acked: follower.acked}, true
+}
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/version/routing"
 )
 
 // Apply carries out one committed command.
@@ -56,6 +57,8 @@
 		return register.done(index, command, "voters_change", "voters", text(command.RecordVoters.From), text(command.RecordVoters.To))
 	case command.ExpireCalls != nil:
 		return register.expireCalls()
+	case command.Declare != nil:
+		return register.declare(index, command, &command.Declare.Declaration)
 	default:
 		return refused("unknown command")
 	}
@@ -100,6 +103,26 @@
 	return result
 }
 
+// declare takes a declaration of a higher revision. One that isn't higher is
+// answered as unchanged, so that a resend and an overtaken change both end.
+func (register *Register) declare(index id.Index, command Command, fresh *routing.Declaration) Result {
+	if err := fresh.Validate(); err != nil {
+		return refused("%v", err)
+	}
+	old := register.state.Declared
+	if old != nil && fresh.Revision <= old.Declaration.Revision {
+		return Result{Verdict: VerdictUnchanged, Revision: old.Declaration.Revision, Version: old.Version}
+	}
+	from := ""
+	if old != nil {
+		from = text(old.Declaration.Revision)
+	}
+	register.state.Declared = &DeclarationRecord{Declaration: *fresh, Version: id.Version(index)}
+	result := register.done(index, command, "declare", "routes", from, text(fresh.Revision))
+	result.Revision = fresh.Revision
+	return result
+}
+
 // tokenOwner finds another customer that holds one of the same tokens.
 func (register *Register) tokenOwner(apply ApplyContract) (id.Customer, bool) {
 	// In order, since the answer is part of the state.
--- a/core/process/register/command.go
+++ b/core/process/register/command.go
@@ -5,6 +5,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/version/contract"
+	"carobline.dev/core/version/routing"
 )
 
 // Command is one change to the state. It holds one of the pointers.
@@ -34,13 +35,21 @@
 	LoseOwner      *LoseOwner      `json:"lose_owner,omitempty"`
 	ExpireCalls    *ExpireCalls    `json:"expire_calls,omitempty"`
 	RecordVoters   *RecordVoters   `json:"record_voters,omitempty"`
+	Declare        *Declare        `json:"declare,omitempty"`
+}
+
+// Declare puts a declaration in force when its revision is higher than that of
+// the one in force; else it changes nothing.
+type Declare struct {
+	Declaration routing.Declaration `json:"declaration"`
 }
 
 // RecordVoters notes a change of voters in the audit trail; the log itself keeps
 // who votes.
 type RecordVoters struct {
-	From []id.Node `json:"from"`
-	To   []id.Node `json:"to"`
+	From   []id.Node `json:"from"`
+	To     []id.Node `json:"to"`
+	Reason string    `json:"reason,omitempty"`
 }
 
 // ApplyContract creates or changes a contract. Base is the revision that the
@@ -90,6 +99,8 @@
 	Group id.Group  `json:"group"`
 	Model id.Model  `json:"model"`
 	Hosts []id.Host `json:"hosts"`
+	// Service is set when the hosts are opened and closed by order.
+	Service id.Service `json:"service,omitempty"`
 }
 
 // RepairGroup gives a group a new set of hosts and a new fencing number. Base
--- a/core/process/register/groups.go
+++ b/core/process/register/groups.go
@@ -35,7 +35,7 @@
 	register.state.Fencing++
 	group := &GroupRecord{
 		Group: commit.Group, Model: commit.Model, Hosts: commit.Hosts,
-		Fencing: register.state.Fencing, Phase: PhaseServing, Version: id.Version(index),
+		Fencing: register.state.Fencing, Phase: PhaseServing, Version: id.Version(index), Service: commit.Service,
 	}
 	register.setGroup(group)
 	return register.done(index, command, "group_commit", string(commit.Group), "", text(group))
@@ -58,6 +58,9 @@
 	if old == nil {
 		return problem
 	}
+	if old.Service != "" {
+		return refused("group %s is opened by order: retire it and form another", repair.Group)
+	}
 	if len(repair.Hosts) != len(old.Hosts) {
 		return refused("group %s spans %d hosts", repair.Group, len(old.Hosts))
 	}
@@ -99,7 +102,11 @@
 	}
 	register.state.Fencing++
 	for _, host := range old.Hosts {
-		register.state.Hosts[host] = HostRecord{Fencing: register.state.Fencing, Version: id.Version(index)}
+		record := HostRecord{Fencing: register.state.Fencing, Version: id.Version(index)}
+		if old.Service != "" {
+			record.Left = old
+		}
+		register.state.Hosts[host] = record
 	}
 	fresh := *old
 	fresh.Phase, fresh.Version = PhaseRetired, id.Version(index)
--- a/core/process/register/records.go
+++ b/core/process/register/records.go
@@ -5,6 +5,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/version/contract"
+	"carobline.dev/core/version/routing"
 )
 
 // ContractRecord is a contract with its history's last point.
@@ -15,6 +16,19 @@
 	Version  id.Version        `json:"version"`
 }
 
+// DeclarationRecord is the declaration in force.
+type DeclarationRecord struct {
+	Declaration routing.Declaration `json:"declaration"`
+	Version     id.Version          `json:"version"`
+}
+
+// withoutSource is the record as nodes get it, which read no source.
+func (record *DeclarationRecord) withoutSource() *DeclarationRecord {
+	plain := *record
+	plain.Declaration.Source = nil
+	return &plain
+}
+
 // StopRecord is a planned stop. A finished stop keeps its hosts out of groups
 // until they announce themselves with a new incarnation.
 type StopRecord struct {
@@ -44,6 +58,8 @@
 	Fencing id.Fencing `json:"fencing"`
 	Phase   Phase      `json:"phase"`
 	Version id.Version `json:"version"`
+	// Service is set on groups of engines that are opened and closed by order.
+	Service id.Service `json:"service,omitempty"`
 }
 
 // HostRecord is a host that left a group and isn't freed yet. Fencing is newer
@@ -52,6 +68,9 @@
 	Fencing id.Fencing `json:"fencing"`
 	// Version is that of the change that took it out.
 	Version id.Version `json:"version"`
+	// Left is the group that the host was in, for hosts that are opened and
+	// closed by order.
+	Left *GroupRecord `json:"left,omitempty"`
 }
 
 // CallState is what is known of a non-idempotent call.
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -51,6 +51,7 @@
 	Attempts  recent                          `json:"attempts"`
 	Audit     []AuditEntry                    `json:"audit"`
 	Clock     stateClock                      `json:"clock"`
+	Declared  *DeclarationRecord              `json:"declared,omitempty"`
 }
 
 // stateClock measures time by the log alone. The clocks of two leaders may be
@@ -158,6 +159,9 @@
 	return *record, true
 }
 
+// Declared is the declaration in force; it is nil before the first one.
+func (register *Register) Declared() *DeclarationRecord { return register.state.Declared }
+
 // Stops lists planned stops by name.
 func (register *Register) Stops() []StopRecord { return values(register.state.Stops) }
 
@@ -238,6 +242,8 @@
 	Contracts []ContractRecord `json:"contracts,omitempty"`
 	Stops     []StopRecord     `json:"stops,omitempty"`
 	Groups    []GroupRecord    `json:"groups,omitempty"`
+	// Declared comes when the declaration has changed.
+	Declared *DeclarationRecord `json:"declared,omitempty"`
 }
 
 // Since gives what changed after a version, in one piece however much it is.
@@ -249,6 +255,9 @@
 	delta.Contracts = changedSince(register.state.Contracts, func(record *ContractRecord) bool { return record.Version > version })
 	delta.Stops = changedSince(register.state.Stops, func(record *StopRecord) bool { return record.Version > version })
 	delta.Groups = changedSince(register.state.Groups, func(record *GroupRecord) bool { return record.Version > version })
+	if declared := register.state.Declared; declared != nil && declared.Version > version {
+		delta.Declared = declared.withoutSource()
+	}
 	return delta
 }
 
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -21,6 +21,13 @@
 	Models       []id.Model `json:"models,omitempty"`
 	// Service is set by a plain service and excludes Models.
 	Service id.Service `json:"service,omitempty"`
+	// Engine is set by a host whose groups are opened and closed by order. It
+	// names its service, which declares the models.
+	Engine bool `json:"engine,omitempty"`
+	// Staged are the models whose weights lie on an engine's host.
+	Staged []id.Model `json:"staged,omitempty"`
+	// Orders counts the orders that an engine has begun.
+	Orders uint64 `json:"orders,omitempty"`
 	// ChecksFencing says whether the host refuses orders with old numbers.
 	ChecksFencing bool `json:"checks_fencing"`
 	// Resumes says whether a stream can start after its first tokens.
@@ -50,6 +57,12 @@
 	Fencing id.Fencing `json:"fencing"`
 	// Ready says that the weights are loaded.
 	Ready bool `json:"ready"`
+	// Open says of a group's head that it takes requests or finishes some.
+	Open bool `json:"open,omitempty"`
+	// Closing says that it finishes its work and takes no more.
+	Closing bool `json:"closing,omitempty"`
+	// Broken says that the engine has given the group up itself.
+	Broken bool `json:"broken,omitempty"`
 }
 
 // Lease is how long the announcement holds from when it was sent.
--- /dev/null
+++ b/core/request/balancer/balancer.go
@@ -0,0 +1,395 @@
+// Package balancer decides for one entry host where a routed call goes, whether
+// it waits, and when it is refused. It knows the calls in progress of its own,
+// the latest count of those of other entry hosts, and which endpoints have
+// failed lately.
+//
+// Calls for one pool of endpoints wait in order of priority and then of when
+// their answer is due. A call is refused at once when those before it would
+// keep it past the point at which its answer can be on time.
+//
+// # Usage
+//
+//	answer := pools.Submit(now, call)
+//	switch answer.Verdict {
+//	case balancer.VerdictGo:     // send to answer.Endpoint, then Done
+//	case balancer.VerdictWait:   // until a later answer names the call
+//	case balancer.VerdictRefuse: // not run; come back after answer.RetryAfter
+//	}
+//	for _, answer := range pools.Done(now, call, balancer.Served) { ... }
+package balancer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/version/view"
+)
+
+const (
+	// suspicion is how long an endpoint is passed over after a failure; it
+	// doubles with each failure in a row.
+	suspicion = 500 * time.Millisecond
+	// mostSuspicion bounds it.
+	mostSuspicion = 4 * time.Second
+	// fullPause is how long an endpoint is passed over that said it is full.
+	fullPause = 100 * time.Millisecond
+	// rateWindow is the time over which departures are averaged.
+	rateWindow = 2 * time.Second
+	// leastWaiting is how many calls may wait before any rate is known.
+	leastWaiting = 2
+	// leastRetryAfter is the least time that a refusal gives.
+	leastRetryAfter = 200 * time.Millisecond
+	// mostRetryAfter bounds what a refusal gives.
+	mostRetryAfter = 2 * time.Second
+	// waitPart is the part of the time to its target that a call may wait.
+	waitPart = 0.6
+)
+
+// Pool names the endpoints that may serve a call: those of a plain service, or
+// the groups of one model of a service of engines.
+type Pool struct {
+	Service id.Service
+	Model   id.Model
+}
+
+// Number tells one call in progress from another.
+type Number uint64
+
+// Call is one call that wants an endpoint.
+type Call struct {
+	Number Number
+	Pool   Pool
+	// Priority ranks the call; 0 is the first.
+	Priority int
+	// Due is when its answer, or the first event of it, should be there.
+	Due time.Time
+	// Arrived is when the caller's request came.
+	Arrived time.Time
+	// Tried are endpoints that it isn't sent to again.
+	Tried []feed.Endpoint
+}
+
+// Verdict says what becomes of a call.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictGo     Verdict = "go"
+	VerdictWait   Verdict = "wait"
+	VerdictRefuse Verdict = "refuse"
+)
+
+// Reason says why a call was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoEndpoint Reason = "no_endpoint"
+	ReasonNoRoom     Reason = "no_room"
+)
+
+// Answer is what becomes of one call.
+type Answer struct {
+	Call       Number
+	Verdict    Verdict
+	Endpoint   *view.Endpoint
+	Reason     Reason
+	RetryAfter time.Duration
+	// Running and Limit are what was known of the endpoint, or of the whole
+	// pool for a call that waits or is refused.
+	Running, Limit int
+	// Waiting is how many calls waited before it.
+	Waiting int
+}
+
+// Ending says how a call's time at an endpoint ended.
+type Ending string
+
+// The endings.
+const (
+	// Served calls got an answer of the endpoint.
+	Served Ending = "served"
+	// Full endpoints refused the call for want of room.
+	Full Ending = "full"
+	// Failed endpoints broke off, couldn't be reached or went silent.
+	Failed Ending = "failed"
+	// Abandoned calls say nothing of the endpoint.
+	Abandoned Ending = "abandoned"
+)
+
+// place is what is known of one endpoint.
+type place struct {
+	running  int
+	failures int
+	avoid    time.Time
+}
+
+// pool is the calls that wait and the rate at which calls leave.
+type pool struct {
+	waiting   []Call
+	departed  float64
+	updatedAt time.Time
+}
+
+// Balancer holds the pools of one entry host. It isn't safe for concurrent use.
+type Balancer struct {
+	view   *view.View
+	rand   *rand.Rand
+	places map[feed.Endpoint]*place
+	pools  map[Pool]*pool
+}
+
+// New returns a balancer that knows no endpoints.
+func New(source *rand.Rand) *Balancer {
+	return &Balancer{view: view.Empty(), rand: source, places: map[feed.Endpoint]*place{}, pools: map[Pool]*pool{}}
+}
+
+// Update takes a new view and tells which waiting calls may go now.
+func (balancer *Balancer) Update(now time.Time, current *view.View) []Answer {
+	balancer.view = current
+	for name, place := range balancer.places {
+		if place.running == 0 && current.Endpoints[name] == nil && !now.Before(place.avoid) {
+			delete(balancer.places, name)
+		}
+	}
+	return balancer.release(now)
+}
+
+// Submit takes a new call.
+func (balancer *Balancer) Submit(now time.Time, call Call) Answer {
+	pool := balancer.pool(call.Pool)
+	endpoints := balancer.endpoints(call.Pool)
+	if len(endpoints) == 0 {
+		return Answer{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: mostRetryAfter / 2}
+	}
+	ahead := balancer.ahead(pool, call)
+	if ahead == 0 {
+		if answer, ok := balancer.assign(now, call, endpoints); ok {
+			return answer
+		}
+	}
+	running, limit := balancer.load(endpoints)
+	rate := pool.rate(now)
+	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
+	patience := balancer.patience(now, call)
+	if wait > patience && ahead >= leastWaiting {
+		return Answer{
+			Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoRoom, Running: running, Limit: limit, Waiting: ahead,
+			RetryAfter: min(mostRetryAfter, max(leastRetryAfter, wait)),
+		}
+	}
+	pool.waiting = append(pool.waiting, call)
+	slices.SortStableFunc(pool.waiting, before)
+	return Answer{Call: call.Number, Verdict: VerdictWait, Running: running, Limit: limit, Waiting: ahead}
+}
+
+// Patience is how long a call may wait from now.
+func (balancer *Balancer) patience(now time.Time, call Call) time.Duration {
+	return time.Duration(float64(call.Due.Sub(call.Arrived))*waitPart) - now.Sub(call.Arrived)
+}
+
+// WaitsUntil is when a call that still waits should be given up.
+func WaitsUntil(call Call) time.Time {
+	return call.Arrived.Add(time.Duration(float64(call.Due.Sub(call.Arrived)) * waitPart))
+}
+
+// Cancel takes a waiting call out; it is false when the call waits no more.
+func (balancer *Balancer) Cancel(now time.Time, call Call) (Answer, bool) {
+	pool := balancer.pool(call.Pool)
+	index := slices.IndexFunc(pool.waiting, func(other Call) bool { return other.Number == call.Number })
+	if index < 0 {
+		return Answer{}, false
+	}
+	pool.waiting = slices.Delete(pool.waiting, index, index+1)
+	running, limit := balancer.load(balancer.endpoints(call.Pool))
+	wait := time.Duration(float64(len(pool.waiting)+1) / max(pool.rate(now), 1) * float64(time.Second))
+	return Answer{
+		Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoRoom, Running: running, Limit: limit, Waiting: index,
+		RetryAfter: min(mostRetryAfter, max(leastRetryAfter, wait)),
+	}, true
+}
+
+// Done ends a call's time at an endpoint and tells which waiting calls may go.
+func (balancer *Balancer) Done(now time.Time, call Call, endpoint feed.Endpoint, ending Ending) []Answer {
+	place := balancer.place(endpoint)
+	place.running = max(0, place.running-1)
+	balancer.judge(now, place, ending)
+	balancer.pool(call.Pool).depart(now)
+	return balancer.release(now)
+}
+
+func (balancer *Balancer) judge(now time.Time, place *place, ending Ending) {
+	switch ending {
+	case Served:
+		place.failures = 0
+	case Full:
+		place.avoid = now.Add(fullPause)
+	case Failed:
+		place.avoid = now.Add(min(mostSuspicion, suspicion<<min(place.failures, 4)))
+		place.failures++
+	case Abandoned:
+	}
+}
+
+// Running counts this entry host's calls in progress by endpoint.
+func (balancer *Balancer) Running() map[feed.Endpoint]int {
+	running := map[feed.Endpoint]int{}
+	for name, place := range balancer.places {
+		if place.running > 0 {
+			running[name] = place.running
+		}
+	}
+	return running
+}
+
+// release lets as many waiting calls go as there is room for.
+func (balancer *Balancer) release(now time.Time) []Answer {
+	var answers []Answer
+	for name, pool := range balancer.pools {
+		if len(pool.waiting) == 0 {
+			continue
+		}
+		endpoints := balancer.endpoints(name)
+		for len(pool.waiting) > 0 {
+			answer, ok := balancer.assign(now, pool.waiting[0], endpoints)
+			if !ok {
+				break
+			}
+			answers = append(answers, answer)
+			pool.waiting = pool.waiting[1:]
+		}
+	}
+	return answers
+}
+
+// assign picks the endpoint with the least part of its places taken.
+func (balancer *Balancer) assign(now time.Time, call Call, endpoints []*view.Endpoint) (Answer, bool) {
+	var best *view.Endpoint
+	least := 1.0
+	suspect := balancer.allSuspect(now, call, endpoints)
+	for _, offset := range balancer.rand.Perm(len(endpoints)) {
+		endpoint := endpoints[offset]
+		place := balancer.places[endpoint.Name]
+		if slices.Contains(call.Tried, endpoint.Name) || (!suspect && place != nil && now.Before(place.avoid)) {
+			continue
+		}
+		if part := balancer.part(endpoint); part < least {
+			best, least = endpoint, part
+		}
+	}
+	if best == nil {
+		return Answer{}, false
+	}
+	running, limit := balancer.occupied(best), limitOf(best)
+	balancer.place(best.Name).running++
+	return Answer{Call: call.Number, Verdict: VerdictGo, Endpoint: best, Running: running, Limit: limit}, true
+}
+
+// allSuspect tells whether every endpoint has failed lately, in which case they
+// are used all the same: more likely the path is at fault.
+func (balancer *Balancer) allSuspect(now time.Time, call Call, endpoints []*view.Endpoint) bool {
+	return !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool {
+		place := balancer.places[endpoint.Name]
+		return !slices.Contains(call.Tried, endpoint.Name) && (place == nil || !now.Before(place.avoid))
+	})
+}
+
+func (balancer *Balancer) occupied(endpoint *view.Endpoint) int {
+	running := endpoint.Elsewhere
+	if place := balancer.places[endpoint.Name]; place != nil {
+		running += place.running
+	}
+	return running
+}
+
+func limitOf(endpoint *view.Endpoint) int { return max(1, endpoint.Load.Slots) }
+
+func (balancer *Balancer) part(endpoint *view.Endpoint) float64 {
+	return float64(balancer.occupied(endpoint)) / float64(limitOf(endpoint))
+}
+
+func (balancer *Balancer) load(endpoints []*view.Endpoint) (running, limit int) {
+	for _, endpoint := range endpoints {
+		running += balancer.occupied(endpoint)
+		limit += limitOf(endpoint)
+	}
+	return running, limit
+}
+
+// endpoints lists what may serve a pool.
+func (balancer *Balancer) endpoints(name Pool) []*view.Endpoint {
+	if name.Model == "" {
+		if set := balancer.view.Services[name.Service]; set != nil {
+			return set.Endpoints
+		}
+		return nil
+	}
+	set := balancer.view.Models[name.Model]
+	if set == nil {
+		return nil
+	}
+	if slices.ContainsFunc(set.Endpoints, func(endpoint *view.Endpoint) bool { return endpoint.Engines != name.Service }) {
+		return slices.DeleteFunc(slices.Clone(set.Endpoints), func(endpoint *view.Endpoint) bool { return endpoint.Engines != name.Service })
+	}
+	return set.Endpoints
+}
+
+// ahead counts the waiting calls that go before a new one.
+func (balancer *Balancer) ahead(pool *pool, call Call) int {
+	count := 0
+	for _, other := range pool.waiting {
+		if before(other, call) <= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// before orders waiting calls.
+func before(a, b Call) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Due.Compare(b.Due))
+}
+
+func (balancer *Balancer) place(name feed.Endpoint) *place {
+	known := balancer.places[name]
+	if known == nil {
+		known = &place{}
+		balancer.places[name] = known
+	}
+	return known
+}
+
+func (balancer *Balancer) pool(name Pool) *pool {
+	known := balancer.pools[name]
+	if known == nil {
+		known = &pool{}
+		balancer.pools[name] = known
+	}
+	return known
+}
+
+// depart counts a call that left, in a sum that fades over the window.
+func (pool *pool) depart(now time.Time) {
+	pool.fade(now)
+	pool.departed++
+}
+
+func (pool *pool) fade(now time.Time) {
+	elapsed := now.Sub(pool.updatedAt)
+	pool.updatedAt = now
+	if elapsed >= rateWindow {
+		pool.departed = 0
+		return
+	}
+	pool.departed *= 1 - float64(elapsed)/float64(rateWindow)
+}
+
+// rate is how many calls leave in a second.
+func (pool *pool) rate(now time.Time) float64 {
+	pool.fade(now)
+	return pool.departed / rateWindow.Seconds()
+}
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -23,13 +23,18 @@
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/contract"
+	"carobline.dev/core/version/routing"
 )
 
 // Endpoint is a group or a host of a plain service that may take work.
 type Endpoint struct {
-	Name       feed.Endpoint
-	Model      id.Model
-	Service    id.Service
+	Name    feed.Endpoint
+	Model   id.Model
+	Service id.Service
+	// Engines is the service of a group that is opened and closed by order.
+	Engines id.Service
+	// Host is what answers at Address: the group's head, or the host itself.
+	Host       id.Host
 	Address    string
 	DataCentre id.DataCentre
 	Fencing    id.Fencing
@@ -43,6 +48,9 @@
 	Accepting bool
 	// ValidUntil is when the first lease of its hosts runs out.
 	ValidUntil time.Time
+	// Elsewhere counts the calls that other nodes had in progress there when
+	// they last reported.
+	Elsewhere int
 }
 
 // Set is the endpoints that serve one model or service, by name. Sets with
@@ -92,6 +100,8 @@
 	Finished bool
 	// Share is this node's part of the demand of all nodes.
 	Share float64
+	// Routing is the declaration in force; it is nil before the first one.
+	Routing *routing.Table
 
 	Customers map[id.Customer]*Customer
 	Tokens    map[[sha256.Size]byte]id.Customer
