engines: silence towards control retires no open group; entry hosts say what stands still

Now a group that serves is retired only for what its engines say or for calls that stand still at an entry host beside a host that isn't heard; hosts with staged weights form groups of that model first; only hosts heard lately are used.

Ruled out: load on control (2.7% of a core) as the cause of the collapse.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -43,8 +43,8 @@
 	noStateRetry = 500 * time.Millisecond
 	// retryPart is the part of calls that may be sent a second time, and
 	// retrySavings what one entry host may save up.
-	retryPart    = 0.1
-	retrySavings = 8
+	retryPart    = 0.15
+	retrySavings = 12
 )
 
 // Config is fixed for the life of a process.
@@ -95,6 +95,37 @@
 	return api.balancer.Running()
 }
 
+// Standing lists the endpoints whose calls stand still.
+func (api *API) Standing() []feed.Endpoint {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	return api.balancer.Standing(api.config.Now())
+}
+
+// progress notes an event of a stream.
+func (api *API) progress(now time.Time, endpoint feed.Endpoint, first bool) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	if first {
+		api.balancer.Began(now, endpoint)
+		return
+	}
+	api.balancer.Event(now, endpoint)
+}
+
+// quiet is how long no stream of an endpoint has had an event.
+func (api *API) quiet(now time.Time, endpoint feed.Endpoint) time.Duration {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	return api.balancer.Quiet(now, endpoint)
+}
+
+func (api *API) streamEnded(endpoint feed.Endpoint) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	api.balancer.Ended(endpoint)
+}
+
 // Update takes a new view.
 func (api *API) Update(current *view.View) {
 	api.mutex.Lock()
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -19,10 +19,12 @@
 	readBytes = 4 << 10
 	// eventBytes bounds one event.
 	eventBytes = 256 << 10
-	// silentPauses is how many of the route's longest pauses a stream may be
-	// silent before it goes on elsewhere.
-	silentPauses = 4
-	// leastSilence bounds that time from below.
+	// silentPauses is how many of the route's longest pauses an endpoint may
+	// be silent before its streams go on elsewhere, and alonePauses how many a
+	// stream may be while the endpoint's others go on.
+	silentPauses = 2
+	alonePauses  = 5
+	// leastSilence bounds the time to the first event from below.
 	leastSilence = 800 * time.Millisecond
 	// firstSilence is how many times the target an endpoint may take to begin.
 	firstSilence = 3
@@ -41,7 +43,12 @@
 
 // silenceWithin is how long a stream may pause before it goes on elsewhere.
 func silenceWithin(call *call) time.Duration {
-	return max(leastSilence, time.Duration(silentPauses*call.route.PauseMS)*time.Millisecond)
+	return max(leastSilence/2, time.Duration(silentPauses*call.route.PauseMS)*time.Millisecond)
+}
+
+// silenceAlone is the same while other streams of the endpoint go on.
+func silenceAlone(call *call) time.Duration {
+	return max(leastSilence, time.Duration(alonePauses*call.route.PauseMS)*time.Millisecond)
 }
 
 // progress is how far the caller has got a stream.
@@ -64,7 +71,7 @@
 	var progress progress
 	exchange := first
 	for {
-		err := api.passOn(call, writer, &progress, exchange, first.response.Header)
+		err := api.passOn(call, try, writer, &progress, exchange, first.response.Header)
 		exchange.cancel()
 		_ = exchange.response.Body.Close()
 		out := result{
@@ -76,6 +83,9 @@
 			return out
 		}
 		ending := balancer.Failed
+		if errors.Is(err, errSilent) {
+			ending = balancer.Stalled
+		}
 		if ctx.Err() != nil || errors.Is(err, errWrite) {
 			ending = balancer.Abandoned
 		}
@@ -115,9 +125,9 @@
 
 // passOn copies whole events to the caller until the stream ends. It returns
 // nil only for a stream that ended as its endpoint meant it to.
-func (api *API) passOn(call *call, writer http.ResponseWriter, progress *progress, exchange *exchange, header http.Header) error {
-	watchdog := newWatchdog(silenceBefore(call), exchange.cancel)
-	defer watchdog.stop()
+func (api *API) passOn(call *call, try *attempt, writer http.ResponseWriter, progress *progress, exchange *exchange, header http.Header) error {
+	pace := newPace(api, call, try, exchange.cancel)
+	defer pace.stop()
 	controller := http.NewResponseController(writer)
 	buffer := make([]byte, 0, readBytes)
 	for {
@@ -130,7 +140,7 @@
 			whole = len(buffer)
 		}
 		if whole > 0 {
-			watchdog.reset(silenceWithin(call))
+			pace.event()
 			if writeErr := progress.write(writer, controller, header, buffer[:whole]); writeErr != nil {
 				return writeErr
 			}
@@ -140,7 +150,7 @@
 		case ended:
 			progress.begin(writer, header)
 			return nil
-		case err != nil && watchdog.fired():
+		case err != nil && pace.lost():
 			return errSilent
 		case err != nil:
 			return errors.Wrap(err, "read stream")
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -260,6 +261,7 @@
 		return
 	}
 	control.config.Peers.Send(actions.Messages)
+	control.note(actions.Notes)
 	for _, reply := range actions.Replies {
 		control.answer(reply.Ticket, reply)
 	}
@@ -274,6 +276,21 @@
 	}
 }
 
+// note writes what the leader has decided by itself.
+func (control *Control) note(notes []controller.Note) {
+	for index := range notes {
+		note := &notes[index]
+		event := control.config.Log.Info().Str("step", note.Step).Str("group", string(note.Group)).Str("reason", note.Reason).Int64("age_ms", note.Age.Milliseconds())
+		if note.Host != "" {
+			event = event.Str("host", string(note.Host))
+		}
+		if note.Model != "" {
+			event = event.Str("model", string(note.Model)).Interface("hosts", note.Hosts)
+		}
+		event.Send()
+	}
+}
+
 func (control *Control) sendOrder(order controller.Order) {
 	if !control.stillLeads() {
 		return
@@ -281,10 +298,19 @@
 	ctx, cancel := context.WithTimeout(control.ctx, feedTimeout)
 	defer cancel()
 	if err := control.config.Order(ctx, order); err != nil {
+		if unreachable(err) {
+			control.post(func(now time.Time) { control.step(now, controller.Undelivered{Host: order.Host}) })
+		}
 		control.config.Log.Warn().Err(err).Str("step", "order").Str("host", string(order.Host)).Uint64("fencing", uint64(order.Fencing)).Msg("the order was not taken; it is repeated")
 	}
 }
 
+// unreachable tells whether no connection could be opened.
+func unreachable(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // wait registers who gets the answer under a new ticket.
 func (control *Control) wait(answer func(any)) controller.Ticket {
 	control.next++
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -56,7 +56,7 @@
 	// until the balancer has noticed that it isn't ready.
 	drainLeast = 3500 * time.Millisecond
 	// drainReserve is what is left of the grace period when it stops waiting.
-	drainReserve = 600 * time.Millisecond
+	drainReserve = 700 * time.Millisecond
 	// seedsEvery is how often seeds are read anew.
 	seedsEvery = time.Second
 	// closeTimeout bounds the end of the listeners.
@@ -238,7 +238,7 @@
 	if node.entry == nil {
 		return member.Reported{}
 	}
-	return member.Reported{Running: node.entry.Running(), Calls: node.entry.Calls()}
+	return member.Reported{Running: node.entry.Running(), Calls: node.entry.Calls(), Stalled: node.entry.Standing()}
 }
 
 func (node *Node) changed(current *view.View) {
@@ -344,9 +344,9 @@
 	node.loop.Load().Introduce(seedNodes(seeds))
 }
 
-// drain takes no new connections and lets running calls end.
+// drain lets running calls end. Callers come until the balancer has noticed
+// that the node isn't ready; after that no connection takes another request.
 func (node *Node) drain() {
-	started := node.clock.Now()
 	node.draining.Store(true)
 	node.config.Log.Info().Str("step", "drain").Msg("draining")
 	if node.entry == nil {
@@ -354,12 +354,12 @@
 		return
 	}
 	node.entry.Drain()
-	for {
-		time.Sleep(drainPoll)
-		passed := node.clock.Now().Sub(started)
-		if passed >= drainLeast && node.entry.Calls() == 0 || passed >= node.config.Grace-drainReserve {
-			return
-		}
+	time.Sleep(drainLeast)
+	ctx, cancel := context.WithTimeout(context.Background(), node.config.Grace-drainLeast-drainReserve)
+	defer cancel()
+	for _, server := range node.servers {
+		// What still runs when the time is over is cut off by close.
+		_ = server.Shutdown(ctx)
 	}
 }
 
--- a/caroblined/process/peers/peers.go
+++ b/caroblined/process/peers/peers.go
@@ -28,7 +28,9 @@
 
 const (
 	// queuedMessages bounds what waits for one peer.
-	queuedMessages = 512
+	queuedMessages = 64
+	// batchBytes bounds the entries of one delivery, but for the first message.
+	batchBytes = 1 << 20
 	// sendTimeout bounds one delivery of messages.
 	sendTimeout = 500 * time.Millisecond
 )
@@ -140,10 +142,12 @@
 func drain(queue chan quorum.Message, first quorum.Message) []quorum.Message {
 	const most = 64
 	batch := []quorum.Message{first}
-	for len(batch) < most {
+	size := entryBytes(first)
+	for len(batch) < most && size < batchBytes {
 		select {
 		case message := <-queue:
 			batch = append(batch, message)
+			size += entryBytes(message)
 		default:
 			return batch
 		}
@@ -151,6 +155,14 @@
 	return batch
 }
 
+func entryBytes(message quorum.Message) int {
+	total := 0
+	for index := range message.Entries {
+		total += len(message.Entries[index].Data)
+	}
+	return total
+}
+
 func (peers *Peers) post(ctx context.Context, node id.Node, path string, body, answer any) error {
 	address, ok := peers.address(node)
 	if !ok {
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -113,6 +113,10 @@
 		controller.proposed(now, &actions, event)
 	case Reconfigured:
 		controller.reconfigured(now, &actions, event)
+	case Undelivered:
+		if controller.reign != nil {
+			controller.reign.undelivered[event.Host] = now
+		}
 	case HandedOver:
 		controller.absorb(now, &actions, controller.quorum.Step(now, quorum.HandOver{}))
 	}
--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
@@ -19,6 +20,15 @@
 	// stallMargin is added to the time after which a group without one of its
 	// hosts has certainly given itself up.
 	stallMargin = 1500 * time.Millisecond
+	// stallWord is how long a node's word that a group stands still counts.
+	stallWord = 3 * time.Second
+	// stalledSilence is how long a host of a group that stands still must not
+	// have been heard for to be the one that is gone; heartbeats come a little
+	// more often.
+	stalledSilence = 1500 * time.Millisecond
+	// freshSilence is how long ago a host may have been heard to be put into a
+	// new group.
+	freshSilence = 1400 * time.Millisecond
 	// loadWindow is the time over which starts of loads are counted.
 	loadWindow = time.Second
 	// weightScale turns parts of the work into whole weights.
@@ -67,31 +77,77 @@
 func (controller *Controller) retireBroken(now time.Time, actions *Actions) bool {
 	proposed := false
 	for _, group := range controller.engineGroups() {
-		if !controller.mustRetire(now, group) {
+		broken, host := controller.mustRetire(now, group)
+		if broken == "" {
 			continue
 		}
+		known, _ := controller.hosts.Member(host)
+		actions.Notes = append(actions.Notes, Note{
+			Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Host: host, Reason: broken, Age: known.Silence(now),
+		})
 		controller.proposeOwn(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
 		proposed = true
 	}
 	return proposed
 }
 
-// mustRetire tells whether a host of a group is gone, leaving or no longer in
-// it, or the group never became ready.
-func (controller *Controller) mustRetire(now time.Time, group register.GroupRecord) bool {
+// The reasons for which a group is retired.
+const (
+	hostUnknown  = "host_unknown"
+	hostSilent   = "host_silent"
+	hostLeaving  = "host_leaving"
+	hostAbsent   = "host_not_in_group"
+	hostGaveUp   = "host_gave_up"
+	groupStalled = "group_stalled"
+	neverReady   = "never_ready"
+)
+
+// mustRetire tells why a group can't serve any more, and by which host: one is
+// gone, leaving or no longer in it, or the group never became ready.
+func (controller *Controller) mustRetire(now time.Time, group register.GroupRecord) (string, id.Host) {
 	head, _ := controller.hosts.Member(group.Hosts[0])
 	open := within(head, group) && head.Announcement.Serving.Open
+	stalled := open && controller.reign.stalled(now, group)
 	for _, name := range group.Hosts {
 		host, ok := controller.hosts.Member(name)
-		if !ok || !host.Live(now) || (within(host, group) && host.Announcement.Serving.Broken) {
-			return true
-		}
-		if open && !within(host, group) {
-			return true
+		switch {
+		case !ok:
+			return hostUnknown, name
+		case host.Announcement.Leaving:
+			return hostLeaving, name
+		case within(host, group) && host.Announcement.Serving.Broken:
+			return hostGaveUp, name
+		case open && !within(host, group):
+			return hostAbsent, name
+		case stalled && controller.silence(now, host) > stalledSilence:
+			return groupStalled, name
+		case !open && controller.lost(now, host):
+			return hostSilent, name
 		}
 	}
 	formed := controller.reign.formed[group.Group]
-	return !open && !formed.IsZero() && now.Sub(formed) > joinPatience
+	if !open && !formed.IsZero() && now.Sub(formed) > joinPatience {
+		return neverReady, ""
+	}
+	return "", ""
+}
+
+// silence is how long this leader could have heard a host and didn't.
+func (controller *Controller) silence(now time.Time, host roster.Member) time.Duration {
+	return min(host.Silence(now), now.Sub(controller.reign.started))
+}
+
+// lost tells whether a host that takes no requests yet is gone: its lease is
+// over, or an order found nobody at its address since it was last heard.
+func (controller *Controller) lost(now time.Time, host roster.Member) bool {
+	silence := controller.silence(now, host)
+	refused := controller.reign.undelivered[host.Announcement.Host]
+	return silence > host.Announcement.Lease() || refused.After(now.Add(-silence))
+}
+
+// stalled tells whether a node said lately that calls in a group stand still.
+func (reign *reign) stalled(now time.Time, group register.GroupRecord) bool {
+	return now.Sub(reign.stallsAt[feed.Endpoint{Group: group.Group}]) < stallWord
 }
 
 // emptyRetired orders the head of each retired group out of it, and frees the
@@ -257,6 +313,7 @@
 	if !now.Before(host.Expiry) || controller.reign.orderedLately(now, name, kind, group.Fencing) {
 		return
 	}
+	actions.Notes = append(actions.Notes, Note{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.Silence(now)})
 	controller.reign.engineOrders[name] = engineOrder{kind: kind, fencing: group.Fencing, at: now}
 	actions.Orders = append(actions.Orders, Order{
 		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
@@ -279,6 +336,10 @@
 	}
 	plan := placer.Plan(free, engineSpecs(service.Engine), existing)
 	for place, assignment := range plan {
+		actions.Notes = append(actions.Notes, Note{
+			Step: "form_group", Group: controller.engineGroupName(place), Model: assignment.Model, Hosts: assignment.Hosts,
+			Reason: fmt.Sprintf("%d engines free", len(free)),
+		})
 		controller.proposeOwn(now, actions, register.Command{CommitGroup: &register.CommitGroup{
 			Group: controller.engineGroupName(place), Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
 		}})
@@ -321,9 +382,12 @@
 		if _, assigned := controller.register.GroupOf(announcement.Host); assigned {
 			continue
 		}
+		if host.Silence(now) > freshSilence || controller.lost(now, host) {
+			continue
+		}
 		free = append(free, placer.Host{
 			Host: announcement.Host, DataCentre: announcement.DataCentre, Domain: announcement.Domain,
-			Accelerators: 1, Models: models,
+			Accelerators: 1, Models: models, Staged: announcement.Staged,
 		})
 	}
 	return free
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/quorum"
@@ -11,7 +13,7 @@
 type Ticket uint64
 
 // Event is one thing that happened to a controller: Received, Synced, Proposed,
-// Reconfigured or HandedOver.
+// Reconfigured, Undelivered or HandedOver.
 type Event interface{ event() }
 
 // Received is a message of another voter.
@@ -39,6 +41,9 @@
 	Membership quorum.Membership
 }
 
+// Undelivered reports an order that found no host at its address.
+type Undelivered struct{ Host id.Host }
+
 // HandedOver asks a leader to pass leadership on.
 type HandedOver struct{}
 
@@ -47,6 +52,7 @@
 func (Proposed) event()     {}
 func (Reconfigured) event() {}
 func (HandedOver) event()   {}
+func (Undelivered) event()  {}
 
 // Reply answers a Synced event: with a Response, or with a Redirect when this
 // voter can't answer.
@@ -115,6 +121,21 @@
 	Replies  []Reply
 	Outcomes []Outcome
 	Orders   []Order
+	// Notes say what the leader has decided by itself, for the log.
+	Notes []Note
+}
+
+// Note is one decision and what it rests on.
+type Note struct {
+	Step   string
+	Group  id.Group
+	Model  id.Model
+	Host   id.Host
+	Reason string
+	// Hosts are the hosts of the group.
+	Hosts []id.Host
+	// Age is how old the word is on which the decision rests.
+	Age time.Duration
 }
 
 func (actions *Actions) add(later Actions) {
@@ -125,4 +146,5 @@
 	actions.Replies = append(actions.Replies, later.Replies...)
 	actions.Outcomes = append(actions.Outcomes, later.Outcomes...)
 	actions.Orders = append(actions.Orders, later.Orders...)
+	actions.Notes = append(actions.Notes, later.Notes...)
 }
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -45,6 +45,10 @@
 	leftAt map[id.Host]time.Time
 	// engineOrders are the last orders to each engine.
 	engineOrders map[id.Host]engineOrder
+	// stallsAt is when a node last said that calls to an endpoint stand still.
+	stallsAt map[feed.Endpoint]time.Time
+	// undelivered is when an order last found no host at its address.
+	undelivered map[id.Host]time.Time
 	// loads are the latest starts of loads of weights.
 	loads []time.Time
 	// busy says that calls have been seen in this reign.
@@ -92,7 +96,7 @@
 		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
 		stopSince: map[id.Stop]time.Time{}, running: map[feed.Endpoint]int{},
 		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{},
-		engineOrders: map[id.Host]engineOrder{},
+		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, undelivered: map[id.Host]time.Time{},
 	}
 	// A node that hasn't been heard in this reign may hold a lease of the last.
 	for _, node := range config.Nodes {
@@ -127,6 +131,9 @@
 	reign.count(node.running, request.Running)
 	node.running, node.calls, node.drained = request.Running, request.Calls, request.Drained
 	node.disk, node.heard = request.Disk, now
+	for _, endpoint := range request.Stalled {
+		reign.stallsAt[endpoint] = now
+	}
 	reign.busy = reign.busy || request.Calls > 0
 	if held, ok := reign.polls[request.Node]; ok {
 		// The node has given the older request up for this one.
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -50,6 +50,8 @@
 	Calls int `json:"calls"`
 	// Drained says that the node has stopped taking calls and has none left.
 	Drained bool `json:"drained,omitempty"`
+	// Stalled are the endpoints whose calls from this node stand still.
+	Stalled []Endpoint `json:"stalled,omitempty"`
 	// Disk says that the node could vote.
 	Disk bool `json:"disk,omitempty"`
 }
--- a/core/process/member/events.go
+++ b/core/process/member/events.go
@@ -50,6 +50,8 @@
 	Running map[feed.Endpoint]int
 	Calls   int
 	Drained bool
+	// Stalled are the endpoints whose calls stand still.
+	Stalled []feed.Endpoint
 }
 
 func (Announced) event()  {}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -132,6 +132,7 @@
 		(report.Calls == 0) != (member.report.Calls == 0) || finished(member.report.Running, report.Running) {
 		member.urgent = true
 	}
+	member.urgent = member.urgent || len(report.Stalled) > len(member.report.Stalled)
 	member.report = report
 }
 
@@ -184,7 +185,7 @@
 		Echo: member.stamp.Advance(now.Sub(member.stampAt)), Heard: heard,
 		Held:   granter.Offer{Serial: member.offer.Serial, Parts: member.held(now)},
 		Demand: member.report.Demand, Running: member.report.Running, Calls: member.report.Calls, Drained: member.report.Drained,
-		Disk: member.config.Disk,
+		Disk: member.config.Disk, Stalled: member.report.Stalled,
 	}
 	return &Send{To: member.leader, Request: request}
 }
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -44,6 +44,11 @@
 	return now.Before(member.Expiry) && !member.Announcement.Leaving
 }
 
+// Silence is how long ago the host's last announcement began its lease.
+func (member *Member) Silence(now time.Time) time.Duration {
+	return now.Sub(member.Expiry.Add(-member.Announcement.Lease()))
+}
+
 // Roster holds the known hosts. It isn't safe for concurrent use.
 type Roster struct {
 	members  map[id.Host]*Member
