grouper: loads of weights go where they bring the most engines to work

core/process/grouper plans by loads: groups that need none first, then the group that brings the most engines for its loads, weighed by what its model lacks; none is formed that would wait for the store; spares hold the weights of what they can repair.

Conclusion: fours still fall to one at 22 s; the store binds.

--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -8,7 +8,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
-	"carobline.dev/core/process/placer"
+	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/routing"
@@ -31,8 +31,9 @@
 	freshSilence = 1400 * time.Millisecond
 	// loadWindow is the time over which starts of loads are counted.
 	loadWindow = time.Second
-	// weightScale turns parts of the work into whole weights.
-	weightScale = 1000
+	// stagePatience is how long weights may take to reach a spare host before
+	// they are ordered again.
+	stagePatience = 40 * time.Second
 )
 
 // governEngines sees to the groups of engines, which join, open, close and
@@ -217,9 +218,7 @@
 // driveGroups orders the hosts of each group to join, and its head to open once
 // all are ready.
 func (controller *Controller) driveGroups(now time.Time, actions *Actions) {
-	groups := controller.engineGroups()
-	loading := controller.loading(groups)
-	for _, group := range groups {
+	for _, group := range controller.engineGroups() {
 		head, ok := controller.hosts.Member(group.Hosts[0])
 		if !ok || (within(head, group) && head.Announcement.Serving.Open) {
 			continue
@@ -233,7 +232,7 @@
 			}
 			joined := within(host, group)
 			ready = ready && joined && host.Announcement.Serving.Ready
-			if !joined && controller.mayJoin(now, host, group, &loading) {
+			if !joined && controller.mayJoin(now, host, group) {
 				controller.orderEngine(now, actions, host, group, OrderLoad)
 			}
 		}
@@ -244,23 +243,31 @@
 }
 
 // loading counts the hosts that are loading weights.
-func (controller *Controller) loading(groups []register.GroupRecord) int {
+func (controller *Controller) loading(now time.Time, groups []register.GroupRecord) int {
 	loading := 0
 	for _, group := range groups {
 		for _, name := range group.Hosts {
 			host, ok := controller.hosts.Member(name)
-			if ok && within(host, group) && !host.Announcement.Serving.Ready && !slices.Contains(host.Announcement.Staged, group.Model) {
+			loaded := within(host, group) && host.Announcement.Serving.Ready
+			if ok && !loaded && !slices.Contains(host.Announcement.Staged, group.Model) {
 				loading++
 			}
 		}
 	}
+	for name, at := range controller.reign.staging {
+		host, ok := controller.hosts.Member(name)
+		if !ok || now.Sub(at) > stagePatience || len(host.Announcement.Staged) > 0 {
+			continue
+		}
+		loading++
+	}
 	return loading
 }
 
 // mayJoin tells whether a host may be ordered to join now. One that holds the
 // weights may at any time; others wait for the weight store. Before any calls
 // come, the store takes all.
-func (controller *Controller) mayJoin(now time.Time, host roster.Member, group register.GroupRecord, loading *int) bool {
+func (controller *Controller) mayJoin(now time.Time, host roster.Member, group register.GroupRecord) bool {
 	reign := controller.reign
 	if reign.formed[group.Group].IsZero() {
 		reign.formed[group.Group] = now
@@ -268,15 +275,23 @@
 	if reign.orderedLately(now, host.Announcement.Host, OrderLoad, group.Fencing) {
 		return false
 	}
-	if slices.Contains(host.Announcement.Staged, group.Model) || !reign.busy {
+	if slices.Contains(host.Announcement.Staged, group.Model) {
+		return true
+	}
+	return controller.mayLoad(now, controller.engine(group.Service))
+}
+
+// mayLoad tells whether the weight store lets one more load start now, and
+// counts it. Before any calls come, it takes all.
+func (controller *Controller) mayLoad(now time.Time, engine *routing.Engine) bool {
+	reign := controller.reign
+	if !reign.busy || engine == nil {
 		return true
 	}
-	engine := controller.engine(group.Service)
 	reign.loads = slices.DeleteFunc(reign.loads, func(at time.Time) bool { return now.Sub(at) >= loadWindow })
-	if engine == nil || *loading >= engine.LoadsAtOnce || float64(len(reign.loads)) >= engine.LoadsPerSecond {
+	if float64(len(reign.loads)) >= engine.LoadsPerSecond {
 		return false
 	}
-	*loading++
 	reign.loads = append(reign.loads, now)
 	return true
 }
@@ -322,29 +337,68 @@
 	})
 }
 
-// formEngines makes groups of the free engines of a service.
+// formEngines makes groups of the free engines of a service, stages weights on
+// those that are left, and lets a group make room where another model lacks
+// more.
 func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
-	free := controller.freeEngines(now, service)
+	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
 	if len(free) == 0 {
 		return false
 	}
-	existing := map[id.Model]int{}
-	for _, group := range controller.engineGroups() {
-		if group.Service == service.Name {
-			existing[group.Model]++
-		}
+	total := len(free)
+	for _, group := range groups {
+		total += group.Hosts
 	}
-	plan := placer.Plan(free, engineSpecs(service.Engine), existing)
-	for place, assignment := range plan {
+	plan := grouper.New(free, groups, engineSpecs(service.Engine), controller.room(now, service.Engine, total)).Plan()
+	for place, assignment := range plan.Form {
+		name := controller.engineGroupName(place)
 		actions.Notes = append(actions.Notes, Note{
-			Step: "form_group", Group: controller.engineGroupName(place), Model: assignment.Model, Hosts: assignment.Hosts,
-			Reason: fmt.Sprintf("%d engines free", len(free)),
+			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
+			Reason: fmt.Sprintf("%d of %d engines free", len(free), total),
 		})
 		controller.proposeOwn(now, actions, register.Command{CommitGroup: &register.CommitGroup{
-			Group: controller.engineGroupName(place), Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
+			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
 		}})
 	}
-	return len(plan) > 0
+	controller.stageSpares(now, actions, service, plan.Stage)
+	return len(plan.Form) > 0
+}
+
+// groupsOf lists the groups of a service for planning.
+func (controller *Controller) groupsOf(service *routing.Service) []grouper.Group {
+	var groups []grouper.Group
+	for _, group := range controller.engineGroups() {
+		if group.Service != service.Name {
+			continue
+		}
+		head, _ := controller.hosts.Member(group.Hosts[0])
+		groups = append(groups, grouper.Group{
+			Group: group.Group, Model: group.Model, Domain: head.Announcement.Domain, Hosts: len(group.Hosts),
+		})
+	}
+	return groups
+}
+
+// stageSpares orders weights onto spare hosts as the weight store allows.
+func (controller *Controller) stageSpares(now time.Time, actions *Actions, service *routing.Service, stagings []grouper.Staging) {
+	for _, staging := range stagings {
+		host, ok := controller.hosts.Member(staging.Host)
+		since := now.Sub(controller.reign.staging[staging.Host])
+		if !ok || since < stagePatience || !controller.mayLoad(now, service.Engine) {
+			continue
+		}
+		controller.reign.staging[staging.Host] = now
+		controller.orderEngine(now, actions, host, register.GroupRecord{Model: staging.Model}, OrderStage)
+	}
+}
+
+// room is what bounds a plan now. Before any calls come, the store takes all.
+func (controller *Controller) room(now time.Time, engine *routing.Engine, total int) grouper.Room {
+	room := grouper.Room{Spares: grouper.Spares(total), Loads: total}
+	if controller.reign.busy {
+		room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
+	}
+	return room
 }
 
 // engineGroupName is new for each place in the log and each term.
@@ -353,24 +407,18 @@
 	return id.Group(fmt.Sprintf("g%d-%d-%d", status.Term, status.Last, place))
 }
 
-// engineSpecs weighs models by the engines that their part of the work needs.
-func engineSpecs(engine *routing.Engine) []placer.Spec {
-	specs := make([]placer.Spec, len(engine.Models))
+func engineSpecs(engine *routing.Engine) []grouper.Spec {
+	specs := make([]grouper.Spec, len(engine.Models))
 	for index, model := range engine.Models {
-		hosts := max(1, model.Hosts)
-		weight := max(1, int(model.Share*weightScale)/hosts)
-		specs[index] = placer.Spec{Model: model.Name, Hosts: hosts, Weight: weight}
+		specs[index] = grouper.Spec{Model: model.Name, Hosts: max(1, model.Hosts), Share: model.Share}
 	}
 	return specs
 }
 
-func (controller *Controller) freeEngines(now time.Time, service *routing.Service) []placer.Host {
-	models := make([]id.Model, len(service.Engine.Models))
-	for index, model := range service.Engine.Models {
-		models[index] = model.Name
-	}
+// freeEngines lists the engines of a service that may be used now.
+func (controller *Controller) freeEngines(now time.Time, service *routing.Service) []grouper.Host {
 	unfreed := controller.register.Unfreed()
-	var free []placer.Host
+	var free []grouper.Host
 	for _, host := range controller.hosts.Members() {
 		announcement := host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) {
@@ -385,10 +433,7 @@
 		if host.Silence(now) > freshSilence || controller.lost(now, host) {
 			continue
 		}
-		free = append(free, placer.Host{
-			Host: announcement.Host, DataCentre: announcement.DataCentre, Domain: announcement.Domain,
-			Accelerators: 1, Models: models, Staged: announcement.Staged,
-		})
+		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Staged: announcement.Staged})
 	}
 	return free
 }
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -86,6 +86,8 @@
 	OrderOpen OrderKind = "open"
 	// OrderClose lets the head of a group finish its work and take no more.
 	OrderClose OrderKind = "close"
+	// OrderStage puts a model's weights on an engine's host.
+	OrderStage OrderKind = "stage"
 )
 
 // Order tells a host which group it serves in. A host that checks fencing
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -49,6 +49,8 @@
 	stallsAt map[feed.Endpoint]time.Time
 	// undelivered is when an order last found no host at its address.
 	undelivered map[id.Host]time.Time
+	// staging is when weights were ordered onto a spare host.
+	staging map[id.Host]time.Time
 	// loads are the latest starts of loads of weights.
 	loads []time.Time
 	// busy says that calls have been seen in this reign.
@@ -96,7 +98,7 @@
 		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
 		stopSince: map[id.Stop]time.Time{}, running: map[feed.Endpoint]int{},
 		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{},
-		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, undelivered: map[id.Host]time.Time{},
+		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, staging: map[id.Host]time.Time{}, undelivered: map[id.Host]time.Time{},
 	}
 	// A node that hasn't been heard in this reign may hold a lease of the last.
 	for _, node := range config.Nodes {
--- a/core/process/placer/placer.go
+++ b/core/process/placer/placer.go
@@ -33,8 +33,6 @@
 	Domain       id.Domain
 	Accelerators int
 	Models       []id.Model
-	// Staged are the models whose weights lie on the host already.
-	Staged []id.Model
 }
 
 // Spec says how a model is served.
@@ -61,7 +59,7 @@
 	if counts == nil {
 		counts = map[id.Model]int{}
 	}
-	plan, free := planStaged(free, specs, counts)
+	var plan []Assignment
 	var left []Host
 	for _, pool := range pools(free, func(host Host) string { return string(host.DataCentre) + "/" + string(host.Domain) }) {
 		made, rest := fill(pool, specs, counts)
@@ -79,43 +77,6 @@
 	return plan
 }
 
-// planStaged makes the groups that need no weights to be loaded: of hosts of
-// one domain that all hold the weights of one model.
-func planStaged(free []Host, specs []Spec, counts map[id.Model]int) (plan []Assignment, left []Host) {
-	for _, pool := range pools(free, func(host Host) string { return string(host.DataCentre) + "/" + string(host.Domain) }) {
-		for _, spec := range specs {
-			var holders []Host
-			for _, host := range pool {
-				if slices.Contains(host.Staged, spec.Model) && slices.Contains(host.Models, spec.Model) {
-					holders = append(holders, host)
-				}
-			}
-			for ; len(holders) >= spec.Hosts; holders = holders[spec.Hosts:] {
-				group := holders[:spec.Hosts]
-				plan = append(plan, Assignment{Model: spec.Model, Hosts: names(group)})
-				counts[spec.Model]++
-				pool = without(pool, group)
-			}
-		}
-		left = append(left, pool...)
-	}
-	return plan, left
-}
-
-func names(hosts []Host) []id.Host {
-	list := make([]id.Host, len(hosts))
-	for place, host := range hosts {
-		list[place] = host.Host
-	}
-	return list
-}
-
-func without(hosts, gone []Host) []Host {
-	return slices.DeleteFunc(slices.Clone(hosts), func(host Host) bool {
-		return slices.ContainsFunc(gone, func(other Host) bool { return other.Host == host.Host })
-	})
-}
-
 // Spare picks the host to repair a group with: one of the group's domain that
 // can serve the fewest other models. Across allows the whole data centre.
 func Spare(free []Host, spec Spec, centre id.DataCentre, domain id.Domain) (id.Host, bool) {
