balancer: two random choices with room, in place of the least by old counts

Cause: seven entry hosts chose the least loaded group by counts that are 200 ms old, and so all chose the same one: first events came late (11 to 40% on pairs) while groups were 41% full by those counts.

Ruled out: waiting in the entry hosts' own queue (median wait 0 ms of those that were late).

Request lines now tell the time to the first event and the longest pause.

Conclusion: above 75% full, first events are still late.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -192,6 +192,9 @@
 	running  int
 	limit    int
 	err      error
+	// first is when the first event came, after the request, and pause the
+	// longest time between two events.
+	first, pause time.Duration
 }
 
 func (api *API) serve(writer http.ResponseWriter, call *call) result {
@@ -324,7 +327,8 @@
 	}
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
-			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried))
+			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried)).
+			Int64("first_ms", result.first.Milliseconds()).Int64("pause_ms", result.pause.Milliseconds())
 	}
 	if result.err != nil {
 		event = event.Str("error", result.err.Error())
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -56,6 +56,20 @@
 	begun  bool
 	last   string
 	events int
+	// first is when the first event was passed on, and pause the longest time
+	// between two.
+	first, latest time.Time
+	pause         time.Duration
+}
+
+// mark notes the time at which events are passed on.
+func (progress *progress) mark(now time.Time) {
+	if progress.first.IsZero() {
+		progress.first = now
+	} else {
+		progress.pause = max(progress.pause, now.Sub(progress.latest))
+	}
+	progress.latest = now
 }
 
 // errSilent reports an endpoint that has sent nothing for too long.
@@ -76,7 +90,10 @@
 		_ = exchange.response.Body.Close()
 		out := result{
 			status: http.StatusOK, reason: "answered", outcome: "ran", endpoint: try.endpoint.Name, host: try.endpoint.Host, events: progress.events,
-			waited: try.waited, running: try.answer.Running, limit: try.answer.Limit, err: err,
+			waited: try.waited, running: try.answer.Running, limit: try.answer.Limit, err: err, pause: progress.pause,
+		}
+		if !progress.first.IsZero() {
+			out.first = progress.first.Sub(call.arrived)
 		}
 		if err == nil {
 			api.done(call, try, balancer.Served)
@@ -141,6 +158,7 @@
 		}
 		if whole > 0 {
 			pace.event()
+			progress.mark(api.config.Now())
 			if writeErr := progress.write(writer, controller, header, buffer[:whole]); writeErr != nil {
 				return writeErr
 			}
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -43,6 +43,8 @@
 	// failuresToStand is after how many failures in a row an endpoint counts as
 	// standing still.
 	failuresToStand = 2
+	// choices is among how many endpoints with room a call chooses.
+	choices = 2
 	// fullPause is how long an endpoint is passed over that said it is full.
 	fullPause = 100 * time.Millisecond
 	// rateWindow is the time over which departures are averaged.
@@ -333,10 +335,12 @@
 	return answers
 }
 
-// assign picks the endpoint with the least part of its places taken.
+// assign picks the endpoint with the least part of its places taken of a few
+// that have room. It doesn't take the least of all: the counts of other entry
+// hosts are old, and all of them would choose the same one meanwhile.
 func (balancer *Balancer) assign(now time.Time, call Call, endpoints []*view.Endpoint) (Answer, bool) {
 	var best *view.Endpoint
-	least := 1.0
+	least, seen := 1.0, 0
 	suspect := balancer.allSuspect(now, call, endpoints)
 	for _, offset := range balancer.rand.Perm(len(endpoints)) {
 		endpoint := endpoints[offset]
@@ -344,9 +348,16 @@
 		if slices.Contains(call.Tried, endpoint.Name) || (!suspect && place != nil && place.suspect(now)) {
 			continue
 		}
-		if part := balancer.part(endpoint); part < least {
+		part := balancer.part(endpoint)
+		if part >= 1 {
+			continue
+		}
+		if best == nil || part < least {
 			best, least = endpoint, part
 		}
+		if seen++; seen >= choices {
+			break
+		}
 	}
 	if best == nil {
 		return Answer{}, false
