--- /dev/null
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -0,0 +1,462 @@
+package entryapi_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"carobline.dev/caroblined/connection/entryapi"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+	"carobline.dev/core/version/view"
+)
+
+var dialect = entryapi.Dialect{
+	RequestID: "Call-Id", TimeLeftMS: "Left-Ms", ExpectedHost: "For-Host", Customer: "Customer",
+	Model: "Model", NotRun: "Not-Run", Genuine: "Mark", LastEvent: "Last-Event-Id", TokenScheme: "Token",
+}
+
+const token = "good-token"
+
+// service is one fake endpoint: it reads whole requests and plays a part for
+// each.
+type service struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	seen     []string
+	play     func(service *service, connection net.Conn, request *http.Request, number int)
+	done     sync.WaitGroup
+}
+
+func newService(t *testing.T, play func(*service, net.Conn, *http.Request, int)) *service {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := &service{listener: listener, play: play}
+	service.done.Go(service.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		service.done.Wait()
+	})
+	return service
+}
+
+func (service *service) accept() {
+	for {
+		connection, err := service.listener.Accept()
+		if err != nil {
+			return
+		}
+		service.done.Go(func() { service.serve(connection) })
+	}
+}
+
+func (service *service) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		service.mutex.Lock()
+		service.seen = append(service.seen, request.Method+" "+request.RequestURI+" "+string(body))
+		number := len(service.seen)
+		service.mutex.Unlock()
+		service.play(service, connection, request, number)
+		if request.Close {
+			return
+		}
+	}
+}
+
+func (service *service) requests() []string {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return append([]string(nil), service.seen...)
+}
+
+// reply writes an answer of so many bytes with the given header lines.
+func reply(connection net.Conn, request *http.Request, status, body string, lines ...string) {
+	text := fmt.Sprintf("HTTP/1.1 %s\r\nCall-Id: %s\r\nContent-Length: %d\r\n", status, request.Header.Get("Call-Id"), len(body))
+	for _, line := range lines {
+		text += line + "\r\n"
+	}
+	_, _ = io.WriteString(connection, text+"\r\n"+body)
+}
+
+func serveWell(_ *service, connection net.Conn, request *http.Request, _ int) {
+	reply(connection, request, "200 OK", "done", "Mark: m")
+}
+
+func refuse(_ *service, connection net.Conn, request *http.Request, _ int) {
+	reply(connection, request, "503 Service Unavailable", "", "Not-Run: 1")
+}
+
+func breakOff(_ *service, connection net.Conn, _ *http.Request, _ int) { _ = connection.Close() }
+
+func answerAnother(_ *service, connection net.Conn, _ *http.Request, _ int) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nCall-Id: another\r\nMark: m\r\nContent-Length: 4\r\n\r\nevil")
+}
+
+func cutShort(_ *service, connection net.Conn, request *http.Request, _ int) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\nMark: m\r\nContent-Length: 40\r\n\r\nhalf")
+	_ = connection.Close()
+}
+
+func withoutMark(_ *service, connection net.Conn, request *http.Request, _ int) {
+	reply(connection, request, "200 OK", "forged")
+}
+
+func ownError(_ *service, connection net.Conn, request *http.Request, _ int) {
+	reply(connection, request, "500 Internal Server Error", "own", "Mark: m")
+}
+
+// entry is an entry host in front of fake services.
+func entry(t *testing.T, routes []routing.Route, services ...*service) *httptest.Server {
+	t.Helper()
+	declared := &routing.Declaration{
+		Revision: 1, Routes: routes, Services: []routing.Service{{Name: "desk"}},
+		Customers: []routing.Customer{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken(token)}}},
+	}
+	if err := declared.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	var endpoints []*view.Endpoint
+	known := map[feed.Endpoint]*view.Endpoint{}
+	for index, service := range services {
+		name := id.Host(fmt.Sprintf("h%d", index))
+		endpoint := &view.Endpoint{
+			Name: feed.Endpoint{Host: name}, Host: name, Service: "desk", Address: service.listener.Addr().String(),
+			Load: roster.Load{Slots: 8}, Accepting: true, ValidUntil: time.Now().Add(time.Hour),
+		}
+		endpoints = append(endpoints, endpoint)
+		known[endpoint.Name] = endpoint
+	}
+	current := &view.View{
+		LeaseUntil: time.Now().Add(time.Hour), Routing: routing.NewTable(declared), Endpoints: known,
+		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
+	}
+	transport := &http.Transport{DisableCompression: true}
+	api := entryapi.New(entryapi.Config{
+		Dialect: dialect, View: func() *view.View { return current }, Now: time.Now, Transport: transport,
+		Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
+	})
+	api.Update(current)
+	server := httptest.NewServer(api)
+	t.Cleanup(func() {
+		server.Close()
+		transport.CloseIdleConnections()
+	})
+	return server
+}
+
+func route(repeat routing.Repeat) []routing.Route {
+	return []routing.Route{{
+		Name: "r", Host: "shop.example", PathPrefix: "/", Repeat: repeat, Resumable: true, TimeoutMS: 20_000, TargetMS: 10_000,
+		PauseMS: 10_000, Attempts: 2, Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+	}}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// call sends raw bytes and reads one answer.
+func call(t *testing.T, server *httptest.Server, raw string) (answer, error) {
+	t.Helper()
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	if _, err := io.WriteString(connection, raw); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(body)}, err
+}
+
+func post(target, body string, lines ...string) string {
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: shop.example\r\nCall-Id: c1\r\nLeft-Ms: 15000\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n", target, token, len(body))
+	for _, line := range lines {
+		text += line + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+// The naive version of forwarding is to leave method, target and body as they
+// are.
+func TestForwardsTargetsAsTheyAre(t *testing.T) {
+	targets := []string{
+		"/a", "/a/", "/a//b", "/a/../b", "/a/./b", "/a%2Fb", "/a%2fb?x=%20y", "/a?", "/a?b?c", "/a;p=1", "/%61", "/a?x=1&x=2", "/a+b", "/~u", "/a:b@c", "/é",
+	}
+	service := newService(t, serveWell)
+	server := entry(t, route(routing.RepeatNever), service)
+	var want []string
+	for index, target := range targets {
+		body := strings.Repeat("b", index)
+		got, err := call(t, server, post(target, body))
+		if err != nil || got.status != http.StatusOK || got.body != "done" || got.header.Get("Mark") != "m" {
+			t.Fatalf("%s: %+v %v", target, got, err)
+		}
+		want = append(want, "POST "+target+" "+body)
+	}
+	if diff := cmp.Diff(want, service.requests()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestHeadersOfItsOwn(t *testing.T) {
+	var got http.Header
+	service := newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		got = request.Header
+		reply(connection, request, "200 OK", "done", "Mark: m", "Keep-Alive: timeout=5", "X-Own: 1")
+	})
+	server := entry(t, route(routing.RepeatNever), service)
+	response, err := call(t, server, post("/a", "x", "Customer: forged", "X-Kept: 1", "X-Kept: 2", "X-Hop: 1", "Connection: x-hop"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string][]string{
+		"Customer": {"kathmandu"}, "Authorization": nil, "X-Kept": {"1", "2"}, "X-Hop": nil, "For-Host": {"h0"}, "Call-Id": {"c1"},
+		"Accept-Encoding": nil, "User-Agent": nil,
+	} {
+		if !cmp.Equal(got[name], want) {
+			t.Errorf("%s: %q, want %q", name, got[name], want)
+		}
+	}
+	if response.header.Get("Keep-Alive") != "" || response.header.Get("X-Own") != "1" {
+		t.Errorf("answer's headers: %v", response.header)
+	}
+}
+
+// TestOutcomes says for each way in which the first endpoint ends a call what
+// the caller gets, and how many endpoints the call reaches.
+func TestOutcomes(t *testing.T) {
+	type part = func(*service, net.Conn, *http.Request, int)
+	cases := []struct {
+		name    string
+		first   part
+		repeat  routing.Repeat
+		status  int
+		answer  string
+		reaches int
+	}{
+		{"served", serveWell, routing.RepeatNever, 200, "done", 1},
+		{"refused, never repeated", refuse, routing.RepeatNever, 200, "done", 2},
+		{"broken off, never repeated", breakOff, routing.RepeatNever, 502, "no_answer\n", 1},
+		{"broken off, safe", breakOff, routing.RepeatSafe, 200, "done", 2},
+		{"another's answer, never repeated", answerAnother, routing.RepeatNever, 502, "answer_to_another_request\n", 1},
+		{"another's answer, safe", answerAnother, routing.RepeatSafe, 200, "done", 2},
+		{"cut short, never repeated", cutShort, routing.RepeatNever, 502, "answer_broken_off\n", 1},
+		{"cut short, safe", cutShort, routing.RepeatSafe, 200, "done", 2},
+		{"no mark, never repeated", withoutMark, routing.RepeatNever, 502, "answer_without_mark\n", 1},
+		{"own error, never repeated", ownError, routing.RepeatNever, 500, "own", 1},
+		{"own error, safe", ownError, routing.RepeatSafe, 200, "done", 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			// Both play the first part until one call has been seen by either.
+			var mutex sync.Mutex
+			calls := 0
+			play := func(service *service, connection net.Conn, request *http.Request, number int) {
+				mutex.Lock()
+				calls++
+				first := calls == 1
+				mutex.Unlock()
+				if first {
+					test.first(service, connection, request, number)
+					return
+				}
+				serveWell(service, connection, request, number)
+			}
+			server := entry(t, route(test.repeat), newService(t, play), newService(t, play))
+			got, err := call(t, server, post("/a", "x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			if got.status != test.status || got.body != test.answer || calls != test.reaches {
+				t.Errorf("%d %q over %d endpoints, want %d %q over %d", got.status, got.body, calls, test.status, test.answer, test.reaches)
+			}
+		})
+	}
+}
+
+// A service closes or resets a kept connection at each moment of the next call.
+// A call that must not repeat reaches it once at most.
+func TestKeptConnectionsThatEnd(t *testing.T) {
+	endings := map[string]func(net.Conn, *http.Request){
+		"close before the answer": func(connection net.Conn, _ *http.Request) { _ = connection.Close() },
+		"reset before the answer": func(connection net.Conn, _ *http.Request) {
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			_ = connection.Close()
+		},
+		"close in the headers": func(connection net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nCall-")
+			_ = connection.Close()
+		},
+		"close in the body": func(connection net.Conn, request *http.Request) { cutShort(nil, connection, request, 0) },
+		"answer twice": func(connection net.Conn, request *http.Request) {
+			reply(connection, request, "200 OK", "done", "Mark: m")
+			reply(connection, request, "200 OK", "again", "Mark: m")
+		},
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			service := newService(t, func(service *service, connection net.Conn, request *http.Request, number int) {
+				if number%2 == 0 {
+					end(connection, request)
+					return
+				}
+				serveWell(service, connection, request, number)
+			})
+			server := entry(t, route(routing.RepeatNever), service)
+			for round := range 6 {
+				id := fmt.Sprintf("c%d", round)
+				raw := strings.Replace(post("/"+id, "x"), "Call-Id: c1", "Call-Id: "+id, 1)
+				got, err := call(t, server, raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got.status == http.StatusOK && (got.body != "done" || got.header.Get("Call-Id") != id) {
+					t.Errorf("%s: %q for %q", id, got.body, got.header.Get("Call-Id"))
+				}
+				if got.status == http.StatusServiceUnavailable && seenTimes(service, id) > 0 {
+					t.Errorf("%s: said not to have run, and reached the service", id)
+				}
+			}
+			for round := range 6 {
+				if id := fmt.Sprintf("c%d", round); seenTimes(service, id) > 1 {
+					t.Errorf("%s reached the service %d times", id, seenTimes(service, id))
+				}
+			}
+		})
+	}
+}
+
+func seenTimes(service *service, id string) int {
+	count := 0
+	for _, request := range service.requests() {
+		if strings.HasPrefix(request, "POST /"+id+" ") {
+			count++
+		}
+	}
+	return count
+}
+
+func event(number int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", number, number) }
+
+// chunk is one piece of an answer without a length.
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+func streamHead(request *http.Request, mark string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nMark: " + mark + "\r\nCall-Id: " + request.Header.Get("Call-Id") + "\r\n\r\n"
+}
+
+// A stream that breaks in the middle of an event goes on elsewhere after the
+// last whole one, with the first endpoint's headers.
+func TestStreamGoesOnAfterLastWholeEvent(t *testing.T) {
+	var resumed []string
+	var mutex sync.Mutex
+	play := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		last := request.Header.Get("Last-Event-Id")
+		resumed = append(resumed, last)
+		if last == "" {
+			_, _ = io.WriteString(connection, streamHead(request, "first")+chunk(event(1)+event(2))+chunk("id: 3\nda"))
+			_ = connection.Close()
+			return
+		}
+		_, _ = io.WriteString(connection, streamHead(request, "second")+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+	}
+	server := entry(t, route(routing.RepeatStream), newService(t, play), newService(t, play))
+	got, err := call(t, server, post("/a", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := event(1) + event(2) + event(3) + event(4); got.body != want || got.header.Get("Mark") != "first" {
+		t.Errorf("mark %q, body %q, want %q", got.header.Get("Mark"), got.body, want)
+	}
+	if !cmp.Equal(resumed, []string{"", "2"}) {
+		t.Errorf("resumed after %q", resumed)
+	}
+}
+
+// A stream that can't go on must not look complete.
+func TestBrokenStreamIsNotEndedAsWhole(t *testing.T) {
+	play := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		_, _ = io.WriteString(connection, streamHead(request, "m")+chunk(event(1)))
+		_ = connection.Close()
+	}
+	routes := route(routing.RepeatStream)
+	routes[0].Resumable = false
+	service := newService(t, play)
+	server := entry(t, routes, service)
+	if got, err := call(t, server, post("/a", "x")); err == nil {
+		t.Errorf("the answer looks complete: %q", got.body)
+	}
+	if len(service.requests()) != 1 {
+		t.Errorf("sent %d times", len(service.requests()))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	service := newService(t, serveWell)
+	server := entry(t, []routing.Route{{
+		Name: "r", Host: "shop.example", PathPrefix: "/known/", Repeat: routing.RepeatSafe, TimeoutMS: 1000, TargetMS: 500, Attempts: 1,
+		Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+	}}, service)
+	good := post("/known/a", "x")
+	cases := map[string]struct {
+		raw    string
+		status int
+	}{
+		"no route":      {post("/unknown", "x"), http.StatusNotFound},
+		"another host":  {strings.Replace(good, "shop.example", "other.example", 1), http.StatusNotFound},
+		"unknown token": {strings.Replace(good, token, "bad", 1), http.StatusUnauthorized},
+		"no token":      {strings.Replace(good, "Authorization: Token "+token+"\r\n", "", 1), http.StatusUnauthorized},
+		"no id":         {strings.Replace(good, "Call-Id: c1\r\n", "", 1), http.StatusBadRequest},
+	}
+	for name, test := range cases {
+		response, err := call(t, server, test.raw)
+		if err != nil || response.status != test.status {
+			t.Errorf("%s: %v %v, want %d", name, response, err, test.status)
+		}
+	}
+	if seen := service.requests(); len(seen) != 0 {
+		t.Errorf("refused requests reached the service: %q", seen)
+	}
+}
--- /dev/null
+++ b/caroblined/process/identity/identity_test.go
@@ -0,0 +1,31 @@
+package identity_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"carobline.dev/caroblined/process/identity"
+)
+
+// A name lives with its disk: a folder that is new gives a new one, and a
+// founder's only when the whole system begins.
+func TestNameLivesWithTheDisk(t *testing.T) {
+	const address = "10.0.0.1:1"
+	folder := filepath.Join(t.TempDir(), "data")
+	first, err := identity.Open(folder, address, true)
+	if err != nil || first.Node != identity.Founder(address) || first.Incarnation != 1 {
+		t.Fatalf("%+v %v", first, err)
+	}
+	second, err := identity.Open(folder, address, false)
+	if err != nil || second.Node != first.Node || second.Incarnation != 2 {
+		t.Fatalf("%+v %v", second, err)
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		t.Fatal(err)
+	}
+	wiped, err := identity.Open(folder, address, false)
+	if err != nil || wiped.Node == first.Node || wiped.Incarnation != 1 {
+		t.Fatalf("%+v %v", wiped, err)
+	}
+}
--- a/core/process/controller/world_test.go
+++ b/core/process/controller/world_test.go
@@ -10,6 +10,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/electorate"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
@@ -71,6 +72,7 @@
 	blocked map[[2]string]bool
 	nodes   []*node
 	hosts   []*host
+	engines []*engine
 	checks  *checks
 }
 
@@ -152,6 +154,8 @@
 	incarnation id.Incarnation
 	stored      quorum.Stored
 	up          bool
+	// founding is set in worlds whose nodes find each other.
+	founding *founding
 	// extraVoter makes a node a voter that the first ones don't know of.
 	extraVoter bool
 	pausedTill time.Duration
@@ -202,6 +206,10 @@
 	node.held = nil
 	node.tickets = map[controller.Ticket]func(any){}
 	node.hosts = roster.New()
+	if node.founding != nil {
+		node.startFounding()
+		return
+	}
 	node.member = member.New(node.local(), member.Config{Self: node.name, Incarnation: node.incarnation, Voters: voterNames()}, node.hosts)
 	if !node.isVoter() {
 		return
@@ -305,6 +313,9 @@
 			}
 		}
 	}
+	for _, order := range actions.Orders {
+		world.orderEngine(node, order)
+	}
 	world.checks.applied(node)
 }
 
@@ -352,7 +363,7 @@
 // ask carries a question to a voter, which answers it in its own time.
 func (node *node) ask(name id.Node, question func(other *peer)) {
 	for _, other := range node.world.nodes {
-		if other.name == name {
+		if other.name == name || electorate.Address(other.name) == string(name) {
 			node.world.send(string(node.name), string(other.name), func() {
 				other.guard(func() { question(other) })()
 			})
--- /dev/null
+++ b/core/version/routing/routing_test.go
@@ -0,0 +1,91 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"carobline.dev/core/version/routing"
+)
+
+func good() routing.Declaration {
+	return routing.Declaration{
+		Revision: 1, Services: []routing.Service{{Name: "a"}, {Name: "b"}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h", PathPrefix: "/p/", Repeat: routing.RepeatSafe, TimeoutMS: 1, Attempts: 1,
+			Backends: []routing.Backend{{Service: "a", Weight: 1}},
+		}},
+		Customers: []routing.Customer{{Name: "k", TokenSHA256: []string{"t1", "t2"}}, {Name: "l", TokenSHA256: []string{"t3"}}},
+	}
+}
+
+func TestValidateNamesTheField(t *testing.T) {
+	cases := map[string]func(*routing.Declaration){
+		"":                       func(*routing.Declaration) {},
+		"field services":         func(declared *routing.Declaration) { declared.Services[1].Name = "a" },
+		"field routes.r.path":    func(declared *routing.Declaration) { declared.Routes[0].PathPrefix = "/p" },
+		"field routes.r.timeout": func(declared *routing.Declaration) { declared.Routes[0].TimeoutMS = 0 },
+		"field routes.r.repeat":  func(declared *routing.Declaration) { declared.Routes[0].Repeat = "" },
+		"field routes.r.backend": func(declared *routing.Declaration) { declared.Routes[0].Backends[0].Service = "c" },
+		"field routes.r.backends: 0": func(declared *routing.Declaration) {
+			declared.Routes[0].Backends[0].Weight = 0
+		},
+		"field routes.r: [": func(declared *routing.Declaration) { declared.Routes = append(declared.Routes, declared.Routes[0]) },
+		"field customers.l": func(declared *routing.Declaration) { declared.Customers[1].TokenSHA256 = []string{"t2"} },
+	}
+	for want, change := range cases {
+		declared := good()
+		change(&declared)
+		err := declared.Validate()
+		if (err == nil) != (want == "") || (err != nil && !strings.HasPrefix(err.Error(), want)) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
+// TestMatchAgainstNaive compares Match with a look at each route.
+func TestMatchAgainstNaive(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		part := func() string { return string(rune('a' + random.IntN(3))) }
+		declared := good()
+		declared.Routes = nil
+		for index := range random.IntN(12) {
+			prefix := "/"
+			for range random.IntN(4) {
+				prefix += part() + "/"
+			}
+			declared.Routes = append(declared.Routes, routing.Route{Name: fmt.Sprint(index), Host: part(), PathPrefix: prefix})
+		}
+		table := routing.NewTable(&declared)
+		for range 50 {
+			host, path := part(), "/"
+			for range random.IntN(5) {
+				path += part() + "/"
+			}
+			best := -1
+			for index, route := range declared.Routes {
+				longer := best < 0 || len(route.PathPrefix) > len(declared.Routes[best].PathPrefix)
+				if route.Host == host && strings.HasPrefix(path, route.PathPrefix) && longer {
+					best = index
+				}
+			}
+			route, ok := table.Match(strings.ToUpper(host)+":80", path)
+			if ok != (best >= 0) || (ok && route.PathPrefix != declared.Routes[best].PathPrefix) {
+				t.Fatalf("seed %d: %s%s: %v, want %d", seed, host, path, route, best)
+			}
+		}
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	route := routing.Route{Backends: []routing.Backend{{Service: "a", Weight: 3}, {Service: "b", Weight: 0}, {Service: "c", Weight: 1}}}
+	counts := map[string]int{}
+	for step := range 100 {
+		counts[string(route.Pick(float64(step)/100))]++
+	}
+	if counts["a"] != 75 || counts["b"] != 0 || counts["c"] != 25 {
+		t.Errorf("picked %v", counts)
+	}
+}
