--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -58,7 +59,10 @@
 	started := api.config.Now()
 	wanted := balancer.Call{
 		Number: balancer.Number(api.number.Add(1)), Pool: call.pool, Priority: call.priority,
-		Arrived: call.arrived, Due: call.arrived.Add(call.route.Target()), Tried: call.tried,
+		Arrived: call.arrived, Due: call.arrived.Add(call.route.Target()), Tried: call.tried, Rescued: len(call.tried) > 0,
+	}
+	if wanted.Rescued {
+		wanted.Arrived, wanted.Due = started, started.Add(call.route.Target())
 	}
 	answer, err := api.place(ctx, wanted)
 	if err != nil {
@@ -181,7 +185,7 @@
 	exchange := &exchange{cancel: cancel}
 	request := api.request(attemptCtx, call, try.endpoint)
 	call.tried = append(call.tried, try.endpoint.Name)
-	stop := api.limitFirst(call, exchange, cancel)
+	stop := api.limitFirst(call, try, cancel)
 	response, err := api.config.Transport.RoundTrip(request)
 	stop()
 	if err != nil {
@@ -209,13 +213,33 @@
 }
 
 // limitFirst cancels an exchange that may be tried elsewhere when its endpoint
-// stays silent for too long.
-func (api *API) limitFirst(call *call, _ *exchange, cancel context.CancelFunc) func() {
+// stays silent for too long: sooner when all other calls there stand still too.
+func (api *API) limitFirst(call *call, try *attempt, cancel context.CancelFunc) func() {
 	if !call.route.Idempotent() || call.ran+1 >= call.route.Attempts {
 		return func() {}
 	}
-	timer := time.AfterFunc(silenceBefore(call), cancel)
-	return func() { timer.Stop() }
+	started := api.config.Now()
+	var timer *time.Timer
+	var mutex sync.Mutex
+	look := func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		now := api.config.Now()
+		within := silenceWithin(call)
+		if now.Sub(started) >= silenceBefore(call) || api.quiet(now, try.endpoint.Name) >= within {
+			cancel()
+			return
+		}
+		timer.Reset(within / 4)
+	}
+	mutex.Lock()
+	timer = time.AfterFunc(silenceWithin(call), look)
+	mutex.Unlock()
+	return func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		timer.Stop()
+	}
 }
 
 func (api *API) request(ctx context.Context, call *call, endpoint *view.Endpoint) *http.Request {
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -27,7 +27,7 @@
 	// leastSilence bounds the time to the first event from below.
 	leastSilence = 800 * time.Millisecond
 	// firstSilence is how many times the target an endpoint may take to begin.
-	firstSilence = 3
+	firstSilence = 2
 )
 
 // streams tells whether an answer is passed on event by event.
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -9,11 +9,13 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -155,6 +157,29 @@
 			WriteError(writer, err)
 			return
 		}
-		WriteJSON(writer, http.StatusOK, answer)
+		writeAnswer(writer, request, answer)
 	})
 }
+
+// compressedBytes is from what size on an answer is compressed for whoever
+// takes that.
+const compressedBytes = 8 << 10
+
+// writeAnswer answers with a JSON body, compressed when it is large.
+func writeAnswer(writer http.ResponseWriter, request *http.Request, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	if len(data) < compressedBytes || !strings.Contains(request.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = writer.Write(data)
+		return
+	}
+	writer.Header().Set("Content-Encoding", "gzip")
+	packed := gzip.NewWriter(writer)
+	// The other side may be gone; there is nobody left to tell.
+	_, _ = packed.Write(data)
+	_ = packed.Close()
+}
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -185,7 +185,11 @@
 	}
 	var command register.Command
 	result := register.Result{Verdict: register.VerdictRefused, Reason: "unreadable command"}
-	if err := json.Unmarshal(entry.Data, &command); err == nil {
+	data, err := unpack(entry.Data)
+	if err == nil {
+		err = json.Unmarshal(data, &command)
+	}
+	if err == nil {
 		result = controller.register.Apply(entry.Index, command)
 	}
 	if !ok {
@@ -262,6 +266,9 @@
 	command.At = now.Round(0).UTC()
 	command.Term, command.Clock = status.Term, controller.clock.Reading(now)
 	data, err := json.Marshal(command)
+	if err == nil {
+		data, err = pack(data)
+	}
 	if err != nil {
 		refused := register.Result{Verdict: register.VerdictRefused, Reason: err.Error()}
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &refused})
@@ -293,6 +300,10 @@
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Leader: controller.config.Self})
 		return
 	}
+	if result, ok := controller.overtaken(event.Command); ok {
+		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: event.Ticket, Result: &result})
+		return
+	}
 	if event.Command.CreateStop != nil {
 		stop, problem := controller.planStop(now, *event.Command.CreateStop, event.AcceptLoss)
 		if problem != nil {
@@ -304,6 +315,19 @@
 	controller.propose(now, actions, event.Ticket, event.Command)
 }
 
+// overtaken answers a declaration that isn't higher than the one in force,
+// which it can't change any more, without a place in the log.
+func (controller *Controller) overtaken(command register.Command) (register.Result, bool) {
+	declared := controller.register.Declared()
+	if command.Declare == nil || declared == nil || command.Declare.Declaration.Revision > declared.Declaration.Revision {
+		return register.Result{}, false
+	}
+	if err := command.Declare.Declaration.Validate(); err != nil {
+		return register.Result{}, false
+	}
+	return register.Result{Verdict: register.VerdictUnchanged, Revision: declared.Declaration.Revision, Version: declared.Version}, true
+}
+
 // follow starts and ends reigns and answers those whom a lost one left waiting.
 func (controller *Controller) follow(now time.Time, actions *Actions) {
 	status := controller.quorum.Status()
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 	forceTimeout = 8 * time.Second
 	// governEvery is how often the leader looks for work of its own.
 	governEvery = 100 * time.Millisecond
+	// standingWord is how long a node's word that an endpoint stands still keeps
+	// other nodes from it.
+	standingWord = 500 * time.Millisecond
 	// expireEvery is how often the ledger is swept.
 	expireEvery = time.Minute
 )
@@ -49,6 +53,9 @@
 	stallsAt map[feed.Endpoint]time.Time
 	// undelivered is when an order last found no host at its address.
 	undelivered map[id.Host]time.Time
+	// stalls says that there is news of an endpoint that stands still, which
+	// all nodes should hear at once.
+	stalls bool
 	// staging is when weights were ordered onto a spare host.
 	staging map[id.Host]time.Time
 	// loads are the latest starts of loads of weights.
@@ -134,6 +141,7 @@
 	node.running, node.calls, node.drained = request.Running, request.Calls, request.Drained
 	node.disk, node.heard = request.Disk, now
 	for _, endpoint := range request.Stalled {
+		reign.stalls = reign.stalls || now.Sub(reign.stallsAt[endpoint]) >= standingWord
 		reign.stallsAt[endpoint] = now
 	}
 	reign.busy = reign.busy || request.Calls > 0
@@ -168,6 +176,20 @@
 	return others
 }
 
+// standing lists the endpoints that a node has lately said to stand still.
+func (reign *reign) standing(now time.Time) []feed.Endpoint {
+	var standing []feed.Endpoint
+	for endpoint, at := range reign.stallsAt {
+		if now.Sub(at) < standingWord {
+			standing = append(standing, endpoint)
+		}
+	}
+	slices.SortFunc(standing, func(a, b feed.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Host, b.Host))
+	})
+	return standing
+}
+
 func (controller *Controller) redirect() *feed.Redirect {
 	return &feed.Redirect{Leader: controller.Leader(), Voters: controller.quorum.Status().Membership.Voters}
 }
@@ -196,11 +218,12 @@
 	pending := reign.grants.Pending(now)
 	for _, name := range sortedKeys(reign.polls) {
 		held := reign.polls[name]
-		if controller.hasNews(held, slices.Contains(pending, name)) || !now.Before(held.until) {
+		if reign.stalls || controller.hasNews(held, slices.Contains(pending, name)) || !now.Before(held.until) {
 			delete(reign.polls, name)
 			controller.respond(now, actions, held)
 		}
 	}
+	reign.stalls = false
 	reign.waits = slices.DeleteFunc(reign.waits, func(wait forceWait) bool {
 		return controller.answerWait(now, actions, wait)
 	})
@@ -232,6 +255,7 @@
 	}
 	node := controller.reign.nodes[request.Node]
 	response.Elsewhere = controller.reign.elsewhere(node.running)
+	response.Stalled = controller.reign.standing(now)
 	node.answered, node.leaseBound = now, now.Add(leaseBound(feed.Lease))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -110,6 +110,8 @@
 	Share float64 `json:"share"`
 	// Voters are the nodes that vote at present.
 	Voters []id.Node `json:"voters,omitempty"`
+	// Stalled are the endpoints that any node says stand still.
+	Stalled []Endpoint `json:"stalled,omitempty"`
 	// Elsewhere counts the calls in progress by endpoint at all other nodes.
 	Elsewhere map[Endpoint]int `json:"elsewhere,omitempty"`
 }
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -33,6 +33,7 @@
 		member.urgent = true
 	}
 	member.offer, member.share, member.elsewhere = response.Offer, response.Share, response.Elsewhere
+	member.stalled = response.Stalled
 	if len(response.Voters) > 0 {
 		member.voters = response.Voters
 	}
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -64,6 +64,7 @@
 	declared   *register.DeclarationRecord
 	table      *routing.Table
 	elsewhere  map[feed.Endpoint]int
+	stalled    []feed.Endpoint
 	contracts  map[id.Customer]register.ContractRecord
 	stops      map[id.Stop]register.StopRecord
 	groups     map[id.Group]register.GroupRecord
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"carobline.dev/core/id"
@@ -139,6 +140,7 @@
 		endpoint.Accepting = endpoint.Accepting && (!known || !host.Announcement.Leaving)
 	}
 	endpoint.Elsewhere = member.elsewhere[endpoint.Name]
+	endpoint.Stalled = slices.Contains(member.stalled, endpoint.Name)
 	drawn.Endpoints[endpoint.Name] = endpoint
 }
 
@@ -158,6 +160,7 @@
 		Accepting: !stopping && !announcement.Leaving, ValidUntil: host.Expiry,
 	}
 	endpoint.Elsewhere = member.elsewhere[endpoint.Name]
+	endpoint.Stalled = slices.Contains(member.stalled, endpoint.Name)
 	drawn.Endpoints[endpoint.Name] = endpoint
 }
 
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -45,6 +45,9 @@
 	failuresToStand = 2
 	// choices is among how many endpoints with room a call chooses.
 	choices = 2
+	// rescuedPart is up to what part of its places an endpoint takes calls that
+	// have lost another one.
+	rescuedPart = 1.5
 	// fullPause is how long an endpoint is passed over that said it is full.
 	fullPause = 100 * time.Millisecond
 	// rateWindow is the time over which departures are averaged.
@@ -81,6 +84,10 @@
 	Arrived time.Time
 	// Tried are endpoints that it isn't sent to again.
 	Tried []feed.Endpoint
+	// Rescued calls have lost an endpoint that they were running on. They go
+	// before others and may go where all places are taken, since the work done
+	// for them would be lost.
+	Rescued bool
 }
 
 // Verdict says what becomes of a call.
@@ -185,7 +192,7 @@
 		return Answer{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: mostRetryAfter / 2}
 	}
 	ahead := balancer.ahead(pool, call)
-	if ahead == 0 {
+	if ahead == 0 || call.Rescued {
 		if answer, ok := balancer.assign(now, call, endpoints); ok {
 			return answer
 		}
@@ -340,16 +347,20 @@
 // hosts are old, and all of them would choose the same one meanwhile.
 func (balancer *Balancer) assign(now time.Time, call Call, endpoints []*view.Endpoint) (Answer, bool) {
 	var best *view.Endpoint
-	least, seen := 1.0, 0
+	most := 1.0
+	if call.Rescued {
+		most = rescuedPart
+	}
+	least, seen := most, 0
 	suspect := balancer.allSuspect(now, call, endpoints)
 	for _, offset := range balancer.rand.Perm(len(endpoints)) {
 		endpoint := endpoints[offset]
 		place := balancer.places[endpoint.Name]
-		if slices.Contains(call.Tried, endpoint.Name) || (!suspect && place != nil && place.suspect(now)) {
+		if slices.Contains(call.Tried, endpoint.Name) || (!suspect && (endpoint.Stalled || (place != nil && place.suspect(now)))) {
 			continue
 		}
 		part := balancer.part(endpoint)
-		if part >= 1 {
+		if part >= most {
 			continue
 		}
 		if best == nil || part < least {
@@ -372,7 +383,7 @@
 func (balancer *Balancer) allSuspect(now time.Time, call Call, endpoints []*view.Endpoint) bool {
 	return !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool {
 		place := balancer.places[endpoint.Name]
-		return !slices.Contains(call.Tried, endpoint.Name) && (place == nil || !place.suspect(now))
+		return !slices.Contains(call.Tried, endpoint.Name) && !endpoint.Stalled && (place == nil || !place.suspect(now))
 	})
 }
 
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -51,6 +51,8 @@
 	// Elsewhere counts the calls that other nodes had in progress there when
 	// they last reported.
 	Elsewhere int
+	// Stalled says that some node's calls there stand still.
+	Stalled bool
 }
 
 // Set is the endpoints that serve one model or service, by name. Sets with
