--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -19,7 +19,13 @@
 	joinPatience = 45 * time.Second
 	// stallMargin is added to the time after which a group without one of its
 	// hosts has certainly given itself up.
-	stallMargin = 1500 * time.Millisecond
+	stallMargin = 300 * time.Millisecond
+	// gatherPause is how long no further engine must be heard before the first
+	// plan, and gatherPatience how long that is waited for.
+	gatherPause    = 1300 * time.Millisecond
+	gatherPatience = 6 * time.Second
+	// dissolveEvery is the least time between two groups that make room.
+	dissolveEvery = 2 * time.Second
 	// stallWord is how long a node's word that a group stands still counts.
 	stallWord = 3 * time.Second
 	// stalledSilence is how long a host of a group that stands still must not
@@ -342,7 +348,7 @@
 // more.
 func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
 	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
-	if len(free) == 0 {
+	if len(free) == 0 || controller.gathering(now, service) {
 		return false
 	}
 	total := len(free)
@@ -361,7 +367,43 @@
 		}})
 	}
 	controller.stageSpares(now, actions, service, plan.Stage)
-	return len(plan.Form) > 0
+	return controller.dissolve(now, actions, plan) || len(plan.Form) > 0
+}
+
+// gathering tells whether engines are still being heard for the first time, as
+// at the start of a system: a plan for all of them is better than one for some.
+func (controller *Controller) gathering(now time.Time, service *routing.Service) bool {
+	reign := controller.reign
+	if reign.busy || now.Sub(reign.started) > gatherPatience {
+		return false
+	}
+	count := 0
+	for _, host := range controller.hosts.Members() {
+		if host.Announcement.Engine && host.Announcement.Service == service.Name {
+			count++
+		}
+	}
+	if count != reign.gathered {
+		reign.gathered, reign.gatheredAt = count, now
+	}
+	return now.Sub(reign.gatheredAt) < gatherPause
+}
+
+// dissolve retires a group that makes room, one at a time.
+func (controller *Controller) dissolve(now time.Time, actions *Actions, plan grouper.Plan) bool {
+	if plan.Dissolve == "" || now.Before(controller.reign.dissolvedAt.Add(dissolveEvery)) {
+		return false
+	}
+	group, ok := controller.register.Group(plan.Dissolve)
+	if !ok {
+		return false
+	}
+	controller.reign.dissolvedAt = now
+	actions.Notes = append(actions.Notes, Note{
+		Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(plan.For),
+	})
+	controller.proposeOwn(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+	return true
 }
 
 // groupsOf lists the groups of a service for planning.
@@ -394,7 +436,12 @@
 
 // room is what bounds a plan now. Before any calls come, the store takes all.
 func (controller *Controller) room(now time.Time, engine *routing.Engine, total int) grouper.Room {
-	room := grouper.Room{Spares: grouper.Spares(total), Loads: total}
+	room := grouper.Room{Spares: grouper.Spares(total), Loads: total, Emptying: map[id.Domain]bool{}}
+	for name := range controller.register.Unfreed() {
+		if host, ok := controller.hosts.Member(name); ok && host.Live(now) {
+			room.Emptying[host.Announcement.Domain] = true
+		}
+	}
 	if controller.reign.busy {
 		room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
 	}
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -58,6 +58,12 @@
 	stalls bool
 	// staging is when weights were ordered onto a spare host.
 	staging map[id.Host]time.Time
+	// dissolvedAt is when a group last made room.
+	dissolvedAt time.Time
+	// gathered counts the engines heard at the start, and gatheredAt is when
+	// the last one was.
+	gathered   int
+	gatheredAt time.Time
 	// loads are the latest starts of loads of weights.
 	loads []time.Time
 	// busy says that calls have been seen in this reign.
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -69,6 +69,10 @@
 type Plan struct {
 	Form  []Assignment
 	Stage []Staging
+	// Dissolve is a group whose hosts complete one of the model For, which
+	// lacks a single host there; it is empty where there is none.
+	Dissolve id.Group
+	For      id.Model
 }
 
 // Room bounds a plan.
@@ -77,6 +81,9 @@
 	Spares int
 	// Loads is how many loads the weight store takes now.
 	Loads int
+	// Emptying are the domains in which hosts of retired groups will be free
+	// soon.
+	Emptying map[id.Domain]bool
 }
 
 // Spares is how many engines of a total are kept as spares.
@@ -90,6 +97,7 @@
 	wanted map[id.Model]float64
 	counts map[id.Model]int
 	loads  int
+	room   Room
 	plan   Plan
 }
 
@@ -98,7 +106,7 @@
 func New(free []Host, groups []Group, specs []Spec, room Room) *Grouper {
 	grouper := &Grouper{
 		free: map[id.Domain][]Host{}, groups: groups, specs: slices.Clone(specs), wanted: map[id.Model]float64{},
-		counts: map[id.Model]int{}, loads: room.Loads,
+		counts: map[id.Model]int{}, loads: room.Loads, room: room,
 	}
 	slices.SortFunc(grouper.specs, func(a, b Spec) int {
 		return cmp.Or(cmp.Compare(b.Hosts, a.Hosts), cmp.Compare(a.Model, b.Model))
@@ -140,12 +148,71 @@
 		grouper.loads -= candidate.loads
 		grouper.form(candidate.domain, candidate.spec)
 	}
+	grouper.makeRoom()
+	grouper.useUp()
 	for _, domain := range grouper.domains() {
 		grouper.stageSpares(domain)
 	}
 	return grouper.plan
 }
 
+// makeRoom finds a group whose hosts complete one of a model that lacks more,
+// where that needs a single load and the store has room for it.
+func (grouper *Grouper) makeRoom() {
+	if grouper.loads <= 0 {
+		return
+	}
+	for _, spec := range grouper.specs {
+		if !grouper.short(spec) {
+			continue
+		}
+		for _, group := range grouper.groups {
+			if group.Model != spec.Model && !grouper.room.Emptying[group.Domain] && grouper.completes(group, spec) {
+				grouper.plan.Dissolve, grouper.plan.For = group.Group, spec.Model
+				return
+			}
+		}
+	}
+}
+
+// completes tells whether a model lacks one host in a group's domain, and more
+// than the group's own model would lack without the group.
+func (grouper *Grouper) completes(group Group, spec Spec) bool {
+	if grouper.holders(group.Domain, spec.Model) != spec.Hosts-1 || group.Hosts >= spec.Hosts {
+		return false
+	}
+	without := float64(grouper.counts[group.Model]-1) / max(grouper.wanted[group.Model], 1e-9)
+	return without > grouper.fullness(spec.Model)
+}
+
+// useUp forms groups beyond what is wanted while hosts and the store are idle,
+// but for hosts that a group of their model lacks only one of.
+func (grouper *Grouper) useUp() {
+	for _, domain := range grouper.domains() {
+		for _, spec := range slices.Backward(grouper.specs) {
+			for len(grouper.free[domain]) >= spec.Hosts && !grouper.awaited(domain) {
+				loads := max(0, spec.Hosts-grouper.holders(domain, spec.Model))
+				if loads == 0 || loads > grouper.loads {
+					break
+				}
+				grouper.loads -= loads
+				grouper.form(domain, spec)
+			}
+		}
+	}
+}
+
+// awaited tells whether the hosts of a domain wait for one more of their kind,
+// or for a spare's use.
+func (grouper *Grouper) awaited(domain id.Domain) bool {
+	if len(grouper.plan.Dissolve) > 0 || len(grouper.free[domain]) <= 2 {
+		return true
+	}
+	return slices.ContainsFunc(grouper.specs, func(spec Spec) bool {
+		return grouper.room.Emptying[domain] || (spec.Hosts > 2 && grouper.holders(domain, spec.Model) == spec.Hosts-1 && len(grouper.free[domain]) > spec.Hosts)
+	})
+}
+
 // candidate is a group that could be formed.
 type candidate struct {
 	domain id.Domain
--- a/core/process/grouper/grouper_test.go
+++ b/core/process/grouper/grouper_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// Three engines that hold the weights of a lost group of four and no spare: a
+// pair of the domain makes room, since one load then brings four to work; but
+// not while the store is full, or hosts there are about to be free anyway.
+func TestPairMakesRoomForOneLoad(t *testing.T) {
+	var groups []grouper.Group
+	for index := range 12 {
+		groups = append(groups, grouper.Group{Group: id.Group(fmt.Sprintf("p%d", index)), Model: "pair", Domain: id.Domain(fmt.Sprintf("d%d", index%2)), Hosts: 2})
+	}
+	free := hosts("d1", "four", "four", "four")
+	if plan := grouper.New(free, groups, specs, grouper.Room{Loads: 1}).Plan(); plan.Dissolve != "p1" || plan.For != "four" {
+		t.Errorf("plan %+v, want p1 to make room", plan)
+	}
+	if plan := grouper.New(free, groups, specs, grouper.Room{}).Plan(); plan.Dissolve != "" {
+		t.Errorf("plan %+v, want nothing while the store is full", plan)
+	}
+	emptying := map[id.Domain]bool{"d1": true}
+	if plan := grouper.New(free, groups, specs, grouper.Room{Loads: 1, Emptying: emptying}).Plan(); plan.Dissolve != "" {
+		t.Errorf("plan %+v, want to wait for the hosts that will be free", plan)
+	}
+}
+
 // Hosts that can't form a group wait with the weights of those beside them.
 func TestLeftHostsAreStagedForTheirNeighbours(t *testing.T) {
 	plan := grouper.New(hosts("a", "four", "four", ""), nil, specs[1:], grouper.Room{Loads: 2}).Plan()
