balancer: calls wait only as long as answers leave them before they are due

Cause: at the wave's top 15 to 37% of pairs' answers began after their target though their endpoints had room by count: the queue let a call wait 0.6 of its target while answers took about 180 of 300 ms by themselves, so that a full queue made all answers late.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -145,16 +145,18 @@
 
 // call is one request of a caller on its way.
 type call struct {
-	request        *http.Request
-	id             id.Request
-	body           []byte
-	route          *routing.Route
-	table          *routing.Table
-	customer       id.Customer
-	pool           balancer.Pool
-	priority       int
-	arrived        time.Time
-	deadline       time.Time
+	request  *http.Request
+	id       id.Request
+	body     []byte
+	route    *routing.Route
+	table    *routing.Table
+	customer id.Customer
+	pool     balancer.Pool
+	priority int
+	arrived  time.Time
+	deadline time.Time
+	// late says that the caller has waited past the route's target before.
+	late           bool
 	connectionOnly map[string]bool
 	// tried are the endpoints that it was sent to, ran those that may have
 	// run it.
@@ -239,6 +241,7 @@
 	if left, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64); err == nil {
 		if until := call.arrived.Add(time.Duration(left * float64(time.Millisecond))); until.Before(call.deadline) {
 			call.deadline = until
+			call.late = call.arrived.Add(route.Timeout() - route.Target()).After(until)
 		}
 	}
 	call.pool = api.choosePool(call)
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -25,6 +25,8 @@
 	endpoint *view.Endpoint
 	answer   balancer.Answer
 	waited   time.Duration
+	// sentAt is when the request was sent.
+	sentAt time.Time
 }
 
 // forward sends a call to endpoints until one gives an answer that can be
@@ -42,6 +44,7 @@
 				return api.stream(ctx, writer, call, try, exchange)
 			}
 			last = api.whole(writer, call, try, exchange)
+			api.first(call, try)
 			api.done(call, try, balancer.Served)
 			return last
 		}
@@ -59,7 +62,7 @@
 	started := api.config.Now()
 	wanted := balancer.Call{
 		Number: balancer.Number(api.number.Add(1)), Pool: call.pool, Priority: call.priority,
-		Arrived: call.arrived, Due: call.arrived.Add(call.route.Target()), Tried: call.tried, Rescued: len(call.tried) > 0,
+		Arrived: call.arrived, Due: call.arrived.Add(call.route.Target()), Tried: call.tried, Rescued: len(call.tried) > 0, Late: call.late,
 	}
 	if wanted.Rescued {
 		wanted.Arrived, wanted.Due = started, started.Add(call.route.Target())
@@ -72,7 +75,7 @@
 		return nil, &refusal{http.StatusServiceUnavailable, string(answer.Reason), answer.RetryAfter}
 	}
 	now := api.config.Now()
-	try := &attempt{endpoint: answer.Endpoint, answer: answer, waited: now.Sub(started)}
+	try := &attempt{endpoint: answer.Endpoint, answer: answer, waited: now.Sub(started), sentAt: now}
 	if refusal := api.recheck(now, call); refusal != nil {
 		api.done(call, try, balancer.Abandoned)
 		return nil, refusal
@@ -96,7 +99,7 @@
 	turn := make(chan balancer.Answer, 1)
 	api.waiting[wanted.Number] = turn
 	api.mutex.Unlock()
-	timer := time.NewTimer(balancer.WaitsUntil(wanted).Sub(now))
+	timer := time.NewTimer(answer.Until.Sub(now))
 	defer timer.Stop()
 	select {
 	case answer := <-turn:
@@ -144,6 +147,13 @@
 	return &refusal{http.StatusServiceUnavailable, "route_moved", noStateRetry / 10}
 }
 
+// first notes how long an answer took to begin.
+func (api *API) first(call *call, try *attempt) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	api.balancer.First(call.pool, api.config.Now().Sub(try.sentAt))
+}
+
 func (api *API) done(call *call, try *attempt, ending balancer.Ending) {
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
--- a/caroblined/connection/entryapi/pace.go
+++ b/caroblined/connection/entryapi/pace.go
@@ -35,6 +35,7 @@
 	pace.mutex.Unlock()
 	pace.api.progress(now, pace.try.endpoint.Name, first)
 	if first {
+		pace.api.first(pace.call, pace.try)
 		pace.timer.Reset(silenceWithin(pace.call))
 	}
 }
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -4,8 +4,11 @@
 // failed lately.
 //
 // Calls for one pool of endpoints wait in order of priority and then of when
-// their answer is due. A call is refused at once when those before it would
-// keep it past the point at which its answer can be on time.
+// their answer is due; those that are late anyhow come after those that can
+// still be on time. A call waits only as long as the time that answers take
+// leaves it before it is due, and is refused at once when those before it would
+// keep it longer: under overload, a queue that is longer than that makes all
+// answers late and serves no more of them.
 //
 // # Usage
 //
@@ -58,8 +61,13 @@
 	leastRetryAfter = 200 * time.Millisecond
 	// mostRetryAfter bounds what a refusal gives.
 	mostRetryAfter = 2 * time.Second
-	// waitPart is the part of the time to its target that a call may wait.
-	waitPart = 0.6
+	// leastPatience is how long any call may wait.
+	leastPatience = 20 * time.Millisecond
+	// latePatience is how long a call may wait whose answer is late anyhow.
+	latePatience = 500 * time.Millisecond
+	// firstWeight is the weight of one more answer in the average time that
+	// answers take to begin.
+	firstWeight = 0.05
 )
 
 // Pool names the endpoints that may serve a call: those of a plain service, or
@@ -82,6 +90,8 @@
 	Due time.Time
 	// Arrived is when the caller's request came.
 	Arrived time.Time
+	// Late says that the caller has waited past its target before.
+	Late bool
 	// Tried are endpoints that it isn't sent to again.
 	Tried []feed.Endpoint
 	// Rescued calls have lost an endpoint that they were running on. They go
@@ -119,6 +129,8 @@
 	// Running and Limit are what was known of the endpoint, or of the whole
 	// pool for a call that waits or is refused.
 	Running, Limit int
+	// Until is when a call that waits should be given up.
+	Until time.Time
 	// Waiting is how many calls waited before it.
 	Waiting int
 }
@@ -158,6 +170,9 @@
 	waiting   []Call
 	departed  float64
 	updatedAt time.Time
+	// first is the average time from the sending of a call to the beginning of
+	// its answer.
+	first time.Duration
 }
 
 // Balancer holds the pools of one entry host. It isn't safe for concurrent use.
@@ -200,7 +215,7 @@
 	running, limit := balancer.load(endpoints)
 	rate := pool.rate(now)
 	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
-	patience := balancer.patience(now, call)
+	patience := pool.patience(now, call)
 	if wait > patience && ahead >= leastWaiting {
 		return Answer{
 			Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoRoom, Running: running, Limit: limit, Waiting: ahead,
@@ -209,17 +224,28 @@
 	}
 	pool.waiting = append(pool.waiting, call)
 	slices.SortStableFunc(pool.waiting, before)
-	return Answer{Call: call.Number, Verdict: VerdictWait, Running: running, Limit: limit, Waiting: ahead}
+	return Answer{
+		Call: call.Number, Verdict: VerdictWait, Running: running, Limit: limit, Waiting: ahead,
+		Until: now.Add(max(leastPatience, patience)),
+	}
 }
 
-// Patience is how long a call may wait from now.
-func (balancer *Balancer) patience(now time.Time, call Call) time.Duration {
-	return time.Duration(float64(call.Due.Sub(call.Arrived))*waitPart) - now.Sub(call.Arrived)
+// patience is how long a call may wait from now for its answer to be on time.
+func (pool *pool) patience(now time.Time, call Call) time.Duration {
+	if call.Late {
+		return latePatience
+	}
+	return call.Due.Sub(now) - pool.first
 }
 
-// WaitsUntil is when a call that still waits should be given up.
-func WaitsUntil(call Call) time.Time {
-	return call.Arrived.Add(time.Duration(float64(call.Due.Sub(call.Arrived)) * waitPart))
+// First notes how long a call's answer took to begin, from its sending.
+func (balancer *Balancer) First(name Pool, took time.Duration) {
+	pool := balancer.pool(name)
+	if pool.first == 0 {
+		pool.first = took
+		return
+	}
+	pool.first += time.Duration(firstWeight * float64(took-pool.first))
 }
 
 // Cancel takes a waiting call out; it is false when the call waits no more.
@@ -445,7 +471,14 @@
 
 // before orders waiting calls.
 func before(a, b Call) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Due.Compare(b.Due))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(lateness(a), lateness(b)), a.Due.Compare(b.Due))
+}
+
+func lateness(call Call) int {
+	if call.Late {
+		return 1
+	}
+	return 0
 }
 
 func (balancer *Balancer) place(name feed.Endpoint) *place {
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// Under overload calls wait no longer than the time that answers take leaves
+// them: the pattern is the wave's top, where a longer queue makes all late.
+func TestWaitEndsWhereAnAnswerCantBeOnTime(t *testing.T) {
+	made := pools(1, 1, 0)
+	for range 200 {
+		made.First(pool, 800*time.Millisecond)
+	}
+	made.Submit(start, call(0, start))
+	if answer := made.Submit(start, call(1, start)); answer.Until.Sub(start) != 200*time.Millisecond {
+		t.Errorf("waits %v, want 200ms of the second that answers leave", answer.Until.Sub(start))
+	}
+}
+
+// Calls that are late anyhow come after those that can be on time.
+func TestLateCallsComeLast(t *testing.T) {
+	made := pools(1, 1, 0)
+	made.Submit(start, call(0, start))
+	late, timely := call(1, start), call(2, start)
+	late.Late, late.Due = true, start.Add(-time.Second)
+	made.Submit(start, late)
+	made.Submit(start, timely)
+	answers := made.Done(start, call(0, start), feed.Endpoint{Host: "h00"}, balancer.Served)
+	if len(answers) != 1 || answers[0].Call != 2 {
+		t.Errorf("%+v, want the call that can be on time", answers)
+	}
+}
+
 // An endpoint whose streams all stand still gets no more calls: the pattern is
 // a group that has lost one of its engines.
 func TestStandingEndpointGetsNoCalls(t *testing.T) {
