--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -193,6 +193,7 @@
 	waited   time.Duration
 	running  int
 	limit    int
+	waiting  int
 	err      error
 	// first is when the first event came, after the request, and pause the
 	// longest time between two events.
@@ -217,23 +218,30 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// answer is what the balancer knew, for the log.
+	answer balancer.Answer
+}
+
+func newRefusal(status int, reason string, retryAfter time.Duration) *refusal {
+	return &refusal{status: status, reason: reason, retryAfter: retryAfter}
 }
 
 // admit finds the route and the customer of a request by the view in force.
 func (api *API) admit(call *call) *refusal {
 	now, current := api.config.Now(), api.config.View()
 	if current.Routing == nil || !current.InForce(now) {
-		return &refusal{http.StatusServiceUnavailable, "no_state_in_force", noStateRetry}
+		return newRefusal(http.StatusServiceUnavailable, "no_state_in_force", noStateRetry)
 	}
 	if call.id == "" {
-		return &refusal{http.StatusBadRequest, "no_request_id", 0}
+		return newRefusal(http.StatusBadRequest, "no_request_id", 0)
 	}
+	call.table = current.Routing
 	path, _, _ := strings.Cut(call.request.RequestURI, "?")
 	route, ok := current.Routing.Match(call.request.Host, path)
 	if !ok {
-		return &refusal{http.StatusNotFound, "no_route", 0}
+		return newRefusal(http.StatusNotFound, "no_route", 0)
 	}
-	call.route, call.table, call.priority = route, current.Routing, route.Priority
+	call.route, call.priority = route, route.Priority
 	if refusal := api.authenticate(call); refusal != nil {
 		return refusal
 	}
@@ -258,7 +266,7 @@
 		if call.route.Anonymous {
 			return nil
 		}
-		return &refusal{http.StatusUnauthorized, "unknown_token", 0}
+		return newRefusal(http.StatusUnauthorized, "unknown_token", 0)
 	}
 	call.customer = customer.Name
 	if customer.Priority != nil {
@@ -292,10 +300,10 @@
 	data, err := io.ReadAll(http.MaxBytesReader(writer, call.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+		return newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	}
 	if err != nil {
-		return &refusal{http.StatusBadRequest, "body_unreadable", 0}
+		return newRefusal(http.StatusBadRequest, "body_unreadable", 0)
 	}
 	call.body = data
 	return nil
@@ -314,7 +322,10 @@
 	writer.WriteHeader(refusal.status)
 	// The caller may be gone; there is nobody left to tell.
 	_, _ = io.WriteString(writer, refusal.reason+"\n")
-	return result{status: refusal.status, reason: refusal.reason, outcome: "not_run"}
+	return result{
+		status: refusal.status, reason: refusal.reason, outcome: "not_run",
+		running: refusal.answer.Running, limit: refusal.answer.Limit, waiting: refusal.answer.Waiting,
+	}
 }
 
 // record writes the one line that each request leaves.
@@ -324,15 +335,21 @@
 	metrics.GetOrRegisterCounter("entry.answers."+strconv.Itoa(result.status), api.config.Metrics).Inc(1)
 	event := api.config.Log.Info().Str("step", "request").Str("request", string(call.id)).Int("status", result.status).
 		Str("reason", result.reason).Str("outcome", result.outcome).Int64("took_ms", took.Milliseconds()).Int64("waited_ms", result.waited.Milliseconds())
+	if call.table != nil {
+		event = event.Uint64("revision", uint64(call.table.Declaration().Revision))
+	}
 	if call.route != nil {
 		event = event.Str("route", call.route.Name).Str("customer", string(call.customer)).Str("service", string(call.pool.Service)).
-			Str("model", string(call.pool.Model)).Uint64("revision", uint64(call.table.Declaration().Revision))
+			Str("model", string(call.pool.Model))
 	}
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
 			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried)).
 			Int64("first_ms", result.first.Milliseconds()).Int64("pause_ms", result.pause.Milliseconds())
 	}
+	if result.host == "" && result.limit > 0 {
+		event = event.Int("running", result.running).Int("limit", result.limit).Int("waiting", result.waiting)
+	}
 	if result.err != nil {
 		event = event.Str("error", result.err.Error())
 	}
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -69,10 +69,10 @@
 	}
 	answer, err := api.place(ctx, wanted)
 	if err != nil {
-		return nil, &refusal{http.StatusServiceUnavailable, "gave_up_waiting", noStateRetry}
+		return nil, newRefusal(http.StatusServiceUnavailable, "gave_up_waiting", noStateRetry)
 	}
 	if answer.Verdict == balancer.VerdictRefuse {
-		return nil, &refusal{http.StatusServiceUnavailable, string(answer.Reason), answer.RetryAfter}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: string(answer.Reason), retryAfter: answer.RetryAfter, answer: answer}
 	}
 	now := api.config.Now()
 	try := &attempt{endpoint: answer.Endpoint, answer: answer, waited: now.Sub(started), sentAt: now}
@@ -82,7 +82,7 @@
 	}
 	if call.deadline.Sub(now) < leastLeft || ctx.Err() != nil {
 		api.done(call, try, balancer.Abandoned)
-		return nil, &refusal{http.StatusServiceUnavailable, "no_time_left", noStateRetry}
+		return nil, newRefusal(http.StatusServiceUnavailable, "no_time_left", noStateRetry)
 	}
 	return try, nil
 }
@@ -129,7 +129,7 @@
 func (api *API) recheck(now time.Time, call *call) *refusal {
 	current := api.config.View()
 	if !current.InForce(now) {
-		return &refusal{http.StatusServiceUnavailable, "state_out_of_force", noStateRetry}
+		return newRefusal(http.StatusServiceUnavailable, "state_out_of_force", noStateRetry)
 	}
 	if current.Routing == call.table {
 		return nil
@@ -144,7 +144,7 @@
 			return nil
 		}
 	}
-	return &refusal{http.StatusServiceUnavailable, "route_moved", noStateRetry / 10}
+	return newRefusal(http.StatusServiceUnavailable, "route_moved", noStateRetry/10)
 }
 
 // first notes how long an answer took to begin.
@@ -341,7 +341,7 @@
 	case ctx.Err() != nil:
 		status = http.StatusGatewayTimeout
 	}
-	own := api.refuse(writer, call, &refusal{status, last.reason, noStateRetry})
+	own := api.refuse(writer, call, newRefusal(status, last.reason, noStateRetry))
 	last.status, last.outcome = own.status, outcome
 	return last
 }
--- a/caroblined/main.go
+++ b/caroblined/main.go
@@ -37,7 +37,7 @@
 func run(ctx context.Context, arguments []string, out, diagnostics io.Writer) int {
 	flags := flag.NewFlagSet("caroblined", flag.ContinueOnError)
 	flags.SetOutput(diagnostics)
-	path := flags.String("settings", "", "the settings `FILE`, in JSON; docs/OPERATING.md lists its fields")
+	path := flags.String("settings", "", "the settings `FILE`, in JSON; docs/OPERATIONS.md lists its fields")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := flags.Parse(arguments); err != nil {
 		return exitUsage
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -111,6 +111,10 @@
 	loop     atomic.Pointer[control.Control]
 	entry    *entryapi.API
 	draining atomic.Bool
+	// revision and leased are what was last said in the log; the first belongs
+	// to the control goroutine, the second to Run.
+	revision id.Revision
+	leased   bool
 	engines  *http.Transport
 	servers  []*http.Server
 	serving  sync.WaitGroup
@@ -242,6 +246,10 @@
 }
 
 func (node *Node) changed(current *view.View) {
+	if current.Routing != nil && current.Routing.Declaration().Revision != node.revision {
+		node.revision = current.Routing.Declaration().Revision
+		node.config.Log.Info().Str("step", "in_force").Uint64("revision", uint64(node.revision)).Uint64("version", uint64(current.Version)).Send()
+	}
 	if node.entry != nil {
 		node.entry.Update(current)
 	}
@@ -333,7 +341,12 @@
 
 // readSeeds looks for control hosts anew while the node is out of touch.
 func (node *Node) readSeeds() {
-	if node.view().InForce(node.clock.Now()) {
+	current, now := node.view(), node.clock.Now()
+	if leased := current.InForce(now); leased != node.leased {
+		node.leased = leased
+		node.config.Log.Info().Str("step", "lease").Bool("held", leased).Int64("ended_ms_ago", now.Sub(current.LeaseUntil).Milliseconds()).Send()
+	}
+	if node.leased {
 		return
 	}
 	seeds, err := node.config.Seeds()
