--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -108,6 +108,12 @@
 		}
 		api.done(call, try, ending)
 		out.reason, out.outcome, out.abort = "stream_broken_off", "unknown", true
+		switch {
+		case call.request.Context().Err() != nil:
+			out.reason = "caller_left"
+		case ctx.Err() != nil:
+			out.reason = "time_over"
+		}
 		if ending == balancer.Abandoned || !call.route.Idempotent() {
 			return out
 		}
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	running, err := node.New(node.Config{...})
-//	err = running.Run(ctx) // until ctx ends; then it drains
+//	err = running.Run(ctx, reloads) // until ctx ends; then it drains
 package node
 
 import (
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -318,15 +319,18 @@
 	})
 }
 
-// Run serves until ctx ends, then drains and closes. It returns an error when a
-// part fails for good.
-func (node *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends, then drains and closes. A reload reads the seeds
+// anew and cuts nothing. Run returns an error when a part fails for good.
+func (node *Node) Run(ctx context.Context, reloads <-chan os.Signal) error {
 	ticker := time.NewTicker(seedsEvery)
 	defer ticker.Stop()
 	for {
 		select {
+		case <-reloads:
+			node.config.Log.Info().Str("step", "reload").Msg("the seeds are read anew")
+			node.introduceSeeds()
 		case <-ticker.C:
-			node.readSeeds()
+			node.watchLease()
 			if reason := node.loop.Load().Failure(); reason != "" {
 				return errors.Wrap(node.close(), reason)
 			}
@@ -339,16 +343,21 @@
 	}
 }
 
-// readSeeds looks for control hosts anew while the node is out of touch.
-func (node *Node) readSeeds() {
+// watchLease says when the lease is got or lost, and looks for control hosts
+// anew while the node is out of touch.
+func (node *Node) watchLease() {
 	current, now := node.view(), node.clock.Now()
 	if leased := current.InForce(now); leased != node.leased {
 		node.leased = leased
 		node.config.Log.Info().Str("step", "lease").Bool("held", leased).Int64("ended_ms_ago", now.Sub(current.LeaseUntil).Milliseconds()).Send()
 	}
-	if node.leased {
-		return
+	if !node.leased {
+		node.introduceSeeds()
 	}
+}
+
+// introduceSeeds reads the seeds anew.
+func (node *Node) introduceSeeds() {
 	seeds, err := node.config.Seeds()
 	if err != nil {
 		node.config.Log.Warn().Err(err).Str("step", "read_seeds").Msg("the seeds can't be read; those known stay in use")
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -167,8 +167,11 @@
 
 // pool is the calls that wait and the rate at which calls leave.
 type pool struct {
-	waiting   []Call
-	departed  float64
+	waiting  []Call
+	departed float64
+	// refused counts the calls that were sent away, in a sum that fades alike:
+	// they come back.
+	refused   float64
 	updatedAt time.Time
 	// first is the average time from the sending of a call to the beginning of
 	// its answer.
@@ -217,10 +220,7 @@
 	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
 	patience := pool.patience(now, call)
 	if wait > patience && ahead >= leastWaiting {
-		return Answer{
-			Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoRoom, Running: running, Limit: limit, Waiting: ahead,
-			RetryAfter: min(mostRetryAfter, max(leastRetryAfter, wait)),
-		}
+		return pool.refuse(now, Answer{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
 	}
 	pool.waiting = append(pool.waiting, call)
 	slices.SortStableFunc(pool.waiting, before)
@@ -257,11 +257,7 @@
 	}
 	pool.waiting = slices.Delete(pool.waiting, index, index+1)
 	running, limit := balancer.load(balancer.endpoints(call.Pool))
-	wait := time.Duration(float64(len(pool.waiting)+1) / max(pool.rate(now), 1) * float64(time.Second))
-	return Answer{
-		Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoRoom, Running: running, Limit: limit, Waiting: index,
-		RetryAfter: min(mostRetryAfter, max(leastRetryAfter, wait)),
-	}, true
+	return pool.refuse(now, Answer{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
 }
 
 // Done ends a call's time at an endpoint and tells which waiting calls may go.
@@ -351,10 +347,8 @@
 // release lets as many waiting calls go as there is room for.
 func (balancer *Balancer) release(now time.Time) []Answer {
 	var answers []Answer
-	for name, pool := range balancer.pools {
-		if len(pool.waiting) == 0 {
-			continue
-		}
+	for _, name := range balancer.waitingPools() {
+		pool := balancer.pools[name]
 		endpoints := balancer.endpoints(name)
 		for len(pool.waiting) > 0 {
 			answer, ok := balancer.assign(now, pool.waiting[0], endpoints)
@@ -368,6 +362,21 @@
 	return answers
 }
 
+// waitingPools lists the pools with waiting calls in order, so that equal
+// histories give equal answers.
+func (balancer *Balancer) waitingPools() []Pool {
+	var names []Pool
+	for name, pool := range balancer.pools {
+		if len(pool.waiting) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b Pool) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return names
+}
+
 // assign picks the endpoint with the least part of its places taken of a few
 // that have room. It doesn't take the least of all: the counts of other entry
 // hosts are old, and all of them would choose the same one meanwhile.
@@ -509,10 +518,23 @@
 	elapsed := now.Sub(pool.updatedAt)
 	pool.updatedAt = now
 	if elapsed >= rateWindow {
-		pool.departed = 0
+		pool.departed, pool.refused = 0, 0
 		return
 	}
-	pool.departed *= 1 - float64(elapsed)/float64(rateWindow)
+	part := 1 - float64(elapsed)/float64(rateWindow)
+	pool.departed *= part
+	pool.refused *= part
+}
+
+// refuse sends a call away until those that wait, and those that were sent away
+// before it and come back too, can have been served.
+func (pool *pool) refuse(now time.Time, answer Answer) Answer {
+	rate := max(pool.rate(now), 1)
+	wait := time.Duration((float64(len(pool.waiting)+1) + pool.refused) / rate * float64(time.Second))
+	pool.refused++
+	answer.Verdict, answer.Reason = VerdictRefuse, ReasonNoRoom
+	answer.RetryAfter = min(mostRetryAfter, max(leastRetryAfter, wait))
+	return answer
 }
 
 // rate is how many calls leave in a second.
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -123,6 +123,30 @@
 	}
 }
 
+// Refused calls come back, so each is told to come later than the one before:
+// the pattern is a burst that lasts longer than a queue.
+func TestRefusedCallsDontAllComeBackAtOnce(t *testing.T) {
+	made := pools(1, 1, 0)
+	made.Submit(start, call(0, start))
+	for number := range 40 {
+		made.Done(start, call(100+number, start), feed.Endpoint{Host: "h09"}, balancer.Served)
+	}
+	var first, last time.Duration
+	for number := 1; number < 60; number++ {
+		answer := made.Submit(start, call(number, start))
+		if answer.Verdict != balancer.VerdictRefuse {
+			continue
+		}
+		if first == 0 {
+			first = answer.RetryAfter
+		}
+		last = answer.RetryAfter
+	}
+	if last <= first {
+		t.Errorf("the first comes back after %v, the last after %v", first, last)
+	}
+}
+
 // Under overload calls wait no longer than the time that answers take leaves
 // them: the pattern is the wave's top, where a longer queue makes all late.
 func TestWaitEndsWhereAnAnswerCantBeOnTime(t *testing.T) {
