--- a/caroblined/process/identity/identity.go
+++ b/caroblined/process/identity/identity.go
@@ -21,13 +21,13 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/wal"
 	"carobline.dev/core/step"
 )
 
 const (
 	fileName   = "identity"
 	folderPerm = 0o700
-	filePerm   = 0o600
 	// founderSuffix names the nodes that begin a system together, so that each
 	// of them knows the names of the others.
 	founderSuffix = "founder"
@@ -74,7 +74,7 @@
 		}
 	}
 	known.Incarnation++
-	return known, write(folder, path, known)
+	return known, write(folder, known)
 }
 
 func read(path string) (Identity, error) {
@@ -92,44 +92,11 @@
 	return known, nil
 }
 
-// write replaces the file, so that a crash leaves the old or the new one.
-func write(folder, path string, known Identity) error {
+// write returns once the identity is synced.
+func write(folder string, known Identity) error {
 	data, err := json.Marshal(known)
 	if err != nil {
-		return errors.Wrap(err, "write identity")
+		return errors.Wrap(err, "encode identity")
 	}
-	if err := writeSynced(path+".new", data); err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return errors.Wrap(err, "rename identity")
-	}
-	return syncFolder(folder)
-}
-
-func writeSynced(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
-	if err != nil {
-		return errors.Wrap(err, "create identity")
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	return step.Wrap(err, "write identity")
-}
-
-func syncFolder(folder string) error {
-	opened, err := os.Open(folder)
-	if err != nil {
-		return errors.Wrap(err, "open data folder")
-	}
-	err = opened.Sync()
-	if closeErr := opened.Close(); err == nil {
-		err = closeErr
-	}
-	return step.Wrap(err, "sync data folder")
+	return step.Wrap(wal.Replace(wal.OS(), folder, fileName, data), "write identity")
 }
--- /dev/null
+++ b/core/process/controller/engine_forming.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/grouper"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// gatherPause is how long no further engine must be heard before the first
+	// plan, and gatherPatience how long that is waited for.
+	gatherPause    = 1300 * time.Millisecond
+	gatherPatience = 6 * time.Second
+	// dissolveEvery is the least time between two groups that make room.
+	dissolveEvery = 2 * time.Second
+	// freshSilence is how long ago a host may have been heard to be put into a
+	// new group.
+	freshSilence = 1400 * time.Millisecond
+)
+
+// formEngines makes groups of the free engines of a service, stages weights on
+// those that are left, and lets a group make room where another model lacks
+// more.
+func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
+	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
+	if len(free) == 0 || controller.gathering(now, service) {
+		return false
+	}
+	total := len(free)
+	for _, group := range groups {
+		total += group.Hosts
+	}
+	plan := grouper.New(free, groups, engineSpecs(service.Engine), controller.room(now, service.Engine, total)).Plan()
+	for place, assignment := range plan.Form {
+		name := controller.engineGroupName(place)
+		actions.Notes = append(actions.Notes, Note{
+			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
+			Reason: fmt.Sprintf("%d of %d engines free", len(free), total),
+		})
+		controller.proposeOwn(now, actions, register.Command{CommitGroup: &register.CommitGroup{
+			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
+		}})
+	}
+	controller.stageSpares(now, actions, service, plan.Stage)
+	return controller.dissolve(now, actions, plan) || len(plan.Form) > 0
+}
+
+// gathering tells whether engines are still being heard for the first time, as
+// at the start of a system: a plan for all of them is better than one for some.
+func (controller *Controller) gathering(now time.Time, service *routing.Service) bool {
+	reign := controller.reign
+	if reign.busy || now.Sub(reign.started) > gatherPatience {
+		return false
+	}
+	count := 0
+	for _, host := range controller.hosts.Members() {
+		if host.Announcement.Engine && host.Announcement.Service == service.Name {
+			count++
+		}
+	}
+	if count != reign.gathered {
+		reign.gathered, reign.gatheredAt = count, now
+	}
+	return now.Sub(reign.gatheredAt) < gatherPause
+}
+
+// dissolve retires a group that makes room, one at a time.
+func (controller *Controller) dissolve(now time.Time, actions *Actions, plan grouper.Plan) bool {
+	if plan.Dissolve == "" || now.Before(controller.reign.dissolvedAt.Add(dissolveEvery)) {
+		return false
+	}
+	group, ok := controller.register.Group(plan.Dissolve)
+	if !ok {
+		return false
+	}
+	controller.reign.dissolvedAt = now
+	actions.Notes = append(actions.Notes, Note{
+		Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(plan.For),
+	})
+	controller.proposeOwn(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+	return true
+}
+
+// groupsOf lists the groups of a service for planning.
+func (controller *Controller) groupsOf(service *routing.Service) []grouper.Group {
+	var groups []grouper.Group
+	for _, group := range controller.engineGroups() {
+		if group.Service != service.Name {
+			continue
+		}
+		head, _ := controller.hosts.Member(group.Hosts[0])
+		groups = append(groups, grouper.Group{
+			Group: group.Group, Model: group.Model, Domain: head.Announcement.Domain, Hosts: len(group.Hosts),
+		})
+	}
+	return groups
+}
+
+// stageSpares orders weights onto spare hosts as the weight store allows.
+func (controller *Controller) stageSpares(now time.Time, actions *Actions, service *routing.Service, stagings []grouper.Staging) {
+	for _, staging := range stagings {
+		host, ok := controller.hosts.Member(staging.Host)
+		since := now.Sub(controller.reign.staging[staging.Host])
+		if !ok || since < stagePatience || !controller.mayLoad(now, service.Engine) {
+			continue
+		}
+		controller.reign.staging[staging.Host] = now
+		controller.orderEngine(now, actions, host, register.GroupRecord{Model: staging.Model}, OrderStage)
+	}
+}
+
+// room is what bounds a plan now. Before any calls come, the store takes all.
+func (controller *Controller) room(now time.Time, engine *routing.Engine, total int) grouper.Room {
+	room := grouper.Room{Spares: grouper.Spares(total), Loads: total, Emptying: map[id.Domain]bool{}}
+	for name := range controller.register.Unfreed() {
+		if host, ok := controller.hosts.Member(name); ok && host.Live(now) {
+			room.Emptying[host.Announcement.Domain] = true
+		}
+	}
+	if controller.reign.busy {
+		room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
+	}
+	return room
+}
+
+// engineGroupName is new for each place in the log and each term.
+func (controller *Controller) engineGroupName(place int) id.Group {
+	status := controller.quorum.Status()
+	return id.Group(fmt.Sprintf("g%d-%d-%d", status.Term, status.Last, place))
+}
+
+func engineSpecs(engine *routing.Engine) []grouper.Spec {
+	specs := make([]grouper.Spec, len(engine.Models))
+	for index, model := range engine.Models {
+		specs[index] = grouper.Spec{Model: model.Name, Hosts: max(1, model.Hosts), Share: model.Share}
+	}
+	return specs
+}
+
+// freeEngines lists the engines of a service that may be used now.
+func (controller *Controller) freeEngines(now time.Time, service *routing.Service) []grouper.Host {
+	unfreed := controller.register.Unfreed()
+	var free []grouper.Host
+	for _, host := range controller.hosts.Members() {
+		announcement := host.Announcement
+		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) {
+			continue
+		}
+		if _, waits := unfreed[announcement.Host]; waits {
+			continue
+		}
+		if _, assigned := controller.register.GroupOf(announcement.Host); assigned {
+			continue
+		}
+		if host.Silence(now) > freshSilence || controller.lost(now, host) {
+			continue
+		}
+		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Staged: announcement.Staged})
+	}
+	return free
+}
--- /dev/null
+++ b/core/process/controller/engine_orders.go
@@ -0,0 +1,141 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// loadWindow is the time over which starts of loads are counted.
+	loadWindow = time.Second
+	// stagePatience is how long weights may take to reach a spare host before
+	// they are ordered again.
+	stagePatience = 40 * time.Second
+)
+
+// driveGroups orders the hosts of each group to join, and its head to open once
+// all are ready.
+func (controller *Controller) driveGroups(now time.Time, actions *Actions) {
+	for _, group := range controller.engineGroups() {
+		head, ok := controller.hosts.Member(group.Hosts[0])
+		if !ok || (within(head, group) && head.Announcement.Serving.Open) {
+			continue
+		}
+		ready := true
+		for _, name := range group.Hosts {
+			host, known := controller.hosts.Member(name)
+			if !known {
+				ready = false
+				continue
+			}
+			joined := within(host, group)
+			ready = ready && joined && host.Announcement.Serving.Ready
+			if !joined && controller.mayJoin(now, host, group) {
+				controller.orderEngine(now, actions, host, group, OrderLoad)
+			}
+		}
+		if ready {
+			controller.orderEngine(now, actions, head, group, OrderOpen)
+		}
+	}
+}
+
+// loading counts the hosts that are loading weights.
+func (controller *Controller) loading(now time.Time, groups []register.GroupRecord) int {
+	loading := 0
+	for _, group := range groups {
+		for _, name := range group.Hosts {
+			host, ok := controller.hosts.Member(name)
+			loaded := within(host, group) && host.Announcement.Serving.Ready
+			if ok && !loaded && !slices.Contains(host.Announcement.Staged, group.Model) {
+				loading++
+			}
+		}
+	}
+	for name, at := range controller.reign.staging {
+		host, ok := controller.hosts.Member(name)
+		if !ok || now.Sub(at) > stagePatience || len(host.Announcement.Staged) > 0 {
+			continue
+		}
+		loading++
+	}
+	return loading
+}
+
+// mayJoin tells whether a host may be ordered to join now. One that holds the
+// weights may at any time; others wait for the weight store. Before any calls
+// come, the store takes all.
+func (controller *Controller) mayJoin(now time.Time, host roster.Member, group register.GroupRecord) bool {
+	reign := controller.reign
+	if reign.formed[group.Group].IsZero() {
+		reign.formed[group.Group] = now
+	}
+	if reign.orderedLately(now, host.Announcement.Host, OrderLoad, group.Fencing) {
+		return false
+	}
+	if slices.Contains(host.Announcement.Staged, group.Model) {
+		return true
+	}
+	return controller.mayLoad(now, controller.engine(group.Service))
+}
+
+// mayLoad tells whether the weight store lets one more load start now, and
+// counts it. Before any calls come, it takes all.
+func (controller *Controller) mayLoad(now time.Time, engine *routing.Engine) bool {
+	reign := controller.reign
+	if !reign.busy || engine == nil {
+		return true
+	}
+	reign.loads = slices.DeleteFunc(reign.loads, func(at time.Time) bool { return now.Sub(at) >= loadWindow })
+	if float64(len(reign.loads)) >= engine.LoadsPerSecond {
+		return false
+	}
+	reign.loads = append(reign.loads, now)
+	return true
+}
+
+func (controller *Controller) engine(service id.Service) *routing.Engine {
+	declared := controller.register.Declared()
+	if declared == nil {
+		return nil
+	}
+	found, ok := declared.Declaration.Service(service)
+	if !ok {
+		return nil
+	}
+	return found.Engine
+}
+
+// engineOrder is an order that was sent to an engine.
+type engineOrder struct {
+	kind    OrderKind
+	fencing id.Fencing
+	at      time.Time
+}
+
+// orderedLately tells whether an order was sent so lately that its effect may yet
+// show.
+func (reign *reign) orderedLately(now time.Time, host id.Host, kind OrderKind, fencing id.Fencing) bool {
+	last := reign.engineOrders[host]
+	return last.kind == kind && last.fencing == fencing && now.Before(last.at.Add(orderEvery))
+}
+
+// orderEngine sends an order to one host of a group, at most once a second.
+func (controller *Controller) orderEngine(now time.Time, actions *Actions, host roster.Member, group register.GroupRecord, kind OrderKind) {
+	name := host.Announcement.Host
+	if !now.Before(host.Expiry) || controller.reign.orderedLately(now, name, kind, group.Fencing) {
+		return
+	}
+	actions.Notes = append(actions.Notes, Note{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.Silence(now)})
+	controller.reign.engineOrders[name] = engineOrder{kind: kind, fencing: group.Fencing, at: now}
+	actions.Orders = append(actions.Orders, Order{
+		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
+		Fencing: group.Fencing, Rank: slices.Index(group.Hosts, name), Members: group.Hosts,
+		Term: controller.reign.term,
+	})
+}
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -35,7 +35,6 @@
 	silent      bool
 	incarnation id.Incarnation
 	sequence    uint64
-	orders      uint64
 	highest     id.Fencing
 	staged      id.Model
 	group       id.Group
@@ -112,7 +111,6 @@
 	if !engine.up {
 		return
 	}
-	engine.orders++
 	defer engine.say()
 	switch order.Kind {
 	case controller.OrderLoad:
@@ -236,7 +234,7 @@
 func (engine *engine) restart() {
 	engine.up, engine.silent = true, false
 	engine.incarnation++
-	engine.orders, engine.highest = 0, 0
+	engine.highest = 0
 	engine.group, engine.epoch, engine.members, engine.state = "", 0, nil, ""
 }
 
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -105,9 +105,6 @@
 	Peers []string `json:"peers,omitempty"`
 	// Members are the group's hosts by rank, for engines.
 	Members []id.Host `json:"members,omitempty"`
-	// Expected is how many orders the engine had begun when this one was made;
-	// an engine refuses the order when it has begun others since.
-	Expected uint64 `json:"expected,omitempty"`
 	// Term is the reign in which an order to an engine was made.
 	Term id.Term `json:"term,omitempty"`
 	// LifetimeMS is how long after receipt the order may be carried out.
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -26,8 +26,6 @@
 	Engine bool `json:"engine,omitempty"`
 	// Staged are the models whose weights lie on an engine's host.
 	Staged []id.Model `json:"staged,omitempty"`
-	// Orders counts the orders that an engine has begun.
-	Orders uint64 `json:"orders,omitempty"`
 	// ChecksFencing says whether the host refuses orders with old numbers.
 	ChecksFencing bool `json:"checks_fencing"`
 	// Resumes says whether a stream can start after its first tokens.
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -120,7 +120,7 @@
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.DataCentre == b.DataCentre &&
 		a.Domain == b.Domain && a.Accelerators == b.Accelerators && a.Service == b.Service &&
 		a.ChecksFencing == b.ChecksFencing && a.Resumes == b.Resumes && a.Serving == b.Serving &&
-		a.Leaving == b.Leaving && a.Engine == b.Engine && a.Orders == b.Orders &&
+		a.Leaving == b.Leaving && a.Engine == b.Engine &&
 		slices.Equal(a.Models, b.Models) && slices.Equal(a.Staged, b.Staged)
 }
 
--- a/core/process/wal/wal.go
+++ b/core/process/wal/wal.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	if err := wal.replace(snapshotName, body); err != nil {
+	if err := Replace(wal.disk, wal.folder, snapshotName, body); err != nil {
 		return err
 	}
 	hard := wal.hard
@@ -165,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	if err := wal.replace(logName, body); err != nil {
+	if err := Replace(wal.disk, wal.folder, logName, body); err != nil {
 		return err
 	}
 	if err := wal.file.Close(); err != nil {
@@ -179,16 +179,17 @@
 	return nil
 }
 
-// replace swaps a file for a new one, so that a crash leaves one of the two.
-func (wal *WAL) replace(name string, data []byte) error {
-	path := filepath.Join(wal.folder, name)
+// Replace swaps a file of a folder for a new one, so that a crash leaves one of
+// the two. It returns once the bytes and the name are synced.
+func Replace(disk Disk, folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
 	file, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
 	if err != nil {
 		return errors.Wrap(err, "create "+name)
 	}
-	_, err = wal.disk.Write(file, data)
+	_, err = disk.Write(file, data)
 	if err == nil {
-		err = wal.disk.Sync(file)
+		err = disk.Sync(file)
 	}
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
@@ -199,7 +200,7 @@
 	if err := os.Rename(path+".new", path); err != nil {
 		return errors.Wrap(err, "rename "+name)
 	}
-	return syncFolder(wal.folder, wal.disk)
+	return syncFolder(folder, disk)
 }
 
 // Close closes the file; all that Save acknowledged is already synced.
@@ -321,6 +322,9 @@
 		first = stored.Snapshot.Index + 1
 	}
 	if entry.Index < first {
+		// It replaced all of a higher index when it was written, although the
+		// snapshot now covers it.
+		stored.Entries = stored.Entries[:0]
 		return nil
 	}
 	position := entry.Index - first
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -33,41 +33,17 @@
 )
 
 const (
-	// suspicion is how long an endpoint is passed over after a failure; it
-	// doubles with each failure in a row.
-	suspicion = 500 * time.Millisecond
-	// mostSuspicion bounds it.
-	mostSuspicion = 4 * time.Second
-	// stallPause is how long an endpoint is passed over that stood still.
-	stallPause = 2 * time.Second
-	// quietLimit is how long no stream of an endpoint may have had an event for
-	// it to get further calls.
-	quietLimit = 500 * time.Millisecond
-	// failuresToStand is after how many failures in a row an endpoint counts as
-	// standing still.
-	failuresToStand = 2
 	// choices is among how many endpoints with room a call chooses.
 	choices = 2
 	// rescuedPart is up to what part of its places an endpoint takes calls that
 	// have lost another one.
 	rescuedPart = 1.5
-	// fullPause is how long an endpoint is passed over that said it is full.
-	fullPause = 100 * time.Millisecond
-	// rateWindow is the time over which departures are averaged.
-	rateWindow = 2 * time.Second
 	// leastWaiting is how many calls may wait before any rate is known.
 	leastWaiting = 2
-	// leastRetryAfter is the least time that a refusal gives.
-	leastRetryAfter = 200 * time.Millisecond
-	// mostRetryAfter bounds what a refusal gives.
-	mostRetryAfter = 2 * time.Second
 	// leastPatience is how long any call may wait.
 	leastPatience = 20 * time.Millisecond
-	// latePatience is how long a call may wait whose answer is late anyhow.
-	latePatience = 500 * time.Millisecond
-	// firstWeight is the weight of one more answer in the average time that
-	// answers take to begin.
-	firstWeight = 0.05
+	// noEndpointRetry is when to come back to a pool without endpoints.
+	noEndpointRetry = time.Second
 )
 
 // Pool names the endpoints that may serve a call: those of a plain service, or
@@ -152,32 +128,6 @@
 	Abandoned Ending = "abandoned"
 )
 
-// place is what is known of one endpoint.
-type place struct {
-	running  int
-	failures int
-	avoid    time.Time
-	// streams counts the streams that have begun, and eventAt is when the last
-	// event of any of them came.
-	streams int
-	eventAt time.Time
-	// stalledUntil is until when the endpoint counts as standing still.
-	stalledUntil time.Time
-}
-
-// pool is the calls that wait and the rate at which calls leave.
-type pool struct {
-	waiting  []Call
-	departed float64
-	// refused counts the calls that were sent away, in a sum that fades alike:
-	// they come back.
-	refused   float64
-	updatedAt time.Time
-	// first is the average time from the sending of a call to the beginning of
-	// its answer.
-	first time.Duration
-}
-
 // Balancer holds the pools of one entry host. It isn't safe for concurrent use.
 type Balancer struct {
 	view   *view.View
@@ -207,7 +157,7 @@
 	pool := balancer.pool(call.Pool)
 	endpoints := balancer.endpoints(call.Pool)
 	if len(endpoints) == 0 {
-		return Answer{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: mostRetryAfter / 2}
+		return Answer{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: noEndpointRetry}
 	}
 	ahead := balancer.ahead(pool, call)
 	if ahead == 0 || call.Rescued {
@@ -230,14 +180,6 @@
 	}
 }
 
-// patience is how long a call may wait from now for its answer to be on time.
-func (pool *pool) patience(now time.Time, call Call) time.Duration {
-	if call.Late {
-		return latePatience
-	}
-	return call.Due.Sub(now) - pool.first
-}
-
 // First notes how long a call's answer took to begin, from its sending.
 func (balancer *Balancer) First(name Pool, took time.Duration) {
 	pool := balancer.pool(name)
@@ -269,70 +211,6 @@
 	return balancer.release(now)
 }
 
-func (balancer *Balancer) judge(now time.Time, place *place, ending Ending) {
-	switch ending {
-	case Served:
-		place.failures = 0
-	case Full:
-		place.avoid = now.Add(fullPause)
-	case Failed:
-		place.avoid = now.Add(min(mostSuspicion, suspicion<<min(place.failures, 4)))
-		place.failures++
-		if place.failures >= failuresToStand {
-			place.stalledUntil = place.avoid
-		}
-	case Stalled:
-		place.avoid = now.Add(stallPause)
-		place.stalledUntil = place.avoid
-		place.failures++
-	case Abandoned:
-	}
-}
-
-// Began counts a stream whose first event has come.
-func (balancer *Balancer) Began(now time.Time, endpoint feed.Endpoint) {
-	place := balancer.place(endpoint)
-	place.streams++
-	place.eventAt = now
-}
-
-// Event notes an event of a stream.
-func (balancer *Balancer) Event(now time.Time, endpoint feed.Endpoint) {
-	place := balancer.place(endpoint)
-	place.eventAt = now
-	place.stalledUntil = time.Time{}
-}
-
-// Ended counts a stream that has begun and is over.
-func (balancer *Balancer) Ended(endpoint feed.Endpoint) {
-	place := balancer.place(endpoint)
-	place.streams = max(0, place.streams-1)
-}
-
-// Quiet is how long no stream of an endpoint has had an event; it is zero
-// while none has begun.
-func (balancer *Balancer) Quiet(now time.Time, endpoint feed.Endpoint) time.Duration {
-	place := balancer.places[endpoint]
-	if place == nil || place.streams == 0 {
-		return 0
-	}
-	return now.Sub(place.eventAt)
-}
-
-// Standing lists the endpoints that stand still, in order of their names.
-func (balancer *Balancer) Standing(now time.Time) []feed.Endpoint {
-	var standing []feed.Endpoint
-	for name, place := range balancer.places {
-		if now.Before(place.stalledUntil) {
-			standing = append(standing, name)
-		}
-	}
-	slices.SortFunc(standing, func(a, b feed.Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Host, b.Host))
-	})
-	return standing
-}
-
 // Running counts this entry host's calls in progress by endpoint.
 func (balancer *Balancer) Running() map[feed.Endpoint]int {
 	running := map[feed.Endpoint]int{}
@@ -422,11 +300,6 @@
 	})
 }
 
-// suspect tells whether an endpoint has failed or fallen silent lately.
-func (place *place) suspect(now time.Time) bool {
-	return now.Before(place.avoid) || (place.streams > 0 && now.Sub(place.eventAt) > quietLimit)
-}
-
 func (balancer *Balancer) occupied(endpoint *view.Endpoint) int {
 	running := endpoint.Elsewhere
 	if place := balancer.places[endpoint.Name]; place != nil {
@@ -478,18 +351,6 @@
 	return count
 }
 
-// before orders waiting calls.
-func before(a, b Call) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(lateness(a), lateness(b)), a.Due.Compare(b.Due))
-}
-
-func lateness(call Call) int {
-	if call.Late {
-		return 1
-	}
-	return 0
-}
-
 func (balancer *Balancer) place(name feed.Endpoint) *place {
 	known := balancer.places[name]
 	if known == nil {
@@ -507,38 +368,3 @@
 	}
 	return known
 }
-
-// depart counts a call that left, in a sum that fades over the window.
-func (pool *pool) depart(now time.Time) {
-	pool.fade(now)
-	pool.departed++
-}
-
-func (pool *pool) fade(now time.Time) {
-	elapsed := now.Sub(pool.updatedAt)
-	pool.updatedAt = now
-	if elapsed >= rateWindow {
-		pool.departed, pool.refused = 0, 0
-		return
-	}
-	part := 1 - float64(elapsed)/float64(rateWindow)
-	pool.departed *= part
-	pool.refused *= part
-}
-
-// refuse sends a call away until those that wait, and those that were sent away
-// before it and come back too, can have been served.
-func (pool *pool) refuse(now time.Time, answer Answer) Answer {
-	rate := max(pool.rate(now), 1)
-	wait := time.Duration((float64(len(pool.waiting)+1) + pool.refused) / rate * float64(time.Second))
-	pool.refused++
-	answer.Verdict, answer.Reason = VerdictRefuse, ReasonNoRoom
-	answer.RetryAfter = min(mostRetryAfter, max(leastRetryAfter, wait))
-	return answer
-}
-
-// rate is how many calls leave in a second.
-func (pool *pool) rate(now time.Time) float64 {
-	pool.fade(now)
-	return pool.departed / rateWindow.Seconds()
-}
