--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -37,6 +37,8 @@
 	urgentPause = 5 * time.Millisecond
 	// pleadEvery bounds how often a node asks out of turn for larger parts.
 	pleadEvery = 50 * time.Millisecond
+	// forgetEvery is how often hosts that are long dead are forgotten.
+	forgetEvery = time.Minute
 	// drawEvery bounds how often the view is drawn up anew for the sake of
 	// leases and loads alone.
 	drawEvery = 50 * time.Millisecond
@@ -79,6 +81,7 @@
 	rotation  int
 	failures  int
 	pleadedAt time.Time
+	forgotAt  time.Time
 	stamp     clock.Stamp
 	stampAt   time.Time
 	epoch     feed.Epoch
@@ -163,6 +166,10 @@
 			member.failed(now, number)
 		}
 	}
+	if now.Sub(member.forgotAt) >= forgetEvery {
+		member.forgotAt = now
+		member.hosts.Tick(now)
+	}
 	return Actions{Send: member.next(now), Changed: member.due(now)}
 }
 
