entry: a host that loses touch turns callers away before its lease ends

Cause: incident of Lakeshore: two entry hosts that were cut off stayed ready for five seconds and then answered 503 to all who had come (164 in two seconds). They say that they aren't ready after two seconds without control, and a refusal for want of a lease is the last answer on its connection.

Ruled out: a shorter lease, which would give up service in each change of leader.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -218,10 +218,18 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// leave closes the connection, so that the caller comes to another node.
+	leave bool
 	// answer is what the balancer knew, for the log.
 	answer balancer.Answer
 }
 
+// leaving makes a refusal the last answer on its connection.
+func leaving(refusal *refusal) *refusal {
+	refusal.leave = true
+	return refusal
+}
+
 func newRefusal(status int, reason string, retryAfter time.Duration) *refusal {
 	return &refusal{status: status, reason: reason, retryAfter: retryAfter}
 }
@@ -230,7 +238,7 @@
 func (api *API) admit(call *call) *refusal {
 	now, current := api.config.Now(), api.config.View()
 	if current.Routing == nil || !current.InForce(now) {
-		return newRefusal(http.StatusServiceUnavailable, "no_state_in_force", noStateRetry)
+		return leaving(newRefusal(http.StatusServiceUnavailable, "no_state_in_force", noStateRetry))
 	}
 	if call.id == "" {
 		return newRefusal(http.StatusBadRequest, "no_request_id", 0)
@@ -318,6 +326,9 @@
 	if call.id != "" {
 		header.Set(api.config.Dialect.RequestID, string(call.id))
 	}
+	if refusal.leave {
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	writer.WriteHeader(refusal.status)
 	// The caller may be gone; there is nobody left to tell.
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -135,6 +135,12 @@
 
 // entry is an entry host in front of fake services.
 func entry(t *testing.T, routes []routing.Route, services ...*service) *httptest.Server {
+	t.Helper()
+	return entryUntil(t, time.Now().Add(time.Hour), routes, services...)
+}
+
+// entryUntil is an entry host whose lease ends at a moment.
+func entryUntil(t *testing.T, lease time.Time, routes []routing.Route, services ...*service) *httptest.Server {
 	t.Helper()
 	declared := &routing.Declaration{
 		Revision: 1, Routes: routes, Services: []routing.Service{{Name: "desk"}},
@@ -155,7 +161,7 @@
 		known[endpoint.Name] = endpoint
 	}
 	current := &view.View{
-		LeaseUntil: time.Now().Add(time.Hour), Routing: routing.NewTable(declared), Endpoints: known,
+		LeaseUntil: lease, Routing: routing.NewTable(declared), Endpoints: known,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	}
 	transport := &http.Transport{DisableCompression: true}
@@ -184,6 +190,8 @@
 	status int
 	header http.Header
 	body   string
+	// last says that the connection ends with the answer.
+	last bool
 }
 
 // call sends raw bytes and reads one answer.
@@ -203,7 +211,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return answer{response.StatusCode, response.Header, string(body)}, err
+	return answer{response.StatusCode, response.Header, string(body), response.Close}, err
 }
 
 func post(target, body string, lines ...string) string {
@@ -460,3 +468,17 @@
 		t.Errorf("refused requests reached the service: %q", seen)
 	}
 }
+
+// A node whose lease is over runs nothing, says so, and sends the caller to
+// another node.
+func TestNothingRunsWithoutALease(t *testing.T) {
+	service := newService(t, serveWell)
+	server := entryUntil(t, time.Now().Add(-time.Second), route(routing.RepeatNever), service)
+	got, err := call(t, server, post("/a", "x"))
+	if err != nil || got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || !got.last {
+		t.Errorf("%+v %v", got, err)
+	}
+	if seen := service.requests(); len(seen) != 0 {
+		t.Errorf("reached the service: %q", seen)
+	}
+}
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -129,7 +129,7 @@
 func (api *API) recheck(now time.Time, call *call) *refusal {
 	current := api.config.View()
 	if !current.InForce(now) {
-		return newRefusal(http.StatusServiceUnavailable, "state_out_of_force", noStateRetry)
+		return leaving(newRefusal(http.StatusServiceUnavailable, "state_out_of_force", noStateRetry))
 	}
 	if current.Routing == call.table {
 		return nil
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -303,7 +303,7 @@
 // Ready tells whether the node takes new connections.
 func (node *Node) Ready() bool {
 	current := node.view()
-	return !node.draining.Load() && current.Routing != nil && current.InForce(node.clock.Now())
+	return !node.draining.Load() && current.Routing != nil && current.InTouch(node.clock.Now())
 }
 
 func (node *Node) readiness(path string) http.Handler {
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -138,6 +138,16 @@
 	return now.Before(view.LeaseUntil) && !view.Stopping
 }
 
+// InTouch tells whether the lease was renewed so lately that the node may take
+// callers who stay: one that has lost touch should have few left when its lease
+// ends.
+func (view *View) InTouch(now time.Time) bool {
+	return now.Before(view.LeaseUntil.Add(-feed.Lease+touchTime)) && !view.Stopping
+}
+
+// touchTime is how old the last answer of control may be for that.
+const touchTime = 2 * time.Second
+
 // Valid tells whether an endpoint is whole and still the one that a call
 // started on.
 func (view *View) Valid(now time.Time, name feed.Endpoint, fencing id.Fencing) bool {
