control: leases and silences follow the deployment's settings

Where keys must open nothing sooner, nodes would have acted too long on old states; where heartbeats come less often, no engine would have counted as heard lately, and so no group would ever have formed.

A node's lease is now that of the settings, five seconds at the most; silences count in announcements of the host itself. The cluster test of nodes that find each other runs with three seconds and checks the lease that each node holds.

--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -29,6 +29,14 @@
 	sentAt time.Time
 }
 
+// result is what is known of a call that an attempt has ended.
+func (try *attempt) result(status int, reason, outcome string, err error) result {
+	return result{
+		status: status, reason: reason, outcome: outcome, endpoint: try.endpoint.Name, host: try.endpoint.Host,
+		waited: try.waited, running: try.answer.Running, limit: try.answer.Limit, err: err,
+	}
+}
+
 // forward sends a call to endpoints until one gives an answer that can be
 // passed on, or no further try is allowed.
 func (api *API) forward(ctx context.Context, writer http.ResponseWriter, call *call) result {
@@ -43,13 +51,13 @@
 			if call.streams(exchange.response) {
 				return api.stream(ctx, writer, call, try, exchange)
 			}
-			last = api.whole(writer, call, try, exchange)
+			last = api.whole(writer, try, exchange)
 			api.first(call, try)
 			api.done(call, try, balancer.Served)
 			return last
 		}
 		api.done(call, try, exchange.ending(ctx))
-		last = result{reason: exchange.reason, endpoint: try.endpoint.Name, host: try.endpoint.Host, err: exchange.err, waited: try.waited, running: try.answer.Running, limit: try.answer.Limit}
+		last = try.result(0, exchange.reason, "", exchange.err)
 		if !api.mayRetry(ctx, call, exchange) {
 			return api.fail(ctx, writer, call, last, exchange)
 		}
@@ -318,15 +326,12 @@
 }
 
 // whole passes an answer on that was read to its end.
-func (api *API) whole(writer http.ResponseWriter, call *call, try *attempt, exchange *exchange) result {
+func (api *API) whole(writer http.ResponseWriter, try *attempt, exchange *exchange) result {
 	exchange.cancel()
 	incoming(writer.Header(), exchange.response.Header)
 	writer.WriteHeader(exchange.response.StatusCode)
 	_, err := writer.Write(exchange.body)
-	return result{
-		status: exchange.response.StatusCode, reason: "answered", outcome: "ran", endpoint: try.endpoint.Name, host: try.endpoint.Host,
-		waited: try.waited, running: try.answer.Running, limit: try.answer.Limit, err: err, events: call.ran,
-	}
+	return try.result(exchange.response.StatusCode, "answered", "ran", err)
 }
 
 // fail answers a call that was sent and got no answer to pass on.
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -88,10 +88,8 @@
 		err := api.passOn(call, try, writer, &progress, exchange, first.response.Header)
 		exchange.cancel()
 		_ = exchange.response.Body.Close()
-		out := result{
-			status: http.StatusOK, reason: "answered", outcome: "ran", endpoint: try.endpoint.Name, host: try.endpoint.Host, events: progress.events,
-			waited: try.waited, running: try.answer.Running, limit: try.answer.Limit, err: err, pause: progress.pause,
-		}
+		out := try.result(http.StatusOK, "answered", "ran", err)
+		out.events, out.pause = progress.events, progress.pause
 		if !progress.first.IsZero() {
 			out.first = progress.first.Sub(call.arrived)
 		}
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -60,9 +60,10 @@
 	Disk       wal.Disk
 	Specs      []placer.Spec
 	GroupLoads int
-	// VotersWanted and Stall are those of the controller.
+	// VotersWanted, Stall and Lease are those of the controller.
 	VotersWanted int
 	Stall        time.Duration
+	Lease        time.Duration
 	Timing       quorum.Timing
 	Peers        *peers.Peers
 	Log          zerolog.Logger
@@ -140,7 +141,7 @@
 		Self: control.config.Self, Incarnation: control.config.Incarnation,
 		Voters: control.config.Voters, Nodes: control.config.Nodes, Timing: control.config.Timing,
 		Specs: control.config.Specs, GroupLoads: control.config.GroupLoads, CompactEntries: controller.CompactEntries,
-		VotersWanted: control.config.VotersWanted, Stall: control.config.Stall,
+		VotersWanted: control.config.VotersWanted, Stall: control.config.Stall, Lease: control.config.Lease,
 		Rand: rand.New(rand.NewPCG(seed, hashNode(control.config.Self))), //nolint:gosec // spreads elections, keeps no secret
 	}, stored, control.hosts)
 	if err != nil {
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -96,6 +96,9 @@
 	VotersWanted int
 	// Stall is how long a group waits for an engine that it has lost.
 	Stall time.Duration
+	// Lease is how long the node may act on what control has said; zero leaves
+	// it as it is.
+	Lease time.Duration
 	// Grace is how long a stop may take.
 	Grace time.Duration
 	Order func(ctx context.Context, client *http.Client, order controller.Order) error
@@ -201,7 +204,7 @@
 func (node *Node) startControl(seeds []string) error {
 	config := control.Config{
 		Self: node.self.Node, Incarnation: node.self.Incarnation, Seeds: seedNodes(seeds), Timing: quorum.DefaultTiming(),
-		VotersWanted: node.config.VotersWanted, Stall: node.config.Stall, Disk: wal.OS(), Peers: node.peers,
+		VotersWanted: node.config.VotersWanted, Stall: node.config.Stall, Lease: node.config.Lease, Disk: wal.OS(), Peers: node.peers,
 		Log: node.config.Log, Now: node.clock.Now, Order: node.order, Report: node.report, Changed: node.changed,
 	}
 	if own := node.config.Control; own != nil {
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -57,9 +57,20 @@
 	// Stall is how long a group goes on waiting for an engine that it has lost
 	// before it gives itself up.
 	Stall time.Duration
+	// Lease shortens the lease of nodes, which is feed.Lease at the most and
+	// where it is zero.
+	Lease time.Duration
 	Rand  *rand.Rand
 }
 
+// lease is how long a node may act on an answer.
+func (config *Config) lease() time.Duration {
+	if config.Lease <= 0 {
+		return feed.Lease
+	}
+	return min(config.Lease, feed.Lease)
+}
+
 // Controller is the decider of one voter. It isn't safe for concurrent use.
 type Controller struct {
 	config   Config
--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// gatherPause is how long no further engine must be heard before the first
-	// plan, and gatherPatience how long that is waited for.
-	gatherPause    = 1300 * time.Millisecond
+	// gatherBeats is for how many announcements no further engine must be heard
+	// before the first plan, and gatherPatience how long that is waited for.
+	gatherBeats    = 1.1
 	gatherPatience = 6 * time.Second
 	// dissolveEvery is the least time between two groups that make room.
 	dissolveEvery = 2 * time.Second
-	// freshSilence is how long ago a host may have been heard to be put into a
-	// new group.
-	freshSilence = 1400 * time.Millisecond
+	// freshBeats is how many of its announcements ago a host may have been heard
+	// last to be put into a new group.
+	freshBeats = 1.2
 )
 
 // formEngines makes groups of the free engines of a service, stages weights on
@@ -56,16 +56,17 @@
 	if reign.busy || now.Sub(reign.started) > gatherPatience {
 		return false
 	}
-	count := 0
+	count, pause := 0, time.Duration(0)
 	for _, host := range controller.hosts.Members() {
 		if host.Announcement.Engine && host.Announcement.Service == service.Name {
 			count++
+			pause = max(pause, beats(host, gatherBeats))
 		}
 	}
 	if count != reign.gathered {
 		reign.gathered, reign.gatheredAt = count, now
 	}
-	return now.Sub(reign.gatheredAt) < gatherPause
+	return now.Sub(reign.gatheredAt) < pause
 }
 
 // dissolve retires a group that makes room, one at a time.
@@ -156,7 +157,7 @@
 		if _, assigned := controller.register.GroupOf(announcement.Host); assigned {
 			continue
 		}
-		if host.Silence(now) > freshSilence || controller.lost(now, host) {
+		if host.Silence(now) > beats(host, freshBeats) || controller.lost(now, host) {
 			continue
 		}
 		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Staged: announcement.Staged})
--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -19,10 +19,9 @@
 	stallMargin = 300 * time.Millisecond
 	// stallWord is how long a node's word that a group stands still counts.
 	stallWord = 3 * time.Second
-	// stalledSilence is how long a host of a group that stands still must not
-	// have been heard for to be the one that is gone; heartbeats come a little
-	// more often.
-	stalledSilence = 1500 * time.Millisecond
+	// stalledBeats is for how many of its announcements a host of a group that
+	// stands still must not have been heard to be the one that is gone.
+	stalledBeats = 1.25
 )
 
 // governEngines sees to the groups of engines, which join, open, close and
@@ -109,7 +108,7 @@
 			return hostGaveUp, name
 		case open && !within(host, group):
 			return hostAbsent, name
-		case stalled && controller.silence(now, host) > stalledSilence:
+		case stalled && controller.silence(now, host) > beats(host, stalledBeats):
 			return groupStalled, name
 		case !open && controller.lost(now, host):
 			return hostSilent, name
@@ -122,6 +121,11 @@
 	return "", ""
 }
 
+// beats is the time of so many announcements of a host.
+func beats(host roster.Member, count float64) time.Duration {
+	return time.Duration(count * float64(host.Announcement.Every()))
+}
+
 // silence is how long this leader could have heard a host and didn't.
 func (controller *Controller) silence(now time.Time, host roster.Member) time.Duration {
 	return min(host.Silence(now), now.Sub(controller.reign.started))
--- a/core/process/controller/founding_test.go
+++ b/core/process/controller/founding_test.go
@@ -20,6 +20,8 @@
 	coreNodes    = 5
 	entryNodes   = 3
 	votersWanted = 5
+	// foundingLease is shorter than the usual one.
+	foundingLease = 3 * time.Second
 	// catchUp is how soon after its return a node must count again.
 	catchUp = 4 * time.Second
 )
@@ -80,7 +82,7 @@
 	}
 	voter, err := controller.New(node.local(), controller.Config{
 		Self: node.name, Incarnation: node.incarnation, Voters: node.founding.founders, Timing: quorum.DefaultTiming(),
-		CompactEntries: 100, VotersWanted: votersWanted, Stall: fakeStall, Rand: rand.New(rand.NewPCG(node.world.rand.Uint64(), 2)),
+		CompactEntries: 100, VotersWanted: votersWanted, Stall: fakeStall, Lease: foundingLease, Rand: rand.New(rand.NewPCG(node.world.rand.Uint64(), 2)),
 	}, node.stored, node.hosts)
 	if err != nil {
 		node.world.fail("node %s can't restart: %v", node.name, err)
@@ -139,6 +141,9 @@
 		if node.founding.disk && !slices.Contains(membership.Voters, node.name) {
 			world.fail("%s doesn't vote: %v", node.name, membership)
 		}
+		if left := node.view.LeaseUntil.Sub(node.local()); left > foundingLease || !node.view.InTouch(node.local()) {
+			world.fail("%s has a lease of %v left, and in touch is %v", node.name, left, node.view.InTouch(node.local()))
+		}
 		if node.view.Routing == nil || node.view.Routing.Declaration().Revision < revision {
 			world.fail("%s hasn't revision %d in force", node.name, revision)
 		}
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -253,7 +253,7 @@
 	relayed, renewals := controller.hosts.Since(now, cursor)
 	response := &feed.Response{
 		Number: request.Number, Leader: controller.config.Self, Term: controller.reign.term,
-		Stamp: controller.clock.Stamp(now), Took: held.took, LeaseMS: feed.Lease.Milliseconds(),
+		Stamp: controller.clock.Stamp(now), Took: held.took, LeaseMS: controller.config.lease().Milliseconds(),
 		Delta: controller.register.Since(request.Version),
 		Epoch: own, Cursor: controller.hosts.Cursor(), Roster: relayed, Renewals: renewals,
 		Offer: offer, Share: controller.share(now, request),
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -39,7 +39,7 @@
 	}
 	lease := sentAt.Add(time.Duration(response.LeaseMS) * time.Millisecond)
 	if lease.After(member.leaseUntil) {
-		member.leaseUntil = lease
+		member.renewed, member.leaseUntil = sentAt, lease
 	}
 }
 
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -61,15 +61,17 @@
 	hosts  *roster.Roster
 
 	// voters are the nodes that may lead, by the latest word.
-	voters     []id.Node
-	version    id.Version
-	declared   *register.DeclarationRecord
-	table      *routing.Table
-	elsewhere  map[feed.Endpoint]int
-	stalled    []feed.Endpoint
-	contracts  map[id.Customer]register.ContractRecord
-	stops      map[id.Stop]register.StopRecord
-	groups     map[id.Group]register.GroupRecord
+	voters    []id.Node
+	version   id.Version
+	declared  *register.DeclarationRecord
+	table     *routing.Table
+	elsewhere map[feed.Endpoint]int
+	stalled   []feed.Endpoint
+	contracts map[id.Customer]register.ContractRecord
+	stops     map[id.Stop]register.StopRecord
+	groups    map[id.Group]register.GroupRecord
+	// renewed is when the lease began that ends at leaseUntil.
+	renewed    time.Time
 	leaseUntil time.Time
 
 	offer     granter.Offer
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -18,6 +18,7 @@
 	drawn := &view.View{
 		Version:    member.version,
 		LeaseUntil: member.leaseUntil,
+		Renewed:    member.renewed,
 		Share:      member.share,
 		Routing:    member.table,
 		Customers:  map[id.Customer]*view.Customer{},
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -68,6 +68,14 @@
 	return time.Duration(announcement.LeaseMS) * time.Millisecond
 }
 
+// announcementsInLease is how many announcements a host makes in one lease.
+const announcementsInLease = 4
+
+// Every is how often the host announces itself.
+func (announcement *Announcement) Every() time.Duration {
+	return announcement.Lease() / announcementsInLease
+}
+
 // newerThan orders the announcements of one host.
 func (announcement *Announcement) newerThan(other *Announcement) bool {
 	if announcement.Incarnation != other.Incarnation {
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -96,6 +96,8 @@
 	Version id.Version
 	// LeaseUntil is until when the node may take new work by this view.
 	LeaseUntil time.Time
+	// Renewed is when the lease began.
+	Renewed time.Time
 	// Stopping says that a planned stop of this node was asked for, Finished
 	// that it is over and the process should exit.
 	Stopping bool
@@ -142,7 +144,7 @@
 // callers who stay: one that has lost touch should have few left when its lease
 // ends.
 func (view *View) InTouch(now time.Time) bool {
-	return now.Before(view.LeaseUntil.Add(-feed.Lease+touchTime)) && !view.Stopping
+	return view.InForce(now) && now.Before(view.Renewed.Add(touchTime))
 }
 
 // touchTime is how old the last answer of control may be for that.
--- a/core/version/view/view_test.go
+++ b/core/version/view/view_test.go
@@ -12,7 +12,7 @@
 // ends: the pattern is an entry host that is cut off.
 func TestLosesTouchBeforeItsLeaseEnds(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	current := &view.View{LeaseUntil: start.Add(feed.Lease)}
+	current := &view.View{Renewed: start, LeaseUntil: start.Add(feed.Lease)}
 	for after, want := range map[time.Duration][2]bool{
 		0:                {true, true},
 		time.Second:      {true, true},
