--- a/core/process/controller/founding_test.go
+++ b/core/process/controller/founding_test.go
@@ -219,6 +219,21 @@
 	})
 }
 
+// The leader is suspended and wakes up while another one leads: it must not act
+// on what it held, nor keep the others from changing the declaration.
+func TestLeaderIsSuspended(t *testing.T) {
+	foundingSeedsRun(t, func(world *world) {
+		for revision := id.Revision(2); revision < 5; revision++ {
+			length := 2*time.Second + time.Duration(world.rand.Int64N(int64(6*time.Second)))
+			world.leading().pausedTill = world.now + length
+			world.run(1500 * time.Millisecond)
+			world.declare(revision, 2*time.Second)
+			world.run(length + catchUp)
+			world.settled(revision)
+		}
+	})
+}
+
 // All nodes with disks are killed at once and come back within a second.
 func TestHerdKill(t *testing.T) {
 	foundingSeedsRun(t, func(world *world) {
