re-read: one order of endpoints, one test for calls never sent, one encoding of answers

feed.Endpoint.Compare, rest.NeverSent and rest's encode now serve all places.

Ruled out: joining the two watches over silent endpoints (before and within a stream), whose limits differ; the verbs' shared set-up, which is older.

Conclusion: done.

--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/version/view"
 )
@@ -70,10 +70,10 @@
 	started := api.config.Now()
 	wanted := balancer.Call{
 		Number: balancer.Number(api.number.Add(1)), Pool: call.pool, Priority: call.priority,
-		Arrived: call.arrived, Due: call.arrived.Add(call.route.Target()), Tried: call.tried, Rescued: len(call.tried) > 0, Late: call.late,
+		Due: call.arrived.Add(call.route.Target()), Tried: call.tried, Rescued: len(call.tried) > 0, Late: call.late,
 	}
 	if wanted.Rescued {
-		wanted.Arrived, wanted.Due = started, started.Add(call.route.Target())
+		wanted.Due = started.Add(call.route.Target())
 	}
 	answer, err := api.place(ctx, wanted)
 	if err != nil {
@@ -209,7 +209,7 @@
 	if err != nil {
 		cancel()
 		exchange.err, exchange.reason = err, "no_answer"
-		exchange.notRun = neverSent(err)
+		exchange.notRun = rest.NeverSent(err)
 		if !exchange.notRun {
 			call.ran++
 		}
@@ -307,12 +307,6 @@
 	exchange.body = body
 }
 
-// neverSent tells whether no byte of a request can have reached an endpoint.
-func neverSent(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
 // mayRetry tells whether a call may be sent to a further endpoint.
 func (api *API) mayRetry(ctx context.Context, call *call, exchange *exchange) bool {
 	if ctx.Err() != nil {
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +22,7 @@
 	"github.com/rs/zerolog"
 
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/controller"
@@ -299,19 +299,13 @@
 	ctx, cancel := context.WithTimeout(control.ctx, feedTimeout)
 	defer cancel()
 	if err := control.config.Order(ctx, order); err != nil {
-		if unreachable(err) {
+		if rest.NeverSent(err) {
 			control.post(func(now time.Time) { control.step(now, controller.Undelivered{Host: order.Host}) })
 		}
 		control.config.Log.Warn().Err(err).Str("step", "order").Str("host", string(order.Host)).Uint64("fencing", uint64(order.Fencing)).Msg("the order was not taken; it is repeated")
 	}
 }
 
-// unreachable tells whether no connection could be opened.
-func unreachable(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
 // wait registers who gets the answer under a new ticket.
 func (control *Control) wait(answer func(any)) controller.Ticket {
 	control.next++
--- a/core/connection/rest/client.go
+++ b/core/connection/rest/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/dghubble/sling"
@@ -23,6 +24,13 @@
 	return &Client{base: base}
 }
 
+// NeverSent tells whether a call failed because no connection could be opened,
+// so that no byte of it can have reached the other side.
+func NeverSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // Get reads a resource into answer.
 func (client *Client) Get(ctx context.Context, peer, path string, answer any) error {
 	return client.do(ctx, client.base.New().Get(peer+path), peer, "get "+path, answer)
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -101,17 +101,27 @@
 
 // WriteJSON answers with a JSON body.
 func WriteJSON(writer http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	data, ok := encode(writer, body)
+	if !ok {
 		return
 	}
-	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
 	// The other side may be gone; there is nobody left to tell.
 	_, _ = writer.Write(append(data, '\n'))
 }
 
+// encode makes the bytes of a JSON answer and sets their type; a body that can't
+// be encoded is answered with an internal error.
+func encode(writer http.ResponseWriter, body any) ([]byte, bool) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return nil, false
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	return data, true
+}
+
 // Decode reads one JSON value and refuses unknown fields and trailing data.
 func Decode[T any](data []byte) (T, error) {
 	var value T
@@ -167,12 +177,10 @@
 
 // writeAnswer answers with a JSON body, compressed when it is large.
 func writeAnswer(writer http.ResponseWriter, request *http.Request, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	data, ok := encode(writer, body)
+	if !ok {
 		return
 	}
-	writer.Header().Set("Content-Type", "application/json")
 	if len(data) < compressedBytes || !strings.Contains(request.Header.Get("Accept-Encoding"), "gzip") {
 		_, _ = writer.Write(data)
 		return
--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -135,7 +135,7 @@
 	controller.reign.engineOrders[name] = engineOrder{kind: kind, fencing: group.Fencing, at: now}
 	actions.Orders = append(actions.Orders, Order{
 		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
-		Fencing: group.Fencing, Rank: slices.Index(group.Hosts, name), Members: group.Hosts,
+		Fencing: group.Fencing, Members: group.Hosts,
 		Term: controller.reign.term,
 	})
 }
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -190,9 +189,7 @@
 			standing = append(standing, endpoint)
 		}
 	}
-	slices.SortFunc(standing, func(a, b feed.Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Host, b.Host))
-	})
+	slices.SortFunc(standing, feed.Endpoint.Compare)
 	return standing
 }
 
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -10,6 +10,7 @@
 package feed
 
 import (
+	"cmp"
 	"time"
 
 	"carobline.dev/core/id"
@@ -62,6 +63,11 @@
 	Host  id.Host  `json:"host,omitempty"`
 }
 
+// Compare orders endpoints by group and host.
+func (endpoint Endpoint) Compare(other Endpoint) int {
+	return cmp.Or(cmp.Compare(endpoint.Group, other.Group), cmp.Compare(endpoint.Host, other.Host))
+}
+
 // MarshalText makes an Endpoint usable as a key in JSON.
 func (endpoint Endpoint) MarshalText() ([]byte, error) {
 	if endpoint.Group != "" {
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -64,8 +64,6 @@
 	Priority int
 	// Due is when its answer, or the first event of it, should be there.
 	Due time.Time
-	// Arrived is when the caller's request came.
-	Arrived time.Time
 	// Late says that the caller has waited past its target before.
 	Late bool
 	// Tried are endpoints that it isn't sent to again.
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -39,7 +39,7 @@
 }
 
 func call(number int, now time.Time) balancer.Call {
-	return balancer.Call{Number: balancer.Number(number), Pool: pool, Arrived: now, Due: now.Add(time.Second)}
+	return balancer.Call{Number: balancer.Number(number), Pool: pool, Due: now.Add(time.Second)}
 }
 
 // Many entry hosts with the same old counts don't all choose the same endpoint:
--- a/core/request/balancer/place.go
+++ b/core/request/balancer/place.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -97,9 +96,7 @@
 			standing = append(standing, name)
 		}
 	}
-	slices.SortFunc(standing, func(a, b feed.Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Host, b.Host))
-	})
+	slices.SortFunc(standing, feed.Endpoint.Compare)
 	return standing
 }
 
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -10,7 +10,6 @@
 package view
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -66,9 +65,7 @@
 
 // NewSet sorts endpoints into a set.
 func NewSet(endpoints []*Endpoint) *Set {
-	slices.SortFunc(endpoints, func(a, b *Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Name.Group, b.Name.Group), cmp.Compare(a.Name.Host, b.Name.Host))
-	})
+	slices.SortFunc(endpoints, func(a, b *Endpoint) int { return a.Name.Compare(b.Name) })
 	hash := fnv.New64a()
 	for _, endpoint := range endpoints {
 		_, _ = hash.Write([]byte(endpoint.Name.Group))
