control: the log says when a group takes calls and which engines are idle

Group openings and idle engines (by domain and weights, with the loads that the store takes) are noted whenever they change. No change of behaviour.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"carobline.dev/core/id"
@@ -34,7 +35,9 @@
 	for _, group := range groups {
 		total += group.Hosts
 	}
-	plan := grouper.New(free, groups, engineSpecs(service.Engine), controller.room(now, service.Engine, total)).Plan()
+	room := controller.room(now, service.Engine, total)
+	plan := grouper.New(free, groups, engineSpecs(service.Engine), room).Plan()
+	controller.noteIdle(actions, service, free, room)
 	for place, assignment := range plan.Form {
 		name := controller.engineGroupName(place)
 		actions.Notes = append(actions.Notes, Note{
@@ -49,6 +52,32 @@
 	return controller.dissolve(now, actions, plan) || len(plan.Form) > 0
 }
 
+// noteIdle says which engines are in no group, whose weights they hold and how
+// many loads the store takes, whenever that changes.
+func (controller *Controller) noteIdle(actions *Actions, service *routing.Service, free []grouper.Host, room grouper.Room) {
+	counts := map[string]int{}
+	for _, host := range free {
+		counts[fmt.Sprintf("%s:%s", host.Domain, joinModels(host.Staged))]++
+	}
+	var idle strings.Builder
+	for _, name := range sortedKeys(counts) {
+		fmt.Fprintf(&idle, "%s=%d ", name, counts[name])
+	}
+	fmt.Fprintf(&idle, "loads=%d", room.Loads)
+	if text := idle.String(); text != controller.reign.idle {
+		controller.reign.idle = text
+		actions.Notes = append(actions.Notes, Note{Step: "idle_engines", Group: id.Group(service.Name), Reason: text})
+	}
+}
+
+func joinModels(models []id.Model) string {
+	names := make([]string, len(models))
+	for index, model := range models {
+		names[index] = string(model)
+	}
+	return strings.Join(names, "+")
+}
+
 // gathering tells whether engines are still being heard for the first time, as
 // at the start of a system: a plan for all of them is better than one for some.
 func (controller *Controller) gathering(now time.Time, service *routing.Service) bool {
--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -23,7 +23,11 @@
 func (controller *Controller) driveGroups(now time.Time, actions *Actions) {
 	for _, group := range controller.engineGroups() {
 		head, ok := controller.hosts.Member(group.Hosts[0])
-		if !ok || (within(head, group) && head.Announcement.Serving.Open) {
+		if !ok {
+			continue
+		}
+		if within(head, group) && head.Announcement.Serving.Open {
+			controller.noteOpen(now, actions, group, head)
 			continue
 		}
 		ready := true
@@ -45,6 +49,17 @@
 	}
 }
 
+// noteOpen says once that a group takes calls.
+func (controller *Controller) noteOpen(now time.Time, actions *Actions, group register.GroupRecord, head roster.Member) {
+	if controller.reign.opened[group.Group] {
+		return
+	}
+	controller.reign.opened[group.Group] = true
+	actions.Notes = append(actions.Notes, Note{
+		Step: "group_open", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Host: group.Hosts[0], Age: head.Silence(now),
+	})
+}
+
 // loading counts the hosts that are loading weights.
 func (controller *Controller) loading(now time.Time, groups []register.GroupRecord) int {
 	loading := 0
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -46,6 +46,10 @@
 	// when a host was first seen outside the group that was retired.
 	formed map[id.Group]time.Time
 	leftAt map[id.Host]time.Time
+	// opened are the groups that were seen to take calls.
+	opened map[id.Group]bool
+	// idle is what was last said of the engines that are in no group.
+	idle string
 	// engineOrders are the last orders to each engine.
 	engineOrders map[id.Host]engineOrder
 	// stallsAt is when a node last said that calls to an endpoint stand still.
@@ -109,7 +113,7 @@
 		nodes: map[id.Node]*nodeState{}, polls: map[id.Node]poll{},
 		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
 		stopSince: map[id.Stop]time.Time{}, running: map[feed.Endpoint]int{},
-		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{},
+		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{}, opened: map[id.Group]bool{},
 		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, staging: map[id.Host]time.Time{}, undelivered: map[id.Host]time.Time{},
 	}
 	// A node that hasn't been heard in this reign may hold a lease of the last.
