engines: each host is given the weights of a second model, and memory counts

A host keeps the weights of one model beside the one that its engine has in memory, and before the first call loads cost a tenth; neither was used. The announcement now says what is in memory, the stager puts the other model's weights onto each host, and a group is formed of engines that hold its model either way. While engines without any weights wait, no such load begins. Ruled out: more spares (they stood idle with weights of the wrong model). Found: a join makes the joined model the one that the host keeps, so each engine can change once until its host is staged again. Test: a lost engine of a group of four needs no load; fails without the stager.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/stager"
 	"carobline.dev/core/version/routing"
 )
 
@@ -21,6 +23,12 @@
 	// freshBeats is how many of its announcements ago a host may have been heard
 	// last to be put into a new group.
 	freshBeats = 1.2
+	// repairLoads is how many loads are kept for groups while weights are put
+	// onto hosts beside those that they need.
+	repairLoads = 2
+	// earlySeconds is for how many seconds' loads may be under way before any
+	// calls come, so that few of them are left over when they do.
+	earlySeconds = 4
 )
 
 // formEngines makes groups of the free engines of a service, stages weights on
@@ -28,7 +36,7 @@
 // more.
 func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
 	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
-	if len(free) == 0 || controller.gathering(now, service) {
+	if controller.gathering(now, service) {
 		return false
 	}
 	total := len(free)
@@ -48,8 +56,16 @@
 			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
 		}})
 	}
-	controller.stageSpares(now, actions, service, plan.Stage)
-	return controller.dissolve(now, actions, plan) || len(plan.Form) > 0
+	for _, staging := range plan.Stage {
+		controller.stage(now, actions, service, staging.Host, staging.Model)
+	}
+	if controller.dissolve(now, actions, plan) || len(plan.Form) > 0 {
+		return true
+	}
+	if !slices.ContainsFunc(free, grouper.Host.Empty) {
+		controller.stageBeside(now, actions, service)
+	}
+	return false
 }
 
 // noteIdle says which engines are in no group, whose weights they hold and how
@@ -57,7 +73,7 @@
 func (controller *Controller) noteIdle(actions *Actions, service *routing.Service, free []grouper.Host, room grouper.Room) {
 	counts := map[string]int{}
 	for _, host := range free {
-		counts[fmt.Sprintf("%s:%s", host.Domain, joinModels(host.Staged))]++
+		counts[fmt.Sprintf("%s:%s", host.Domain, joinModels(host.Loaded)+"/"+joinModels(host.Staged))]++
 	}
 	var idle strings.Builder
 	for _, name := range sortedKeys(counts) {
@@ -130,17 +146,63 @@
 	return groups
 }
 
-// stageSpares orders weights onto spare hosts as the weight store allows.
-func (controller *Controller) stageSpares(now time.Time, actions *Actions, service *routing.Service, stagings []grouper.Staging) {
-	for _, staging := range stagings {
-		host, ok := controller.hosts.Member(staging.Host)
-		since := now.Sub(controller.reign.staging[staging.Host])
-		if !ok || since < stagePatience || !controller.mayLoad(now, service.Engine) {
+// stageBeside puts the weights of further models onto hosts that are idle or
+// serve, so that each can change to another model without a load once its group
+// is lost. It leaves the store room for repairs.
+func (controller *Controller) stageBeside(now time.Time, actions *Actions, service *routing.Service) {
+	loads := controller.room(now, service.Engine, 0).Loads - repairLoads
+	if !controller.reign.busy {
+		loads = earlySeconds*int(service.Engine.LoadsPerSecond) - controller.stagingNow(now)
+	}
+	for _, staging := range stager.Plan(controller.settledEngines(now, service), engineModels(service.Engine), service.Engine.StagedModels, loads) {
+		controller.stage(now, actions, service, staging.Host, staging.Model)
+	}
+}
+
+// stage orders weights onto a host as the weight store allows.
+func (controller *Controller) stage(now time.Time, actions *Actions, service *routing.Service, name id.Host, model id.Model) {
+	host, ok := controller.hosts.Member(name)
+	last := controller.reign.staging[name]
+	repeated := last.model == model && now.Sub(last.at) < stagePatience
+	if !ok || repeated || !controller.mayLoad(now, service.Engine) {
+		return
+	}
+	controller.reign.staging[name] = staging{model: model, at: now}
+	controller.orderEngine(now, actions, host, register.GroupRecord{Model: model}, OrderStage)
+}
+
+// settledEngines lists the engines that take no part in any change: they are in
+// no group, or ready in one that is in use.
+func (controller *Controller) settledEngines(now time.Time, service *routing.Service) []stager.Host {
+	unfreed := controller.register.Unfreed()
+	var settled []stager.Host
+	for _, host := range controller.hosts.Members() {
+		announcement := &host.Announcement
+		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || host.Silence(now) > beats(host, freshBeats) {
 			continue
 		}
-		controller.reign.staging[staging.Host] = now
-		controller.orderEngine(now, actions, host, register.GroupRecord{Model: staging.Model}, OrderStage)
+		if _, waits := unfreed[announcement.Host]; waits || controller.isStaging(now, announcement.Host) {
+			continue
+		}
+		if name, assigned := controller.register.GroupOf(announcement.Host); assigned {
+			group, known := controller.register.Group(name)
+			if !known || !within(host, group) || !announcement.Serving.Ready {
+				continue
+			}
+		}
+		settled = append(settled, stager.Host{
+			Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
+		})
+	}
+	return settled
+}
+
+func engineModels(engine *routing.Engine) []stager.Model {
+	models := make([]stager.Model, len(engine.Models))
+	for index, model := range engine.Models {
+		models[index] = stager.Model{Name: model.Name, Hosts: max(1, model.Hosts)}
 	}
+	return models
 }
 
 // room is what bounds a plan now. Before any calls come, the store takes all.
@@ -189,7 +251,7 @@
 		if host.Silence(now) > beats(host, freshBeats) || controller.lost(now, host) {
 			continue
 		}
-		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Staged: announcement.Staged})
+		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged})
 	}
 	return free
 }
--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -67,19 +67,31 @@
 		for _, name := range group.Hosts {
 			host, ok := controller.hosts.Member(name)
 			loaded := within(host, group) && host.Announcement.Serving.Ready
-			if ok && !loaded && !slices.Contains(host.Announcement.Staged, group.Model) {
+			if ok && !loaded && !host.Announcement.Holds(group.Model) {
 				loading++
 			}
 		}
 	}
-	for name, at := range controller.reign.staging {
-		host, ok := controller.hosts.Member(name)
-		if !ok || now.Sub(at) > stagePatience || len(host.Announcement.Staged) > 0 {
-			continue
+	return loading + controller.stagingNow(now)
+}
+
+// stagingNow counts the hosts onto which weights are being put.
+func (controller *Controller) stagingNow(now time.Time) int {
+	count := 0
+	for name := range controller.reign.staging {
+		if controller.isStaging(now, name) {
+			count++
 		}
-		loading++
 	}
-	return loading
+	return count
+}
+
+// isStaging tells whether the last order to put weights onto a host may still
+// be carried out.
+func (controller *Controller) isStaging(now time.Time, name id.Host) bool {
+	last, ordered := controller.reign.staging[name]
+	host, known := controller.hosts.Member(name)
+	return ordered && known && host.Live(now) && now.Sub(last.at) < stagePatience && !slices.Contains(host.Announcement.Staged, last.model)
 }
 
 // mayJoin tells whether a host may be ordered to join now. One that holds the
@@ -93,7 +105,7 @@
 	if reign.orderedLately(now, host.Announcement.Host, OrderLoad, group.Fencing) {
 		return false
 	}
-	if slices.Contains(host.Announcement.Staged, group.Model) {
+	if host.Announcement.Holds(group.Model) {
 		return true
 	}
 	return controller.mayLoad(now, controller.engine(group.Service))
@@ -126,6 +138,12 @@
 	return found.Engine
 }
 
+// staging is an order to put a model's weights onto a host.
+type staging struct {
+	model id.Model
+	at    time.Time
+}
+
 // engineOrder is an order that was sent to an engine.
 type engineOrder struct {
 	kind    OrderKind
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -18,11 +18,16 @@
 	fakeStall = 4 * time.Second
 	beatEvery = 1200 * time.Millisecond
 	beatLease = 4 * beatEvery
+	// fakeLoad is how long weights take from the store, fakeWarmUp from the
+	// host, and fakeReturn from the engine's own memory.
+	fakeLoad   = 12 * time.Second
+	fakeWarmUp = time.Second
+	fakeReturn = 200 * time.Millisecond
 )
 
 // engineService has groups of four and of two.
 var engineService = routing.Service{Name: "pool", Engine: &routing.Engine{
-	Slots: 8, LoadsAtOnce: 7, LoadsPerSecond: 5,
+	Slots: 8, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1,
 	Models: []routing.Model{{Name: "four", Hosts: 4, Share: 0.5}, {Name: "two", Hosts: 2, Share: 0.5}},
 }}
 
@@ -37,6 +42,8 @@
 	sequence    uint64
 	highest     id.Fencing
 	staged      id.Model
+	loaded      id.Model
+	loads       int
 	group       id.Group
 	model       id.Model
 	epoch       id.Fencing
@@ -82,6 +89,9 @@
 	if engine.staged != "" {
 		announcement.Staged = []id.Model{engine.staged}
 	}
+	if engine.loaded != "" && announcement.Serving.Ready {
+		announcement.Loaded = []id.Model{engine.loaded}
+	}
 	entry := engine.world.nodes[engine.world.rand.IntN(coreNodes)]
 	engine.world.send(string(engine.name), string(entry.name), func() {
 		entry.guard(func() { entry.follow(entry.member.Step(entry.local(), member.Renewed{Announcement: announcement})) })()
@@ -117,9 +127,11 @@
 		engine.join(order)
 	case controller.OrderStage:
 		life := engine.incarnation
+		engine.loads++
 		engine.world.after(3*time.Second, func() {
 			if engine.incarnation == life {
 				engine.staged = order.Model
+				engine.say()
 			}
 		})
 	default:
@@ -157,12 +169,17 @@
 		engine.world.fail("%s joins %s/%d while the head %s of its group %s/%d is %s", engine.name, order.Group, order.Fencing, head.name, engine.group, engine.epoch, head.state)
 	}
 	engine.highest = order.Fencing
-	delay := 12 * time.Second
-	if engine.staged == order.Model {
-		delay = time.Second
+	delay := fakeLoad
+	switch order.Model {
+	case engine.loaded:
+		delay = fakeReturn
+	case engine.staged:
+		delay = fakeWarmUp
+	default:
+		engine.loads++
 	}
 	engine.group, engine.epoch, engine.model, engine.members, engine.state = order.Group, order.Fencing, order.Model, order.Members, "joining"
-	engine.staged = order.Model
+	engine.staged, engine.loaded = order.Model, order.Model
 	engine.later(delay, "joining", "ready")
 }
 
@@ -234,7 +251,7 @@
 func (engine *engine) restart() {
 	engine.up, engine.silent = true, false
 	engine.incarnation++
-	engine.highest = 0
+	engine.highest, engine.loaded = 0, ""
 	engine.group, engine.epoch, engine.members, engine.state = "", 0, nil, ""
 }
 
@@ -311,6 +328,39 @@
 	}
 }
 
+// TestLostEngineNeedsNoLoad loses one engine of a group of four once each host
+// holds the weights of both models. A pair makes room for the three that are
+// left, and both models are served again within seconds.
+func TestLostEngineNeedsNoLoad(t *testing.T) {
+	world := newFoundingWorld(t, 77)
+	for index := range 8 {
+		world.engines = append(world.engines, newEngine(world, index))
+	}
+	world.run(2500 * time.Millisecond)
+	world.declare(1, 3*time.Second)
+	world.run(40 * time.Second)
+	if busy := world.engagedIn("four"); busy != 4 {
+		t.Fatalf("%d engines serve the model of four, want 4", busy)
+	}
+	index := slices.IndexFunc(world.engines, func(engine *engine) bool { return engine.loaded == "four" && engine.group != "" && engine.headOf() != engine.name })
+	world.engines[index].up = false
+	world.run(9 * time.Second)
+	if four, two := world.engagedIn("four"), world.engagedIn("two"); four != 4 || two != 2 {
+		t.Errorf("%d engines serve the model of four and %d that of two, want 4 and 2 of seven", four, two)
+	}
+}
+
+// engagedIn counts the engines in open groups of a model.
+func (world *world) engagedIn(model id.Model) int {
+	count := 0
+	for _, engine := range world.engines {
+		if head := world.engine(engine.headOf()); head != nil && engine.up && engine.model == model && head.serves(engine.group, engine.epoch) {
+			count++
+		}
+	}
+	return count
+}
+
 // openGroups counts the groups that the first entry host may use.
 func (world *world) openGroups() int {
 	count := 0
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -60,7 +60,7 @@
 	// all nodes should hear at once.
 	stalls bool
 	// staging is when weights were ordered onto a spare host.
-	staging map[id.Host]time.Time
+	staging map[id.Host]staging
 	// dissolvedAt is when a group last made room.
 	dissolvedAt time.Time
 	// gathered counts the engines heard at the start, and gatheredAt is when
@@ -114,7 +114,7 @@
 		ordered: map[id.Host]time.Time{}, brokenFrom: map[id.Group]time.Time{},
 		stopSince: map[id.Stop]time.Time{}, running: map[feed.Endpoint]int{},
 		formed: map[id.Group]time.Time{}, leftAt: map[id.Host]time.Time{}, opened: map[id.Group]bool{},
-		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, staging: map[id.Host]time.Time{}, undelivered: map[id.Host]time.Time{},
+		engineOrders: map[id.Host]engineOrder{}, stallsAt: map[feed.Endpoint]time.Time{}, staging: map[id.Host]staging{}, undelivered: map[id.Host]time.Time{},
 	}
 	// A node that hasn't been heard in this reign may hold a lease of the last.
 	for _, node := range config.Nodes {
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -32,10 +32,20 @@
 type Host struct {
 	Host   id.Host
 	Domain id.Domain
-	// Staged are the models whose weights lie on the host.
+	// Loaded are the models that were in the engine's memory last, and Staged
+	// those whose weights lie on its host.
+	Loaded []id.Model
 	Staged []id.Model
 }
 
+// Empty tells whether the engine needs a load for any model.
+func (host Host) Empty() bool { return len(host.Loaded)+len(host.Staged) == 0 }
+
+// holds tells whether the engine needs no load for a model.
+func (host Host) holds(model id.Model) bool {
+	return slices.Contains(host.Loaded, model) || slices.Contains(host.Staged, model)
+}
+
 // Group is one group in use.
 type Group struct {
 	Group  id.Group
@@ -272,8 +282,6 @@
 
 func (grouper *Grouper) domains() []id.Domain { return slices.Sorted(maps.Keys(grouper.free)) }
 
-func holds(host Host, model id.Model) bool { return slices.Contains(host.Staged, model) }
-
 // form makes a group of a domain's hosts, those first that hold the weights,
 // and then those that hold none.
 func (grouper *Grouper) form(domain id.Domain, spec Spec) {
@@ -292,19 +300,21 @@
 // would lose them.
 func cost(host Host, model id.Model) int {
 	switch {
-	case holds(host, model):
+	case slices.Contains(host.Loaded, model):
 		return 0
-	case len(host.Staged) == 0:
+	case host.holds(model):
 		return 1
-	default:
+	case len(host.Staged) == 0:
 		return 2
+	default:
+		return 3
 	}
 }
 
 func (grouper *Grouper) holders(domain id.Domain, model id.Model) int {
 	count := 0
-	for _, host := range grouper.free[domain] {
-		if holds(host, model) {
+	for index := range grouper.free[domain] {
+		if grouper.free[domain][index].holds(model) {
 			count++
 		}
 	}
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"carobline.dev/core/id"
@@ -24,8 +25,10 @@
 	// Engine is set by a host whose groups are opened and closed by order. It
 	// names its service, which declares the models.
 	Engine bool `json:"engine,omitempty"`
-	// Staged are the models whose weights lie on an engine's host.
+	// Staged are the models whose weights lie on an engine's host, and Loaded
+	// those that were in its memory last.
 	Staged []id.Model `json:"staged,omitempty"`
+	Loaded []id.Model `json:"loaded,omitempty"`
 	// ChecksFencing says whether the host refuses orders with old numbers.
 	ChecksFencing bool `json:"checks_fencing"`
 	// Resumes says whether a stream can start after its first tokens.
@@ -68,6 +71,12 @@
 	return time.Duration(announcement.LeaseMS) * time.Millisecond
 }
 
+// Holds tells whether an engine can serve a model without a load from the
+// weight store.
+func (announcement *Announcement) Holds(model id.Model) bool {
+	return slices.Contains(announcement.Loaded, model) || slices.Contains(announcement.Staged, model)
+}
+
 // announcementsInLease is how many announcements a host makes in one lease.
 const announcementsInLease = 4
 
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -83,6 +83,10 @@
 	if old != nil && old.Announcement.Leaving && old.Announcement.Incarnation == announcement.Incarnation {
 		announcement.Leaving = true
 	}
+	if old != nil && old.Announcement.Incarnation == announcement.Incarnation && len(announcement.Loaded) == 0 {
+		// An engine outside any group names none, and keeps the last in memory.
+		announcement.Loaded = old.Announcement.Loaded
+	}
 	change := ChangeMaterial
 	if old != nil && old.Live(now) && sameFacts(old.Announcement, announcement) {
 		change = ChangeRenewed
@@ -121,7 +125,7 @@
 		a.Domain == b.Domain && a.Accelerators == b.Accelerators && a.Service == b.Service &&
 		a.ChecksFencing == b.ChecksFencing && a.Resumes == b.Resumes && a.Serving == b.Serving &&
 		a.Leaving == b.Leaving && a.Engine == b.Engine &&
-		slices.Equal(a.Models, b.Models) && slices.Equal(a.Staged, b.Staged)
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Staged, b.Staged) && slices.Equal(a.Loaded, b.Loaded)
 }
 
 // Member finds one host, live or not.
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -78,3 +78,25 @@
 		t.Errorf("a renewal was not taken: %+v", member)
 	}
 }
+
+// TestEnginesKeepWhatTheyHadInMemory: an engine that has left its group names no
+// model any more, but holds the last one until its life ends.
+func TestEnginesKeepWhatTheyHadInMemory(t *testing.T) {
+	hosts := roster.New()
+	hear := func(announcement roster.Announcement, loaded ...id.Model) bool {
+		announcement.Loaded = loaded
+		hosts.Hear(start, announcement, start.Add(lease))
+		member, _ := hosts.Member("h")
+		return member.Announcement.Holds("m")
+	}
+	if !hear(announced(1, 1, false), "m") || !hear(announced(1, 2, false)) {
+		t.Error("the model in memory was forgotten")
+	}
+	if hear(announced(1, 3, false), "other") {
+		t.Error("another model doesn't take its place")
+	}
+	hear(announced(1, 4, false), "m")
+	if hear(announced(2, 1, false)) {
+		t.Error("a new life holds what the old one had")
+	}
+}
--- a/core/version/routing/routing.go
+++ b/core/version/routing/routing.go
@@ -103,6 +103,8 @@
 	// LoadsAtOnce and LoadsPerSecond bound the loads of the weight store.
 	LoadsAtOnce    int     `json:"loads_at_once"`
 	LoadsPerSecond float64 `json:"loads_per_second"`
+	// StagedModels is how many models a host keeps the weights of.
+	StagedModels int `json:"staged_models,omitempty"`
 }
 
 // Model is one model of a service of engines.
