grouper: the model that lacks most goes first, and each load completes a group

What survived a group of four was used up for pairs at once, since both models lacked something, and groups waited with loads of their own. Now the plan turns to the model that lacks most; hosts that it can soon use are kept for it, a group of a better served model makes room where its hosts hold the weights, loads go onto hosts one by one and a group is formed once all its hosts hold them. No engine is kept out of groups: those beyond what is wanted serve until they are needed.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -9,6 +9,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
 	"carobline.dev/core/process/stager"
 	"carobline.dev/core/version/routing"
 )
@@ -35,22 +36,18 @@
 // those that are left, and lets a group make room where another model lacks
 // more.
 func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
-	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
+	free, groups := controller.freeEngines(now, service), controller.groupsOf(now, service)
 	if controller.gathering(now, service) {
 		return false
 	}
-	total := len(free)
-	for _, group := range groups {
-		total += group.Hosts
-	}
-	room := controller.room(now, service.Engine, total)
+	room := controller.room(now, service.Engine)
 	plan := grouper.New(free, groups, engineSpecs(service.Engine), room).Plan()
 	controller.noteIdle(actions, service, free, room)
 	for place, assignment := range plan.Form {
 		name := controller.engineGroupName(place)
 		actions.Notes = append(actions.Notes, Note{
 			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
-			Reason: fmt.Sprintf("%d of %d engines free", len(free), total),
+			Reason: fmt.Sprintf("%d engines free", len(free)),
 		})
 		controller.proposeOwn(now, actions, register.Command{CommitGroup: &register.CommitGroup{
 			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
@@ -131,17 +128,32 @@
 	return true
 }
 
+// planned is an engine as planning sees it.
+func (controller *Controller) planned(now time.Time, host roster.Member) grouper.Host {
+	announcement := &host.Announcement
+	planned := grouper.Host{
+		Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
+	}
+	if controller.isStaging(now, announcement.Host) {
+		planned.Coming = controller.reign.staging[announcement.Host].model
+	}
+	return planned
+}
+
 // groupsOf lists the groups of a service for planning.
-func (controller *Controller) groupsOf(service *routing.Service) []grouper.Group {
+func (controller *Controller) groupsOf(now time.Time, service *routing.Service) []grouper.Group {
 	var groups []grouper.Group
 	for _, group := range controller.engineGroups() {
 		if group.Service != service.Name {
 			continue
 		}
-		head, _ := controller.hosts.Member(group.Hosts[0])
-		groups = append(groups, grouper.Group{
-			Group: group.Group, Model: group.Model, Domain: head.Announcement.Domain, Hosts: len(group.Hosts),
-		})
+		known := grouper.Group{Group: group.Group, Model: group.Model}
+		for _, name := range group.Hosts {
+			host, _ := controller.hosts.Member(name)
+			known.Hosts = append(known.Hosts, controller.planned(now, host))
+		}
+		known.Domain = known.Hosts[0].Domain
+		groups = append(groups, known)
 	}
 	return groups
 }
@@ -150,7 +162,7 @@
 // serve, so that each can change to another model without a load once its group
 // is lost. It leaves the store room for repairs.
 func (controller *Controller) stageBeside(now time.Time, actions *Actions, service *routing.Service) {
-	loads := controller.room(now, service.Engine, 0).Loads - repairLoads
+	loads := controller.room(now, service.Engine).Loads - repairLoads
 	if !controller.reign.busy {
 		loads = earlySeconds*int(service.Engine.LoadsPerSecond) - controller.stagingNow(now)
 	}
@@ -206,16 +218,14 @@
 }
 
 // room is what bounds a plan now. Before any calls come, the store takes all.
-func (controller *Controller) room(now time.Time, engine *routing.Engine, total int) grouper.Room {
-	room := grouper.Room{Spares: grouper.Spares(total), Loads: total, Emptying: map[id.Domain]bool{}}
-	for name := range controller.register.Unfreed() {
+func (controller *Controller) room(now time.Time, engine *routing.Engine) grouper.Room {
+	room := grouper.Room{Early: !controller.reign.busy}
+	for _, name := range sortedKeys(controller.register.Unfreed()) {
 		if host, ok := controller.hosts.Member(name); ok && host.Live(now) {
-			room.Emptying[host.Announcement.Domain] = true
+			room.Emptying = append(room.Emptying, controller.planned(now, host))
 		}
 	}
-	if controller.reign.busy {
-		room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
-	}
+	room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
 	return room
 }
 
@@ -251,7 +261,7 @@
 		if host.Silence(now) > beats(host, freshBeats) || controller.lost(now, host) {
 			continue
 		}
-		free = append(free, grouper.Host{Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged})
+		free = append(free, controller.planned(now, host))
 	}
 	return free
 }
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -342,7 +342,9 @@
 	if busy := world.engagedIn("four"); busy != 4 {
 		t.Fatalf("%d engines serve the model of four, want 4", busy)
 	}
-	index := slices.IndexFunc(world.engines, func(engine *engine) bool { return engine.loaded == "four" && engine.group != "" && engine.headOf() != engine.name })
+	index := slices.IndexFunc(world.engines, func(engine *engine) bool {
+		return engine.loaded == "four" && engine.group != "" && engine.headOf() != engine.name
+	})
 	world.engines[index].up = false
 	world.run(9 * time.Second)
 	if four, two := world.engagedIn("four"), world.engagedIn("two"); four != 4 || two != 2 {
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -2,56 +2,32 @@
 // are given weights to wait with. Groups stay inside one fabric domain.
 //
 // Loads of weights are what is scarce: they take longer than all else, and the
-// weight store takes few at a time. So engines that hold the weights of a model
-// are used for it first, and each load goes where it brings the most engines to
-// work on the model that lacks most. A group is formed only once the store
-// takes all its loads, so that no engine is bound to a group that waits.
+// weight store takes few at a time. So once calls come a group is formed only of
+// engines that hold its weights, in memory or on their hosts, and each load
+// completes a group of the model that lacks most, where the fewest loads do so.
+// Hosts that such a group will need soon are kept for it, and a group of a model
+// that is better off makes room where its hosts complete one.
 //
 // # Usage
 //
-//	plan := grouper.New(free, groups, specs, grouper.Room{Spares: 5, Loads: 7}).Plan()
+//	plan := grouper.New(free, groups, specs, grouper.Room{Loads: 7}).Plan()
 //	for _, assignment := range plan.Form { ... }
 package grouper
 
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"carobline.dev/core/id"
 )
 
-// sparePart is the part of all engines that is kept as spares.
-const sparePart = 0.08
-
-// overshoot is by how many loads one group may exceed what the store takes.
-const overshoot = 2
-
-// Host is one engine that is in no group.
-type Host struct {
-	Host   id.Host
-	Domain id.Domain
-	// Loaded are the models that were in the engine's memory last, and Staged
-	// those whose weights lie on its host.
-	Loaded []id.Model
-	Staged []id.Model
-}
-
-// Empty tells whether the engine needs a load for any model.
-func (host Host) Empty() bool { return len(host.Loaded)+len(host.Staged) == 0 }
-
-// holds tells whether the engine needs no load for a model.
-func (host Host) holds(model id.Model) bool {
-	return slices.Contains(host.Loaded, model) || slices.Contains(host.Staged, model)
-}
-
 // Group is one group in use.
 type Group struct {
 	Group  id.Group
 	Model  id.Model
 	Domain id.Domain
-	Hosts  int
+	Hosts  []Host
 }
 
 // Spec is one model.
@@ -69,7 +45,7 @@
 	Hosts []id.Host
 }
 
-// Staging puts a model's weights on a spare host.
+// Staging puts a model's weights on a host.
 type Staging struct {
 	Host  id.Host
 	Model id.Model
@@ -79,34 +55,31 @@
 type Plan struct {
 	Form  []Assignment
 	Stage []Staging
-	// Dissolve is a group whose hosts complete one of the model For, which
-	// lacks a single host there; it is empty where there is none.
+	// Dissolve is a group whose hosts complete one of the model For; it is empty
+	// where there is none.
 	Dissolve id.Group
 	For      id.Model
 }
 
 // Room bounds a plan.
 type Room struct {
-	// Spares is how many engines are kept out of groups.
-	Spares int
 	// Loads is how many loads the weight store takes now.
 	Loads int
-	// Emptying are the domains in which hosts of retired groups will be free
-	// soon.
-	Emptying map[id.Domain]bool
+	// Early says that no calls come yet, so that the store takes all loads.
+	Early bool
+	// Emptying are the hosts of retired groups that will be free soon.
+	Emptying []Host
 }
 
-// Spares is how many engines of a total are kept as spares.
-func Spares(total int) int { return int(math.Ceil(float64(total) * sparePart)) }
-
 // Grouper plans once. Its methods use up what it was made of.
 type Grouper struct {
-	free   map[id.Domain][]Host
-	groups []Group
-	specs  []Spec
+	free     map[id.Domain][]Host
+	emptying map[id.Domain][]Host
+	groups   []Group
+	specs    []Spec
+	// wanted is how many groups of a model its part of the work asks for.
 	wanted map[id.Model]float64
 	counts map[id.Model]int
-	loads  int
 	room   Room
 	plan   Plan
 }
@@ -115,26 +88,31 @@
 // and what bounds the plan.
 func New(free []Host, groups []Group, specs []Spec, room Room) *Grouper {
 	grouper := &Grouper{
-		free: map[id.Domain][]Host{}, groups: groups, specs: slices.Clone(specs), wanted: map[id.Model]float64{},
-		counts: map[id.Model]int{}, loads: room.Loads, room: room,
+		free: byDomain(free), emptying: byDomain(room.Emptying), groups: groups, specs: slices.Clone(specs),
+		wanted: map[id.Model]float64{}, counts: map[id.Model]int{}, room: room,
 	}
 	slices.SortFunc(grouper.specs, func(a, b Spec) int {
 		return cmp.Or(cmp.Compare(b.Hosts, a.Hosts), cmp.Compare(a.Model, b.Model))
 	})
-	total := len(free)
-	for _, host := range free {
-		grouper.free[host.Domain] = append(grouper.free[host.Domain], host)
-	}
+	total := len(free) + len(room.Emptying)
 	for _, group := range groups {
 		grouper.counts[group.Model]++
-		total += group.Hosts
+		total += len(group.Hosts)
 	}
-	grouper.want(max(0, total-room.Spares))
+	grouper.want(total)
 	return grouper
 }
 
-// want shares the usable engines out by the models' parts of the work.
-func (grouper *Grouper) want(usable int) {
+func byDomain(hosts []Host) map[id.Domain][]Host {
+	domains := map[id.Domain][]Host{}
+	for _, host := range hosts {
+		domains[host.Domain] = append(domains[host.Domain], host)
+	}
+	return domains
+}
+
+// want shares the engines out by the models' parts of the work.
+func (grouper *Grouper) want(engines int) {
 	sum := 0.0
 	for _, spec := range grouper.specs {
 		sum += spec.Share
@@ -144,216 +122,104 @@
 		if sum > 0 {
 			part = spec.Share / sum
 		}
-		grouper.wanted[spec.Model] = float64(usable) * part / float64(max(1, spec.Hosts))
+		grouper.wanted[spec.Model] = float64(engines) * part / float64(spec.Hosts)
 	}
 }
 
-// Plan decides.
+// fullness is how far a model is served, of what is wanted.
+func (grouper *Grouper) fullness(model id.Model) float64 {
+	return float64(grouper.counts[model]) / max(grouper.wanted[model], 1e-9)
+}
+
+// Plan decides. It turns again and again to the model that lacks most, until
+// nothing more can be done for any.
 func (grouper *Grouper) Plan() Plan {
+	passed := map[id.Model]bool{}
 	for {
-		candidate, ok := grouper.best()
+		spec, ok := grouper.neediest(passed)
 		if !ok {
 			break
 		}
-		grouper.loads -= candidate.loads
-		grouper.form(candidate.domain, candidate.spec)
+		if domain, ok := grouper.ready(spec); ok {
+			grouper.form(domain, spec)
+			continue
+		}
+		passed[spec.Model] = true
+		grouper.keep(spec)
 	}
-	grouper.makeRoom()
-	grouper.useUp()
-	for _, domain := range grouper.domains() {
-		grouper.stageSpares(domain)
+	if !grouper.room.Early {
+		grouper.load()
 	}
 	return grouper.plan
 }
 
-// makeRoom finds a group whose hosts complete one of a model that lacks more,
-// where that needs a single load and the store has room for it.
-func (grouper *Grouper) makeRoom() {
-	if grouper.loads <= 0 {
-		return
-	}
+// neediest is the model that lacks most of those that weren't passed over.
+func (grouper *Grouper) neediest(passed map[id.Model]bool) (Spec, bool) {
+	var best Spec
+	found := false
 	for _, spec := range grouper.specs {
-		if !grouper.short(spec) {
+		if passed[spec.Model] || (found && grouper.fullness(spec.Model) >= grouper.fullness(best.Model)) {
 			continue
 		}
-		for _, group := range grouper.groups {
-			if group.Model != spec.Model && !grouper.room.Emptying[group.Domain] && grouper.completes(group, spec) {
-				grouper.plan.Dissolve, grouper.plan.For = group.Group, spec.Model
-				return
-			}
-		}
+		best, found = spec, true
 	}
+	return best, found
 }
 
-// completes tells whether a model lacks one host in a group's domain, and more
-// than the group's own model would lack without the group.
-func (grouper *Grouper) completes(group Group, spec Spec) bool {
-	if grouper.holders(group.Domain, spec.Model) != spec.Hosts-1 || group.Hosts >= spec.Hosts {
-		return false
-	}
-	without := float64(grouper.counts[group.Model]-1) / max(grouper.wanted[group.Model], 1e-9)
-	return without > grouper.fullness(spec.Model)
-}
-
-// useUp forms groups beyond what is wanted while hosts and the store are idle,
-// but for hosts that a group of their model lacks only one of.
-func (grouper *Grouper) useUp() {
+// ready finds the domain in which a group can be formed now: the one that is
+// left with the fewest holders of the model. Early on any hosts will do, and
+// the domain with most of them goes first.
+func (grouper *Grouper) ready(spec Spec) (id.Domain, bool) {
+	var best id.Domain
+	least, found := 0, false
 	for _, domain := range grouper.domains() {
-		for _, spec := range slices.Backward(grouper.specs) {
-			for len(grouper.free[domain]) >= spec.Hosts && !grouper.awaited(domain) {
-				loads := max(0, spec.Hosts-grouper.holders(domain, spec.Model))
-				if loads == 0 || loads > grouper.loads {
-					break
-				}
-				grouper.loads -= loads
-				grouper.form(domain, spec)
-			}
+		fit := grouper.holders(domain, spec.Model)
+		if grouper.room.Early {
+			fit = len(grouper.free[domain])
+		}
+		if fit < spec.Hosts {
+			continue
+		}
+		if grouper.room.Early {
+			fit = -fit
+		}
+		if !found || fit < least {
+			best, least, found = domain, fit, true
 		}
 	}
+	return best, found
 }
 
-// awaited tells whether the hosts of a domain wait for one more of their kind,
-// or for a spare's use.
-func (grouper *Grouper) awaited(domain id.Domain) bool {
-	if len(grouper.plan.Dissolve) > 0 || len(grouper.free[domain]) <= 2 {
-		return true
-	}
-	return slices.ContainsFunc(grouper.specs, func(spec Spec) bool {
-		return grouper.room.Emptying[domain] || (spec.Hosts > 2 && grouper.holders(domain, spec.Model) == spec.Hosts-1 && len(grouper.free[domain]) > spec.Hosts)
-	})
-}
-
-// candidate is a group that could be formed.
-type candidate struct {
-	domain id.Domain
-	spec   Spec
-	loads  int
-	worth  float64
-}
+func (grouper *Grouper) domains() []id.Domain { return slices.Sorted(maps.Keys(grouper.free)) }
 
-// best is the group that brings the most for its loads. Where the store must
-// free itself for that one first, only groups that need no load go ahead.
-func (grouper *Grouper) best() (candidate, bool) {
-	best, found := grouper.pick(math.MaxInt)
-	if found && best.loads > 0 && (grouper.loads <= 0 || best.loads > grouper.loads+overshoot) {
-		return grouper.pick(0)
-	}
-	return best, found
+func (grouper *Grouper) holders(domain id.Domain, model id.Model) int {
+	return count(grouper.free[domain], func(host Host) bool { return host.holds(model) })
 }
 
-// pick is the group that brings the most among those of so many loads.
-func (grouper *Grouper) pick(most int) (candidate, bool) {
-	var best candidate
-	found := false
-	for _, domain := range grouper.domains() {
-		for _, spec := range grouper.specs {
-			if len(grouper.free[domain]) < spec.Hosts || !grouper.short(spec) {
-				continue
-			}
-			loads := max(0, spec.Hosts-grouper.holders(domain, spec.Model))
-			if loads > most {
-				continue
-			}
-			next := candidate{domain: domain, spec: spec, loads: loads, worth: grouper.worth(domain, spec, loads)}
-			if !found || next.worth > best.worth {
-				best, found = next, true
-			}
+func count(hosts []Host, match func(Host) bool) int {
+	matching := 0
+	for _, host := range hosts {
+		if match(host) {
+			matching++
 		}
 	}
-	return best, found
-}
-
-// short tells whether a model lacks at least half a group.
-func (grouper *Grouper) short(spec Spec) bool {
-	return float64(grouper.counts[spec.Model])+0.5 <= grouper.wanted[spec.Model]
-}
-
-// worth is how many engines a load brings to work, weighed by how much their
-// model lacks. Among equals the domain with the most free hosts goes first.
-func (grouper *Grouper) worth(domain id.Domain, spec Spec, loads int) float64 {
-	const (
-		leastLoads    = 0.1
-		leastFullness = 0.1
-		tieBreak      = 1e-6
-	)
-	worth := float64(spec.Hosts) / max(float64(loads), leastLoads)
-	return worth/(grouper.fullness(spec.Model)+leastFullness) + tieBreak*float64(len(grouper.free[domain]))
+	return matching
 }
 
-func (grouper *Grouper) domains() []id.Domain { return slices.Sorted(maps.Keys(grouper.free)) }
-
-// form makes a group of a domain's hosts, those first that hold the weights,
-// and then those that hold none.
+// form makes a group of a domain's hosts.
 func (grouper *Grouper) form(domain id.Domain, spec Spec) {
-	hosts := grouper.free[domain]
-	slices.SortStableFunc(hosts, func(a, b Host) int { return cmp.Compare(cost(a, spec.Model), cost(b, spec.Model)) })
 	assignment := Assignment{Model: spec.Model}
-	for _, host := range hosts[:spec.Hosts] {
+	for _, host := range grouper.take(domain, spec.Model, spec.Hosts) {
 		assignment.Hosts = append(assignment.Hosts, host.Host)
 	}
-	grouper.free[domain] = hosts[spec.Hosts:]
 	grouper.plan.Form = append(grouper.plan.Form, assignment)
 	grouper.counts[spec.Model]++
 }
 
-// cost ranks hosts for a model: one that holds the weights of another model
-// would lose them.
-func cost(host Host, model id.Model) int {
-	switch {
-	case slices.Contains(host.Loaded, model):
-		return 0
-	case host.holds(model):
-		return 1
-	case len(host.Staged) == 0:
-		return 2
-	default:
-		return 3
-	}
-}
-
-func (grouper *Grouper) holders(domain id.Domain, model id.Model) int {
-	count := 0
-	for index := range grouper.free[domain] {
-		if grouper.free[domain][index].holds(model) {
-			count++
-		}
-	}
-	return count
-}
-
-// fullness is how far a model is served, of what is wanted.
-func (grouper *Grouper) fullness(model id.Model) float64 {
-	return float64(grouper.counts[model]) / max(grouper.wanted[model], 1e-9)
-}
-
-// stageSpares puts weights on hosts that are left and hold none, as far as the
-// store takes the loads: those of the model that has the most hosts waiting in
-// the domain, or else of the largest one that has a group there to repair.
-func (grouper *Grouper) stageSpares(domain id.Domain) {
-	model, ok := grouper.waited(domain)
-	for index := 0; !ok && index < len(grouper.specs); index++ {
-		model = grouper.specs[index].Model
-		ok = slices.ContainsFunc(grouper.groups, func(group Group) bool { return group.Domain == domain && group.Model == model })
-	}
-	if !ok {
-		return
-	}
-	for _, host := range grouper.free[domain] {
-		if len(host.Staged) == 0 && grouper.loads > 0 {
-			grouper.loads--
-			grouper.plan.Stage = append(grouper.plan.Stage, Staging{Host: host.Host, Model: model})
-		}
-	}
-}
-
-// waited is the model whose weights most free hosts of a domain hold.
-func (grouper *Grouper) waited(domain id.Domain) (id.Model, bool) {
-	most := 0
-	var model id.Model
-	for _, spec := range grouper.specs {
-		if count := grouper.holders(domain, spec.Model); count > most {
-			most, model = count, spec.Model
-		}
-	}
-	return model, most > 0
+// take uses up so many hosts of a domain: those first that cost least.
+func (grouper *Grouper) take(domain id.Domain, model id.Model, hosts int) []Host {
+	free := grouper.free[domain]
+	slices.SortStableFunc(free, func(a, b Host) int { return cmp.Compare(a.cost(model), b.cost(model)) })
+	grouper.free[domain] = free[hosts:]
+	return free[:hosts]
 }
--- /dev/null
+++ b/core/process/grouper/host.go
@@ -0,0 +1,47 @@
+package grouper
+
+import (
+	"slices"
+
+	"carobline.dev/core/id"
+)
+
+// Host is one engine.
+type Host struct {
+	Host   id.Host
+	Domain id.Domain
+	// Loaded are the models that were in the engine's memory last, and Staged
+	// those whose weights lie on its host.
+	Loaded []id.Model
+	Staged []id.Model
+	// Coming is the model whose weights are on their way to the host.
+	Coming id.Model
+}
+
+// Empty tells whether the engine needs a load for any model.
+func (host Host) Empty() bool { return len(host.Loaded)+len(host.Staged) == 0 }
+
+// holds tells whether the engine needs no load for a model.
+func (host Host) holds(model id.Model) bool {
+	return slices.Contains(host.Loaded, model) || slices.Contains(host.Staged, model)
+}
+
+// gets tells whether the engine holds a model or soon will.
+func (host Host) gets(model id.Model) bool { return host.holds(model) || host.Coming == model }
+
+// cost ranks hosts for a model: those first that have it in their memory, and
+// those last that would lose the weights of another.
+func (host Host) cost(model id.Model) int {
+	switch {
+	case slices.Contains(host.Loaded, model):
+		return 0
+	case host.holds(model):
+		return 1
+	case host.Coming == model:
+		return 2
+	case host.Empty():
+		return 3
+	default:
+		return 4
+	}
+}
--- /dev/null
+++ b/core/process/grouper/load.go
@@ -0,0 +1,89 @@
+package grouper
+
+import (
+	"slices"
+
+	"carobline.dev/core/id"
+)
+
+// completion is what completes a group of a model in one domain: weights that
+// are put onto so many hosts.
+type completion struct {
+	domain id.Domain
+	hosts  []Host
+}
+
+// load spends the loads that the store takes now, on the model that will lack
+// most.
+func (grouper *Grouper) load() {
+	passed := map[id.Model]bool{}
+	for grouper.room.Loads > 0 {
+		spec, ok := grouper.neediest(passed)
+		if !ok {
+			return
+		}
+		next, ok := grouper.cheapest(spec)
+		if !ok {
+			passed[spec.Model] = true
+			continue
+		}
+		grouper.complete(next, spec)
+	}
+}
+
+// cheapest finds the domain in which a model's group needs the fewest loads.
+func (grouper *Grouper) cheapest(spec Spec) (completion, bool) {
+	var best completion
+	found := false
+	for _, domain := range grouper.domains() {
+		hosts := grouper.free[domain]
+		have := count(hosts, func(host Host) bool { return host.gets(spec.Model) }) +
+			count(grouper.emptying[domain], func(host Host) bool { return host.gets(spec.Model) })
+		missing := spec.Hosts - have
+		var candidates []Host
+		for _, host := range hosts {
+			if !host.gets(spec.Model) && host.Coming == "" {
+				candidates = append(candidates, host)
+			}
+		}
+		if missing < 0 {
+			missing = 0
+		}
+		if missing > len(candidates) || (found && missing >= len(best.hosts)) {
+			continue
+		}
+		slices.SortStableFunc(candidates, func(a, b Host) int { return a.cost(spec.Model) - b.cost(spec.Model) })
+		best, found = completion{domain: domain, hosts: candidates[:missing]}, true
+	}
+	return best, found
+}
+
+// complete spends loads on one group to be, and uses up its hosts.
+func (grouper *Grouper) complete(next completion, spec Spec) {
+	for _, host := range next.hosts {
+		if grouper.room.Loads <= 0 {
+			break
+		}
+		grouper.room.Loads--
+		grouper.plan.Stage = append(grouper.plan.Stage, Staging{Host: host.Host, Model: spec.Model})
+	}
+	chosen := map[id.Host]bool{}
+	for _, host := range next.hosts {
+		chosen[host.Host] = true
+	}
+	rest := spec.Hosts - len(next.hosts)
+	free := grouper.free[next.domain]
+	slices.SortStableFunc(free, func(a, b Host) int { return a.cost(spec.Model) - b.cost(spec.Model) })
+	grouper.free[next.domain] = slices.DeleteFunc(free, func(host Host) bool {
+		if chosen[host.Host] {
+			return true
+		}
+		if rest > 0 && host.gets(spec.Model) {
+			rest--
+			return true
+		}
+		return false
+	})
+	grouper.emptying[next.domain] = grouper.emptying[next.domain][min(rest, len(grouper.emptying[next.domain])):]
+	grouper.counts[spec.Model]++
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -1,6 +1,7 @@
 // Command measure runs the measurements that docs/ quotes.
 //
 //	measure traffic     policies on a model of the engines; SEED=n changes arrivals
+//	measure formation   groups of engines that are lost, added and replaced
 //	measure capacity    cost of control at several sizes, with fitted lines
 //	measure capacity-page   the same, written into docs/CAPACITY.md
 //	measure capacity-table  docs/CAPACITY.md again from the committed slopes
@@ -12,6 +13,7 @@
 	"os"
 	"strconv"
 
+	"carobline.dev/measure/process/formation"
 	"carobline.dev/measure/process/report"
 	"carobline.dev/measure/process/traffic"
 )
@@ -31,6 +33,7 @@
 	"capacity":       {capacityFigures},
 	"capacity-page":  {capacityPage},
 	"capacity-table": {capacityTable},
+	"formation":      {always(formation.Measure)},
 	"traffic": {
 		always(traffic.HeadOfLine), always(traffic.Crest), always(traffic.SlowEngines),
 		always(traffic.Prefixes), always(traffic.DecisionCost),
@@ -58,7 +61,7 @@
 		seed = number
 	}
 	if len(arguments) != 1 || measurements[arguments[0]] == nil {
-		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|capacity|capacity-page|capacity-table")
+		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|formation|capacity|capacity-page|capacity-table")
 		return exitUsage
 	}
 	lines := report.New(out)
