controller: loads that are over make room for others

A join makes its own model the one that a host keeps, so the leader took the load before it for one that was still under way, for 40 s, and seven such filled the store's places. A load is now over once its weights were seen, its host is gone or began a new life, the order found nobody, or one and a half times the model's own load time has passed. Test: hosts are staged again after a join; fails without the change. Staging has a file of its own.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -10,7 +10,6 @@
 	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
-	"carobline.dev/core/process/stager"
 	"carobline.dev/core/version/routing"
 )
 
@@ -24,22 +23,17 @@
 	// freshBeats is how many of its announcements ago a host may have been heard
 	// last to be put into a new group.
 	freshBeats = 1.2
-	// repairLoads is how many loads are kept for groups while weights are put
-	// onto hosts beside those that they need.
-	repairLoads = 2
-	// earlySeconds is for how many seconds' loads may be under way before any
-	// calls come, so that few of them are left over when they do.
-	earlySeconds = 4
 )
 
 // formEngines makes groups of the free engines of a service, stages weights on
 // those that are left, and lets a group make room where another model lacks
 // more.
 func (controller *Controller) formEngines(now time.Time, actions *Actions, service *routing.Service) bool {
-	free, groups := controller.freeEngines(now, service), controller.groupsOf(now, service)
+	free, groups := controller.freeEngines(now, service), controller.groupsOf(service)
 	if controller.gathering(now, service) {
 		return false
 	}
+	controller.endStagings(now)
 	room := controller.room(now, service.Engine)
 	plan := grouper.New(free, groups, engineSpecs(service.Engine), room).Plan()
 	controller.noteIdle(actions, service, free, room)
@@ -129,19 +123,16 @@
 }
 
 // planned is an engine as planning sees it.
-func (controller *Controller) planned(now time.Time, host roster.Member) grouper.Host {
+func (controller *Controller) planned(host roster.Member) grouper.Host {
 	announcement := &host.Announcement
-	planned := grouper.Host{
+	return grouper.Host{
 		Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
+		Coming: controller.reign.staging[announcement.Host].model,
 	}
-	if controller.isStaging(now, announcement.Host) {
-		planned.Coming = controller.reign.staging[announcement.Host].model
-	}
-	return planned
 }
 
 // groupsOf lists the groups of a service for planning.
-func (controller *Controller) groupsOf(now time.Time, service *routing.Service) []grouper.Group {
+func (controller *Controller) groupsOf(service *routing.Service) []grouper.Group {
 	var groups []grouper.Group
 	for _, group := range controller.engineGroups() {
 		if group.Service != service.Name {
@@ -150,7 +141,7 @@
 		known := grouper.Group{Group: group.Group, Model: group.Model}
 		for _, name := range group.Hosts {
 			host, _ := controller.hosts.Member(name)
-			known.Hosts = append(known.Hosts, controller.planned(now, host))
+			known.Hosts = append(known.Hosts, controller.planned(host))
 		}
 		known.Domain = known.Hosts[0].Domain
 		groups = append(groups, known)
@@ -158,71 +149,13 @@
 	return groups
 }
 
-// stageBeside puts the weights of further models onto hosts that are idle or
-// serve, so that each can change to another model without a load once its group
-// is lost. It leaves the store room for repairs.
-func (controller *Controller) stageBeside(now time.Time, actions *Actions, service *routing.Service) {
-	loads := controller.room(now, service.Engine).Loads - repairLoads
-	if !controller.reign.busy {
-		loads = earlySeconds*int(service.Engine.LoadsPerSecond) - controller.stagingNow(now)
-	}
-	for _, staging := range stager.Plan(controller.settledEngines(now, service), engineModels(service.Engine), service.Engine.StagedModels, loads) {
-		controller.stage(now, actions, service, staging.Host, staging.Model)
-	}
-}
-
-// stage orders weights onto a host as the weight store allows.
-func (controller *Controller) stage(now time.Time, actions *Actions, service *routing.Service, name id.Host, model id.Model) {
-	host, ok := controller.hosts.Member(name)
-	last := controller.reign.staging[name]
-	repeated := last.model == model && now.Sub(last.at) < stagePatience
-	if !ok || repeated || !controller.mayLoad(now, service.Engine) {
-		return
-	}
-	controller.reign.staging[name] = staging{model: model, at: now}
-	controller.orderEngine(now, actions, host, register.GroupRecord{Model: model}, OrderStage)
-}
-
-// settledEngines lists the engines that take no part in any change: they are in
-// no group, or ready in one that is in use.
-func (controller *Controller) settledEngines(now time.Time, service *routing.Service) []stager.Host {
-	unfreed := controller.register.Unfreed()
-	var settled []stager.Host
-	for _, host := range controller.hosts.Members() {
-		announcement := &host.Announcement
-		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || host.Silence(now) > beats(host, freshBeats) {
-			continue
-		}
-		if _, waits := unfreed[announcement.Host]; waits || controller.isStaging(now, announcement.Host) {
-			continue
-		}
-		if name, assigned := controller.register.GroupOf(announcement.Host); assigned {
-			group, known := controller.register.Group(name)
-			if !known || !within(host, group) || !announcement.Serving.Ready {
-				continue
-			}
-		}
-		settled = append(settled, stager.Host{
-			Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
-		})
-	}
-	return settled
-}
-
-func engineModels(engine *routing.Engine) []stager.Model {
-	models := make([]stager.Model, len(engine.Models))
-	for index, model := range engine.Models {
-		models[index] = stager.Model{Name: model.Name, Hosts: max(1, model.Hosts)}
-	}
-	return models
-}
-
 // room is what bounds a plan now. Before any calls come, the store takes all.
 func (controller *Controller) room(now time.Time, engine *routing.Engine) grouper.Room {
 	room := grouper.Room{Early: !controller.reign.busy}
 	for _, name := range sortedKeys(controller.register.Unfreed()) {
-		if host, ok := controller.hosts.Member(name); ok && host.Live(now) {
-			room.Emptying = append(room.Emptying, controller.planned(now, host))
+		host, ok := controller.hosts.Member(name)
+		if ok && host.Live(now) && host.Silence(now) <= beats(host, freshBeats) {
+			room.Emptying = append(room.Emptying, controller.planned(host))
 		}
 	}
 	room.Loads = max(0, engine.LoadsAtOnce-controller.loading(now, controller.engineGroups()))
@@ -261,7 +194,7 @@
 		if host.Silence(now) > beats(host, freshBeats) || controller.lost(now, host) {
 			continue
 		}
-		free = append(free, controller.planned(now, host))
+		free = append(free, controller.planned(host))
 	}
 	return free
 }
--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -13,9 +13,6 @@
 const (
 	// loadWindow is the time over which starts of loads are counted.
 	loadWindow = time.Second
-	// stagePatience is how long weights may take to reach a spare host before
-	// they are ordered again.
-	stagePatience = 40 * time.Second
 )
 
 // driveGroups orders the hosts of each group to join, and its head to open once
@@ -72,26 +69,7 @@
 			}
 		}
 	}
-	return loading + controller.stagingNow(now)
-}
-
-// stagingNow counts the hosts onto which weights are being put.
-func (controller *Controller) stagingNow(now time.Time) int {
-	count := 0
-	for name := range controller.reign.staging {
-		if controller.isStaging(now, name) {
-			count++
-		}
-	}
-	return count
-}
-
-// isStaging tells whether the last order to put weights onto a host may still
-// be carried out.
-func (controller *Controller) isStaging(now time.Time, name id.Host) bool {
-	last, ordered := controller.reign.staging[name]
-	host, known := controller.hosts.Member(name)
-	return ordered && known && host.Live(now) && now.Sub(last.at) < stagePatience && !slices.Contains(host.Announcement.Staged, last.model)
+	return loading + len(controller.reign.staging)
 }
 
 // mayJoin tells whether a host may be ordered to join now. One that holds the
@@ -138,12 +116,6 @@
 	return found.Engine
 }
 
-// staging is an order to put a model's weights onto a host.
-type staging struct {
-	model id.Model
-	at    time.Time
-}
-
 // engineOrder is an order that was sent to an engine.
 type engineOrder struct {
 	kind    OrderKind
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -28,7 +28,7 @@
 // engineService has groups of four and of two.
 var engineService = routing.Service{Name: "pool", Engine: &routing.Engine{
 	Slots: 8, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1,
-	Models: []routing.Model{{Name: "four", Hosts: 4, Share: 0.5}, {Name: "two", Hosts: 2, Share: 0.5}},
+	Models: []routing.Model{{Name: "four", Hosts: 4, Share: 0.5, LoadMS: fakeLoad.Milliseconds()}, {Name: "two", Hosts: 2, Share: 0.5, LoadMS: fakeLoad.Milliseconds()}},
 }}
 
 // engine is one fake engine that is opened and closed by order.
@@ -352,6 +352,30 @@
 	}
 }
 
+// TestHostsAreStagedAgainAfterAJoin: a join makes its own model the one that the
+// host keeps, so the load of the other one before it is over, and a new one must
+// follow.
+func TestHostsAreStagedAgainAfterAJoin(t *testing.T) {
+	world := newFoundingWorld(t, 78)
+	for index := range 30 {
+		world.engines = append(world.engines, newEngine(world, index))
+	}
+	world.run(2500 * time.Millisecond)
+	world.declare(1, 3*time.Second)
+	world.run(30 * time.Second)
+	for _, engine := range world.engines {
+		if head := world.engine(engine.headOf()); head != nil && len(engine.members) == 4 && engine.members[1] == engine.name {
+			engine.up = false
+		}
+	}
+	world.run(20 * time.Second)
+	for _, engine := range world.engines {
+		if engine.up && engine.state != "" && engine.staged == engine.loaded {
+			t.Errorf("%s of %s holds only the weights of %s", engine.name, engine.group, engine.staged)
+		}
+	}
+}
+
 // engagedIn counts the engines in open groups of a model.
 func (world *world) engagedIn(model id.Model) int {
 	count := 0
--- a/core/version/routing/routing.go
+++ b/core/version/routing/routing.go
@@ -116,6 +116,8 @@
 	Pace float64 `json:"pace"`
 	// Share is the model's part of the work.
 	Share float64 `json:"share"`
+	// LoadMS is how long its weights take from the weight store to a host.
+	LoadMS int64 `json:"load_ms,omitempty"`
 }
 
 // Limits bound what a caller may send and how long it may take.
