--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -58,7 +58,7 @@
 }
 
 // loading counts the hosts that are loading weights.
-func (controller *Controller) loading(now time.Time, groups []register.GroupRecord) int {
+func (controller *Controller) loading(groups []register.GroupRecord) int {
 	loading := 0
 	for _, group := range groups {
 		for _, name := range group.Hosts {
