balancer: places for calls that can be on time, quotas of crowded endpoints

First, two thirds of all first calls counted as returning ones, since callers set their own limits up to 15 in 100 below the route's timeout. Second, returning calls wait longer and so took two of three places from calls that could be on time. Third, groups that entry hosts believed to run 14 of 17 calls ran up to 30: each call past the seventeenth adds 60 ms before its first event. Now a caller has waited before only when more than that is missing; calls that are late anyhow leave four in ten places to others and block nobody behind them; and of an endpoint that is crowded each entry host takes its quota, by its share of calls. Tests by pattern: callers' own limits, returning callers at a lasting crest, entry hosts with old counts of nearly full groups; the last fails without quotas.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -39,6 +39,9 @@
 	defaultBodyBytes = 4 << 20
 	// leastLeft is the least time left with which a request is still sent.
 	leastLeft = 20 * time.Millisecond
+	// callersPart is by what part of a route's timeout callers' own limits may
+	// stay below it: one that has less left has waited before.
+	callersPart = 0.15
 	// noStateRetry is when to come back to a node without a state in force.
 	noStateRetry = 500 * time.Millisecond
 	// retryPart is the part of calls that may be sent a second time, and
@@ -257,7 +260,7 @@
 	if left, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64); err == nil {
 		if until := call.arrived.Add(time.Duration(left * float64(time.Millisecond))); until.Before(call.deadline) {
 			call.deadline = until
-			call.late = call.arrived.Add(route.Timeout() - route.Target()).After(until)
+			call.late = waitedBefore(route, until.Sub(call.arrived))
 		}
 	}
 	call.pool = api.choosePool(call)
@@ -265,6 +268,13 @@
 	return nil
 }
 
+// waitedBefore tells by the time that a caller has left whether it has waited
+// past the route's target before, as one that comes back after a refusal has.
+func waitedBefore(route *routing.Route, left time.Duration) bool {
+	own := time.Duration(callersPart * float64(route.Timeout()))
+	return route.Timeout()-left > max(route.Target(), own)
+}
+
 func (api *API) authenticate(call *call) *refusal {
 	if !call.table.WantsTokens() {
 		return nil
@@ -351,7 +361,7 @@
 	}
 	if call.route != nil {
 		event = event.Str("route", call.route.Name).Str("customer", string(call.customer)).Str("service", string(call.pool.Service)).
-			Str("model", string(call.pool.Model))
+			Str("model", string(call.pool.Model)).Bool("late", call.late).Int64("left_ms", call.deadline.Sub(call.arrived).Milliseconds())
 	}
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -23,6 +23,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,11 +35,17 @@
 )
 
 const (
+	// sharedPart is up to what part of its places an endpoint is open to all
+	// entry hosts alike; of the rest each has a quota.
+	sharedPart = 0.7
 	// choices is among how many endpoints with room a call chooses.
 	choices = 2
 	// rescuedPart is up to what part of its places an endpoint takes calls that
 	// have lost another one.
 	rescuedPart = 1.5
+	// latePart is the same for calls whose answer is late anyhow. The other
+	// places are kept for those that can be on time.
+	latePart = 0.6
 	// leastWaiting is how many calls may wait before any rate is known.
 	leastWaiting = 2
 	// leastPatience is how long any call may wait.
@@ -74,6 +82,18 @@
 	Rescued bool
 }
 
+// mostPart is up to what part of its places an endpoint takes the call.
+func (call *Call) mostPart() float64 {
+	switch {
+	case call.Rescued:
+		return rescuedPart
+	case call.Late:
+		return latePart
+	default:
+		return 1
+	}
+}
+
 // Verdict says what becomes of a call.
 type Verdict string
 
@@ -128,15 +148,19 @@
 
 // Balancer holds the pools of one entry host. It isn't safe for concurrent use.
 type Balancer struct {
-	view   *view.View
-	rand   *rand.Rand
+	view *view.View
+	rand *rand.Rand
+	// salt makes the spread of quotas the entry host's own.
+	salt   [8]byte
 	places map[feed.Endpoint]*place
 	pools  map[Pool]*pool
 }
 
 // New returns a balancer that knows no endpoints.
 func New(source *rand.Rand) *Balancer {
-	return &Balancer{view: view.Empty(), rand: source, places: map[feed.Endpoint]*place{}, pools: map[Pool]*pool{}}
+	balancer := &Balancer{view: view.Empty(), rand: source, places: map[feed.Endpoint]*place{}, pools: map[Pool]*pool{}}
+	binary.LittleEndian.PutUint64(balancer.salt[:], source.Uint64())
+	return balancer
 }
 
 // Update takes a new view and tells which waiting calls may go now.
@@ -226,14 +250,18 @@
 	for _, name := range balancer.waitingPools() {
 		pool := balancer.pools[name]
 		endpoints := balancer.endpoints(name)
-		for len(pool.waiting) > 0 {
-			answer, ok := balancer.assign(now, pool.waiting[0], endpoints)
-			if !ok {
-				break
+		full := map[float64]bool{}
+		pool.waiting = slices.DeleteFunc(pool.waiting, func(call Call) bool {
+			if full[call.mostPart()] {
+				return false
 			}
-			answers = append(answers, answer)
-			pool.waiting = pool.waiting[1:]
-		}
+			answer, ok := balancer.assign(now, call, endpoints)
+			full[call.mostPart()] = !ok
+			if ok {
+				answers = append(answers, answer)
+			}
+			return ok
+		})
 	}
 	return answers
 }
@@ -258,10 +286,7 @@
 // hosts are old, and all of them would choose the same one meanwhile.
 func (balancer *Balancer) assign(now time.Time, call Call, endpoints []*view.Endpoint) (Answer, bool) {
 	var best *view.Endpoint
-	most := 1.0
-	if call.Rescued {
-		most = rescuedPart
-	}
+	most := call.mostPart()
 	least, seen := most, 0
 	suspect := balancer.allSuspect(now, call, endpoints)
 	for _, offset := range balancer.rand.Perm(len(endpoints)) {
@@ -271,7 +296,7 @@
 			continue
 		}
 		part := balancer.part(endpoint)
-		if part >= most {
+		if part >= most || (!call.Rescued && balancer.overQuota(endpoint, part)) {
 			continue
 		}
 		if best == nil || part < least {
@@ -289,6 +314,28 @@
 	return Answer{Call: call.Number, Verdict: VerdictGo, Endpoint: best, Running: running, Limit: limit}, true
 }
 
+// overQuota tells whether this entry host must leave the places of a crowded
+// endpoint to others. What is known of others' calls is old, so without quotas
+// all would fill the same last places at once.
+func (balancer *Balancer) overQuota(endpoint *view.Endpoint, part float64) bool {
+	place := balancer.places[endpoint.Name]
+	if part < sharedPart || balancer.view.Share <= 0 || place == nil {
+		return false
+	}
+	return place.running >= int(balancer.view.Share*float64(limitOf(endpoint))+balancer.spread(endpoint.Name))
+}
+
+// spread is a number from 0 to 1 that differs by entry host and endpoint, so
+// that parts of a place that are rounded down here are rounded up elsewhere.
+func (balancer *Balancer) spread(endpoint feed.Endpoint) float64 {
+	const whole = 1 << 32
+	hash := fnv.New32a()
+	_, _ = hash.Write(balancer.salt[:])
+	_, _ = hash.Write([]byte(endpoint.Group))
+	_, _ = hash.Write([]byte(endpoint.Host))
+	return float64(hash.Sum32()) / whole
+}
+
 // allSuspect tells whether every endpoint has failed lately, in which case they
 // are used all the same: more likely the path is at fault.
 func (balancer *Balancer) allSuspect(now time.Time, call Call, endpoints []*view.Endpoint) bool {
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -203,3 +203,80 @@
 		t.Errorf("%+v, want to go", answer)
 	}
 }
+
+// Callers that come back after a refusal leave the last places to those whose
+// answers can still be on time: the pattern is a crest that lasts for seconds,
+// with more calls than places.
+func TestPlacesAreKeptForCallsThatCanBeOnTime(t *testing.T) {
+	made := pools(1, 10, 0)
+	late := func(number int) balancer.Call {
+		back := call(number, start)
+		back.Late = true
+		return back
+	}
+	gone := 0
+	for number := range 10 {
+		if made.Submit(start, late(number)).Verdict == balancer.VerdictGo {
+			gone++
+		}
+	}
+	if gone >= 10 {
+		t.Fatal("calls that are late anyhow took all places")
+	}
+	for number := 10; gone < 10; number++ {
+		if answer := made.Submit(start, call(number, start)); answer.Verdict != balancer.VerdictGo {
+			t.Fatalf("%+v with %d of 10 places taken, want to go before the calls that wait", answer, gone)
+		}
+		gone++
+	}
+	for _, answer := range made.Done(start, call(10, start), feed.Endpoint{Host: "h00"}, balancer.Served) {
+		t.Errorf("%+v took a place that is kept", answer)
+	}
+}
+
+// A call that is late anyhow keeps no call behind it from a place that it may
+// not have itself.
+func TestLateCallsBlockNobody(t *testing.T) {
+	made := pools(1, 10, 0)
+	for number := range 10 {
+		made.Submit(start, call(number, start))
+	}
+	back, fresh := call(10, start), call(11, start)
+	back.Late, back.Priority, fresh.Priority = true, 0, 1
+	made.Submit(start, back)
+	made.Submit(start, fresh)
+	answers := made.Done(start, call(0, start), feed.Endpoint{Host: "h00"}, balancer.Served)
+	if len(answers) != 1 || answers[0].Call != fresh.Number {
+		t.Errorf("%+v, want call %d to go", answers, fresh.Number)
+	}
+}
+
+// At a crest all entry hosts know of nearly full groups, by counts that are
+// old. Each keeps to its quota of them, so that no group gets many more calls
+// than it has places, which would wait inside the engine.
+func TestEntryHostsKeepToQuotasOfCrowdedEndpoints(t *testing.T) {
+	const entryHosts, endpoints, slots, taken = 9, 10, 17, 13
+	for seed := range uint64(20) {
+		counts := map[feed.Endpoint]int{}
+		for host := range uint64(entryHosts) {
+			elsewhere := make([]int, endpoints)
+			for index := range elsewhere {
+				elsewhere[index] = taken - 1
+			}
+			made := pools(100*seed+host, slots, elsewhere...)
+			crowded := picture(slots, elsewhere...)
+			crowded.Share = 1.0 / entryHosts
+			made.Update(start, crowded)
+			for number := range 3 * endpoints {
+				if answer := made.Submit(start, call(number, start)); answer.Verdict == balancer.VerdictGo {
+					counts[answer.Endpoint.Name]++
+				}
+			}
+		}
+		for name, count := range counts {
+			if count > slots+entryHosts/3 {
+				t.Errorf("seed %d: %d calls at %v of %d slots", seed, count, name, slots)
+			}
+		}
+	}
+}
