grouper: lone empty engines get the weights of their neighbours' model

Loads that nothing better is found for now go to such engines, of the model that most engines of their domain serve, and second weights take what is left beyond the two kept for repairs.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -53,9 +52,7 @@
 	if controller.dissolve(now, actions, plan) || len(plan.Form) > 0 {
 		return true
 	}
-	if !slices.ContainsFunc(free, grouper.Host.Empty) {
-		controller.stageBeside(now, actions, service)
-	}
+	controller.stageBeside(now, actions, service)
 	return false
 }
 
--- a/core/process/grouper/grouper_test.go
+++ b/core/process/grouper/grouper_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// An engine without any weights that completes no group yet gets those of the
+// model that most engines of its domain serve, once the store has nothing better
+// to do.
+func TestLoneEnginesGetWeightsOfTheirNeighbours(t *testing.T) {
+	groups := append(pairs([]string{"a"}, "pair"), grouper.Group{Group: "f", Model: "four", Domain: "a", Hosts: hosts("a", "four", "four", "four", "four")})
+	plan := grouper.New(hosts("a", ""), groups, specs, grouper.Room{Loads: 2}).Plan()
+	if want := []grouper.Staging{{Host: "a-0", Model: "four"}}; !cmp.Equal(plan.Stage, want) {
+		t.Fatalf("plan %+v, want %+v", plan, want)
+	}
+}
+
 // While groups of four lack most, the few loads that the store takes go to them
 // and not to pairs.
 func TestStoreIsKeptForTheModelThatLacksMost(t *testing.T) {
--- a/core/process/grouper/load.go
+++ b/core/process/grouper/load.go
@@ -20,7 +20,7 @@
 	for grouper.room.Loads > 0 {
 		spec, ok := grouper.neediest(passed)
 		if !ok {
-			return
+			break
 		}
 		next, ok := grouper.cheapest(spec)
 		if !ok {
@@ -29,6 +29,43 @@
 		}
 		grouper.complete(next, spec)
 	}
+	grouper.loadEmpty()
+}
+
+// loadEmpty gives weights to engines that have none and complete no group, of
+// the model of which their domain has the most holders for its size, so that
+// they complete one when another engine is lost.
+func (grouper *Grouper) loadEmpty() {
+	for _, domain := range grouper.domains() {
+		for _, host := range grouper.free[domain] {
+			if grouper.room.Loads <= 0 {
+				return
+			}
+			if !host.Empty() || host.Coming != "" {
+				continue
+			}
+			grouper.room.Loads--
+			grouper.plan.Stage = append(grouper.plan.Stage, Staging{Host: host.Host, Model: grouper.likeliest(domain)})
+		}
+	}
+}
+
+// likeliest is the model whose groups in a domain will need a host most likely:
+// the one that most engines there serve.
+func (grouper *Grouper) likeliest(domain id.Domain) id.Model {
+	serving := map[id.Model]int{}
+	for _, group := range grouper.groups {
+		if group.Domain == domain {
+			serving[group.Model] += len(group.Hosts)
+		}
+	}
+	best := grouper.specs[0].Model
+	for _, spec := range grouper.specs {
+		if serving[spec.Model] > serving[best] {
+			best = spec.Model
+		}
+	}
+	return best
 }
 
 // cheapest finds the domain in which a model's group needs the fewest loads.
--- a/measure/process/formation/formation.go
+++ b/measure/process/formation/formation.go
@@ -73,6 +73,8 @@
 	At time.Duration
 	// Lost engines of groups in two domains fall dark; Added ones are empty.
 	Lost, Added int
+	// Dark loses all engines of the first domain, and Back brings them again.
+	Dark, Back bool
 	// Zone names the two domains.
 	Zone int
 }
@@ -96,6 +98,15 @@
 	return day
 }
 
+// Domain is a day like Crashes on which besides a whole domain falls dark and
+// returns without what its engines had in memory.
+func Domain() Day {
+	day := Crashes()
+	day.Changes = append(day.Changes, Change{At: seconds(11), Dark: true}, Change{At: seconds(18.7), Back: true})
+	slices.SortStableFunc(day.Changes, func(a, b Change) int { return int(a.At - b.At) })
+	return day
+}
+
 // Release is a day on which engines are replaced one after the other by empty
 // ones.
 func Release() Day {
@@ -121,6 +132,8 @@
 type engine struct {
 	grouper.Host
 	up bool
+	// dark says that it is down with its domain.
+	dark bool
 	// group is what it is in or on its way out of, freeAt when it is out.
 	group  *group
 	freeAt time.Duration
@@ -194,6 +207,9 @@
 // change loses engines of groups, or adds empty ones, in the two domains of a
 // zone.
 func (world *world) change(change Change) {
+	if change.Dark || change.Back {
+		world.domain(change.Back)
+	}
 	for place := range change.Added {
 		world.add(2*change.Zone + place%2)
 	}
@@ -215,6 +231,23 @@
 	}
 }
 
+// domain loses the engines of the first domain, or brings those back that were
+// lost with it.
+func (world *world) domain(back bool) {
+	for _, engine := range world.engines {
+		switch {
+		case engine.Domain != "d0":
+		case back && engine.dark:
+			engine.up, engine.dark, engine.group, engine.Loaded, engine.Coming = true, false, nil, nil, ""
+		case !back && engine.up:
+			engine.up, engine.dark = false, true
+			if engine.group != nil && !engine.group.stands {
+				engine.group.stands, engine.group.retireAt = true, world.now+detection
+			}
+		}
+	}
+}
+
 // progress moves loads on, and retires the groups whose loss is known.
 func (world *world) progress() {
 	loading := max(1, world.loading())
@@ -223,7 +256,7 @@
 		pace = 10 * tick
 	}
 	for _, engine := range world.engines {
-		if engine.Coming == "" {
+		if engine.Coming == "" || !engine.up {
 			continue
 		}
 		if engine.left -= pace; engine.left <= 0 {
@@ -299,7 +332,7 @@
 		index := slices.IndexFunc(world.groups, func(group *group) bool { return group.Group.Group == plan.Dissolve })
 		world.retire(world.groups[index], finishing)
 	}
-	world.stageBeside(free)
+	world.stageBeside()
 }
 
 func specs() []grouper.Spec {
@@ -311,9 +344,8 @@
 }
 
 // stageBeside puts the weights of second models onto hosts.
-func (world *world) stageBeside(free []grouper.Host) {
-	empty := slices.ContainsFunc(free, grouper.Host.Empty)
-	if !world.policy.Beside || (empty && world.now >= 0) {
+func (world *world) stageBeside() {
+	if !world.policy.Beside {
 		return
 	}
 	var hosts []stager.Host
--- a/measure/process/formation/formation_test.go
+++ b/measure/process/formation/formation_test.go
@@ -21,11 +21,14 @@
 }
 
 // TestSecondWeightsServeMoreOfTheWork: two engines of groups are lost every
-// three seconds, or engines are replaced one after the other, while the store
+// three seconds, a domain falls dark besides, or engines are
+// replaced one after the other, while the store
 // loads half an engine a second. With the weights of a second model on each host
 // more of the worst served model's work is served than without.
 func TestSecondWeightsServeMoreOfTheWork(t *testing.T) {
-	for name, day := range map[string]formation.Day{"crashes": formation.Crashes(), "release": formation.Release()} {
+	for name, day := range map[string]formation.Day{
+		"crashes": formation.Crashes(), "domain": formation.Domain(), "release": formation.Release(),
+	} {
 		plain, product := average(day, formation.Policy{}), average(day, formation.Product)
 		t.Logf("%s: without %+v, with %+v", name, plain, product)
 		if product.Worst <= plain.Worst || product.Mean <= plain.Mean {
--- a/measure/process/formation/measure.go
+++ b/measure/process/formation/measure.go
@@ -11,7 +11,7 @@
 	days := []struct {
 		name string
 		day  Day
-	}{{"crashes", Crashes()}, {"release", Release()}}
+	}{{"crashes", Crashes()}, {"domain", Domain()}, {"release", Release()}}
 	policies := []struct {
 		name   string
 		policy Policy
