controller: hosts of a lost head leave at once

They now leave once the head hasn't been heard for one and a quarter of its announcements; the stall is counted from when a host is seen outside, and anew when it comes back. A head that is heard, or was closed in order, is still waited for. Ruled out: exchanges that weren't found (a trial with each step printed showed that none were looked for while the hosts counted as free soon).

--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -8,6 +8,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/routing"
@@ -352,6 +353,30 @@
 	}
 }
 
+// TestHostsOfALostHeadServeAgainAfterOneStall loses the head of a group whose
+// calls stand still. Its hosts leave as soon as that is known, and not only once
+// the head's lease is over; after the stall they serve in another group.
+func TestHostsOfALostHeadServeAgainAfterOneStall(t *testing.T) {
+	world := newFoundingWorld(t, 79)
+	for index := range 4 {
+		world.engines = append(world.engines, newEngine(world, index))
+	}
+	world.run(2500 * time.Millisecond)
+	world.declare(1, 3*time.Second)
+	world.run(30 * time.Second)
+	index := slices.IndexFunc(world.engines, func(engine *engine) bool { return engine.state == "open" && engine.model == "four" })
+	lost := world.engines[index]
+	lost.up = false
+	for _, node := range world.nodes {
+		node.report = member.Reported{Stalled: []feed.Endpoint{{Group: lost.group}}}
+	}
+	known, settled := beatEvery*3/2, 2*time.Second
+	world.run(known + fakeStall + settled)
+	if two := world.engagedIn("two"); two != 2 {
+		t.Errorf("%d engines serve again, want 2 of three", two)
+	}
+}
+
 // TestHostsAreStagedAgainAfterAJoin: a join makes its own model the one that the
 // host keeps, so the load of the other one before it is over, and a new one must
 // follow.
--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -166,24 +166,35 @@
 
 // released tells whether a host of a retired group may join another one. No
 // engine may do so while the head of its group is open: the head must have left
-// itself, or, when it can't be reached, must have been without one of its hosts
-// for so long that it has given the group up.
+// itself, or, when it isn't heard, must have been without one of its hosts for
+// so long that it has given the group up.
 func (controller *Controller) released(now time.Time, actions *Actions, name id.Host, left register.GroupRecord) bool {
 	head, known := controller.hosts.Member(left.Hosts[0])
-	if known && now.Before(head.Expiry) {
-		if !within(head, left) {
-			return true
-		}
-		if name == left.Hosts[0] {
+	live := known && now.Before(head.Expiry)
+	if live && !within(head, left) {
+		return true
+	}
+	if name == left.Hosts[0] {
+		if live {
 			controller.orderOut(now, actions, head, left)
 		}
 		return false
 	}
+	if live && controller.silence(now, head) <= beats(head, stalledBeats) {
+		return false
+	}
+	return controller.leftBehind(now, actions, name, left)
+}
+
+// leftBehind orders a host out of a group whose head isn't heard, and tells
+// whether it has been outside for as long as the head waits for it.
+func (controller *Controller) leftBehind(now time.Time, actions *Actions, name id.Host, left register.GroupRecord) bool {
 	host, ok := controller.hosts.Member(name)
 	if !ok || !now.Before(host.Expiry) {
 		return false
 	}
 	if within(host, left) {
+		delete(controller.reign.leftAt, name)
 		controller.orderEngine(now, actions, host, left, OrderUnload)
 		return false
 	}
