--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -102,7 +102,9 @@
 	// Grace is how long a stop may take.
 	Grace time.Duration
 	Order func(ctx context.Context, client *http.Client, order controller.Order) error
-	Log   zerolog.Logger
+	// Disk holds the log of a control host.
+	Disk wal.Disk
+	Log  zerolog.Logger
 }
 
 // Node is one running process.
@@ -135,6 +137,9 @@
 		},
 	}
 	if err := node.start(); err != nil {
+		if closeErr := node.close(); closeErr != nil {
+			config.Log.Error().Err(closeErr).Str("step", "stop").Msg("a part of the node didn't close")
+		}
 		return nil, errors.Wrap(err, "start node")
 	}
 	return node, nil
@@ -204,7 +209,7 @@
 func (node *Node) startControl(seeds []string) error {
 	config := control.Config{
 		Self: node.self.Node, Incarnation: node.self.Incarnation, Seeds: seedNodes(seeds), Timing: quorum.DefaultTiming(),
-		VotersWanted: node.config.VotersWanted, Stall: node.config.Stall, Lease: node.config.Lease, Disk: wal.OS(), Peers: node.peers,
+		VotersWanted: node.config.VotersWanted, Stall: node.config.Stall, Lease: node.config.Lease, Disk: node.config.Disk, Peers: node.peers,
 		Log: node.config.Log, Now: node.clock.Now, Order: node.order, Report: node.report, Changed: node.changed,
 	}
 	if own := node.config.Control; own != nil {
@@ -335,7 +340,7 @@
 		case <-ticker.C:
 			node.watchLease()
 			if reason := node.loop.Load().Failure(); reason != "" {
-				return errors.Wrap(node.close(), reason)
+				return diskLost(reason, node.close())
 			}
 		case err := <-node.failed:
 			return err
@@ -405,8 +410,13 @@
 		}
 	}
 	node.serving.Wait()
-	err := node.loop.Load().Close()
-	node.peers.Close()
+	var err error
+	if loop := node.loop.Load(); loop != nil {
+		err = loop.Close()
+	}
+	if node.peers != nil {
+		node.peers.Close()
+	}
 	node.engines.CloseIdleConnections()
 	node.config.Log.Info().Str("step", "stop").Msg("stopped")
 	return err
