--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -22,6 +22,10 @@
 	// freshBeats is how many of its announcements ago a host may have been heard
 	// last to be put into a new group.
 	freshBeats = 1.2
+	// idleEvery is how often the log says at most which engines are idle, and
+	// mostIdle how many kinds of them one line names.
+	idleEvery = time.Second
+	mostIdle  = 40
 )
 
 // formEngines makes groups of the free engines of a service, stages weights on
@@ -35,7 +39,7 @@
 	controller.endStagings(now)
 	room := controller.room(now, service.Engine)
 	plan := grouper.New(free, groups, engineSpecs(service.Engine), room).Plan()
-	controller.noteIdle(actions, service, free, room)
+	controller.noteIdle(now, actions, service, free, room)
 	for place, assignment := range plan.Form {
 		name := controller.engineGroupName(place)
 		actions.Notes = append(actions.Notes, Note{
@@ -57,19 +61,26 @@
 }
 
 // noteIdle says which engines are in no group, whose weights they hold and how
-// many loads the store takes, whenever that changes.
-func (controller *Controller) noteIdle(actions *Actions, service *routing.Service, free []grouper.Host, room grouper.Room) {
+// many loads the store takes, when that has changed.
+func (controller *Controller) noteIdle(now time.Time, actions *Actions, service *routing.Service, free []grouper.Host, room grouper.Room) {
+	if now.Before(controller.reign.idleAt.Add(idleEvery)) {
+		return
+	}
 	counts := map[string]int{}
 	for _, host := range free {
 		counts[fmt.Sprintf("%s:%s", host.Domain, joinModels(host.Loaded)+"/"+joinModels(host.Staged))]++
 	}
 	var idle strings.Builder
-	for _, name := range sortedKeys(counts) {
+	for place, name := range sortedKeys(counts) {
+		if place == mostIdle {
+			fmt.Fprintf(&idle, "and %d more kinds ", len(counts)-place)
+			break
+		}
 		fmt.Fprintf(&idle, "%s=%d ", name, counts[name])
 	}
 	fmt.Fprintf(&idle, "loads=%d", room.Loads)
 	if text := idle.String(); text != controller.reign.idle {
-		controller.reign.idle = text
+		controller.reign.idle, controller.reign.idleAt = text, now
 		actions.Notes = append(actions.Notes, Note{Step: "idle_engines", Group: id.Group(service.Name), Reason: text})
 	}
 }
--- a/core/process/controller/engine_staging.go
+++ b/core/process/controller/engine_staging.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/stager"
 	"carobline.dev/core/version/routing"
@@ -61,7 +62,7 @@
 	if !controller.reign.busy {
 		loads = earlySeconds*int(service.Engine.LoadsPerSecond) - len(controller.reign.staging)
 	}
-	for _, staging := range stager.Plan(controller.settledEngines(now, service), engineModels(service.Engine), service.Engine.StagedModels, loads) {
+	for _, staging := range stager.Plan(controller.settledEngines(now, service), engineSpecs(service.Engine), service.Engine.StagedModels, loads) {
 		controller.stage(now, actions, service, staging.Host, staging.Model)
 	}
 }
@@ -80,9 +81,9 @@
 
 // settledEngines lists the engines that take no part in any change: they are in
 // no group, or ready in one that is in use.
-func (controller *Controller) settledEngines(now time.Time, service *routing.Service) []stager.Host {
+func (controller *Controller) settledEngines(now time.Time, service *routing.Service) []grouper.Host {
 	unfreed := controller.register.Unfreed()
-	var settled []stager.Host
+	var settled []grouper.Host
 	for _, host := range controller.hosts.Members() {
 		announcement := &host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || host.Silence(now) > beats(host, freshBeats) {
@@ -98,17 +99,7 @@
 				continue
 			}
 		}
-		settled = append(settled, stager.Host{
-			Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
-		})
+		settled = append(settled, controller.planned(host))
 	}
 	return settled
 }
-
-func engineModels(engine *routing.Engine) []stager.Model {
-	models := make([]stager.Model, len(engine.Models))
-	for index, model := range engine.Models {
-		models[index] = stager.Model{Name: model.Name, Hosts: max(1, model.Hosts)}
-	}
-	return models
-}
--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,7 @@
 	if declared == nil {
 		return false
 	}
+	controller.forgetGroups()
 	proposed := controller.retireBroken(now, actions)
 	proposed = controller.emptyRetired(now, actions) || proposed
 	controller.driveGroups(now, actions)
@@ -55,6 +57,16 @@
 	return groups
 }
 
+// forgetGroups drops what is remembered of groups that are out of use.
+func (controller *Controller) forgetGroups() {
+	reign, used := controller.reign, map[id.Group]bool{}
+	for _, group := range controller.engineGroups() {
+		used[group.Group] = true
+	}
+	maps.DeleteFunc(reign.formed, func(group id.Group, _ time.Time) bool { return !used[group] })
+	maps.DeleteFunc(reign.opened, func(group id.Group, _ bool) bool { return !used[group] })
+}
+
 // within tells whether a host says that it is in a group under its committed
 // fencing number.
 func within(host roster.Member, group register.GroupRecord) bool {
--- a/core/process/controller/reign.go
+++ b/core/process/controller/reign.go
@@ -48,8 +48,10 @@
 	leftAt map[id.Host]time.Time
 	// opened are the groups that were seen to take calls.
 	opened map[id.Group]bool
-	// idle is what was last said of the engines that are in no group.
-	idle string
+	// idle is what was last said of the engines that are in no group, and idleAt
+	// when.
+	idle   string
+	idleAt time.Time
 	// engineOrders are the last orders to each engine.
 	engineOrders map[id.Host]engineOrder
 	// stallsAt is when a node last said that calls to an endpoint stand still.
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -193,7 +193,7 @@
 func (grouper *Grouper) domains() []id.Domain { return slices.Sorted(maps.Keys(grouper.free)) }
 
 func (grouper *Grouper) holders(domain id.Domain, model id.Model) int {
-	return count(grouper.free[domain], func(host Host) bool { return host.holds(model) })
+	return count(grouper.free[domain], func(host Host) bool { return host.Holds(model) })
 }
 
 func count(hosts []Host, match func(Host) bool) int {
--- a/core/process/grouper/host.go
+++ b/core/process/grouper/host.go
@@ -21,13 +21,13 @@
 // Empty tells whether the engine needs a load for any model.
 func (host Host) Empty() bool { return len(host.Loaded)+len(host.Staged) == 0 }
 
-// holds tells whether the engine needs no load for a model.
-func (host Host) holds(model id.Model) bool {
+// Holds tells whether the engine needs no load for a model.
+func (host Host) Holds(model id.Model) bool {
 	return slices.Contains(host.Loaded, model) || slices.Contains(host.Staged, model)
 }
 
 // gets tells whether the engine holds a model or soon will.
-func (host Host) gets(model id.Model) bool { return host.holds(model) || host.Coming == model }
+func (host Host) gets(model id.Model) bool { return host.Holds(model) || host.Coming == model }
 
 // cost ranks hosts for a model: those first that have it in their memory, and
 // those last that would lose the weights of another.
@@ -35,7 +35,7 @@
 	switch {
 	case slices.Contains(host.Loaded, model):
 		return 0
-	case host.holds(model):
+	case host.Holds(model):
 		return 1
 	case host.Coming == model:
 		return 2
--- a/core/process/grouper/keep.go
+++ b/core/process/grouper/keep.go
@@ -8,7 +8,7 @@
 func (grouper *Grouper) keep(spec Spec) {
 	for _, domain := range grouper.domains() {
 		have := grouper.holders(domain, spec.Model)
-		soon := count(grouper.emptying[domain], func(host Host) bool { return host.holds(spec.Model) })
+		soon := count(grouper.emptying[domain], func(host Host) bool { return host.Holds(spec.Model) })
 		switch {
 		case have == 0 || have >= spec.Hosts:
 		case have+soon >= spec.Hosts:
@@ -30,7 +30,7 @@
 		if group.Domain != domain || group.Model == spec.Model {
 			continue
 		}
-		holders := count(group.Hosts, func(host Host) bool { return host.holds(spec.Model) })
+		holders := count(group.Hosts, func(host Host) bool { return host.Holds(spec.Model) })
 		if holders >= missing && grouper.without(group.Model) > grouper.fullness(spec.Model) {
 			return group, true
 		}
--- a/core/process/stager/stager.go
+++ b/core/process/stager/stager.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	for _, staging := range stager.Plan(hosts, models, kept, loads) { ... }
+//	for _, staging := range stager.Plan(hosts, specs, kept, loads) { ... }
 package stager
 
 import (
@@ -13,61 +13,36 @@
 	"slices"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/grouper"
 )
 
-// Host is one engine that takes no part in any change.
-type Host struct {
-	Host   id.Host
-	Domain id.Domain
-	// Loaded are the models in the engine's memory, and Staged those whose
-	// weights lie on its host.
-	Loaded []id.Model
-	Staged []id.Model
-}
-
-func (host *Host) holds(model id.Model) bool {
-	return slices.Contains(host.Loaded, model) || slices.Contains(host.Staged, model)
-}
-
-// Model is one model and how many engines a group of it has.
-type Model struct {
-	Name  id.Model
-	Hosts int
-}
-
-// Staging puts a model's weights on a host.
-type Staging struct {
-	Host  id.Host
-	Model id.Model
-}
-
 // holding tells how many engines of a domain hold a model.
 type holding struct {
 	domain id.Domain
 	model  id.Model
 }
 
-// Plan chooses up to so many loads for hosts that keep the weights of so many
-// models. Each load goes to the domain in which the fewest groups of a model
+// Plan chooses up to so many loads for hosts that take part in no change and keep
+// the weights of so many models. Each load goes to the domain in which the fewest groups of a model
 // could be formed of the engines that hold it. A host on which all the weights
 // are of use is left as it is.
-func Plan(hosts []Host, models []Model, kept, loads int) []Staging {
+func Plan(hosts []grouper.Host, specs []grouper.Spec, kept, loads int) []grouper.Staging {
 	holders := map[holding]int{}
 	for index := range hosts {
-		for _, model := range models {
-			if hosts[index].holds(model.Name) {
-				holders[holding{hosts[index].Domain, model.Name}]++
+		for _, spec := range specs {
+			if hosts[index].Holds(spec.Model) {
+				holders[holding{hosts[index].Domain, spec.Model}]++
 			}
 		}
 	}
-	rest := slices.DeleteFunc(slices.Clone(hosts), func(host Host) bool { return !host.hasRoom(kept) })
-	var plan []Staging
+	rest := slices.DeleteFunc(slices.Clone(hosts), func(host grouper.Host) bool { return !hasRoom(host, kept) })
+	var plan []grouper.Staging
 	for len(plan) < loads && len(rest) > 0 {
-		place, model, ok := scarcest(rest, models, holders)
+		place, model, ok := scarcest(rest, specs, holders)
 		if !ok {
 			break
 		}
-		plan = append(plan, Staging{Host: rest[place].Host, Model: model})
+		plan = append(plan, grouper.Staging{Host: rest[place].Host, Model: model})
 		holders[holding{rest[place].Domain, model}]++
 		rest = slices.Delete(rest, place, place+1)
 	}
@@ -76,7 +51,7 @@
 
 // hasRoom tells whether a further model on the host drives out nothing that the
 // engine doesn't have in its memory.
-func (host *Host) hasRoom(kept int) bool {
+func hasRoom(host grouper.Host, kept int) bool {
 	useful := 0
 	for _, model := range host.Staged {
 		if !slices.Contains(host.Loaded, model) {
@@ -88,16 +63,16 @@
 
 // scarcest finds the host and the model that it lacks of which the fewest
 // groups could be formed in the host's domain.
-func scarcest(hosts []Host, models []Model, holders map[holding]int) (place int, model id.Model, found bool) {
+func scarcest(hosts []grouper.Host, specs []grouper.Spec, holders map[holding]int) (place int, model id.Model, found bool) {
 	var least float64
 	for index := range hosts {
-		for _, candidate := range models {
-			if hosts[index].holds(candidate.Name) {
+		for _, spec := range specs {
+			if hosts[index].Holds(spec.Model) {
 				continue
 			}
-			groups := float64(holders[holding{hosts[index].Domain, candidate.Name}]) / float64(max(1, candidate.Hosts))
+			groups := float64(holders[holding{hosts[index].Domain, spec.Model}]) / float64(max(1, spec.Hosts))
 			if !found || cmp.Less(groups, least) {
-				place, model, least, found = index, candidate.Name, groups, true
+				place, model, least, found = index, spec.Model, groups, true
 			}
 		}
 	}
