--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -5,8 +5,7 @@
 //
 // # Usage
 //
-//	running, err := node.New(node.Config{...})
-//	err = running.Run(ctx, reloads) // until ctx ends; then it drains
+//	err := node.Keep(ctx, node.Config{...}, reloads) // until ctx ends; then it drains
 package node
 
 import (
--- a/core/process/grouper/keep.go
+++ b/core/process/grouper/keep.go
@@ -11,6 +11,7 @@
 		soon := count(grouper.emptying[domain], func(host Host) bool { return host.Holds(spec.Model) })
 		switch {
 		case have == 0 || have >= spec.Hosts:
+			// There is nothing to keep, or a group is formed of it anyway.
 		case have+soon >= spec.Hosts:
 			grouper.take(domain, spec.Model, have)
 		default:
--- a/core/process/grouper/load.go
+++ b/core/process/grouper/load.go
@@ -32,9 +32,8 @@
 	grouper.loadEmpty()
 }
 
-// loadEmpty gives weights to engines that have none and complete no group, of
-// the model of which their domain has the most holders for its size, so that
-// they complete one when another engine is lost.
+// loadEmpty gives weights to engines that have none and complete no group now, so
+// that they complete one when another engine of their domain is lost.
 func (grouper *Grouper) loadEmpty() {
 	for _, domain := range grouper.domains() {
 		for _, host := range grouper.free[domain] {
@@ -76,16 +75,13 @@
 		hosts := grouper.free[domain]
 		have := count(hosts, func(host Host) bool { return host.gets(spec.Model) }) +
 			count(grouper.emptying[domain], func(host Host) bool { return host.gets(spec.Model) })
-		missing := spec.Hosts - have
+		missing := max(0, spec.Hosts-have)
 		var candidates []Host
 		for _, host := range hosts {
 			if !host.gets(spec.Model) && host.Coming == "" {
 				candidates = append(candidates, host)
 			}
 		}
-		if missing < 0 {
-			missing = 0
-		}
 		if missing > len(candidates) || (found && missing >= len(best.hosts)) {
 			continue
 		}
