re-read: loads counted once a look, one order of hosts, no second list of groups

Putting weights beside those in use built the whole bounds of a plan again only for the loads that are free, forgetting groups sorted all groups once more in each look of the leader, and hosts were ordered by cost in three copies of a line. Each stands once.

--- a/core/process/controller/engine_forming.go
+++ b/core/process/controller/engine_forming.go
@@ -166,7 +166,7 @@
 			room.Emptying = append(room.Emptying, controller.planned(host))
 		}
 	}
-	room.Loads = max(0, engine.LoadsAtOnce-controller.loading(controller.engineGroups()))
+	room.Loads = controller.freeLoads(engine)
 	return room
 }
 
--- a/core/process/controller/engine_staging.go
+++ b/core/process/controller/engine_staging.go
@@ -32,6 +32,11 @@
 	at, until   time.Time
 }
 
+// freeLoads is how many loads the weight store takes now at full pace.
+func (controller *Controller) freeLoads(engine *routing.Engine) int {
+	return max(0, engine.LoadsAtOnce-controller.loading(controller.engineGroups()))
+}
+
 // stagePatience is how long weights may take to reach a host.
 func stagePatience(engine *routing.Engine, name id.Model) time.Duration {
 	index := slices.IndexFunc(engine.Models, func(model routing.Model) bool { return model.Name == name })
@@ -58,7 +63,7 @@
 // serve, so that each can change to another model without a load once its group
 // is lost. It leaves the store room for repairs.
 func (controller *Controller) stageBeside(now time.Time, actions *Actions, service *routing.Service) {
-	loads := controller.room(now, service.Engine).Loads - repairLoads
+	loads := controller.freeLoads(service.Engine) - repairLoads
 	if !controller.reign.busy {
 		loads = earlySeconds*int(service.Engine.LoadsPerSecond) - len(controller.reign.staging)
 	}
--- a/core/process/controller/engines.go
+++ b/core/process/controller/engines.go
@@ -59,12 +59,12 @@
 
 // forgetGroups drops what is remembered of groups that are out of use.
 func (controller *Controller) forgetGroups() {
-	reign, used := controller.reign, map[id.Group]bool{}
-	for _, group := range controller.engineGroups() {
-		used[group.Group] = true
+	over := func(name id.Group) bool {
+		group, ok := controller.register.Group(name)
+		return !ok || group.Phase == register.PhaseRetired
 	}
-	maps.DeleteFunc(reign.formed, func(group id.Group, _ time.Time) bool { return !used[group] })
-	maps.DeleteFunc(reign.opened, func(group id.Group, _ bool) bool { return !used[group] })
+	maps.DeleteFunc(controller.reign.formed, func(group id.Group, _ time.Time) bool { return over(group) })
+	maps.DeleteFunc(controller.reign.opened, func(group id.Group, _ bool) bool { return over(group) })
 }
 
 // within tells whether a host says that it is in a group under its committed
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -219,7 +219,7 @@
 // take uses up so many hosts of a domain: those first that cost least.
 func (grouper *Grouper) take(domain id.Domain, model id.Model, hosts int) []Host {
 	free := grouper.free[domain]
-	slices.SortStableFunc(free, func(a, b Host) int { return cmp.Compare(a.cost(model), b.cost(model)) })
+	slices.SortStableFunc(free, byCost(model))
 	grouper.free[domain] = free[hosts:]
 	return free[:hosts]
 }
--- a/core/process/grouper/host.go
+++ b/core/process/grouper/host.go
@@ -1,6 +1,7 @@
 package grouper
 
 import (
+	"cmp"
 	"slices"
 
 	"carobline.dev/core/id"
@@ -45,3 +46,8 @@
 		return 4
 	}
 }
+
+// byCost orders hosts by what a model costs on them.
+func byCost(model id.Model) func(a, b Host) int {
+	return func(a, b Host) int { return cmp.Compare(a.cost(model), b.cost(model)) }
+}
--- a/core/process/grouper/load.go
+++ b/core/process/grouper/load.go
@@ -85,7 +85,7 @@
 		if missing > len(candidates) || (found && missing >= len(best.hosts)) {
 			continue
 		}
-		slices.SortStableFunc(candidates, func(a, b Host) int { return a.cost(spec.Model) - b.cost(spec.Model) })
+		slices.SortStableFunc(candidates, byCost(spec.Model))
 		best, found = completion{domain: domain, hosts: candidates[:missing]}, true
 	}
 	return best, found
@@ -106,7 +106,7 @@
 	}
 	rest := spec.Hosts - len(next.hosts)
 	free := grouper.free[next.domain]
-	slices.SortStableFunc(free, func(a, b Host) int { return a.cost(spec.Model) - b.cost(spec.Model) })
+	slices.SortStableFunc(free, byCost(spec.Model))
 	grouper.free[next.domain] = slices.DeleteFunc(free, func(host Host) bool {
 		if chosen[host.Host] {
 			return true
