control, member: log the longest delays of the event loop and of the feed

Each node now logs, at most once a second, how long events waited for the loop, how long one took, a sync took, a goroutine waited for a processor and a feed request took, with the counts of requests answered, dropped and failed; the leader adds what it sent. in_force says how long after the leader a node began to use a configuration. No decision is changed; control.go is split by what its functions serve.

--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -25,9 +25,7 @@
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/controller"
-	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
@@ -97,7 +95,7 @@
 // concurrent use.
 type Control struct {
 	config Config
-	events chan func(now time.Time)
+	events chan queuedEvent
 	view   atomic.Pointer[view.View]
 	// leaderLeaseUntil is the end of this node's leader lease, for the check just
 	// before an order or a reply leaves the node. It is nil while the node holds
@@ -112,6 +110,7 @@
 	log             *wal.WAL
 	resolveByTicket map[controller.Ticket]func(any)
 	lastTicket      controller.Ticket
+	delays          *delays
 
 	stop       context.CancelFunc
 	ctx        context.Context //nolint:containedctx // bounds the event loop itself
@@ -124,8 +123,8 @@
 func New(config Config) (*Control, error) {
 	now := config.Now()
 	control := &Control{
-		config: config, events: make(chan func(time.Time), eventQueueLength),
-		hosts: roster.New(), resolveByTicket: map[controller.Ticket]func(any){},
+		config: config, events: make(chan queuedEvent, eventQueueLength),
+		hosts: roster.New(), resolveByTicket: map[controller.Ticket]func(any){}, delays: newDelays(now),
 	}
 	control.view.Store(view.Empty())
 	control.member = member.New(now, member.Config{Self: config.Self, Incarnation: config.Incarnation, Voters: config.Contacts(), HasDisk: config.DataFolder != ""}, control.hosts)
@@ -202,9 +201,14 @@
 			control.resolvePending()
 			return
 		case event := <-control.events:
-			event(control.config.Now())
+			now := control.config.Now()
+			event.run(now)
+			control.delays.recordEvent(event.queuedAt, now, control.config.Now())
 		case <-ticker.C:
-			control.tick(control.config.Now())
+			now := control.config.Now()
+			control.tick(now)
+			control.delays.recordTick(now, control.config.Now())
+			control.reportDelays(now)
 		}
 	}
 }
@@ -222,7 +226,7 @@
 // It returns false once the loop is closed.
 func (control *Control) post(event func(now time.Time)) bool {
 	select {
-	case control.events <- event:
+	case control.events <- queuedEvent{control.config.Now(), event}:
 		return true
 	case <-control.ctx.Done():
 		return false
@@ -270,7 +274,7 @@
 // action is executed, so that nothing that depends on the lost write leaves the
 // node.
 func (control *Control) executeVoter(now time.Time, actions controller.Actions) {
-	if err := control.log.Save(actions.DiskWrite); err != nil {
+	if err := control.save(actions.DiskWrite); err != nil {
 		reason := err.Error()
 		control.voterFailure.Store(&reason)
 		control.leaderLeaseUntil.Store(nil)
@@ -295,6 +299,14 @@
 	}
 }
 
+// save writes and syncs the log.
+func (control *Control) save(write quorum.DiskWrite) error {
+	startedAt := control.config.Now()
+	err := control.log.Save(write)
+	control.delays.recordSave(control.config.Now().Sub(startedAt))
+	return err
+}
+
 // logDecisions logs what the leader decided on its own.
 func (control *Control) logDecisions(decisions []controller.Decision) {
 	for index := range decisions {
@@ -358,107 +370,6 @@
 	control.config.OnViewChange(current)
 }
 
-func (control *Control) sendFeed(now time.Time, send member.Send) {
-	number := send.Request.Number
-	if send.To == control.config.Self {
-		ticket := control.newTicket(func(result any) { control.postFeedReply(number, result) })
-		control.stepVoter(now, controller.FeedRequested{Ticket: ticket, Request: send.Request})
-		return
-	}
-	control.goroutines.Go(func() {
-		ctx, cancel := context.WithTimeout(control.ctx, feedTimeout)
-		defer cancel()
-		answer, err := control.config.Peers.Feed(ctx, send.To, send.Request)
-		if err != nil {
-			control.post(func(now time.Time) {
-				control.executeMember(now, control.member.Step(now, member.Failed{Number: number}))
-			})
-			return
-		}
-		control.postFeedReply(number, controller.Reply{Response: answer.Response, Redirect: answer.Redirect})
-	})
-}
-
-// postFeedReply passes the reply to a feed request to the member. It never blocks
-// on a full event queue, since its caller may be the event loop that empties it.
-func (control *Control) postFeedReply(number uint64, result any) {
-	reply, _ := result.(controller.Reply)
-	deliver := func(now time.Time) {
-		var event member.Event
-		switch {
-		case reply.Response != nil:
-			event = member.Responded{Response: *reply.Response}
-		case reply.Redirect != nil:
-			event = member.Redirected{Number: number, Redirect: *reply.Redirect}
-		default:
-			event = member.Failed{Number: number}
-		}
-		control.executeMember(now, control.member.Step(now, event))
-	}
-	select {
-	case control.events <- deliver:
-	default:
-		control.goroutines.Go(func() { control.post(deliver) })
-	}
-}
-
-// Announce passes a host's announcement, with the stamp that the host echoes, to
-// the member and returns the member's reply. It fails with ErrClosed or when ctx
-// ends.
-func (control *Control) Announce(ctx context.Context, announcement roster.Announcement, echo clock.Stamp) (member.AnnouncementReply, error) {
-	result := make(chan member.AnnouncementReply, 1)
-	ok := control.post(func(now time.Time) {
-		actions := control.member.Step(now, member.Announced{Announcement: announcement, Echo: echo})
-		control.executeMember(now, actions)
-		result <- *actions.AnnouncementReply
-	})
-	if !ok {
-		return member.AnnouncementReply{}, ErrClosed
-	}
-	select {
-	case reply := <-result:
-		return reply, nil
-	case <-ctx.Done():
-		return member.AnnouncementReply{}, errors.Wrap(ctx.Err(), "announce")
-	case <-control.ctx.Done():
-		return member.AnnouncementReply{}, ErrClosed
-	}
-}
-
-// AnnounceWithoutEcho passes the announcement of a host that echoes no stamp to
-// the member. It returns once the member has merged the announcement and queued
-// it for the leader.
-func (control *Control) AnnounceWithoutEcho(ctx context.Context, announcement roster.Announcement) error {
-	return control.stepMember(ctx, "renew", member.AnnouncedWithoutEcho{Announcement: announcement})
-}
-
-// Depart marks a host as leaving. It returns once the member has merged the
-// change and queued it for the leader.
-func (control *Control) Depart(ctx context.Context, host id.Host, incarnation id.Incarnation) error {
-	return control.stepMember(ctx, "depart", member.Departed{Host: host, Incarnation: incarnation})
-}
-
-// stepMember passes an event to the member and waits until its actions are
-// executed. name labels the error when ctx ends first.
-func (control *Control) stepMember(ctx context.Context, name string, event member.Event) error {
-	done := make(chan struct{})
-	ok := control.post(func(now time.Time) {
-		control.executeMember(now, control.member.Step(now, event))
-		close(done)
-	})
-	if !ok {
-		return ErrClosed
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), name)
-	case <-control.ctx.Done():
-		return ErrClosed
-	}
-}
-
 // AddContacts adds nodes to those that are asked for the leader.
 func (control *Control) AddContacts(nodes []id.Node) {
 	control.post(func(now time.Time) {
@@ -479,33 +390,3 @@
 	}
 	return nil
 }
-
-// Feed answers a node's feed request: with a response if this node leads, else
-// with a redirect. A response is replaced by an empty redirect if the leader
-// lease has expired by the time the response is ready.
-func (control *Control) Feed(ctx context.Context, request feed.Request) (peers.FeedAnswer, error) {
-	result := make(chan any, 1)
-	ok := control.post(func(now time.Time) {
-		if control.voter == nil {
-			result <- controller.Reply{Redirect: &feed.Redirect{Leader: control.member.Leader(), Voters: control.member.Voters()}}
-			return
-		}
-		ticket := control.newTicket(func(reply any) { result <- reply })
-		control.stepVoter(now, controller.FeedRequested{Ticket: ticket, Request: request})
-	})
-	if !ok {
-		return peers.FeedAnswer{}, ErrClosed
-	}
-	select {
-	case content := <-result:
-		reply, _ := content.(controller.Reply)
-		if reply.Response != nil && !control.holdsLeaderLease() {
-			return peers.FeedAnswer{Redirect: &feed.Redirect{}}, nil
-		}
-		return peers.FeedAnswer{Response: reply.Response, Redirect: reply.Redirect}, nil
-	case <-ctx.Done():
-		return peers.FeedAnswer{}, errors.Wrap(ctx.Err(), "feed")
-	case <-control.ctx.Done():
-		return peers.FeedAnswer{}, ErrClosed
-	}
-}
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -269,7 +269,7 @@
 func (node *Node) viewChanged(current *view.View) {
 	if current.Routing != nil && current.Routing.Declaration().Revision != node.loggedRevision {
 		node.loggedRevision = current.Routing.Declaration().Revision
-		node.config.Log.Info().Str("step", "in_force").Uint64("revision", uint64(node.loggedRevision)).Uint64("version", uint64(current.Version)).Send()
+		node.config.Log.Info().Str("step", "in_force").Uint64("revision", uint64(node.loggedRevision)).Uint64("version", uint64(current.Version)).Int64("after_ms", current.RoutingDelay.Milliseconds()).Send()
 	}
 	if node.entry != nil {
 		node.entry.Update(current)
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -87,6 +87,9 @@
 	proposalByIndex map[id.Index]pendingProposal
 	leadership      *leadership
 	changeSequence  uint64
+	responses       ResponseStats
+	// declaredAt is when this voter applied the declaration in force.
+	declaredAt time.Time
 }
 
 // pendingProposal is a proposal of this voter that isn't committed yet.
@@ -213,6 +216,9 @@
 	}
 	if err == nil {
 		result = controller.register.Apply(entry.Index, command)
+		if command.Declare != nil && result.Verdict == register.VerdictDone {
+			controller.declaredAt = now
+		}
 	}
 	if !proposedHere {
 		return
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -174,6 +174,7 @@
 	leadership.callsSeen = leadership.callsSeen || request.ActiveCalls > 0
 	if held, ok := leadership.pollByNode[request.Node]; ok {
 		// The node has replaced its older request by this one.
+		controller.responses.Superseded++
 		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
 	}
 	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, announcementsAccepted: announcementsAccepted, deadline: node.lastResponseAt.Add(feed.LongPollTimeout)}
@@ -292,6 +293,10 @@
 	node := controller.leadership.stateByNode[request.Node]
 	response.RunningElsewhereByEndpoint = controller.leadership.callsAtOtherNodes(node.callsByEndpoint)
 	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
+	if response.Delta.Declared != nil {
+		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
+	}
+	controller.responses.count(request, response)
 	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(feed.Lease))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -121,8 +121,11 @@
 	// request.
 	LeaseMS int64          `json:"lease_ms"`
 	Delta   register.Delta `json:"delta"`
-	Epoch   Epoch          `json:"epoch"`
-	Cursor  uint64         `json:"cursor"`
+	// DeclaredAgeMS is how long ago the leader applied the declaration of Delta, in
+	// milliseconds.
+	DeclaredAgeMS int64  `json:"declared_age_ms,omitempty"`
+	Epoch         Epoch  `json:"epoch"`
+	Cursor        uint64 `json:"cursor"`
 	// Roster holds the announcements that changed after the request's cursor in more
 	// than their lease and load.
 	Roster []roster.RelayedAnnouncement `json:"roster,omitempty"`
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -16,8 +16,11 @@
 func (member *Member) handleResponse(now time.Time, response feed.Response) {
 	sentAt, ok := member.sentAtByNumber[response.Number]
 	if !ok || response.Number <= member.lastProcessedNumber {
+		member.exchanges.Dropped++
 		return
 	}
+	member.exchanges.Answered++
+	member.exchanges.LongestRoundTrip = max(member.exchanges.LongestRoundTrip, now.Sub(sentAt))
 	member.lastProcessedNumber = response.Number
 	member.consecutiveFailures = 0
 	announcements := member.announcementsByNumber[response.Number]
@@ -26,12 +29,15 @@
 	if !member.applyDelta(response.Delta) {
 		return
 	}
+	if response.Delta.Declared != nil {
+		member.routingDelay = now.Sub(sentAt) + time.Duration(response.DeclaredAgeMS)*time.Millisecond
+	}
 	member.viewStale = true
 	member.dropAccepted(response.AnnouncementsAccepted, announcements)
 	// The stamp is advanced by the time since its receipt, so the echo is never
 	// ahead of the leader's clock.
 	member.leaderStamp, member.leaderStampAt = response.Stamp, now
-	member.mergeRoster(sentAt, response)
+	member.mergeRoster(now, sentAt, response)
 	if response.Grant.Serial != member.grant.Serial {
 		member.sendAtOnce = true
 	}
@@ -75,10 +81,13 @@
 
 // mergeRoster merges the hosts that the leader relays. Leases count from when the
 // request was sent, so that a delayed response can't extend them.
-func (member *Member) mergeRoster(sentAt time.Time, response feed.Response) {
+func (member *Member) mergeRoster(now, sentAt time.Time, response feed.Response) {
 	for _, relayed := range response.Roster {
 		expiry := sentAt.Add(time.Duration(relayed.RemainingMS) * time.Millisecond)
-		member.hosts.Merge(sentAt, relayed.Announcement, expiry)
+		change := member.hosts.Merge(sentAt, relayed.Announcement, expiry)
+		if change == roster.ChangeUrgent && relayed.Announcement.Leaving {
+			member.exchanges.LongestLeave = max(member.exchanges.LongestLeave, now.Sub(expiry.Add(-relayed.Announcement.Lease())))
+		}
 	}
 	for _, renewal := range response.Renewals {
 		member.hosts.Renew(sentAt, renewal, sentAt.Add(time.Duration(renewal.RemainingMS)*time.Millisecond))
@@ -116,6 +125,7 @@
 	if _, ok := member.sentAtByNumber[number]; !ok {
 		return
 	}
+	member.exchanges.Failed++
 	member.forgetThrough(number)
 	member.consecutiveFailures++
 	if member.consecutiveFailures >= failuresToRotate {
@@ -191,6 +201,7 @@
 	if member.leader == "" {
 		member.leader = member.voters[member.voterIndex%len(member.voters)]
 	}
+	member.exchanges.Sent++
 	member.sendAtOnce = false
 	member.nextSendAt = now.Add(minSendInterval)
 	member.lastNumber++
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -67,10 +67,13 @@
 
 	// voters are the nodes that may lead: those of the leader's last response and
 	// those discovered since.
-	voters                     []id.Node
-	version                    id.Version
-	declaration                *register.DeclarationRecord
-	routingTable               *routing.Table
+	voters       []id.Node
+	version      id.Version
+	declaration  *register.DeclarationRecord
+	routingTable *routing.Table
+	// routingDelay is how long after the leader's use of the declaration this node
+	// began to use it, at most.
+	routingDelay               time.Duration
 	runningElsewhereByEndpoint map[feed.Endpoint]int
 	stalledEndpoints           []feed.Endpoint
 	contractByClientAccount    map[id.ClientAccount]register.ContractRecord
@@ -116,6 +119,7 @@
 	viewStale   bool
 	viewBuiltAt time.Time
 	builtFrom   viewInputs
+	exchanges   ExchangeStats
 }
 
 // New returns the state machine of a node that has no state yet. The roster may be
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -21,6 +21,7 @@
 		LeaseRenewedAt:           member.leaseRenewedAt,
 		Share:                    member.demandShare,
 		Routing:                  member.routingTable,
+		RoutingDelay:             member.routingDelay,
 		ClientAccounts:           map[id.ClientAccount]*view.ClientAccount{},
 		ClientAccountByTokenHash: map[[sha256.Size]byte]id.ClientAccount{},
 		Models:                   map[id.Model]*view.Set{},
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -110,6 +110,9 @@
 	Share float64
 	// Routing is the declaration in force; it is nil before the first one.
 	Routing *routing.Table
+	// RoutingDelay is how long after the leader's use of it this node began to use
+	// Routing, at most.
+	RoutingDelay time.Duration
 
 	ClientAccounts map[id.ClientAccount]*ClientAccount
 	// ClientAccountByTokenHash is keyed by the SHA-256 of a bearer token.
