--- /dev/null
+++ b/core/process/controller/spread_test.go
@@ -0,0 +1,208 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/member"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// spreadEntryNodes, spreadRoutes and spreadBackends are the entry hosts, the
+	// routes and the hosts of services in the largest deployment that runs today.
+	spreadEntryNodes = 70
+	spreadRoutes     = 1640
+	spreadBackends   = 160
+	// spreadBound is within how long each entry host must use a change, and stop
+	// using a host that leaves.
+	spreadBound = 2500 * time.Millisecond
+	// encodedBytesPerSecond is how fast half a core encodes and compresses messages.
+	encodedBytesPerSecond = 35 << 20
+	// messageWork is what each message costs beside its bytes.
+	messageWork = 200 * time.Microsecond
+)
+
+// processor is the one processor of a node. It sends one message after another.
+type processor struct{ busyUntil time.Duration }
+
+// sendAfterWork sends a message once the node's processor has encoded it, after all
+// that it has to encode before.
+func (node *node) sendAfterWork(message any, to id.Node, deliver func()) {
+	simulation := node.simulation
+	send := func() { simulation.send(string(node.name), string(to), deliver) }
+	if node.processor == nil {
+		send()
+		return
+	}
+	data, err := json.Marshal(message)
+	if err != nil {
+		simulation.fail("encode: %v", err)
+	}
+	work := messageWork + time.Duration(len(data))*time.Second/encodedBytesPerSecond
+	node.processor.busyUntil = max(node.processor.busyUntil, simulation.now) + work
+	simulation.schedule(node.processor.busyUntil-simulation.now, node.whenUp(send))
+}
+
+// spread is a simulation of many entry hosts, whose control hosts have one processor
+// each.
+type spread struct {
+	*simulation
+	sequence  uint64
+	revision  id.Revision
+	leaveSeen map[id.Host]time.Duration
+}
+
+func newSpread(t testing.TB, seed uint64, entryNodes int) *spread {
+	t.Helper()
+	spread := &spread{simulation: newBootstrapSimulationOf(t, seed, entryNodes), leaveSeen: map[id.Host]time.Duration{}}
+	spread.checker.off = true
+	for _, node := range spread.nodes[:diskNodeCount] {
+		node.processor = &processor{}
+	}
+	for index := range spreadBackends {
+		spread.schedule(time.Duration(index)*engineAnnounceInterval/spreadBackends, func() { spread.announcePeriodically(spreadHost(index)) })
+	}
+	spread.run(4 * time.Second)
+	spread.change()
+	spread.run(6 * time.Second)
+	return spread
+}
+
+func spreadHost(index int) id.Host { return id.Host(fmt.Sprintf("b%03d", index)) }
+
+func (spread *spread) announcePeriodically(host id.Host) {
+	if _, left := spread.leaveSeen[host]; left {
+		return
+	}
+	spread.schedule(engineAnnounceInterval, func() { spread.announcePeriodically(host) })
+	spread.announce(host, false)
+}
+
+// announce announces a host at a random control host.
+func (spread *spread) announce(host id.Host, leaving bool) {
+	spread.sequence++
+	announcement := roster.Announcement{
+		Host: host, Incarnation: 1, Sequence: spread.sequence, Address: "10.1.0.4:" + string(host[1:]), DataCentre: "dc",
+		Service: "desk", Load: roster.Load{Slots: 6}, LeaseMS: 10 * engineAnnounceInterval.Milliseconds(), Leaving: leaving,
+	}
+	entry := spread.nodes[spread.rand.IntN(diskNodeCount)]
+	spread.send(string(host), string(entry.name), entry.whenUp(func() {
+		entry.runMember(entry.member.Step(entry.now(), member.AnnouncedWithoutEcho{Announcement: announcement}))
+	}))
+}
+
+// leave announces that a host leaves.
+func (spread *spread) leave(host id.Host) {
+	spread.leaveSeen[host] = spread.now
+	spread.announce(host, true)
+}
+
+// change proposes a declaration with many routes to the leader.
+func (spread *spread) change() {
+	spread.revision++
+	declaration := routing.Declaration{Revision: spread.revision, Services: []routing.Service{{Name: "desk"}}}
+	for index := range spreadRoutes {
+		declaration.Routes = append(declaration.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%07x", index*7919), Host: "leje88.example", PathPrefix: fmt.Sprintf("/%08x/", index*104729), Repeat: routing.RepeatSafe,
+			TimeoutMS: 8000, TargetMS: 500, Priority: 1, Attempts: 2, Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+		})
+	}
+	command := register.Command{Change: id.Change(fmt.Sprintf("declare-%d", spread.revision)), Declare: &register.Declare{Declaration: declaration}}
+	leader := spread.leader()
+	if leader == nil {
+		spread.fail("no leader takes revision %d", spread.revision)
+	}
+	leader.step(controller.ChangeProposed{Ticket: leader.newTicket(func(any) {}), Command: command})
+}
+
+// entryNodes returns the nodes without disks.
+func (spread *spread) entryNodes() []*node { return spread.nodes[diskNodeCount:] }
+
+// checkInForce fails unless each entry host acts, and acts by the revision or a later
+// one.
+func (spread *spread) checkInForce(revision id.Revision) {
+	spread.t.Helper()
+	late, without := 0, 0
+	for _, node := range spread.entryNodes() {
+		switch {
+		case !node.view.AcceptsNewWork(node.now()):
+			without++
+		case node.view.Routing.Declaration().Revision < revision:
+			late++
+		}
+	}
+	if late > 0 || without > 0 {
+		spread.fail("%v after revision %d, %d of %d entry hosts act by an older one and %d have no lease", spreadBound, revision, late, spreadEntryNodes, without)
+	}
+}
+
+// checkLeft fails unless no entry host uses the host any more.
+func (spread *spread) checkLeft(host id.Host) {
+	spread.t.Helper()
+	late := 0
+	for _, node := range spread.entryNodes() {
+		if endpoint := node.view.Endpoints[feed.Endpoint{Host: host}]; endpoint != nil && endpoint.Accepting && node.view.AcceptsNewWork(node.now()) {
+			late++
+		}
+	}
+	if late > 0 {
+		spread.fail("%v after host %s said that it leaves, %d of %d entry hosts use it", spreadBound, host, late, spreadEntryNodes)
+	}
+}
+
+// storm proposes changes at an interval, and checks spreadBound after each that all
+// entry hosts act by it.
+func (spread *spread) storm(changes int, interval time.Duration) {
+	for range changes {
+		spread.change()
+		revision := spread.revision
+		spread.schedule(spreadBound, func() { spread.checkInForce(revision) })
+		spread.run(interval)
+	}
+}
+
+// Guards against entry hosts that act by an old configuration, since a large change
+// takes the leader longer than they wait for its answer.
+func TestLargeChangesAreInForceAtSeventyEntryHostsInTime(t *testing.T) {
+	spread := newSpread(t, 1, spreadEntryNodes)
+	spread.storm(8, 700*time.Millisecond)
+	spread.run(spreadBound)
+}
+
+// Guards against work that goes to leaving hosts, whose leave waits behind large
+// changes at the leader.
+func TestLeavesReachSeventyEntryHostsInTimeBesideLargeChanges(t *testing.T) {
+	spread := newSpread(t, 2, spreadEntryNodes)
+	for index := range 8 {
+		spread.change()
+		spread.run(350 * time.Millisecond)
+		spread.leave(spreadHost(index))
+		spread.schedule(spreadBound, func() { spread.checkLeft(spreadHost(index)) })
+		spread.run(350 * time.Millisecond)
+	}
+	spread.run(spreadBound)
+}
+
+// Guards against a leader that falls behind on its heartbeats and is deposed while it
+// tells seventy entry hosts of changes, and one leader after it.
+func TestLeaderOutlivesStormOfChangesAtSeventyEntryHosts(t *testing.T) {
+	spread := newSpread(t, 3, spreadEntryNodes)
+	term := spread.leader().voter.Quorum().Term
+	for range 10 {
+		spread.change()
+		spread.run(330 * time.Millisecond)
+	}
+	spread.run(spreadBound)
+	if leader := spread.leader(); leader == nil || leader.voter.Quorum().Term != term {
+		spread.fail("the leader of term %d was deposed by a storm of changes", term)
+	}
+	spread.checkInForce(spread.revision)
+}
