platform/settings: a node stops before any bound on old state has passed

What callers saw: an entry host that got no news for seconds went on answering by the old configuration and sending to leaving hosts (CONFIG, DRAIN).

Cause: its lease was the bound on revoked tokens, 5 s, though a configuration and a leave are bound by 2.5 s and 2 s. Lateness, whatever its reason, became a wrong answer instead of a refusal that says not run.

The leader counts a silent node out after the lease that it gives, not after the longest there is.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -297,7 +297,7 @@
 		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
 	}
 	controller.responses.count(request, response)
-	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(feed.Lease))
+	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
 
