roster: a departure counts whatever was heard since of the same start

What callers saw: work went to a host after its leave was acknowledged (DRAIN).

Cause: a leave carries no sequence, so the node that is told of it counts one up from the last announcement that it knows. When another node had heard a later heartbeat, which comes to the first within 0.2 s, the leave was older for all others and dropped, and reported as accepted.

Evidence: the new case of TestOldAnnouncementsStartNoLease failed before.

Change: within one start of a host, leaving can't be taken back, so it is merged whatever its sequence. All else of the later announcement stays.

--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -99,6 +99,13 @@
 	return announcement.Sequence > other.Sequence
 }
 
+// lateDeparture reports whether an announcement says first that the incarnation of the
+// latest one leaves, though its sequence isn't higher. A node that is told of a
+// departure may have missed the announcements that other nodes have heard before.
+func (announcement *Announcement) lateDeparture(latest *Announcement) bool {
+	return announcement.Leaving && !latest.Leaving && announcement.Incarnation == latest.Incarnation && announcement.Sequence <= latest.Sequence
+}
+
 // RelayedAnnouncement is an announcement that one node sends to another.
 type RelayedAnnouncement struct {
 	Announcement Announcement `json:"announcement"`
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -85,7 +85,11 @@
 // Merge merges an announcement whose lease ends at expiry and returns its effect.
 func (roster *Roster) Merge(now time.Time, announcement Announcement, expiry time.Time) Change {
 	old := roster.memberByHost[announcement.Host]
-	if old != nil && !announcement.newerThan(&old.Announcement) {
+	if old != nil && announcement.lateDeparture(&old.Announcement) {
+		// The last announcement stays as it is, but for the departure.
+		announcement, expiry = old.Announcement, old.Expiry
+		announcement.Leaving = true
+	} else if old != nil && !announcement.newerThan(&old.Announcement) {
 		return ChangeNone
 	}
 	if old != nil && old.Announcement.Leaving && old.Announcement.Incarnation == announcement.Incarnation {
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -36,6 +36,8 @@
 		{"a delayed older announcement doesn't extend the lease", []receipt{{0, newAnnouncement(1, 2, false)}, {lease / 2, newAnnouncement(1, 1, false)}}, lease, false},
 		{"a newer announcement extends the lease", []receipt{{0, newAnnouncement(1, 1, false)}, {lease / 2, newAnnouncement(1, 2, false)}}, lease, true},
 		{"leaving ends the lease", []receipt{{0, newAnnouncement(1, 1, false)}, {1, newAnnouncement(1, 2, true)}}, 2, false},
+		{"a departure counts although a later announcement has been heard", []receipt{{0, newAnnouncement(1, 5, false)}, {1, newAnnouncement(1, 3, true)}}, 2, false},
+		{"a departure of an earlier incarnation doesn't count", []receipt{{0, newAnnouncement(2, 1, false)}, {1, newAnnouncement(1, 3, true)}}, 2, true},
 		{"an incarnation that is leaving stays so", []receipt{{0, newAnnouncement(1, 1, true)}, {1, newAnnouncement(1, 2, false)}}, 2, false},
 		{"the next incarnation is live again", []receipt{{0, newAnnouncement(1, 1, true)}, {1, newAnnouncement(2, 1, false)}}, 2, true},
 		{"an earlier incarnation starts no lease", []receipt{{0, newAnnouncement(2, 1, false)}, {lease, newAnnouncement(1, 99, false)}}, lease + 1, false},
