control, member: a leave is acknowledged once the leader has it

What callers saw: work went to a host later than allowed after its leave was acknowledged (DRAIN).

Cause: the control host that was told of a leave acknowledged it at once, whether or not it reached a leader, and even when it didn't know the host and so could tell nobody. From then on the bound ran, while no other node had heard of it. A new leader never learnt of a leave that the lost one had taken but not passed on: a leave is sent once, and the roster isn't in the log.

A node with a disk offers the leaves that it knows to each new leader. Heartbeats are answered at once as before.

--- a/caroblined/process/control/announcements.go
+++ b/caroblined/process/control/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,33 +36,75 @@
 	}
 }
 
+// ErrUnknownHost is returned for the departure of a host that the node hasn't heard
+// of, so that it can't tell the leader.
+var ErrUnknownHost = errors.New("the node doesn't know the host that leaves; tell another node")
+
 // AnnounceWithoutEcho passes the announcement of a host that echoes no stamp to
 // the member. It returns once the member has merged the announcement and queued
-// it for the leader.
+// it for the leader, or for a host that leaves, once the leader has it: nodes stop
+// using the host within their lease from then on.
 func (control *Control) AnnounceWithoutEcho(ctx context.Context, announcement roster.Announcement) error {
-	return control.stepMember(ctx, "renew", member.AnnouncedWithoutEcho{Announcement: announcement})
+	return control.stepMember(ctx, "renew", func(now time.Time, done chan<- error) {
+		control.executeMember(now, control.member.Step(now, member.AnnouncedWithoutEcho{Announcement: announcement}))
+		if !announcement.Leaving {
+			done <- nil
+			return
+		}
+		control.awaitAcceptance(ctx, announcement.Host, done)
+	})
 }
 
-// Depart marks a host as leaving. It returns once the member has merged the
-// change and queued it for the leader.
+// Depart marks a host as leaving. It returns once the leader has the change. It fails
+// with ErrUnknownHost for an incarnation that the node hasn't heard of.
 func (control *Control) Depart(ctx context.Context, host id.Host, incarnation id.Incarnation) error {
-	return control.stepMember(ctx, "depart", member.Departed{Host: host, Incarnation: incarnation})
+	return control.stepMember(ctx, "depart", func(now time.Time, done chan<- error) {
+		if !control.member.Knows(host, incarnation) {
+			done <- ErrUnknownHost
+			return
+		}
+		control.executeMember(now, control.member.Step(now, member.Departed{Host: host, Incarnation: incarnation}))
+		control.awaitAcceptance(ctx, host, done)
+	})
 }
 
-// stepMember passes an event to the member and waits until its actions are
-// executed. name labels the error when ctx ends first.
-func (control *Control) stepMember(ctx context.Context, name string, event member.Event) error {
-	done := make(chan struct{})
-	ok := control.post(func(now time.Time) {
-		control.executeMember(now, control.member.Step(now, event))
-		close(done)
+// acceptanceWait waits until the leader has accepted what a host announced.
+type acceptanceWait struct {
+	ctx  context.Context //nolint:containedctx // bounds the wait
+	host id.Host
+	done chan<- error
+}
+
+func (control *Control) awaitAcceptance(ctx context.Context, host id.Host, done chan<- error) {
+	control.acceptanceWaits = append(control.acceptanceWaits, acceptanceWait{ctx, host, done})
+	control.resolveAcceptances()
+}
+
+// resolveAcceptances ends the waits for what the leader has accepted, and drops those
+// that have been given up.
+func (control *Control) resolveAcceptances() {
+	control.acceptanceWaits = slices.DeleteFunc(control.acceptanceWaits, func(wait acceptanceWait) bool {
+		if wait.ctx.Err() != nil {
+			return true
+		}
+		if !control.member.Accepted(wait.host) {
+			return false
+		}
+		wait.done <- nil
+		return true
 	})
-	if !ok {
+}
+
+// stepMember runs step on the event loop and waits until it is done. name labels the
+// error when ctx ends first.
+func (control *Control) stepMember(ctx context.Context, name string, step func(now time.Time, done chan<- error)) error {
+	done := make(chan error, 1)
+	if !control.post(func(now time.Time) { step(now, done) }) {
 		return ErrClosed
 	}
 	select {
-	case <-done:
-		return nil
+	case err := <-done:
+		return err
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), name)
 	case <-control.ctx.Done():
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -111,6 +111,7 @@
 	resolveByTicket map[controller.Ticket]func(any)
 	lastTicket      controller.Ticket
 	delays          *delays
+	acceptanceWaits []acceptanceWait
 
 	stop       context.CancelFunc
 	ctx        context.Context //nolint:containedctx // bounds the event loop itself
@@ -362,6 +363,9 @@
 	if actions.Send != nil {
 		control.sendFeed(now, *actions.Send)
 	}
+	if len(control.acceptanceWaits) > 0 {
+		control.resolveAcceptances()
+	}
 }
 
 func (control *Control) publishView(now time.Time) {
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -206,3 +206,29 @@
 	}
 	spread.checkInForce(spread.revision)
 }
+
+// Guards against a departure that is forgotten when the leader is lost after it has
+// accepted it, and before it has told anyone but the node that relayed it.
+func TestDepartureOutlivesTheLeaderThatAcceptedIt(t *testing.T) {
+	for seed := range uint64(5) {
+		spread := newSpread(t, 100+seed, entryNodeCount)
+		leader, host := spread.leader(), spreadHost(int(seed))
+		relay := spread.nodes[0]
+		if relay == leader {
+			relay = spread.nodes[1]
+		}
+		for _, other := range spread.nodes {
+			if other != relay {
+				spread.blocked[[2]string{string(leader.name), string(other.name)}] = true
+			}
+		}
+		spread.leaveSeen[host] = spread.now
+		relay.runMember(relay.member.Step(relay.now(), member.Departed{Host: host}))
+		for !relay.member.Accepted(host) {
+			spread.run(time.Millisecond)
+		}
+		leader.crash()
+		spread.run(2 * spreadBound)
+		spread.checkLeft(host)
+	}
+}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -94,10 +94,26 @@
 	}
 	if response.Epoch != member.rosterEpoch {
 		member.rosterEpoch, member.rosterCursor = response.Epoch, 0
+		member.reofferDepartures(now)
 	}
 	member.rosterCursor = max(member.rosterCursor, response.Cursor)
 }
 
+// reofferDepartures queues the departures that a new leader may not know, since the
+// one before may have been lost before it told anyone but this node. A departure is
+// announced only once, unlike all else about a host.
+func (member *Member) reofferDepartures(now time.Time) {
+	if !member.config.HasDisk {
+		return
+	}
+	for _, host := range member.hosts.Members() {
+		if host.Announcement.Leaving && now.Before(host.Expiry) {
+			member.unacceptedByHost[host.Announcement.Host] = host.Announcement
+			member.sendAtOnce = true
+		}
+	}
+}
+
 // handleRedirect follows a redirect to the leader, or tries the next voter if it
 // names no other node. A superseded request is only forgotten, because the leader
 // has received a later one.
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -251,6 +251,19 @@
 	member.queueAnnouncement(announcement, member.hosts.Merge(now, announcement, now.Add(announcement.Lease())))
 }
 
+// Knows reports whether the node has heard of an incarnation of a host, or of a later
+// one. Incarnation 0 stands for any.
+func (member *Member) Knows(host id.Host, incarnation id.Incarnation) bool {
+	known, ok := member.hosts.Member(host)
+	return ok && known.Announcement.Incarnation >= incarnation
+}
+
+// Accepted reports whether the leader has all that a host announced to this node.
+func (member *Member) Accepted(host id.Host) bool {
+	_, unaccepted := member.unacceptedByHost[host]
+	return !unaccepted
+}
+
 // addVoters adds nodes that may know the leader, so that a node that can no longer
 // reach any node it knew finds the cluster again.
 func (member *Member) addVoters(nodes []id.Node) {
