member: a late response is used, and a busy leader isn't asked again for it

Cause: a node gave its request up after 300 ms, dropped the response that came after that and asked again from its old version. With 70 nodes and one change of 0.7 s more than half of them did so, and the leader sent all of it again.

TestLateResponseIsUsedAndNotAskedForAgain fails on the code before (the response isn't applied, and the leader is asked again after 0.3 s).

Change: an overdue request stays in flight, and its response counts, with the lease from when it was sent. Meanwhile the node asks the other voters who leads, and asks the same one again after 0.6 s at the earliest. A dead leader is found no later than before: the first probe leaves after 0.35 s instead of 0.65 s.

It works because a late leader now gets less to do, not more, and nothing it has done is wasted.

--- a/caroblined/process/control/delays.go
+++ b/caroblined/process/control/delays.go
@@ -104,7 +104,7 @@
 		responses = control.voter.TakeStats()
 	}
 	longest := max(delays.longestWait, delays.longestTickGap, delays.longestEvent, delays.longestSave, schedulerWait, exchanges.LongestRoundTrip, exchanges.LongestLeave)
-	if longest < notableDelay && exchanges.Failed == 0 && exchanges.Dropped == 0 && responses.Responses == 0 {
+	if longest < notableDelay && exchanges.Overdue == 0 && exchanges.Failed == 0 && exchanges.Dropped == 0 && responses.Responses == 0 {
 		return
 	}
 	event := control.config.Log.Info().Str("step", "delays").
@@ -112,7 +112,7 @@
 		Int64("event_ms", delays.longestEvent.Milliseconds()).Int64("save_ms", delays.longestSave.Milliseconds()).
 		Int64("scheduler_ms", schedulerWait.Milliseconds()).Int64("round_trip_ms", exchanges.LongestRoundTrip.Milliseconds()).
 		Int64("leave_ms", exchanges.LongestLeave.Milliseconds()).
-		Int("sent", exchanges.Sent).Int("answered", exchanges.Answered).Int("dropped", exchanges.Dropped).Int("failed", exchanges.Failed)
+		Int("sent", exchanges.Sent).Int("answered", exchanges.Answered).Int("dropped", exchanges.Dropped).Int("overdue", exchanges.Overdue).Int("failed", exchanges.Failed)
 	if responses.Responses > 0 {
 		event = event.Int("responses", responses.Responses).Int("superseded", responses.Superseded).Int("declarations", responses.Declarations).
 			Int("announcements", responses.Announcements).Int("renewals", responses.Renewals).Int("whole_rosters", responses.WholeRosters)
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -11,19 +11,28 @@
 	"carobline.dev/core/process/roster"
 )
 
+// inFlight is a request that was sent to a node. It is overdue once responseTimeout
+// has passed.
+type inFlight struct {
+	to            id.Node
+	sentAt        time.Time
+	announcements []roster.RelayedAnnouncement
+	overdue       bool
+}
+
 // handleResponse applies the leader's response to one request. Responses that
 // were overtaken by a later one are ignored.
 func (member *Member) handleResponse(now time.Time, response feed.Response) {
-	sentAt, ok := member.sentAtByNumber[response.Number]
-	if !ok || response.Number <= member.lastProcessedNumber {
+	request := member.inFlightByNumber[response.Number]
+	if request == nil || response.Number <= member.lastProcessedNumber {
 		member.exchanges.Dropped++
 		return
 	}
+	sentAt := request.sentAt
 	member.exchanges.Answered++
 	member.exchanges.LongestRoundTrip = max(member.exchanges.LongestRoundTrip, now.Sub(sentAt))
 	member.lastProcessedNumber = response.Number
-	member.consecutiveFailures = 0
-	announcements := member.announcementsByNumber[response.Number]
+	member.consecutiveFailures, member.nextSendAt = 0, now
 	member.forgetThrough(response.Number)
 	member.leader = response.Leader
 	if !member.applyDelta(response.Delta) {
@@ -33,7 +42,7 @@
 		member.routingDelay = now.Sub(sentAt) + time.Duration(response.DeclaredAgeMS)*time.Millisecond
 	}
 	member.viewStale = true
-	member.dropAccepted(response.AnnouncementsAccepted, announcements)
+	member.dropAccepted(response.AnnouncementsAccepted, request.announcements)
 	// The stamp is advanced by the time since its receipt, so the echo is never
 	// ahead of the leader's clock.
 	member.leaderStamp, member.leaderStampAt = response.Stamp, now
@@ -55,10 +64,9 @@
 // forgetThrough drops the request of this number and all earlier ones, which it
 // has overtaken.
 func (member *Member) forgetThrough(number uint64) {
-	for sentNumber := range member.sentAtByNumber {
+	for sentNumber := range member.inFlightByNumber {
 		if sentNumber <= number {
-			delete(member.sentAtByNumber, sentNumber)
-			delete(member.announcementsByNumber, sentNumber)
+			delete(member.inFlightByNumber, sentNumber)
 		}
 	}
 }
@@ -118,31 +126,39 @@
 // names no other node. A superseded request is only forgotten, because the leader
 // has received a later one.
 func (member *Member) handleRedirect(now time.Time, event Redirected) {
-	if _, ok := member.sentAtByNumber[event.Number]; !ok {
+	request := member.inFlightByNumber[event.Number]
+	if request == nil {
 		return
 	}
+	delete(member.inFlightByNumber, event.Number)
 	if event.Redirect.Superseded {
-		delete(member.sentAtByNumber, event.Number)
-		delete(member.announcementsByNumber, event.Number)
 		return
 	}
-	member.forgetThrough(event.Number)
 	member.addVoters(event.Redirect.Voters)
-	if event.Redirect.Leader == "" || event.Redirect.Leader == member.leader {
+	switch leader := event.Redirect.Leader; {
+	case leader == "" || leader == request.to:
 		member.tryNextVoter(now)
-		return
+	case member.owesResponse(now, leader):
+		member.tryNextVoter(now)
+		member.nextSendAt = now.Add(overdueProbeInterval)
+	default:
+		member.leader = leader
 	}
-	member.leader = event.Redirect.Leader
 }
 
 // handleFailure retries after minSendInterval and tries the next voter after
-// failuresToRotate failures in a row.
+// failuresToRotate failures in a row. Another voter is already being asked instead of
+// one whose response was overdue.
 func (member *Member) handleFailure(now time.Time, number uint64) {
-	if _, ok := member.sentAtByNumber[number]; !ok {
+	request := member.inFlightByNumber[number]
+	if request == nil {
 		return
 	}
+	delete(member.inFlightByNumber, number)
 	member.exchanges.Failed++
-	member.forgetThrough(number)
+	if request.overdue {
+		return
+	}
 	member.consecutiveFailures++
 	if member.consecutiveFailures >= failuresToRotate {
 		member.tryNextVoter(now)
@@ -151,15 +167,59 @@
 	member.nextSendAt = now.Add(minSendInterval)
 }
 
-// tryNextVoter sends the next request to the next voter, after voterRetryDelay.
+// markOverdue asks another voter who leads once a response is overdue. The request
+// stays in flight: a leader that is only late would have to answer it again.
+func (member *Member) markOverdue(now time.Time) {
+	for _, number := range slices.Sorted(maps.Keys(member.inFlightByNumber)) {
+		request := member.inFlightByNumber[number]
+		if now.Sub(request.sentAt) >= feed.Lease {
+			// Its response couldn't renew a lease any more.
+			delete(member.inFlightByNumber, number)
+		}
+		if request.overdue || now.Sub(request.sentAt) < responseTimeout {
+			continue
+		}
+		request.overdue = true
+		member.exchanges.Overdue++
+		member.tryNextVoter(now)
+	}
+}
+
+// owesResponse reports whether a node's response is overdue to a request that was
+// sent less than overdueRetryInterval ago.
+func (member *Member) owesResponse(now time.Time, node id.Node) bool {
+	for _, request := range member.inFlightByNumber {
+		if request.overdue && request.to == node && now.Sub(request.sentAt) < overdueRetryInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsResponse reports whether a request is in flight whose response isn't overdue.
+func (member *Member) awaitsResponse() bool {
+	for _, request := range member.inFlightByNumber {
+		if !request.overdue {
+			return true
+		}
+	}
+	return false
+}
+
+// tryNextVoter sends the next request to the next voter that doesn't owe a response,
+// after voterRetryDelay. If all do, it waits.
 func (member *Member) tryNextVoter(now time.Time) {
-	member.voterIndex++
 	member.consecutiveFailures = 0
-	if len(member.voters) == 0 {
-		return
-	}
-	member.leader = member.voters[member.voterIndex%len(member.voters)]
 	member.nextSendAt = now.Add(voterRetryDelay)
+	for range member.voters {
+		member.voterIndex++
+		next := member.voters[member.voterIndex%len(member.voters)]
+		if !member.owesResponse(now, next) {
+			member.leader = next
+			return
+		}
+	}
+	member.nextSendAt = now.Add(overdueProbeInterval)
 }
 
 // handleUsage records the usage. The next request is sent at once if demand has
@@ -211,7 +271,7 @@
 // nextRequest returns the next request, or nil. A request is sent if none is in
 // flight, or at once if there is a change to report; never before nextSendAt.
 func (member *Member) nextRequest(now time.Time) *Send {
-	if len(member.voters) == 0 || now.Before(member.nextSendAt) || (len(member.sentAtByNumber) > 0 && !member.sendAtOnce) {
+	if len(member.voters) == 0 || now.Before(member.nextSendAt) || (member.awaitsResponse() && !member.sendAtOnce) {
 		return nil
 	}
 	if member.leader == "" {
@@ -222,8 +282,7 @@
 	member.nextSendAt = now.Add(minSendInterval)
 	member.lastNumber++
 	announcements := member.unacceptedAnnouncements(now)
-	member.sentAtByNumber[member.lastNumber] = now
-	member.announcementsByNumber[member.lastNumber] = announcements
+	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements}
 	request := feed.Request{
 		Node: member.config.Self, Incarnation: member.config.Incarnation, Number: member.lastNumber,
 		Version: member.version, Epoch: member.rosterEpoch, Cursor: member.rosterCursor,
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -25,10 +25,15 @@
 )
 
 const (
-	// responseTimeout is how long a node waits for a response before the request
-	// counts as failed. It exceeds feed.LongPollTimeout, the longest that a leader
-	// holds a request back.
+	// responseTimeout is how long a node waits for a response before it asks another
+	// voter who leads. It exceeds feed.LongPollTimeout, the longest that a leader
+	// holds a request back. A response that comes later is still used.
 	responseTimeout = feed.LongPollTimeout + 100*time.Millisecond
+	// overdueRetryInterval is how long a node that owes a response isn't asked
+	// again, so that requests to a busy leader don't multiply. overdueProbeInterval
+	// is the time until yet another voter is asked meanwhile.
+	overdueRetryInterval = 2 * responseTimeout
+	overdueProbeInterval = 150 * time.Millisecond
 	// failuresToRotate is how many requests in a row may fail before a node sends
 	// to another voter.
 	failuresToRotate = 2
@@ -109,10 +114,8 @@
 	// of the last one whose response was processed.
 	lastNumber          uint64
 	lastProcessedNumber uint64
-	// sentAtByNumber and announcementsByNumber describe the requests in flight by
-	// their numbers.
-	sentAtByNumber        map[uint64]time.Time
-	announcementsByNumber map[uint64][]roster.RelayedAnnouncement
+	// inFlightByNumber holds the requests without an answer.
+	inFlightByNumber map[uint64]*inFlight
 	// nextSendAt is the earliest time for the next request.
 	nextSendAt time.Time
 	// viewStale is true if anything has changed since the view was last built.
@@ -134,8 +137,7 @@
 		stopByID:                map[id.Stop]register.StopRecord{},
 		groupByID:               map[id.Group]register.GroupRecord{},
 		unacceptedByHost:        map[id.Host]roster.Announcement{},
-		sentAtByNumber:          map[uint64]time.Time{},
-		announcementsByNumber:   map[uint64][]roster.RelayedAnnouncement{},
+		inFlightByNumber:        map[uint64]*inFlight{},
 	}
 }
 
@@ -188,11 +190,7 @@
 
 // Tick handles timeouts and periodic work. The caller must call it regularly.
 func (member *Member) Tick(now time.Time) Actions {
-	for _, number := range slices.Sorted(maps.Keys(member.sentAtByNumber)) {
-		if sentAt, inFlight := member.sentAtByNumber[number]; inFlight && now.Sub(sentAt) >= responseTimeout {
-			member.handleFailure(now, number)
-		}
-	}
+	member.markOverdue(now)
 	if now.Sub(member.rosterPrunedAt) >= rosterPruneInterval {
 		member.rosterPrunedAt = now
 		member.hosts.Tick(now)
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/roster"
 )
@@ -59,3 +60,41 @@
 		}
 	}
 }
+
+// nextSend ticks the node until it sends a request.
+func nextSend(t *testing.T, node *member.Member, now *time.Time) member.Send {
+	t.Helper()
+	for range 100 {
+		if actions := node.Tick(*now); actions.Send != nil {
+			return *actions.Send
+		}
+		*now = now.Add(20 * time.Millisecond)
+	}
+	t.Fatal("the node sends nothing")
+	return member.Send{}
+}
+
+// Guards against nodes that ask a busy leader for the same again and throw away what
+// it has answered.
+func TestLateResponseIsUsedAndNotAskedForAgain(t *testing.T) {
+	now := start
+	node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"leader", "follower"}}, roster.New())
+	first := nextSend(t, node, &now)
+	for end := now.Add(560 * time.Millisecond); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		send := node.Tick(now).Send
+		if send == nil {
+			continue
+		}
+		if send.To == "leader" {
+			t.Fatalf("the leader is asked again %v after a request that it hasn't answered", now.Sub(start))
+		}
+		node.Step(now, member.Redirected{Number: send.Request.Number, Redirect: feed.Redirect{Leader: "leader"}})
+	}
+	next := node.Step(now, member.Responded{Response: feed.Response{Number: first.Request.Number, Leader: "leader", LeaseMS: 2000}}).Send
+	if current := node.View(now); !current.LeaseUntil.Equal(start.Add(2 * time.Second)) {
+		t.Errorf("after a late response the lease ends %v after the request, want 2s", current.LeaseUntil.Sub(start))
+	}
+	if next == nil || next.To != "leader" {
+		t.Errorf("the next request is %+v, want one to the leader that has answered", next)
+	}
+}
--- a/core/process/member/stats.go
+++ b/core/process/member/stats.go
@@ -9,8 +9,9 @@
 	// their request had been given up or overtaken.
 	Answered int
 	Dropped  int
-	// Failed counts the requests that got no response in time.
-	Failed int
+	// Overdue counts the requests whose response was late, Failed those that got none.
+	Overdue int
+	Failed  int
 	// LongestRoundTrip is the longest time from a request to its response, among
 	// the responses that were applied.
 	LongestRoundTrip time.Duration
