controller: the leader gives at most a thousand responses a second

Cause: every change of a fact at any host (a group that joins, opens, leaves) and every reported stall was answered to all nodes at once, and at each event, also a message of another voter, the leader sorted and looked at all held polls, all quotas and all waiting changes.

Change: two responses to one node are at least a millisecond times the number of nodes apart, 75 ms at 70 entry hosts, and a poll is held no shorter than that; the response says for how long. All polls are looked at each tick, or 5 ms after the last look when something has changed; else only the one that came in. The sum of calls is made once a look, and a poll without changes costs no look at the groups.

It works because the rate no longer depends on nodes or changes; what grows with the nodes is how long news may wait, a tenth of a second here and half of one at 520.

--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -140,7 +140,11 @@
 	case LeadershipTransferRequested:
 		controller.applyQuorumActions(now, &actions, controller.quorum.Step(now, quorum.TransferLeadership{}))
 	}
-	controller.updateLeadership(now, &actions)
+	arrived := id.Node("")
+	if request, ok := event.(FeedRequested); ok {
+		arrived = request.Request.Node
+	}
+	controller.updateLeadership(now, &actions, arrived, false)
 	return actions
 }
 
@@ -149,7 +153,7 @@
 func (controller *Controller) Tick(now time.Time) Actions {
 	var actions Actions
 	controller.applyQuorumActions(now, &actions, controller.quorum.Tick(now))
-	controller.updateLeadership(now, &actions)
+	controller.updateLeadership(now, &actions, "", true)
 	if controller.HoldsLeaderLease(now) {
 		controller.reconcile(now, &actions)
 	}
@@ -365,8 +369,9 @@
 
 // updateLeadership creates the leader's state when this voter has won a term and
 // holds the lease, discards it when the voter no longer leads that term, and
-// answers the held requests.
-func (controller *Controller) updateLeadership(now time.Time, actions *Actions) {
+// answers the held requests that are due. arrived is the node whose request has just
+// come in, or empty.
+func (controller *Controller) updateLeadership(now time.Time, actions *Actions, arrived id.Node, ticked bool) {
 	status := controller.quorum.Status()
 	isLeader := status.Role == quorum.RoleLeader
 	if controller.leadership != nil && (!isLeader || controller.leadership.term != status.Term) {
@@ -376,7 +381,7 @@
 		controller.leadership = newLeadership(now, status.Term, controller.config)
 	}
 	if controller.HoldsLeaderLease(now) {
-		controller.answerPolls(now, actions)
+		controller.scanPolls(now, actions, arrived, ticked)
 	}
 }
 
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -64,10 +64,16 @@
 	stallReportedAtByEndpoint map[feed.Endpoint]time.Time
 	// undeliveredAtByHost is when an order last found no host at its address.
 	undeliveredAtByHost map[id.Host]time.Time
-	// newStallReported is set when a node reports a stalled endpoint that wasn't
-	// reported within stallBroadcastLifetime. All held polls are then answered at
-	// once.
-	newStallReported bool
+	// newStallReports counts the reports of stalled endpoints that weren't reported
+	// within stallBroadcastLifetime before. Each is an update for all nodes.
+	newStallReports uint64
+	// scannedAt is when all held polls were last looked at, and scannedInputs what
+	// they were told of. liveNodes and liveCalls count the nodes with a lease, and
+	// their calls, at that time.
+	scannedAt     time.Time
+	scannedInputs pollInputs
+	liveNodes     int
+	liveCalls     int
 	// stagingByHost holds the orders to stage weights that are in progress.
 	stagingByHost map[id.Host]staging
 	// lastDissolvedAt is when a group was last retired in favour of another model.
@@ -94,22 +100,25 @@
 	hasDisk         bool
 	// lastRequestAt is when the node's last request arrived.
 	lastRequestAt time.Time
-	// lastResponseAt is when the leader last answered the node. A request is held
-	// no longer than feed.LongPollTimeout from then, so that a node that keeps
-	// replacing its pending request by a new one still has its lease renewed.
+	// lastResponseAt is when the leader last answered the node. How long a request
+	// is held counts from then, so that a node that keeps replacing its pending
+	// request by a new one still has its lease renewed.
 	lastResponseAt time.Time
+	// stallReports is the number of new reports of stalls at that time.
+	stallReports uint64
 	// leaseExpiryBound is the time by which the node's last lease has expired by
 	// any clock within the assumed drift.
 	leaseExpiryBound time.Time
 }
 
 // heldPoll is a node's long poll, which is held until there is an update for
-// the node or its deadline passes.
+// the node, or for holdTime.
 type heldPoll struct {
 	ticket                Ticket
 	request               feed.Request
 	announcementsAccepted bool
-	deadline              time.Time
+	// stallReports is the number of new reports of stalls that the node was told of.
+	stallReports uint64
 }
 
 // inForceWait is an accepted change whose answer waits until every node has it
@@ -168,7 +177,9 @@
 	node.callsByEndpoint, node.totalCalls, node.drained = request.RunningByEndpoint, request.ActiveCalls, request.Drained
 	node.hasDisk, node.lastRequestAt = request.HasDisk, now
 	for _, endpoint := range request.StalledEndpoints {
-		leadership.newStallReported = leadership.newStallReported || now.Sub(leadership.stallReportedAtByEndpoint[endpoint]) >= stallBroadcastLifetime
+		if now.Sub(leadership.stallReportedAtByEndpoint[endpoint]) >= stallBroadcastLifetime {
+			leadership.newStallReports++
+		}
 		leadership.stallReportedAtByEndpoint[endpoint] = now
 	}
 	leadership.callsSeen = leadership.callsSeen || request.ActiveCalls > 0
@@ -177,7 +188,7 @@
 		controller.responses.Superseded++
 		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
 	}
-	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, announcementsAccepted: announcementsAccepted, deadline: node.lastResponseAt.Add(feed.LongPollTimeout)}
+	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports}
 }
 
 // updateNodeCalls replaces a node's previous calls in progress by its current
@@ -239,82 +250,6 @@
 	return true
 }
 
-// answerPolls answers each held poll that has an update or has reached its
-// deadline, and each accepted change that every node has in force or whose
-// deadline has passed.
-func (controller *Controller) answerPolls(now time.Time, actions *Actions) {
-	leadership := controller.leadership
-	if version := controller.register.Version(); version != leadership.limitsVersion {
-		leadership.limitsVersion = version
-		leadership.granter.SetLimits(controller.contractLimits())
-	}
-	nodesToNotify := leadership.granter.NodesToNotify(now)
-	for _, node := range sortedKeys(leadership.pollByNode) {
-		held := leadership.pollByNode[node]
-		if leadership.newStallReported || controller.hasUpdate(held, slices.Contains(nodesToNotify, node)) || !now.Before(held.deadline) {
-			delete(leadership.pollByNode, node)
-			controller.respond(now, actions, held)
-		}
-	}
-	leadership.newStallReported = false
-	leadership.inForceWaits = slices.DeleteFunc(leadership.inForceWaits, func(wait inForceWait) bool {
-		return controller.answerInForceWait(now, actions, wait)
-	})
-}
-
-// hasUpdate reports whether a held poll must be answered before its deadline: the
-// node needs a valid stamp, its quota changed, it doesn't know this leader's
-// roster, or its version or an urgent announcement is out of date.
-func (controller *Controller) hasUpdate(held heldPoll, quotaChanged bool) bool {
-	request := held.request
-	ownEpoch := feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
-	return !held.announcementsAccepted || quotaChanged || request.Epoch != ownEpoch || request.Version != controller.register.Version() ||
-		request.Cursor < controller.roster.UrgentCursor()
-}
-
-// respond answers a held poll and renews the node's lease.
-func (controller *Controller) respond(now time.Time, actions *Actions, held heldPoll) {
-	request := held.request
-	ownEpoch := feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
-	cursor := request.Cursor
-	if request.Epoch != ownEpoch {
-		cursor = 0
-	}
-	grant := controller.leadership.granter.Allocate(now, granter.Request{Node: request.Node, HeldGrant: request.HeldGrant, DemandByClientAccount: request.DemandByClientAccount})
-	relayed, renewals := controller.roster.Since(now, cursor)
-	response := &feed.Response{
-		Number: request.Number, Leader: controller.config.Self, Term: controller.leadership.term,
-		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.config.lease().Milliseconds(),
-		Delta: controller.register.Since(request.Version),
-		Epoch: ownEpoch, Cursor: controller.roster.Cursor(), Roster: relayed, Renewals: renewals,
-		Grant: grant, Share: controller.share(now, request),
-		Voters: controller.quorum.Status().Membership.Voters,
-	}
-	node := controller.leadership.stateByNode[request.Node]
-	response.RunningElsewhereByEndpoint = controller.leadership.callsAtOtherNodes(node.callsByEndpoint)
-	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
-	if response.Delta.Declared != nil {
-		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
-	}
-	controller.responses.count(request, response)
-	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
-	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
-}
-
-// share returns a node's part of the calls in progress at all nodes, from 0 to
-// 1. Each node counts one call more than it has, so that the share of an idle
-// node isn't zero and it can begin to take calls.
-func (controller *Controller) share(now time.Time, request feed.Request) float64 {
-	totalCalls := 0
-	for _, node := range controller.leadership.stateByNode {
-		if node.incarnation > 0 && now.Before(node.leaseExpiryBound) {
-			totalCalls += 1 + node.totalCalls
-		}
-	}
-	ownCalls := 1 + request.ActiveCalls
-	return float64(ownCalls) / float64(max(ownCalls, totalCalls))
-}
-
 // contractLimits returns the limits of the contracts in force by client account.
 func (controller *Controller) contractLimits() map[id.ClientAccount]granter.Quota {
 	limitsByClientAccount := map[id.ClientAccount]granter.Quota{}
@@ -330,28 +265,3 @@
 	}
 	return limitsByClientAccount
 }
-
-// laggingNodes lists the nodes that may still act on a state older than the
-// version: they haven't reported it, and their lease may not have expired.
-func (controller *Controller) laggingNodes(now time.Time, version id.Version) []id.Node {
-	var lagging []id.Node
-	for _, name := range sortedKeys(controller.leadership.stateByNode) {
-		node := controller.leadership.stateByNode[name]
-		if node.version < version && now.Before(node.leaseExpiryBound) {
-			lagging = append(lagging, name)
-		}
-	}
-	return lagging
-}
-
-// answerInForceWait answers an accepted change once no node lags behind it or its
-// deadline has passed. It reports whether it answered.
-func (controller *Controller) answerInForceWait(now time.Time, actions *Actions, wait inForceWait) bool {
-	lagging := controller.laggingNodes(now, wait.result.Version)
-	if len(lagging) > 0 && now.Before(wait.deadline) {
-		return false
-	}
-	result := wait.result
-	actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: wait.ticket, Result: &result, InForce: len(lagging) == 0, Lagging: lagging})
-	return true
-}
--- /dev/null
+++ b/core/process/controller/polls.go
@@ -0,0 +1,175 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/granter"
+)
+
+const (
+	// responseSpacing times the number of nodes is the least time between two
+	// responses to one node, so that the leader gives no more than one response in
+	// each responseSpacing, however many nodes there are and whatever changes.
+	responseSpacing = time.Millisecond
+	// minScanInterval is the least time between two looks at all held polls.
+	minScanInterval = 5 * time.Millisecond
+)
+
+// pollInputs are what every node must be told of when it changes.
+type pollInputs struct {
+	version      id.Version
+	urgentCursor uint64
+	stallReports uint64
+}
+
+func (controller *Controller) pollInputs() pollInputs {
+	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(), controller.leadership.newStallReports}
+}
+
+// scanPolls looks at all held polls, if something that concerns all nodes has changed
+// since it last did so, or if ticked is set. Else only arrived, the node whose poll has
+// just come in, can have an update.
+func (controller *Controller) scanPolls(now time.Time, actions *Actions, arrived id.Node, ticked bool) {
+	leadership := controller.leadership
+	changed := controller.pollInputs() != leadership.scannedInputs && now.Sub(leadership.scannedAt) >= minScanInterval
+	if ticked || changed {
+		controller.answerPolls(now, actions)
+		return
+	}
+	if held, ok := leadership.pollByNode[arrived]; ok {
+		controller.answerIfDue(now, actions, held, false)
+	}
+}
+
+// answerPolls answers each held poll that is due, and each accepted change that every
+// node has in force or whose deadline has passed.
+func (controller *Controller) answerPolls(now time.Time, actions *Actions) {
+	leadership := controller.leadership
+	leadership.scannedAt, leadership.scannedInputs = now, controller.pollInputs()
+	if version := controller.register.Version(); version != leadership.limitsVersion {
+		leadership.limitsVersion = version
+		leadership.granter.SetLimits(controller.contractLimits())
+	}
+	leadership.countNodes(now)
+	nodesToNotify := leadership.granter.NodesToNotify(now)
+	for _, node := range sortedKeys(leadership.pollByNode) {
+		_, quotaChanged := slices.BinarySearch(nodesToNotify, node)
+		controller.answerIfDue(now, actions, leadership.pollByNode[node], quotaChanged)
+	}
+	leadership.inForceWaits = slices.DeleteFunc(leadership.inForceWaits, func(wait inForceWait) bool {
+		return controller.answerInForceWait(now, actions, wait)
+	})
+}
+
+// countNodes counts the nodes that may act on a response, and their calls.
+func (leadership *leadership) countNodes(now time.Time) {
+	leadership.liveNodes, leadership.liveCalls = 0, 0
+	for _, node := range leadership.stateByNode {
+		if node.incarnation > 0 && now.Before(node.leaseExpiryBound) {
+			leadership.liveNodes++
+			leadership.liveCalls += node.totalCalls
+		}
+	}
+}
+
+// responsePause returns the least time between two responses to one node.
+func (leadership *leadership) responsePause() time.Duration {
+	return time.Duration(leadership.liveNodes) * responseSpacing
+}
+
+// holdTime returns how long a poll without an update is held, from the last response
+// to its node.
+func (leadership *leadership) holdTime() time.Duration {
+	return max(feed.LongPollTimeout, leadership.responsePause())
+}
+
+// answerIfDue answers a held poll that has been held for long enough, or that has an
+// update if the last response to its node is long enough ago.
+func (controller *Controller) answerIfDue(now time.Time, actions *Actions, held heldPoll, quotaChanged bool) {
+	leadership := controller.leadership
+	sinceResponse := now.Sub(leadership.stateByNode[held.request.Node].lastResponseAt)
+	updated := controller.hasUpdate(held) || quotaChanged
+	if held.announcementsAccepted && sinceResponse < leadership.holdTime() && (!updated || sinceResponse < leadership.responsePause()) {
+		return
+	}
+	delete(leadership.pollByNode, held.request.Node)
+	controller.respond(now, actions, held)
+}
+
+// hasUpdate reports whether a node doesn't know this leader's roster, or its version,
+// an urgent announcement or a report of a stall is out of date.
+func (controller *Controller) hasUpdate(held heldPoll) bool {
+	request := held.request
+	return request.Epoch != controller.epoch() || request.Version != controller.register.Version() ||
+		request.Cursor < controller.roster.UrgentCursor() || held.stallReports < controller.leadership.newStallReports
+}
+
+// epoch identifies this leader's roster.
+func (controller *Controller) epoch() feed.Epoch {
+	return feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
+}
+
+// respond answers a held poll and renews the node's lease.
+func (controller *Controller) respond(now time.Time, actions *Actions, held heldPoll) {
+	request := held.request
+	cursor := request.Cursor
+	if request.Epoch != controller.epoch() {
+		cursor = 0
+	}
+	grant := controller.leadership.granter.Allocate(now, granter.Request{Node: request.Node, HeldGrant: request.HeldGrant, DemandByClientAccount: request.DemandByClientAccount})
+	relayed, renewals := controller.roster.Since(now, cursor)
+	response := &feed.Response{
+		Number: request.Number, Leader: controller.config.Self, Term: controller.leadership.term,
+		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.config.lease().Milliseconds(),
+		Delta: controller.register.Since(request.Version),
+		Epoch: controller.epoch(), Cursor: controller.roster.Cursor(), Roster: relayed, Renewals: renewals,
+		Grant: grant, Share: controller.leadership.share(request), HoldMS: controller.leadership.holdTime().Milliseconds(),
+		Voters: controller.quorum.Status().Membership.Voters,
+	}
+	node := controller.leadership.stateByNode[request.Node]
+	response.RunningElsewhereByEndpoint = controller.leadership.callsAtOtherNodes(node.callsByEndpoint)
+	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
+	if response.Delta.Declared != nil {
+		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
+	}
+	controller.responses.count(request, response)
+	node.stallReports = controller.leadership.newStallReports
+	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
+	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
+}
+
+// share returns a node's part of the calls in progress at all nodes, from 0 to
+// 1. Each node counts one call more than it has, so that the share of an idle
+// node isn't zero and it can begin to take calls.
+func (leadership *leadership) share(request feed.Request) float64 {
+	ownCalls := 1 + request.ActiveCalls
+	return float64(ownCalls) / float64(max(ownCalls, leadership.liveNodes+leadership.liveCalls))
+}
+
+// laggingNodes lists the nodes that may still act on a state older than the
+// version: they haven't reported it, and their lease may not have expired.
+func (controller *Controller) laggingNodes(now time.Time, version id.Version) []id.Node {
+	var lagging []id.Node
+	for _, name := range sortedKeys(controller.leadership.stateByNode) {
+		node := controller.leadership.stateByNode[name]
+		if node.version < version && now.Before(node.leaseExpiryBound) {
+			lagging = append(lagging, name)
+		}
+	}
+	return lagging
+}
+
+// answerInForceWait answers an accepted change once no node lags behind it or its
+// deadline has passed. It reports whether it answered.
+func (controller *Controller) answerInForceWait(now time.Time, actions *Actions, wait inForceWait) bool {
+	lagging := controller.laggingNodes(now, wait.result.Version)
+	if len(lagging) > 0 && now.Before(wait.deadline) {
+		return false
+	}
+	result := wait.result
+	actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: wait.ticket, Result: &result, InForce: len(lagging) == 0, Lagging: lagging})
+	return true
+}
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -172,6 +172,7 @@
 // Guards against entry hosts that act by an old configuration, since a large change
 // takes the leader longer than they wait for its answer.
 func TestLargeChangesAreInForceAtSeventyEntryHostsInTime(t *testing.T) {
+	t.Parallel()
 	spread := newSpread(t, 1, spreadEntryNodes)
 	spread.storm(8, 700*time.Millisecond)
 	spread.run(spreadBound)
@@ -180,6 +181,7 @@
 // Guards against work that goes to leaving hosts, whose leave waits behind large
 // changes at the leader.
 func TestLeavesReachSeventyEntryHostsInTimeBesideLargeChanges(t *testing.T) {
+	t.Parallel()
 	spread := newSpread(t, 2, spreadEntryNodes)
 	for index := range 8 {
 		spread.change()
@@ -194,6 +196,7 @@
 // Guards against a leader that falls behind on its heartbeats and is deposed while it
 // tells seventy entry hosts of changes, and one leader after it.
 func TestLeaderOutlivesStormOfChangesAtSeventyEntryHosts(t *testing.T) {
+	t.Parallel()
 	spread := newSpread(t, 3, spreadEntryNodes)
 	term := spread.leader().voter.Quorum().Term
 	for range 10 {
@@ -210,6 +213,7 @@
 // Guards against a departure that is forgotten when the leader is lost after it has
 // accepted it, and before it has told anyone but the node that relayed it.
 func TestDepartureOutlivesTheLeaderThatAcceptedIt(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		spread := newSpread(t, 100+seed, entryNodeCount)
 		leader, host := spread.leader(), spreadHost(int(seed))
@@ -232,3 +236,41 @@
 		spread.checkLeft(host)
 	}
 }
+
+// changeFacts lets one host after another change, which all nodes must be told of.
+func (spread *spread) changeFacts(interval time.Duration, until time.Duration) {
+	if spread.now >= until {
+		return
+	}
+	spread.schedule(interval, func() { spread.changeFacts(interval, until) })
+	spread.sequence++
+	announcement := roster.Announcement{
+		Host: spreadHost(int(spread.sequence % spreadBackends)), Incarnation: 1, Sequence: spread.sequence, Address: "10.1.0.4:1", DataCentre: "dc",
+		Service: "desk", LeaseMS: 10 * engineAnnounceInterval.Milliseconds(), Models: []id.Model{id.Model(fmt.Sprint(spread.sequence))},
+	}
+	entry := spread.nodes[spread.rand.IntN(diskNodeCount)]
+	entry.runMember(entry.member.Step(entry.now(), member.AnnouncedWithoutEcho{Announcement: announcement}))
+}
+
+// Guards against a leader that drowns in its own answers, since each change at a host
+// is answered to all nodes at once.
+func TestLeaderGivesABoundedNumberOfResponsesHoweverManyNodesAndChanges(t *testing.T) {
+	t.Parallel()
+	const maxPerSecond, duration = 1000, 4 * time.Second
+	for _, entryNodes := range []int{spreadEntryNodes, 4 * spreadEntryNodes} {
+		spread := newSpread(t, 4, entryNodes)
+		leader := spread.leader()
+		spread.changeFacts(10*time.Millisecond, spread.now+duration)
+		leader.voter.TakeStats()
+		spread.run(duration)
+		perSecond := float64(leader.voter.TakeStats().Responses) / duration.Seconds()
+		if perSecond > 1.1*maxPerSecond {
+			spread.fail("the leader gives %.0f responses a second to %d entry hosts, want at most %d", perSecond, entryNodes, maxPerSecond)
+		}
+		for _, node := range spread.entryNodes() {
+			if !node.view.LeaseIsFresh(node.now()) {
+				spread.fail("node %s of %d has no fresh lease", node.name, entryNodes)
+			}
+		}
+	}
+}
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -25,7 +25,8 @@
 	// it sent the request.
 	Lease = 5 * time.Second
 	// LongPollTimeout is how long a leader holds a request back while nothing has
-	// changed for the node, counted from its previous response to that node.
+	// changed for the node, counted from its previous response to that node. With
+	// many nodes it is longer: see Response.HoldMS.
 	LongPollTimeout = 200 * time.Millisecond
 )
 
@@ -137,6 +138,9 @@
 	// Share is this node's fraction of the calls in progress at all nodes, above 0 and
 	// at most 1.
 	Share float64 `json:"share"`
+	// HoldMS is how long the leader holds a request back while nothing has changed
+	// for the node, in milliseconds.
+	HoldMS int64 `json:"hold_ms"`
 	// Voters are the current voters.
 	Voters []id.Node `json:"voters,omitempty"`
 	// StalledEndpoints are those at which any node has lately reported calls that make
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -11,8 +11,8 @@
 	"carobline.dev/core/process/roster"
 )
 
-// inFlight is a request that was sent to a node. It is overdue once responseTimeout
-// has passed.
+// inFlight is a request that was sent to a node. It is overdue once
+// Member.responseTimeout has passed.
 type inFlight struct {
 	to            id.Node
 	sentAt        time.Time
@@ -52,6 +52,7 @@
 	}
 	member.grant, member.demandShare, member.runningElsewhereByEndpoint = response.Grant, response.Share, response.RunningElsewhereByEndpoint
 	member.stalledEndpoints = response.StalledEndpoints
+	member.holdTime = time.Duration(response.HoldMS) * time.Millisecond
 	if len(response.Voters) > 0 {
 		member.voters = response.Voters
 	}
@@ -176,7 +177,7 @@
 			// Its response couldn't renew a lease any more.
 			delete(member.inFlightByNumber, number)
 		}
-		if request.overdue || now.Sub(request.sentAt) < responseTimeout {
+		if request.overdue || now.Sub(request.sentAt) < member.responseTimeout() {
 			continue
 		}
 		request.overdue = true
@@ -185,11 +186,16 @@
 	}
 }
 
-// owesResponse reports whether a node's response is overdue to a request that was
-// sent less than overdueRetryInterval ago.
+// responseTimeout returns how long after a request its response is overdue.
+func (member *Member) responseTimeout() time.Duration {
+	return max(feed.LongPollTimeout, member.holdTime) + responseSlack
+}
+
+// owesResponse reports whether a node's response is overdue to a request, and too
+// recently so to ask it again.
 func (member *Member) owesResponse(now time.Time, node id.Node) bool {
 	for _, request := range member.inFlightByNumber {
-		if request.overdue && request.to == node && now.Sub(request.sentAt) < overdueRetryInterval {
+		if request.overdue && request.to == node && now.Sub(request.sentAt) < overdueRetryFactor*member.responseTimeout() {
 			return true
 		}
 	}
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -25,14 +25,14 @@
 )
 
 const (
-	// responseTimeout is how long a node waits for a response before it asks another
-	// voter who leads. It exceeds feed.LongPollTimeout, the longest that a leader
-	// holds a request back. A response that comes later is still used.
-	responseTimeout = feed.LongPollTimeout + 100*time.Millisecond
-	// overdueRetryInterval is how long a node that owes a response isn't asked
-	// again, so that requests to a busy leader don't multiply. overdueProbeInterval
-	// is the time until yet another voter is asked meanwhile.
-	overdueRetryInterval = 2 * responseTimeout
+	// responseSlack is added to the time for which a leader holds a request back.
+	// After that a response is overdue: the node asks another voter who leads. A
+	// response that comes later is still used.
+	responseSlack = 100 * time.Millisecond
+	// overdueRetryFactor times that time is how long a node that owes a response
+	// isn't asked again, so that requests to a busy leader don't multiply.
+	overdueRetryFactor = 2
+	// overdueProbeInterval is the time until yet another voter is asked meanwhile.
 	overdueProbeInterval = 150 * time.Millisecond
 	// failuresToRotate is how many requests in a row may fail before a node sends
 	// to another voter.
@@ -89,6 +89,8 @@
 	leaseUntil     time.Time
 
 	grant granter.Grant
+	// holdTime is how long the leader holds requests back, as it last said.
+	holdTime time.Duration
 	// demandShare is this node's part of the demand of all nodes.
 	demandShare float64
 	usage       UsageReported
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -262,6 +262,9 @@
 // version is too old, or newer than the state.
 func (register *Register) Since(version id.Version) Delta {
 	delta := Delta{From: version, To: register.state.Version}
+	if version == register.state.Version {
+		return delta
+	}
 	if version < register.state.MinDeltaVersion || version > register.state.Version {
 		delta.From, delta.Full, version = 0, true, 0
 	}
