member: the end of a call is reported at once only where an endpoint drains

What callers saw: nothing by itself; it adds to a busy leader what the traffic gives.

Cause: a node asked the leader anew whenever an endpoint had no more calls from it, since a planned stop may wait for that.

Evidence: TestIdleEndpointIsReportedAtOnceOnlyWhileItDrains failed before.

--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -8,6 +8,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 )
 
@@ -230,25 +231,56 @@
 
 // handleUsage records the usage. The next request is sent at once if demand has
 // risen above the quota (at most once per quotaRequestInterval), if Drained
-// changes, if the first call of the node starts or its last one ends, if an
-// endpoint becomes idle, or if more endpoints stall.
+// changes, if an endpoint that drains becomes idle, or if more endpoints stall.
 func (member *Member) handleUsage(now time.Time, report UsageReported) {
 	if now.Sub(member.quotaRequestedAt) >= quotaRequestInterval && member.needsMoreQuota(report) {
 		member.quotaRequestedAt, member.sendAtOnce = now, true
 	}
-	if report.Drained != member.usage.Drained ||
-		(report.ActiveCalls == 0) != (member.usage.ActiveCalls == 0) || anyEndpointIdle(member.usage.RunningByEndpoint, report.RunningByEndpoint) {
+	if report.Drained != member.usage.Drained || member.anyDrainingEndpointIdle(member.usage.RunningByEndpoint, report.RunningByEndpoint) {
 		member.sendAtOnce = true
 	}
 	member.sendAtOnce = member.sendAtOnce || len(report.StalledEndpoints) > len(member.usage.StalledEndpoints)
 	member.usage = report
 }
 
-// anyEndpointIdle reports whether the last call of an endpoint has ended. A
-// planned stop may be waiting for that.
-func anyEndpointIdle(previous, current map[feed.Endpoint]int) bool {
+// anyDrainingEndpointIdle reports whether the last call of an endpoint that takes no
+// more has ended. The leader may be waiting for that.
+func (member *Member) anyDrainingEndpointIdle(previous, current map[feed.Endpoint]int) bool {
 	for endpoint := range previous {
-		if current[endpoint] == 0 {
+		if current[endpoint] == 0 && member.drains(endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// drains reports whether an endpoint takes no more calls: its group is being drained,
+// or one of its hosts leaves or is covered by a planned stop.
+func (member *Member) drains(endpoint feed.Endpoint) bool {
+	hosts := []id.Host{endpoint.Host}
+	if endpoint.Group != "" {
+		group, ok := member.groupByID[endpoint.Group]
+		if !ok {
+			return false
+		}
+		if group.Phase != register.PhaseServing {
+			return true
+		}
+		hosts = group.Hosts
+	}
+	return slices.ContainsFunc(hosts, member.leaves)
+}
+
+func (member *Member) leaves(host id.Host) bool {
+	known, ok := member.hosts.Member(host)
+	if !ok {
+		return false
+	}
+	if known.Announcement.Leaving {
+		return true
+	}
+	for _, stop := range member.stopByID {
+		if stop.IncarnationByHost[host] == known.Announcement.Incarnation {
 			return true
 		}
 	}
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -98,3 +98,25 @@
 		t.Errorf("the next request is %+v, want one to the leader that has answered", next)
 	}
 }
+
+// Guards against a request to the leader for each call that ends, whose number grows
+// with the traffic.
+func TestIdleEndpointIsReportedAtOnceOnlyWhileItDrains(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		now, hosts := start, roster.New()
+		node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"leader"}}, hosts)
+		nextSend(t, node, &now)
+		host := announcement(1, 1)
+		host.Leaving = leaving
+		hosts.Merge(now, host, now.Add(host.Lease()))
+		now = now.Add(20 * time.Millisecond)
+		busy := member.UsageReported{ActiveCalls: 1, RunningByEndpoint: map[feed.Endpoint]int{{Host: "h"}: 1}}
+		if node.Step(now, busy).Send != nil {
+			t.Error("the first call is reported at once")
+		}
+		now = now.Add(20 * time.Millisecond)
+		if sent := node.Step(now, member.UsageReported{}).Send != nil; sent != leaving {
+			t.Errorf("host leaving %v: its last call is reported at once: %v", leaving, sent)
+		}
+	}
+}
