roster, controller: a new leader sends nodes what they lack, not its whole roster

What callers saw: the same CONFIG and DRAIN, each time the leader changed, and that it went on changing: the new one began with the work that had deposed the old one.

Cause: cursors count the changes of one leader's roster.

Evidence: TestNewLeaderSendsOnlyWhatNodesLackOfItsRoster failed with 12,062 announcements at 70 entry hosts and 160 hosts.

Change: a node that asks another leader than its last adds a digest of what it has, 1 kB in 128 buckets; the leader sends the hosts of the buckets that differ. What it gives up: two rosters whose 64-bit sums agree by chance.

Result: the test passes with 1,120 allowed, and departures during the change arrive. It works because the cost follows what differs between two leaders, not nodes times hosts. TestMissingBringsAllNewerFacts compares with what was heard in 200 seeds.

--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -7,6 +7,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/roster"
 )
 
 const (
@@ -115,12 +116,8 @@
 // respond answers a held poll and renews the node's lease.
 func (controller *Controller) respond(now time.Time, actions *Actions, held heldPoll) {
 	request := held.request
-	cursor := request.Cursor
-	if request.Epoch != controller.epoch() {
-		cursor = 0
-	}
 	grant := controller.leadership.granter.Allocate(now, granter.Request{Node: request.Node, HeldGrant: request.HeldGrant, DemandByClientAccount: request.DemandByClientAccount})
-	relayed, renewals := controller.roster.Since(now, cursor)
+	relayed, renewals := controller.rosterUpdate(now, request)
 	response := &feed.Response{
 		Number: request.Number, Leader: controller.config.Self, Term: controller.leadership.term,
 		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.config.lease().Milliseconds(),
@@ -141,6 +138,14 @@
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 }
 
+// rosterUpdate returns what a node lacks of this leader's roster.
+func (controller *Controller) rosterUpdate(now time.Time, request feed.Request) ([]roster.RelayedAnnouncement, []roster.Renewal) {
+	if request.Epoch != controller.epoch() {
+		return controller.roster.Missing(now, request.RosterDigest), nil
+	}
+	return controller.roster.Since(now, request.Cursor)
+}
+
 // share returns a node's part of the calls in progress at all nodes, from 0 to
 // 1. Each node counts one call more than it has, so that the share of an idle
 // node isn't zero and it can begin to take calls.
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -274,3 +274,27 @@
 		}
 	}
 }
+
+// Guards against a new leader that begins with its whole roster for each of seventy
+// entry hosts, though they have all of it from the leader before.
+func TestNewLeaderSendsOnlyWhatNodesLackOfItsRoster(t *testing.T) {
+	t.Parallel()
+	spread := newSpread(t, 5, spreadEntryNodes)
+	old := spread.leader()
+	old.crash()
+	for index := range 3 {
+		spread.leave(spreadHost(index))
+	}
+	spread.run(spreadBound)
+	leader := spread.leader()
+	if leader == nil || leader == old {
+		spread.fail("no new leader")
+	}
+	for index := range 3 {
+		spread.checkLeft(spreadHost(index))
+	}
+	stats := leader.voter.TakeStats()
+	if most := spreadEntryNodes * spreadBackends / 10; stats.WholeRosters < spreadEntryNodes || stats.Announcements > most {
+		spread.fail("the new leader sent %d announcements to %d nodes, want at most %d to all", stats.Announcements, stats.WholeRosters, most)
+	}
+}
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -42,6 +42,9 @@
 	// roster.
 	Epoch  Epoch  `json:"epoch"`
 	Cursor uint64 `json:"cursor"`
+	// RosterDigest sums up the roster that the node has, for a leader whose Epoch
+	// it doesn't know yet.
+	RosterDigest roster.Digest `json:"roster_digest,omitempty"`
 	// Echo is the leader's last stamp, advanced by the time the node held it. It
 	// bounds the age of this request.
 	Echo clock.Stamp `json:"echo"`
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -329,6 +329,9 @@
 		DemandByClientAccount: member.usage.DemandByClientAccount, RunningByEndpoint: member.usage.RunningByEndpoint, ActiveCalls: member.usage.ActiveCalls, Drained: member.usage.Drained,
 		HasDisk: member.config.HasDisk, StalledEndpoints: member.usage.StalledEndpoints,
 	}
+	if member.rosterEpoch.Node != "" && member.rosterEpoch.Node != member.leader {
+		request.RosterDigest = member.hosts.Digest(now)
+	}
 	return &Send{To: member.leader, Request: request}
 }
 
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -25,6 +25,10 @@
 // message.
 const deadHostRetention = 24 * time.Hour
 
+// departureRelayTime is how long after the end of its lease a host that has left is
+// still relayed, so that nodes which missed its departure hear of it.
+const departureRelayTime = time.Minute
+
 // prefixUpdateInterval is the shortest time between two updates of a host's cached
 // prefixes, if nothing else about it has changed.
 const prefixUpdateInterval = 5 * time.Second
@@ -40,6 +44,14 @@
 	FactsCursor uint64
 	// prefixesUpdatedAt is when the prefixes were last updated.
 	prefixesUpdatedAt time.Time
+	// factsHash is the hash of the announcement's facts.
+	factsHash uint64
+}
+
+// relayable reports whether other nodes are told of the host: it has a lease, or has
+// left not long ago.
+func (member *Member) relayable(now time.Time) bool {
+	return now.Before(member.Expiry) || (member.Announcement.Leaving && now.Before(member.Expiry.Add(departureRelayTime)))
 }
 
 // Live reports whether the host may be used now: its lease holds and it isn't
@@ -109,12 +121,16 @@
 	switch {
 	case change == ChangeUrgent:
 		roster.urgentCursor = roster.cursor
+		updated.factsHash = hashFacts(announcement)
 	case slices.Equal(old.Announcement.Prefixes, announcement.Prefixes):
 		updated.FactsCursor, updated.prefixesUpdatedAt = old.FactsCursor, old.prefixesUpdatedAt
 	case now.Sub(old.prefixesUpdatedAt) < prefixUpdateInterval:
 		updated.Announcement.Prefixes = old.Announcement.Prefixes
 		updated.FactsCursor, updated.prefixesUpdatedAt = old.FactsCursor, old.prefixesUpdatedAt
 	}
+	if change == ChangeRenewed {
+		updated.factsHash = old.factsHash
+	}
 	roster.memberByHost[announcement.Host] = updated
 	return change
 }
@@ -173,33 +189,46 @@
 func (roster *Roster) UrgentCursor() uint64 { return roster.urgentCursor }
 
 // Since returns the hosts that changed after a cursor and that still have a lease
-// or are leaving, the earliest change first: whole announcements where more than
-// the lease and the load changed, otherwise renewals.
+// or have left not long ago, the earliest change first: whole announcements where
+// more than the lease and the load changed, otherwise renewals.
 func (roster *Roster) Since(now time.Time, cursor uint64) ([]RelayedAnnouncement, []Renewal) {
 	if cursor >= roster.cursor {
 		return nil, nil
 	}
+	var renewals []Renewal
+	for _, member := range roster.changed(now, func(member *Member) bool { return member.Cursor > cursor && member.FactsCursor <= cursor }) {
+		announcement := &member.Announcement
+		renewals = append(renewals, Renewal{
+			Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: member.remainingMS(now),
+			Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
+		})
+	}
+	return roster.relay(now, func(member *Member) bool { return member.FactsCursor > cursor }), renewals
+}
+
+// relay returns the announcements of the hosts that match, the earliest change first.
+func (roster *Roster) relay(now time.Time, matches func(*Member) bool) []RelayedAnnouncement {
+	var relayed []RelayedAnnouncement
+	for _, member := range roster.changed(now, matches) {
+		relayed = append(relayed, RelayedAnnouncement{Announcement: member.Announcement, RemainingMS: member.remainingMS(now)})
+	}
+	return relayed
+}
+
+// changed returns the relayable entries that match, the earliest change first.
+func (roster *Roster) changed(now time.Time, matches func(*Member) bool) []*Member {
 	var changed []*Member
 	for _, member := range roster.memberByHost {
-		if member.Cursor > cursor && (now.Before(member.Expiry) || member.Announcement.Leaving) {
+		if matches(member) && member.relayable(now) {
 			changed = append(changed, member)
 		}
 	}
 	slices.SortFunc(changed, func(a, b *Member) int { return cmp.Compare(a.Cursor, b.Cursor) })
-	var relayed []RelayedAnnouncement
-	var renewals []Renewal
-	for _, member := range changed {
-		announcement, remaining := member.Announcement, max(0, member.Expiry.Sub(now)).Milliseconds()
-		if member.FactsCursor > cursor {
-			relayed = append(relayed, RelayedAnnouncement{Announcement: announcement, RemainingMS: remaining})
-			continue
-		}
-		renewals = append(renewals, Renewal{
-			Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: remaining,
-			Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
-		})
-	}
-	return relayed, renewals
+	return changed
+}
+
+func (member *Member) remainingMS(now time.Time) int64 {
+	return max(0, member.Expiry.Sub(now)).Milliseconds()
 }
 
 // Tick drops hosts whose lease ended more than deadHostRetention ago.
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -101,3 +103,43 @@
 		t.Error("a new incarnation kept the loaded model of the last one")
 	}
 }
+
+// Whatever two rosters have heard, one that merges what the other finds missing by its
+// digest ends with all of the other's facts that are newer.
+func TestMissingBringsAllNewerFacts(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		leader, node := roster.New(), roster.New()
+		for range 300 {
+			announcement := newAnnouncement(id.Incarnation(1+random.IntN(2)), uint64(random.IntN(6)), random.IntN(8) == 0)
+			announcement.Host = id.Host(fmt.Sprintf("h%d", random.IntN(150)))
+			announcement.Address = fmt.Sprint(announcement.Sequence)
+			for _, hosts := range []*roster.Roster{leader, node} {
+				if random.IntN(10) > 0 {
+					hosts.Merge(start, announcement, start.Add(lease))
+				}
+			}
+		}
+		missing := leader.Missing(start, node.Digest(start))
+		for _, relayed := range missing {
+			node.Merge(start, relayed.Announcement, start.Add(lease))
+		}
+		for _, want := range leader.Members() {
+			got, _ := node.Member(want.Announcement.Host)
+			older := got.Announcement.Incarnation < want.Announcement.Incarnation || (got.Announcement.Incarnation == want.Announcement.Incarnation && got.Announcement.Sequence < want.Announcement.Sequence)
+			if older || (got.Announcement.Incarnation == want.Announcement.Incarnation && want.Announcement.Leaving && !got.Announcement.Leaving) {
+				t.Fatalf("seed %d: the node knows %+v, the leader %+v", seed, got.Announcement, want.Announcement)
+			}
+		}
+		if all := leader.Missing(start, nil); len(all) != len(leader.Members()) {
+			t.Fatalf("seed %d: without a digest %d of %d hosts are sent", seed, len(all), len(leader.Members()))
+		}
+		node = roster.New()
+		for _, relayed := range leader.Missing(start, nil) {
+			node.Merge(start, relayed.Announcement, start.Add(lease))
+		}
+		if again := leader.Missing(start, node.Digest(start)); len(again) != 0 {
+			t.Fatalf("seed %d: %d hosts are sent to a node that has them", seed, len(again))
+		}
+	}
+}
