granter: the cost of an exchange no longer grows with the nodes

Cause: each exchange added up what all other nodes hold of each contract, and before each look at the polls the same was done for every node: nodes squared times contracts for one event.

Change: the sum of what is in use is kept for each contract, in whole millionths so that it stays exact whatever the order; targets are updated at most once in 20 ms, or a millisecond times the nodes; who must be told is worked out then, not at each look; and expired leases are looked for only when one can have ended.

--- a/core/process/granter/granter.go
+++ b/core/process/granter/granter.go
@@ -53,37 +53,58 @@
 	// later ones.
 	grants     []Grant
 	nextSerial Serial
+	// inUseByClientAccount is the most that the node may be using by any of them.
+	inUseByClientAccount map[id.ClientAccount]amount
 }
 
-// targetUpdateInterval is the shortest time between two updates of the targets, if
-// neither the limits nor the holders have changed.
-const targetUpdateInterval = 20 * time.Millisecond
+const (
+	// minTargetInterval and targetIntervalPerNode times the number of nodes bound how
+	// often the targets are updated, so that the time that this takes doesn't grow
+	// faster than the number of contracts.
+	minTargetInterval     = 20 * time.Millisecond
+	targetIntervalPerNode = time.Millisecond
+	// staleIntervalPerNode is the same where the limits or the holders have changed.
+	staleIntervalPerNode = 100 * time.Microsecond
+)
 
 // Granter divides limits. It isn't safe for concurrent use.
 type Granter struct {
 	lease                time.Duration
 	startedAt            time.Time
-	limitByClientAccount map[id.ClientAccount]Quota
+	limitByClientAccount map[id.ClientAccount]amount
 	holderByNode         map[id.Node]*holder
+	// noExpiryBefore is the earliest time at which the lease of a holder can end.
+	noExpiryBefore time.Time
+	// inUseByClientAccount is the sum over all holders.
+	inUseByClientAccount map[id.ClientAccount]amount
 
 	targetsUpdatedAt      time.Time
 	targetsStale          bool
-	targetByClientAccount map[id.ClientAccount]map[id.Node]Quota
+	targetByClientAccount map[id.ClientAccount]map[id.Node]amount
+	// nodesToNotify holds the nodes whose grant differs notably from the targets.
+	nodesToNotify map[id.Node]bool
 }
 
 // New returns a granter for one term of a leader. During the first lease it grants
 // no node more than that node already held: nodes that haven't reported yet may
 // still hold quotas of an earlier term.
 func New(now time.Time, lease time.Duration) *Granter {
-	return &Granter{lease: lease, startedAt: now, holderByNode: map[id.Node]*holder{}, targetsStale: true}
+	return &Granter{
+		lease: lease, startedAt: now, holderByNode: map[id.Node]*holder{}, targetsStale: true,
+		inUseByClientAccount: map[id.ClientAccount]amount{}, nodesToNotify: map[id.Node]bool{},
+	}
 }
 
 // SetLimits sets the limits of the contracts in force.
 func (granter *Granter) SetLimits(limits map[id.ClientAccount]Quota) {
-	if maps.Equal(granter.limitByClientAccount, limits) {
+	limitByClientAccount := make(map[id.ClientAccount]amount, len(limits))
+	for clientAccount, limit := range limits {
+		limitByClientAccount[clientAccount] = roundDown(limit)
+	}
+	if maps.Equal(granter.limitByClientAccount, limitByClientAccount) {
 		return
 	}
-	granter.limitByClientAccount = maps.Clone(limits)
+	granter.limitByClientAccount = limitByClientAccount
 	granter.targetsStale = true
 }
 
@@ -100,8 +121,12 @@
 	}
 	requester.demandByClientAccount = request.DemandByClientAccount
 	requester.acknowledge(request.HeldGrant)
+	granter.updateTargets(now)
+	granter.countInUse(requester)
 	grant := granter.grant(now, request.Node, requester)
+	granter.countInUse(requester)
 	requester.leaseExpiry = now.Add(granter.lease)
+	delete(granter.nodesToNotify, request.Node)
 	return grant
 }
 
@@ -115,39 +140,64 @@
 	holder.grants = slices.DeleteFunc(holder.grants, func(grant Grant) bool { return grant.Serial < held.Serial })
 }
 
-// maxInUse returns the most that a node may be using of one client account's
-// limits.
-func (holder *holder) maxInUse(clientAccount id.ClientAccount) Quota {
-	var maximum Quota
+// countInUse updates what a holder may be using, and the sum over all holders. It
+// takes one step for each contract, however many holders there are.
+func (granter *Granter) countInUse(holder *holder) {
+	inUse := map[id.ClientAccount]amount{}
 	for _, grant := range holder.grants {
-		maximum = maxQuota(maximum, grant.QuotaByClientAccount[clientAccount])
+		for clientAccount, quota := range grant.QuotaByClientAccount {
+			inUse[clientAccount] = inUse[clientAccount].max(roundUp(quota))
+		}
+	}
+	granter.removeInUse(holder)
+	holder.inUseByClientAccount = inUse
+	for clientAccount, used := range inUse {
+		granter.inUseByClientAccount[clientAccount] = granter.inUseByClientAccount[clientAccount].plus(used)
+	}
+}
+
+func (granter *Granter) removeInUse(holder *holder) {
+	for clientAccount, used := range holder.inUseByClientAccount {
+		granter.inUseByClientAccount[clientAccount] = granter.inUseByClientAccount[clientAccount].minus(used)
 	}
-	return maximum
 }
 
 // expireHolders drops nodes whose leases have run out.
 func (granter *Granter) expireHolders(now time.Time) {
+	if now.Before(granter.noExpiryBefore) {
+		return
+	}
+	granter.noExpiryBefore = now.Add(granter.lease)
 	for node, holder := range granter.holderByNode {
-		if !now.Before(holder.leaseExpiry) {
-			delete(granter.holderByNode, node)
-			granter.targetsStale = true
+		if now.Before(holder.leaseExpiry) {
+			granter.noExpiryBefore = minTime(granter.noExpiryBefore, holder.leaseExpiry)
+			continue
 		}
+		granter.removeInUse(holder)
+		delete(granter.holderByNode, node)
+		delete(granter.nodesToNotify, node)
+		granter.targetsStale = true
 	}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // grant returns a node's current grant, or a new one if its quotas have changed.
 func (granter *Granter) grant(now time.Time, node id.Node, requester *holder) Grant {
-	granter.updateTargets(now)
 	quotas := map[id.ClientAccount]Quota{}
 	firstLeaseOver := !now.Before(granter.startedAt.Add(granter.lease))
-	for clientAccount, limit := range granter.limitByClientAccount {
-		quota := granter.targetByClientAccount[clientAccount][node]
-		quota = minQuota(quota, granter.available(node, clientAccount, limit))
+	for clientAccount := range granter.limitByClientAccount {
+		quota := granter.target(node, requester, clientAccount)
 		if !firstLeaseOver {
-			quota = minQuota(quota, requester.maxInUse(clientAccount))
+			quota = quota.min(requester.inUseByClientAccount[clientAccount])
 		}
-		if quota != (Quota{}) {
-			quotas[clientAccount] = quota
+		if quota != (amount{}) {
+			quotas[clientAccount] = quota.quota()
 		}
 	}
 	current := requester.grants[len(requester.grants)-1]
@@ -160,39 +210,35 @@
 	return grant
 }
 
-// available returns what the other nodes leave of a limit.
-func (granter *Granter) available(node id.Node, clientAccount id.ClientAccount, limit Quota) Quota {
-	// The order is fixed because sums of floating-point numbers depend on it.
-	for _, other := range slices.Sorted(maps.Keys(granter.holderByNode)) {
-		if other == node {
-			continue
-		}
-		inUse := granter.holderByNode[other].maxInUse(clientAccount)
-		limit.RequestsPerSecond -= inUse.RequestsPerSecond
-		limit.TokensPerSecond -= inUse.TokensPerSecond
-		limit.Concurrency -= inUse.Concurrency
-	}
-	return maxQuota(limit, Quota{})
+// target returns a node's target of one client account's limits, as far as the other
+// nodes leave it.
+func (granter *Granter) target(node id.Node, holder *holder, clientAccount id.ClientAccount) amount {
+	elsewhere := granter.inUseByClientAccount[clientAccount].minus(holder.inUseByClientAccount[clientAccount])
+	available := granter.limitByClientAccount[clientAccount].minus(elsewhere).max(amount{})
+	return granter.targetByClientAccount[clientAccount][node].min(available)
 }
 
 // NodesToNotify returns the nodes whose current grant differs notably from what
-// they would be granted now, so that they should be sent a new grant at once.
+// they would be granted, so that they should be sent a new grant at once.
 func (granter *Granter) NodesToNotify(now time.Time) []id.Node {
 	granter.expireHolders(now)
 	granter.updateTargets(now)
-	var nodes []id.Node
+	return slices.Sorted(maps.Keys(granter.nodesToNotify))
+}
+
+// findNodesToNotify compares all grants with the targets.
+func (granter *Granter) findNodesToNotify() {
+	clear(granter.nodesToNotify)
 	for node, holder := range granter.holderByNode {
 		current := holder.grants[len(holder.grants)-1]
 		for clientAccount, limit := range granter.limitByClientAccount {
-			target := minQuota(granter.targetByClientAccount[clientAccount][node], granter.available(node, clientAccount, limit))
-			if differsMuch(target, current.QuotaByClientAccount[clientAccount], limit) {
-				nodes = append(nodes, node)
+			target := granter.target(node, holder, clientAccount)
+			if differsMuch(target.quota(), current.QuotaByClientAccount[clientAccount], limit.quota()) {
+				granter.nodesToNotify[node] = true
 				break
 			}
 		}
 	}
-	slices.Sort(nodes)
-	return nodes
 }
 
 // differsMuch reports whether two quotas differ by more than a twentieth of the
@@ -207,26 +253,33 @@
 // updateTargets computes the target quotas of all nodes if the last ones are out of
 // date.
 func (granter *Granter) updateTargets(now time.Time) {
-	if !granter.targetsStale && now.Sub(granter.targetsUpdatedAt) < targetUpdateInterval {
+	interval := max(minTargetInterval, time.Duration(len(granter.holderByNode))*targetIntervalPerNode)
+	if granter.targetsStale {
+		interval = time.Duration(len(granter.holderByNode)) * staleIntervalPerNode
+	}
+	if now.Sub(granter.targetsUpdatedAt) < interval {
 		return
 	}
 	granter.targetsUpdatedAt, granter.targetsStale = now, false
-	granter.targetByClientAccount = map[id.ClientAccount]map[id.Node]Quota{}
+	granter.targetByClientAccount = map[id.ClientAccount]map[id.Node]amount{}
+	// The order is fixed because sums of floating-point numbers depend on it.
 	nodes := slices.Sorted(maps.Keys(granter.holderByNode))
 	demands := make([]Quota, len(nodes))
-	for clientAccount, limit := range granter.limitByClientAccount {
+	for clientAccount, whole := range granter.limitByClientAccount {
+		limit := whole.quota()
 		for index, node := range nodes {
 			demands[index] = granter.holderByNode[node].demandByClientAccount[clientAccount]
 		}
 		requests := splitByDemand(limit.RequestsPerSecond, fieldValues(demands, func(quota Quota) float64 { return quota.RequestsPerSecond }))
 		tokens := splitByDemand(limit.TokensPerSecond, fieldValues(demands, func(quota Quota) float64 { return quota.TokensPerSecond }))
 		concurrency := splitWholeUnits(limit.Concurrency, fieldValues(demands, func(quota Quota) float64 { return quota.Concurrency }))
-		targets := make(map[id.Node]Quota, len(nodes))
+		targets := make(map[id.Node]amount, len(nodes))
 		for index, node := range nodes {
-			targets[node] = Quota{requests[index], tokens[index], concurrency[index]}
+			targets[node] = roundDown(Quota{requests[index], tokens[index], concurrency[index]})
 		}
 		granter.targetByClientAccount[clientAccount] = targets
 	}
+	granter.findNodesToNotify()
 }
 
 // fieldValues returns one field of each quota, with negative values raised to 0.
@@ -285,11 +338,3 @@
 	}
 	return parts
 }
-
-func minQuota(a, b Quota) Quota {
-	return Quota{min(a.RequestsPerSecond, b.RequestsPerSecond), min(a.TokensPerSecond, b.TokensPerSecond), min(a.Concurrency, b.Concurrency)}
-}
-
-func maxQuota(a, b Quota) Quota {
-	return Quota{max(a.RequestsPerSecond, b.RequestsPerSecond), max(a.TokensPerSecond, b.TokensPerSecond), max(a.Concurrency, b.Concurrency)}
-}
--- a/core/process/granter/granter_test.go
+++ b/core/process/granter/granter_test.go
@@ -1,6 +1,8 @@
 package granter_test
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -106,3 +108,39 @@
 		t.Errorf("the node with demand holds %v calls, want all of %v", got, maxCalls)
 	}
 }
+
+// exchangeCost returns the time that one exchange takes with a number of nodes and 24
+// contracts, where demand moves all the time.
+func exchangeCost(nodes int) time.Duration {
+	const accounts, rounds = 24, 3
+	limits, demand := map[id.ClientAccount]granter.Quota{}, map[id.ClientAccount]granter.Quota{}
+	for index := range accounts {
+		limits[id.ClientAccount(fmt.Sprint(index))] = granter.Quota{RequestsPerSecond: 1000, TokensPerSecond: 1e6, Concurrency: 5000}
+	}
+	allocator, now, held := granter.New(start.Add(-lease), lease), start, make([]granter.Grant, nodes)
+	allocator.SetLimits(limits)
+	startedAt := time.Now()
+	for round := range rounds {
+		for node := range nodes {
+			now = now.Add(time.Millisecond)
+			for account := range limits {
+				demand[account] = granter.Quota{RequestsPerSecond: float64((node + round) % 17), Concurrency: float64((node + round) % 5)}
+			}
+			held[node] = allocator.Allocate(now, granter.Request{Node: id.Node(fmt.Sprint(node)), HeldGrant: held[node], DemandByClientAccount: maps.Clone(demand)})
+			allocator.NodesToNotify(now)
+		}
+	}
+	return time.Since(startedAt) / time.Duration(rounds*nodes)
+}
+
+// Guards against a leader whose time for each exchange grows with the nodes, so that
+// its time for all of them grows with their square.
+func TestExchangeCostDoesNotGrowWithNodes(t *testing.T) {
+	const few, many, most = 40, 640, 5
+	cost := func(nodes int) time.Duration {
+		return min(exchangeCost(nodes), exchangeCost(nodes), exchangeCost(nodes))
+	}
+	if small, large := cost(few), cost(many); large > most*small {
+		t.Errorf("an exchange takes %v with %d nodes and %v with %d", small, few, large, many)
+	}
+}
