endpoint, entryapi, callerapi: answers without end are bounded

What callers would have seen: an entry host out of memory. It held an answer of a plain service whole without a bound, until the call's deadline; passed a stream on as long as anything came that ended in an empty line; and took a head of up to 10 MB.

Change: all calls to engines and services go through one transport, which takes 64 kB of a head and 16 MiB of a body and closes the connection past that. An entry host holds at most 4 MiB of a whole answer (answer_too_large). Lines of a stream that belong to no event are no progress, so that the watchdog ends it. The callers' own interface takes no more tokens than were asked for and 1,000 events without a number.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -29,6 +29,8 @@
 	prefixBytes = 1024
 	// maxEventBytes bounds one event of an engine.
 	maxEventBytes = 64 << 10
+	// maxUnnumberedEvents bounds the events of one attempt that are no tokens.
+	maxUnnumberedEvents = 1000
 	// maxAnswerBytes bounds an answer that is collected whole before it goes to
 	// the caller.
 	maxAnswerBytes = 16 << 20
@@ -73,7 +75,7 @@
 		return err
 	}
 	api.config.RetryBudget.Earn()
-	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, body: body, prefix: prefix}
+	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, body: body, prefix: prefix, maxTokens: *completion.MaxTokens}
 	if completion.Stream {
 		relay.sink = &streamSink{writer: writer, controller: http.NewResponseController(writer), writeTimeout: api.config.CallerWriteTimeout, call: call}
 	} else {
@@ -84,7 +86,8 @@
 	return err
 }
 
-// readCompletion checks a caller's body and returns the body for the engine.
+// readCompletion checks a caller's body and returns the body for the engine. The
+// completion's MaxTokens is set, at most to that of the contract.
 func (api *API) readCompletion(callerBody []byte, path string, call *call) (completion, []byte, error) {
 	var completion completion
 	if err := json.Unmarshal(callerBody, &completion); err != nil {
@@ -109,6 +112,7 @@
 	if completion.MaxTokens != nil {
 		maxTokens = min(maxTokens, *completion.MaxTokens)
 	}
+	completion.MaxTokens = &maxTokens
 	body, err := engineBody(callerBody, maxTokens)
 	return completion, body, err
 }
@@ -150,6 +154,7 @@
 	path      string
 	body      []byte
 	prefix    uint64
+	maxTokens id.Tokens
 	sink      sink
 
 	attempt int
@@ -349,7 +354,7 @@
 func (relay *relay) copy(body io.Reader, inactivityTimer *time.Timer) error {
 	reader := sse.NewReader(body, maxEventBytes)
 	level := relay.admission.Level()
-	for {
+	for unnumbered := 0; ; {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			return errors.New("the stream ended without its end mark")
@@ -365,6 +370,14 @@
 		if event.HasID && event.ID <= int64(relay.deliveredTokens) {
 			continue // already delivered before the stream was resumed
 		}
+		if event.HasID && event.ID > int64(relay.maxTokens)+1 {
+			return errors.Errorf("the stream goes on past the %d tokens that were asked for", relay.maxTokens)
+		}
+		if !event.HasID {
+			if unnumbered++; unnumbered > maxUnnumberedEvents {
+				return errors.Errorf("the stream sent more than %d events without a number", maxUnnumberedEvents)
+			}
+		}
 		if event.HasID && event.ID != int64(relay.deliveredTokens)+1 {
 			return errors.Errorf("the stream left out tokens after %d", relay.deliveredTokens)
 		}
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"carobline.dev/caroblined/connection/entryapi"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
@@ -164,7 +165,7 @@
 		LeaseUntil: leaseUntil, Routing: routing.NewTable(declaration), Endpoints: endpointByName,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	}
-	transport := &http.Transport{DisableCompression: true}
+	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2})
 	api := entryapi.New(entryapi.Config{
 		Dialect: dialect, View: func() *view.View { return current }, Now: time.Now, Transport: transport,
 		Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -17,6 +17,9 @@
 	"carobline.dev/core/version/view"
 )
 
+// maxWholeAnswerBytes bounds an answer that is held whole before it is passed on.
+const maxWholeAnswerBytes = 4 << 20
+
 // errCallEnded reports that the caller has disconnected or its deadline has
 // passed.
 var errCallEnded = errors.New("the caller has gone or the deadline has passed")
@@ -304,16 +307,19 @@
 	}
 }
 
-// readResponseBody reads an answer to its end. An answer that breaks off is
-// rejected.
+// readResponseBody reads an answer to its end. An answer that breaks off, or that is
+// larger than maxWholeAnswerBytes, is rejected.
 func (api *API) readResponseBody(exchange *exchange) {
-	body, err := io.ReadAll(exchange.response.Body)
+	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxWholeAnswerBytes+1))
 	_ = exchange.response.Body.Close()
-	if err != nil {
+	switch {
+	case err != nil:
 		exchange.reason, exchange.err = "answer_broken_off", err
-		return
+	case len(body) > maxWholeAnswerBytes:
+		exchange.reason = "answer_too_large"
+	default:
+		exchange.body = body
 	}
-	exchange.body = body
 }
 
 // mayRetry reports whether a call may be sent to another endpoint.
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -167,7 +167,9 @@
 			complete = len(buffer)
 		}
 		if complete > 0 {
-			watchdog.recordEvent()
+			if hasEvent(buffer[:complete]) {
+				watchdog.recordEvent()
+			}
 			progress.recordWrite(api.config.Now())
 			if writeErr := progress.write(writer, controller, header, buffer[:complete]); writeErr != nil {
 				return writeErr
@@ -231,6 +233,17 @@
 	}
 }
 
+// hasEvent reports whether some of the lines belong to an event. Lines that don't are
+// passed on, but they are no progress: an endpoint in trouble may send them for ever.
+func hasEvent(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		if bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("id:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // completeEventsLen returns the length of the complete events at the start of
 // data. An event ends with a blank line.
 func completeEventsLen(data []byte) int {
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/caroblined/process/settings"
 	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/tlsfiles"
 	"carobline.dev/core/id"
@@ -101,8 +102,8 @@
 
 	listeners           []*listener
 	tlsFiles            []*tlsfiles.Files
-	engineTransport     *http.Transport
-	singleSendTransport *http.Transport
+	engineTransport     *endpoint.Transport
+	singleSendTransport *endpoint.Transport
 
 	// background tracks work that outlives the call that started it.
 	background       sync.WaitGroup
@@ -122,13 +123,10 @@
 	daemon := &Daemon{
 		settings: nodeSettings, log: log.With().Str("node", string(nodeSettings.Node)).Logger(), now: time.Now, network: network,
 		metrics: metrics.NewRegistry(), stopFinished: make(chan struct{}),
-		engineTransport: &http.Transport{
-			DialContext: network.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true,
-			ReadBufferSize: engineBufferBytes, WriteBufferSize: engineBufferBytes,
-		},
+		engineTransport: endpoint.New(endpoint.Config{Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes}),
 		// Each call that must not repeat gets a new connection, since the transport
 		// may send a request again when a reused connection fails.
-		singleSendTransport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true, DisableCompression: true},
+		singleSendTransport: endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true}),
 	}
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -28,6 +28,7 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/identity"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/boottime"
@@ -131,7 +132,7 @@
 	// loop uses the first, only Run the second.
 	loggedRevision    id.Revision
 	loggedLeaseHeld   bool
-	endpointTransport *http.Transport
+	endpointTransport *endpoint.Transport
 	servers           []*http.Server
 	serverGoroutines  sync.WaitGroup
 	serveErrors       chan error
@@ -142,10 +143,7 @@
 func New(config Config) (*Node, error) {
 	node := &Node{
 		config: config, clock: boottime.New(time.Now()), metrics: metrics.NewRegistry(), serveErrors: make(chan error, 1),
-		endpointTransport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: endpointIdleTimeout, DisableCompression: true,
-			ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-		},
+		endpointTransport: endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout}),
 	}
 	if err := node.start(); err != nil {
 		if closeErr := node.close(); closeErr != nil {
--- /dev/null
+++ b/core/connection/endpoint/endpoint.go
@@ -0,0 +1,93 @@
+// Package endpoint is the HTTP transport to the hosts of engines and services. A host
+// in trouble may send bytes that are no answer and never end, so heads and bodies are
+// bounded. Whatever breaks a bound costs the connection, which isn't used again.
+//
+// # Usage
+//
+//	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second})
+//	response, err := transport.RoundTrip(request)
+//	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes
+//	transport.CloseIdleConnections()
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// MaxAnswerBytes bounds the body of an answer, also of a stream.
+	MaxAnswerBytes = 16 << 20
+	// maxHeaderBytes bounds the status line and the headers of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+// ErrTooLarge reports an answer whose body is larger than MaxAnswerBytes.
+var ErrTooLarge = errors.New("the answer is larger than 16 MiB")
+
+// Config is fixed for the life of a process.
+type Config struct {
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxIdlePerHost and IdleTimeout bound the unused connections that are kept.
+	MaxIdlePerHost int
+	IdleTimeout    time.Duration
+	// BufferBytes is the size of a connection's buffers. Zero stands for the
+	// default of net/http.
+	BufferBytes int
+	// SingleUse gives each request a connection of its own.
+	SingleUse bool
+}
+
+// Transport sends requests to hosts. It is safe for concurrent use.
+type Transport struct{ transport *http.Transport }
+
+// New returns a transport without connections.
+func New(config Config) *Transport {
+	return &Transport{&http.Transport{
+		DialContext: config.Dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
+		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
+		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+// RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
+// says that it is larger than MaxAnswerBytes.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := transport.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.ContentLength > MaxAnswerBytes {
+		_ = response.Body.Close()
+		return nil, ErrTooLarge
+	}
+	response.Body = &boundedBody{ReadCloser: response.Body, remaining: MaxAnswerBytes}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections that aren't in use.
+func (transport *Transport) CloseIdleConnections() { transport.transport.CloseIdleConnections() }
+
+// boundedBody fails with ErrTooLarge once more than remaining bytes come.
+type boundedBody struct {
+	io.ReadCloser
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (body *boundedBody) Read(data []byte) (int, error) {
+	if int64(len(data)) > body.remaining+1 {
+		data = data[:body.remaining+1]
+	}
+	count, err := body.ReadCloser.Read(data)
+	if int64(count) > body.remaining {
+		return int(body.remaining), ErrTooLarge
+	}
+	body.remaining -= int64(count)
+	return count, err
+}
