--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -238,7 +238,7 @@
 }
 
 // changeFacts lets one host after another change, which all nodes must be told of.
-func (spread *spread) changeFacts(interval time.Duration, until time.Duration) {
+func (spread *spread) changeFacts(interval, until time.Duration) {
 	if spread.now >= until {
 		return
 	}
