controller, member: an acknowledged departure outlives its leader and its relay

What callers could have seen: work at a host that left, long after its leave was acknowledged, when a leader was lost right then (DRAIN).

Cause: the leader's roster isn't in the log. A departure that only the leader, or only a node that had heard of it, knew was acknowledged; and a new leader granted leases before the voters had told it what they know.

Change: a departure is acknowledged once a majority of the voters has it, by the cursors that they report; whoever is told of a departure it knew already asks again. A new leader grants no lease until a majority of the voters has offered it what they know, two exchanges after its election.

It works as the log does: any two majorities share a voter. What remains: a majority of the voters that restarts at once forgets the roster.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -85,15 +85,23 @@
 	// loadStartTimes are the starts of loads from the weight store within the
 	// last loadWindow.
 	loadStartTimes []time.Time
+	// departuresKnown is set once a majority of the voters has offered the departures
+	// that it knows. Before, the roster may lack some that were acknowledged.
+	departuresKnown bool
 	// callsSeen is set once a node has reported a call in this term.
 	callsSeen bool
 }
 
 // nodeState is what the leader knows of one node from its last request.
 type nodeState struct {
-	incarnation     id.Incarnation
-	requestNumber   uint64
-	version         id.Version
+	incarnation   id.Incarnation
+	requestNumber uint64
+	version       id.Version
+	// cursor is the position in this leader's roster that the node has reached.
+	cursor uint64
+	// offered is set once the node has offered this leader the departures that it
+	// knows.
+	offered         bool
 	callsByEndpoint map[feed.Endpoint]int
 	totalCalls      int
 	drained         bool
@@ -104,8 +112,10 @@
 	// is held counts from then, so that a node that keeps replacing its pending
 	// request by a new one still has its lease renewed.
 	lastResponseAt time.Time
-	// stallReports is the number of new reports of stalls at that time.
+	// stallReports is the number of new reports of stalls at that time, and
+	// withoutLease is set if that response granted no lease.
 	stallReports uint64
+	withoutLease bool
 	// leaseExpiryBound is the time by which the node's last lease has expired by
 	// any clock within the assumed drift.
 	leaseExpiryBound time.Time
@@ -117,8 +127,10 @@
 	ticket                Ticket
 	request               feed.Request
 	announcementsAccepted bool
-	// stallReports is the number of new reports of stalls that the node was told of.
+	// stallReports is the number of new reports of stalls that the node was told of,
+	// and withoutLease is set if it was granted no lease.
 	stallReports uint64
+	withoutLease bool
 }
 
 // inForceWait is an accepted change whose answer waits until every node has it
@@ -172,7 +184,11 @@
 		return
 	}
 	announcementsAccepted := controller.acceptAnnouncements(now, request)
-	node.incarnation, node.requestNumber, node.version = request.Incarnation, request.Number, request.Version
+	node.incarnation, node.requestNumber, node.version, node.cursor = request.Incarnation, request.Number, request.Version, 0
+	if request.Epoch == controller.epoch() {
+		node.cursor = request.Cursor
+		node.offered = node.offered || announcementsAccepted
+	}
 	leadership.updateNodeCalls(node.callsByEndpoint, request.RunningByEndpoint)
 	node.callsByEndpoint, node.totalCalls, node.drained = request.RunningByEndpoint, request.ActiveCalls, request.Drained
 	node.hasDisk, node.lastRequestAt = request.HasDisk, now
@@ -188,7 +204,7 @@
 		controller.responses.Superseded++
 		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
 	}
-	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports}
+	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports, withoutLease: node.withoutLease}
 }
 
 // updateNodeCalls replaces a node's previous calls in progress by its current
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -24,10 +24,11 @@
 	version      id.Version
 	urgentCursor uint64
 	stallReports uint64
+	grantsLeases bool
 }
 
 func (controller *Controller) pollInputs() pollInputs {
-	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(), controller.leadership.newStallReports}
+	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(), controller.leadership.newStallReports, controller.leadership.departuresKnown}
 }
 
 // scanPolls looks at all held polls, if something that concerns all nodes has changed
@@ -49,6 +50,7 @@
 // node has in force or whose deadline has passed.
 func (controller *Controller) answerPolls(now time.Time, actions *Actions) {
 	leadership := controller.leadership
+	controller.updateDeparturesKnown()
 	leadership.scannedAt, leadership.scannedInputs = now, controller.pollInputs()
 	if version := controller.register.Version(); version != leadership.limitsVersion {
 		leadership.limitsVersion = version
@@ -101,11 +103,57 @@
 }
 
 // hasUpdate reports whether a node doesn't know this leader's roster, or its version,
-// an urgent announcement or a report of a stall is out of date.
+// an urgent announcement or a report of a stall is out of date, or what it awaits has
+// come.
 func (controller *Controller) hasUpdate(held heldPoll) bool {
 	request := held.request
 	return request.Epoch != controller.epoch() || request.Version != controller.register.Version() ||
-		request.Cursor < controller.roster.UrgentCursor() || held.stallReports < controller.leadership.newStallReports
+		request.Cursor < controller.roster.UrgentCursor() || held.stallReports < controller.leadership.newStallReports ||
+		(held.withoutLease && controller.leadership.departuresKnown) || (request.AwaitedCursor > 0 && request.AwaitedCursor <= controller.majorityCursor())
+}
+
+// updateDeparturesKnown looks whether a majority of the voters has offered the
+// departures that it knows. Each that was acknowledged is known to a majority, so that
+// one of these knows it.
+func (controller *Controller) updateDeparturesKnown() {
+	if controller.leadership.departuresKnown {
+		return
+	}
+	voters, offered := controller.quorum.Status().Membership.Voters, 0
+	for _, voter := range voters {
+		if node := controller.leadership.stateByNode[voter]; voter == controller.config.Self || (node != nil && node.offered) {
+			offered++
+		}
+	}
+	controller.leadership.departuresKnown = offered > len(voters)/2
+}
+
+// nodeLease returns the lease that a response grants: none while an acknowledged
+// departure may be missing from the roster.
+func (controller *Controller) nodeLease() time.Duration {
+	if !controller.leadership.departuresKnown {
+		return 0
+	}
+	return controller.config.lease()
+}
+
+// majorityCursor returns the cursor that a majority of the voters has reached.
+func (controller *Controller) majorityCursor() uint64 {
+	voters := controller.quorum.Status().Membership.Voters
+	cursors := make([]uint64, 0, len(voters))
+	for _, voter := range voters {
+		node := controller.leadership.stateByNode[voter]
+		switch {
+		case voter == controller.config.Self:
+			cursors = append(cursors, controller.roster.Cursor())
+		case node != nil:
+			cursors = append(cursors, node.cursor)
+		default:
+			cursors = append(cursors, 0)
+		}
+	}
+	slices.Sort(cursors)
+	return cursors[(len(cursors)-1)/2]
 }
 
 // epoch identifies this leader's roster.
@@ -120,9 +168,9 @@
 	relayed, renewals := controller.rosterUpdate(now, request)
 	response := &feed.Response{
 		Number: request.Number, Leader: controller.config.Self, Term: controller.leadership.term,
-		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.config.lease().Milliseconds(),
+		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.nodeLease().Milliseconds(),
 		Delta: controller.register.Since(request.Version),
-		Epoch: controller.epoch(), Cursor: controller.roster.Cursor(), Roster: relayed, Renewals: renewals,
+		Epoch: controller.epoch(), Cursor: controller.roster.Cursor(), MajorityCursor: controller.majorityCursor(), Roster: relayed, Renewals: renewals,
 		Grant: grant, Share: controller.leadership.share(request), HoldMS: controller.leadership.holdTime().Milliseconds(),
 		Voters: controller.quorum.Status().Membership.Voters,
 	}
@@ -133,6 +181,7 @@
 		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
 	}
 	controller.responses.count(request, response)
+	node.withoutLease = response.LeaseMS == 0
 	node.stallReports = controller.leadership.newStallReports
 	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,14 +87,19 @@
 	spread.announce(host, false)
 }
 
-// announce announces a host at a random control host.
+// announce announces a host at a random control host that is up: hosts go on to the
+// next one when one doesn't answer.
 func (spread *spread) announce(host id.Host, leaving bool) {
 	spread.sequence++
 	announcement := roster.Announcement{
 		Host: host, Incarnation: 1, Sequence: spread.sequence, Address: "10.1.0.4:" + string(host[1:]), DataCentre: "dc",
 		Service: "desk", Load: roster.Load{Slots: 6}, LeaseMS: 10 * engineAnnounceInterval.Milliseconds(), Leaving: leaving,
 	}
-	entry := spread.nodes[spread.rand.IntN(diskNodeCount)]
+	first := spread.rand.IntN(diskNodeCount)
+	entry := spread.nodes[first]
+	for offset := 1; !entry.up && offset < diskNodeCount; offset++ {
+		entry = spread.nodes[(first+offset)%diskNodeCount]
+	}
 	spread.send(string(host), string(entry.name), entry.whenUp(func() {
 		entry.runMember(entry.member.Step(entry.now(), member.AnnouncedWithoutEcho{Announcement: announcement}))
 	}))
@@ -210,26 +216,30 @@
 	spread.checkInForce(spread.revision)
 }
 
-// Guards against a departure that is forgotten when the leader is lost after it has
-// accepted it, and before it has told anyone but the node that relayed it.
+// Guards against a departure that is forgotten when the leader is lost after it was
+// acknowledged, and before entry hosts and most of the voters that may lead next know.
 func TestDepartureOutlivesTheLeaderThatAcceptedIt(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(5) {
 		spread := newSpread(t, 100+seed, entryNodeCount)
 		leader, host := spread.leader(), spreadHost(int(seed))
-		relay := spread.nodes[0]
-		if relay == leader {
-			relay = spread.nodes[1]
-		}
-		for _, other := range spread.nodes {
-			if other != relay {
-				spread.blocked[[2]string{string(leader.name), string(other.name)}] = true
+		var followers []*node
+		for _, other := range spread.nodes[:diskNodeCount] {
+			if other != leader {
+				followers = append(followers, other)
 			}
 		}
+		// The leader reaches two of four followers: a majority with itself.
+		for _, other := range slices.Concat(spread.entryNodes(), followers[2:]) {
+			spread.blocked[[2]string{string(leader.name), string(other.name)}] = true
+		}
+		relay := followers[0]
 		spread.leaveSeen[host] = spread.now
 		relay.runMember(relay.member.Step(relay.now(), member.Departed{Host: host}))
-		for !relay.member.Accepted(host) {
-			spread.run(time.Millisecond)
+		for deadline := spread.now + time.Second; !relay.member.Accepted(host); spread.run(time.Millisecond) {
+			if spread.now >= deadline {
+				spread.fail("the departure isn't acknowledged, though a majority of the voters is reached")
+			}
 		}
 		leader.crash()
 		spread.run(2 * spreadBound)
@@ -237,6 +247,24 @@
 	}
 }
 
+// Guards against a departure that a leader acknowledges while nobody else hears it.
+func TestDepartureIsNotAcknowledgedByALeaderThatReachesNoMajority(t *testing.T) {
+	t.Parallel()
+	spread := newSpread(t, 110, entryNodeCount)
+	leader, host := spread.leader(), spreadHost(1)
+	for _, other := range spread.nodes {
+		if other != leader {
+			spread.blocked[[2]string{string(leader.name), string(other.name)}] = true
+		}
+	}
+	spread.leaveSeen[host] = spread.now
+	leader.runMember(leader.member.Step(leader.now(), member.Departed{Host: host}))
+	spread.run(300 * time.Millisecond)
+	if leader.member.Accepted(host) {
+		spread.fail("a leader that reaches nobody acknowledges a departure")
+	}
+}
+
 // changeFacts lets one host after another change, which all nodes must be told of.
 func (spread *spread) changeFacts(interval, until time.Duration) {
 	if spread.now >= until {
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -45,6 +45,9 @@
 	// RosterDigest sums up the roster that the node has, for a leader whose Epoch
 	// it doesn't know yet.
 	RosterDigest roster.Digest `json:"roster_digest,omitempty"`
+	// AwaitedCursor is the cursor that a majority of the voters must have reached for
+	// a departure that the node relayed to count as known; zero for none.
+	AwaitedCursor uint64 `json:"awaited_cursor,omitempty"`
 	// Echo is the leader's last stamp, advanced by the time the node held it. It
 	// bounds the age of this request.
 	Echo clock.Stamp `json:"echo"`
@@ -130,6 +133,9 @@
 	DeclaredAgeMS int64  `json:"declared_age_ms,omitempty"`
 	Epoch         Epoch  `json:"epoch"`
 	Cursor        uint64 `json:"cursor"`
+	// MajorityCursor is the cursor that a majority of the voters has reached. What
+	// the roster holds up to it outlives the leader.
+	MajorityCursor uint64 `json:"majority_cursor"`
 	// Roster holds the announcements that changed after the request's cursor in more
 	// than their lease and load.
 	Roster []roster.RelayedAnnouncement `json:"roster,omitempty"`
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -43,7 +43,7 @@
 		member.routingDelay = now.Sub(sentAt) + time.Duration(response.DeclaredAgeMS)*time.Millisecond
 	}
 	member.viewStale = true
-	member.dropAccepted(response.AnnouncementsAccepted, request.announcements)
+	member.dropAccepted(response, request.announcements)
 	// The stamp is advanced by the time since its receipt, so the echo is never
 	// ahead of the leader's clock.
 	member.leaderStamp, member.leaderStampAt = response.Stamp, now
@@ -76,16 +76,20 @@
 // dropAccepted drops the announcements that the leader accepted. The leader
 // accepts none from a request whose age it can't bound, such as the first request
 // to a new leader; they are then sent again at once.
-func (member *Member) dropAccepted(accepted bool, announcements []roster.RelayedAnnouncement) {
-	if !accepted {
+func (member *Member) dropAccepted(response feed.Response, announcements []roster.RelayedAnnouncement) {
+	if !response.AnnouncementsAccepted {
 		member.sendAtOnce = member.sendAtOnce || len(member.unacceptedByHost) > 0
 		return
 	}
 	for _, relayed := range announcements {
 		announcement := relayed.Announcement
-		if member.unacceptedByHost[announcement.Host].Sequence == announcement.Sequence {
+		queued := member.unacceptedByHost[announcement.Host]
+		if queued.Incarnation <= announcement.Incarnation && (queued.Incarnation < announcement.Incarnation || queued.Sequence <= announcement.Sequence) {
 			delete(member.unacceptedByHost, announcement.Host)
 		}
+		if announcement.Leaving {
+			member.awaitedCursorByHost[announcement.Host] = response.Cursor
+		}
 	}
 }
 
@@ -106,6 +110,7 @@
 		member.rosterEpoch, member.rosterCursor = response.Epoch, 0
 		member.reofferDepartures(now)
 	}
+	maps.DeleteFunc(member.awaitedCursorByHost, func(_ id.Host, cursor uint64) bool { return cursor <= response.MajorityCursor })
 	member.rosterCursor = max(member.rosterCursor, response.Cursor)
 }
 
@@ -113,15 +118,14 @@
 // one before may have been lost before it told anyone but this node. A departure is
 // announced only once, unlike all else about a host.
 func (member *Member) reofferDepartures(now time.Time) {
-	if !member.config.HasDisk {
-		return
-	}
 	for _, host := range member.hosts.Members() {
-		if host.Announcement.Leaving && now.Before(host.Expiry) {
+		_, awaited := member.awaitedCursorByHost[host.Announcement.Host]
+		if awaited || (member.config.HasDisk && host.Announcement.Leaving && now.Before(host.Expiry)) {
 			member.unacceptedByHost[host.Announcement.Host] = host.Announcement
 			member.sendAtOnce = true
 		}
 	}
+	clear(member.awaitedCursorByHost)
 }
 
 // handleRedirect follows a redirect to the leader, or tries the next voter if it
@@ -329,6 +333,9 @@
 		DemandByClientAccount: member.usage.DemandByClientAccount, RunningByEndpoint: member.usage.RunningByEndpoint, ActiveCalls: member.usage.ActiveCalls, Drained: member.usage.Drained,
 		HasDisk: member.config.HasDisk, StalledEndpoints: member.usage.StalledEndpoints,
 	}
+	if len(member.awaitedCursorByHost) > 0 {
+		request.AwaitedCursor = slices.Min(slices.Collect(maps.Values(member.awaitedCursorByHost)))
+	}
 	if member.rosterEpoch.Node != "" && member.rosterEpoch.Node != member.leader {
 		request.RosterDigest = member.hosts.Digest(now)
 	}
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -97,6 +97,9 @@
 	// unacceptedByHost holds the announcements that the leader hasn't accepted
 	// yet.
 	unacceptedByHost map[id.Host]roster.Announcement
+	// awaitedCursorByHost holds the leader's cursors that a majority of the voters
+	// must reach before departures that the leader has accepted count as known.
+	awaitedCursorByHost map[id.Host]uint64
 	// sendAtOnce is true if the next request shouldn't wait for the response to
 	// the last one.
 	sendAtOnce          bool
@@ -139,6 +142,7 @@
 		stopByID:                map[id.Stop]register.StopRecord{},
 		groupByID:               map[id.Group]register.GroupRecord{},
 		unacceptedByHost:        map[id.Host]roster.Announcement{},
+		awaitedCursorByHost:     map[id.Host]uint64{},
 		inFlightByNumber:        map[uint64]*inFlight{},
 	}
 }
@@ -151,6 +155,9 @@
 		actions = member.handleAnnounced(now, event)
 	case AnnouncedWithoutEcho:
 		member.queueAnnouncement(event.Announcement, member.hosts.Merge(now, event.Announcement, now.Add(event.Announcement.Lease())))
+		if event.Announcement.Leaving {
+			member.queueDeparture(event.Announcement.Host)
+		}
 	case Departed:
 		member.handleDeparted(now, event)
 	case NodesDiscovered:
@@ -249,6 +256,18 @@
 	announcement.Leaving = true
 	announcement.Sequence++
 	member.queueAnnouncement(announcement, member.hosts.Merge(now, announcement, now.Add(announcement.Lease())))
+	member.queueDeparture(event.Host)
+}
+
+// queueDeparture queues a departure for the leader also where this node had heard of it
+// before, as a majority of the voters may not have.
+func (member *Member) queueDeparture(host id.Host) {
+	known, ok := member.hosts.Member(host)
+	if !ok || !known.Announcement.Leaving {
+		return
+	}
+	member.unacceptedByHost[host] = known.Announcement
+	member.sendAtOnce = true
 }
 
 // Knows reports whether the node has heard of an incarnation of a host, or of a later
@@ -258,10 +277,12 @@
 	return ok && known.Announcement.Incarnation >= incarnation
 }
 
-// Accepted reports whether the leader has all that a host announced to this node.
+// Accepted reports whether the leader has all that a host announced to this node, and
+// whether a departure outlives the leader.
 func (member *Member) Accepted(host id.Host) bool {
 	_, unaccepted := member.unacceptedByHost[host]
-	return !unaccepted
+	_, awaited := member.awaitedCursorByHost[host]
+	return !unaccepted && !awaited
 }
 
 // addVoters adds nodes that may know the leader, so that a node that can no longer
