controller: a group of engines opens once all nodes know it

Cause: an engine is freed when the head of its last group has left, whatever the nodes know; that no view held both groups was a matter of timing. Callers lose little by it: the old head refuses and the call goes elsewhere.

Change: the head of a new group is ordered to open only when no node with a lease lags behind the group's version. Joins and loads go on meanwhile.

--- a/core/process/controller/engine_orders.go
+++ b/core/process/controller/engine_orders.go
@@ -16,7 +16,7 @@
 )
 
 // advanceEngineGroups orders the hosts of each group to join it, and its head to
-// open once all hosts are ready.
+// open once all hosts are ready and all nodes know the group.
 func (controller *Controller) advanceEngineGroups(now time.Time, actions *Actions) {
 	for _, group := range controller.engineGroups() {
 		head, ok := controller.roster.Member(group.Hosts[0])
@@ -40,7 +40,8 @@
 				controller.sendEngineOrder(now, actions, host, group, OrderLoad)
 			}
 		}
-		if ready {
+		// A node that lags behind may still use one of the hosts in its last group.
+		if ready && len(controller.laggingNodes(now, group.Version)) == 0 {
 			controller.sendEngineOrder(now, actions, head, group, OrderOpen)
 		}
 	}
