tests: the machines that don't count lose power too when disks are lost

The test crashed the five voters only; now all nodes are crashed, so that entry hosts, which keep nothing, must learn the last declaration anew.

--- a/core/process/controller/bootstrap_test.go
+++ b/core/process/controller/bootstrap_test.go
@@ -181,9 +181,9 @@
 	runBootstrapSeeds(t, func(*simulation) {})
 }
 
-// TestTwoWipedWhileOthersLosePower restarts all five voters, two of them without
-// their disks. The other three must elect a leader, and the two must become
-// voters under their new names.
+// TestTwoWipedWhileOthersLosePower restarts all nodes, two of the five voters without
+// their disks. The other three must elect a leader, the two must become voters under
+// their new names, and no node may have an older declaration.
 func TestTwoWipedWhileOthersLosePower(t *testing.T) {
 	runBootstrapSeeds(t, func(simulation *simulation) {
 		simulation.declare(2, 2*time.Second)
@@ -197,6 +197,10 @@
 			}
 			node.startAfter(time.Second + time.Duration(simulation.rand.Int64N(int64(500*time.Millisecond))))
 		}
+		for _, node := range simulation.nodes[diskNodeCount:] {
+			node.crash()
+			node.startAfter(time.Second + time.Duration(simulation.rand.Int64N(int64(500*time.Millisecond))))
+		}
 		simulation.run(1500*time.Millisecond + recoveryTime)
 		simulation.checkSettled(2)
 		simulation.declare(3, 2*time.Second)
