entryapi: saved retries are shared out over all entry hosts

Each entry host saved 12 second sends: 84 over 7 hosts and 948 over 79, where 243 may be saved.

Change: the platform's bound on all hosts together is shared out by each host's share of the calls, nine tenths of it, between 1 and 12. The small deployments keep 11 to 12 a host, the grown ones have 3.

It holds by construction while there are fewer entry hosts than may be saved over all.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -49,10 +49,15 @@
 	// force, and of refusals for which the balancer gives no time.
 	defaultRetryAfter = 500 * time.Millisecond
 	// retryBudgetRatio is the fraction of calls that may be sent a second time.
-	// retryBudgetBurst is the number of retries that one entry host may save
-	// up.
+	// maxSavedRetries is the number of retries that one entry host may save up, as
+	// far as its share of Config.SavedRetries allows, and minSavedRetries what it
+	// may in any case.
 	retryBudgetRatio = 0.15
-	retryBudgetBurst = 12
+	maxSavedRetries  = 12
+	minSavedRetries  = 1
+	// savedRetriesFraction is the part of Config.SavedRetries that is shared out:
+	// shares are of different moments and may add up to more than one.
+	savedRetriesFraction = 0.9
 )
 
 // Config is fixed for the life of a process.
@@ -65,6 +70,9 @@
 	Log       zerolog.Logger
 	Metrics   metrics.Registry
 	Rand      *rand.Rand
+	// SavedRetries is the number of retries that all entry hosts together may save
+	// up. Zero leaves it at maxSavedRetries for each.
+	SavedRetries int
 }
 
 // API serves callers. It is safe for concurrent use.
@@ -84,7 +92,7 @@
 // New returns an API without endpoints. The first Update supplies them.
 func New(config Config) *API {
 	return &API{
-		config: config, retryBudget: budget.New(retryBudgetRatio, retryBudgetBurst), balancer: balancer.New(config.Rand),
+		config: config, retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
 		decisionByCall: map[balancer.Number]chan balancer.Decision{},
 		latency:        metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
@@ -139,6 +147,10 @@
 // Update applies a new view and wakes the waiting calls that now get an
 // endpoint.
 func (api *API) Update(current *view.View) {
+	if api.config.SavedRetries > 0 && current.Share > 0 {
+		saved := savedRetriesFraction * float64(api.config.SavedRetries) * current.Share
+		api.retryBudget.SetCapacity(min(maxSavedRetries, max(minSavedRetries, saved)))
+	}
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	api.deliver(api.balancer.Update(api.config.Now(), current))
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -34,6 +34,10 @@
 
 const token = "good-token"
 
+// savedRetries is what all entry hosts of the largest deployment that runs today may
+// save up.
+const savedRetries = 243
+
 // service is a fake endpoint. It reads each request whole and calls respond for
 // it.
 type service struct {
@@ -142,6 +146,12 @@
 
 // newEntryHostWithLease starts an entry host whose lease ends at leaseUntil.
 func newEntryHostWithLease(t *testing.T, leaseUntil time.Time, routes []routing.Route, services ...*service) *httptest.Server {
+	t.Helper()
+	return newEntryHostOf(t, 1, leaseUntil, routes, services...)
+}
+
+// newEntryHostOf starts an entry host that has an equal share with others.
+func newEntryHostOf(t *testing.T, entryHosts int, leaseUntil time.Time, routes []routing.Route, services ...*service) *httptest.Server {
 	t.Helper()
 	declaration := &routing.Declaration{
 		Revision: 1, Routes: routes, Services: []routing.Service{{Name: "desk"}},
@@ -162,13 +172,14 @@
 		endpointByName[endpoint.Name] = endpoint
 	}
 	current := &view.View{
-		LeaseUntil: leaseUntil, Routing: routing.NewTable(declaration), Endpoints: endpointByName,
+		LeaseUntil: leaseUntil, Share: 1 / float64(entryHosts), Routing: routing.NewTable(declaration), Endpoints: endpointByName,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	}
 	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2})
 	api := entryapi.New(entryapi.Config{
 		Dialect: dialect, View: func() *view.View { return current }, Now: time.Now, Transport: transport,
 		Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
+		SavedRetries: savedRetries,
 	})
 	api.Update(current)
 	server := httptest.NewServer(api)
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -78,6 +78,8 @@
 	// while the node accepts new connections, else 503.
 	ReadyAddress string
 	ReadyPath    string
+	// SavedRetries is passed on to entryapi.Config.
+	SavedRetries int
 }
 
 // Control configures a control host, which serves endpoints and operators.
@@ -199,7 +201,7 @@
 func (node *Node) startEntry() {
 	node.entry = entryapi.New(entryapi.Config{
 		Dialect: node.config.Entry.Dialect, View: node.view, Now: node.clock.Now, Transport: node.endpointTransport,
-		Log: node.config.Log, Metrics: node.metrics, Rand: newRand(),
+		Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
 	})
 }
 
--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -24,6 +24,13 @@
 	return &Budget{ratio: ratio, capacity: capacity, balance: capacity}
 }
 
+// SetCapacity changes how many retries are saved at most.
+func (budget *Budget) SetCapacity(capacity float64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.capacity, budget.balance = capacity, min(capacity, budget.balance)
+}
+
 // Earn counts a first attempt.
 func (budget *Budget) Earn() {
 	budget.mutex.Lock()
