--- a/caroblined/connection/hostapi/hostapi.go
+++ b/caroblined/connection/hostapi/hostapi.go
@@ -15,8 +15,8 @@
 
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/clock"
-	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/step"
@@ -95,7 +95,7 @@
 }
 
 // SendOrder sends an order of the controller to a host.
-func SendOrder(ctx context.Context, client *rest.Client, order controller.Order) error {
+func SendOrder(ctx context.Context, client *rest.Client, order action.Order) error {
 	err := client.Send(ctx, http.MethodPost, "http://"+order.Address, "/engine/v1/orders", order, nil)
 	return step.Wrap(err, "order %s to %s", order.Kind, order.Host)
 }
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -25,6 +25,7 @@
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/placer"
@@ -71,7 +72,7 @@
 	Log                zerolog.Logger
 	Now                func() time.Time
 	// SendOrder delivers an order to its host.
-	SendOrder func(ctx context.Context, order controller.Order) error
+	SendOrder func(ctx context.Context, order action.Order) error
 	// CollectUsage returns the demand, the active calls and the stalled endpoints
 	// of the request path. It is called on every tick.
 	CollectUsage func(now time.Time) member.UsageReported
@@ -309,7 +310,7 @@
 }
 
 // logDecisions logs what the leader decided on its own.
-func (control *Control) logDecisions(decisions []controller.Decision) {
+func (control *Control) logDecisions(decisions []action.Decision) {
 	for index := range decisions {
 		decision := &decisions[index]
 		event := control.config.Log.Info().Str("step", decision.Step).Str("group", string(decision.Group)).Str("reason", decision.Reason).Int64("age_ms", decision.Age.Milliseconds())
@@ -323,7 +324,7 @@
 	}
 }
 
-func (control *Control) sendOrder(order controller.Order) {
+func (control *Control) sendOrder(order action.Order) {
 	if !control.holdsLeaderLease() {
 		return
 	}
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -34,7 +34,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/tlsfiles"
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/wal"
@@ -212,7 +212,7 @@
 		Self: nodeSettings.Node, Incarnation: incarnation, Voters: nodeSettings.Voters(), Nodes: nodeSettings.Nodes(),
 		DataFolder: nodeSettings.DataFolder, Disk: wal.OS(), ModelSpecs: nodeSettings.Models, MaxLoadingGroups: nodeSettings.MaxLoadingGroups,
 		Timing: quorum.DefaultTiming(), Peers: daemon.peers, Log: daemon.log, Now: daemon.now,
-		SendOrder: func(ctx context.Context, order controller.Order) error {
+		SendOrder: func(ctx context.Context, order action.Order) error {
 			return hostapi.SendOrder(ctx, engines, order)
 		},
 		CollectUsage: daemon.traffic.Report,
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -31,8 +31,8 @@
 	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/boottime"
-	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/electorate"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/quorum"
@@ -114,7 +114,7 @@
 	// GracePeriod bounds the time from the stop request to the end of the process.
 	GracePeriod time.Duration
 	// SendOrder delivers an order to its host.
-	SendOrder func(ctx context.Context, client *http.Client, order controller.Order) error
+	SendOrder func(ctx context.Context, client *http.Client, order action.Order) error
 	// Disk stores the write-ahead log of a control host.
 	Disk wal.Disk
 	Log  zerolog.Logger
@@ -254,7 +254,7 @@
 	return nodes
 }
 
-func (node *Node) sendOrder(ctx context.Context, order controller.Order) error {
+func (node *Node) sendOrder(ctx context.Context, order action.Order) error {
 	client := &http.Client{Transport: node.endpointTransport}
 	return node.config.SendOrder(ctx, client, order)
 }
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -23,6 +23,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
@@ -135,7 +136,7 @@
 		controller.handleVotersChange(now, &actions, event)
 	case OrderUndelivered:
 		if controller.leadership != nil {
-			controller.leadership.undeliveredAtByHost[event.Host] = now
+			controller.leadership.fleet.Step(now, fleet.OrderUndelivered{Host: event.Host})
 		}
 	case LeadershipTransferRequested:
 		controller.applyQuorumActions(now, &actions, controller.quorum.Step(now, quorum.TransferLeadership{}))
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
@@ -126,7 +127,7 @@
 }
 
 // orderEngine delivers an order to an engine. Some orders arrive seconds late.
-func (simulation *simulation) orderEngine(from *node, order controller.Order) {
+func (simulation *simulation) orderEngine(from *node, order action.Order) {
 	for _, engine := range simulation.engines {
 		if engine.name != order.Host {
 			continue
@@ -144,15 +145,15 @@
 	}
 }
 
-func (engine *engine) executeOrder(order controller.Order) {
+func (engine *engine) executeOrder(order action.Order) {
 	if !engine.up {
 		return
 	}
 	defer engine.announce()
 	switch order.Kind {
-	case controller.OrderLoad:
+	case action.OrderLoad:
 		engine.join(order)
-	case controller.OrderStage:
+	case action.OrderStage:
 		incarnation := engine.incarnation
 		engine.loadCount++
 		engine.simulation.schedule(3*time.Second, func() {
@@ -168,27 +169,27 @@
 	}
 }
 
-func (engine *engine) changeState(order controller.Order) {
+func (engine *engine) changeState(order action.Order) {
 	switch order.Kind {
-	case controller.OrderOpen:
+	case action.OrderOpen:
 		if engine.state == "ready" && engine.members[0] == engine.name {
 			engine.state = "open"
 			engine.watchMembers()
 		}
-	case controller.OrderClose:
+	case action.OrderClose:
 		if engine.state == "open" {
 			engine.state = "closing"
 			engine.transitionAfter(time.Second, "closing", "ready")
 		}
-	case controller.OrderUnload:
+	case action.OrderUnload:
 		engine.group, engine.fencing, engine.members, engine.state = "", 0, nil, ""
-	case controller.OrderLoad, controller.OrderStage:
+	case action.OrderLoad, action.OrderStage:
 	}
 }
 
 // join makes the engine a member of a group, and checks that the head of its
 // present group doesn't serve any more.
-func (engine *engine) join(order controller.Order) {
+func (engine *engine) join(order action.Order) {
 	if order.Fencing < engine.highestFencing || (order.Group == engine.group && order.Fencing == engine.fencing) {
 		return
 	}
--- a/core/process/controller/host_test.go
+++ b/core/process/controller/host_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/clock"
-	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/roster"
 )
@@ -87,9 +87,9 @@
 	})
 }
 
-func (host *host) executeOrder(order controller.Order) {
+func (host *host) executeOrder(order action.Order) {
 	if host.checksFencing && order.Fencing < host.serving.Fencing {
 		return
 	}
-	host.serving = roster.Serving{Group: order.Group, Model: order.Model, Fencing: order.Fencing, Ready: order.Kind == controller.OrderLoad}
+	host.serving = roster.Serving{Group: order.Group, Model: order.Model, Fencing: order.Fencing, Ready: order.Kind == action.OrderLoad}
 }
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -6,6 +6,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/process/register"
 )
@@ -29,6 +30,8 @@
 	term      id.Term
 	startedAt time.Time
 	granter   *granter.Granter
+	// fleet decides on the groups of engines.
+	fleet *fleet.Fleet
 	// limitsVersion is the version whose contract limits the granter was given.
 	limitsVersion id.Version
 	stateByNode   map[id.Node]*nodeState
@@ -45,25 +48,9 @@
 	replacementWaitSinceByStop map[id.Stop]time.Time
 	// callsByEndpoint sums the calls in progress of all nodes.
 	callsByEndpoint map[feed.Endpoint]int
-	// joinStartedAtByGroup is when the hosts of a group were first considered for
-	// an order to join. leftGroupAtByHost is when a host of a retired group was
-	// first seen outside that group.
-	joinStartedAtByGroup map[id.Group]time.Time
-	leftGroupAtByHost    map[id.Host]time.Time
-	// openedGroups holds the groups whose opening was already recorded as a
-	// decision.
-	openedGroups map[id.Group]bool
-	// idleSummary is the last logged summary of the engines that are in no group,
-	// and idleSummaryAt the time at which it was logged.
-	idleSummary   string
-	idleSummaryAt time.Time
-	// lastEngineOrderByHost holds the last order sent to each engine.
-	lastEngineOrderByHost map[id.Host]engineOrder
 	// stallReportedAtByEndpoint is when a node last reported that its calls to an
 	// endpoint are stalled.
 	stallReportedAtByEndpoint map[feed.Endpoint]time.Time
-	// undeliveredAtByHost is when an order last found no host at its address.
-	undeliveredAtByHost map[id.Host]time.Time
 	// newStallReports counts the reports of stalled endpoints that weren't reported
 	// within stallBroadcastLifetime before. Each is an update for all nodes.
 	newStallReports uint64
@@ -74,22 +61,9 @@
 	scannedInputs pollInputs
 	liveNodes     int
 	liveCalls     int
-	// stagingByHost holds the orders to stage weights that are in progress.
-	stagingByHost map[id.Host]staging
-	// lastDissolvedAt is when a group was last retired in favour of another model.
-	lastDissolvedAt time.Time
-	// engineCount is the number of engines that discovery has seen, and
-	// engineCountChangedAt the time at which that number last changed.
-	engineCount          int
-	engineCountChangedAt time.Time
-	// loadStartTimes are the starts of loads from the weight store within the
-	// last loadWindow.
-	loadStartTimes []time.Time
 	// departuresKnown is set once a majority of the voters has offered the departures
 	// that it knows. Before, the roster may lack some that were acknowledged.
 	departuresKnown bool
-	// callsSeen is set once a node has reported a call in this term.
-	callsSeen bool
 }
 
 // nodeState is what the leader knows of one node from its last request.
@@ -147,8 +121,8 @@
 		stateByNode: map[id.Node]*nodeState{}, pollByNode: map[id.Node]heldPoll{},
 		lastOrderAtByHost: map[id.Host]time.Time{}, brokenSinceByGroup: map[id.Group]time.Time{},
 		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callsByEndpoint: map[feed.Endpoint]int{},
-		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
-		lastEngineOrderByHost: map[id.Host]engineOrder{}, stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{}, stagingByHost: map[id.Host]staging{}, undeliveredAtByHost: map[id.Host]time.Time{},
+		stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{},
+		fleet:                     fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
 	}
 	// A node that hasn't sent a request in this term may still hold a lease that
 	// the previous leader granted.
@@ -197,8 +171,11 @@
 			leadership.newStallReports++
 		}
 		leadership.stallReportedAtByEndpoint[endpoint] = now
+		leadership.fleet.Step(now, fleet.StallReported{Group: endpoint.Group})
+	}
+	if request.ActiveCalls > 0 {
+		leadership.fleet.Step(now, fleet.CallReported{})
 	}
-	leadership.callsSeen = leadership.callsSeen || request.ActiveCalls > 0
 	if held, ok := leadership.pollByNode[request.Node]; ok {
 		// The node has replaced its older request by this one.
 		controller.responses.Superseded++
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
@@ -50,7 +52,7 @@
 	if now.Before(leadership.startedAt.Add(groupChangeDelay)) {
 		return
 	}
-	if controller.reconcileEngines(now, actions) {
+	if controller.reconcileFleet(now, actions) {
 		return
 	}
 	if controller.sweepCallRecords(now, actions) || controller.freeHosts(now, actions) {
@@ -62,6 +64,21 @@
 	controller.formGroups(now, actions)
 }
 
+// reconcileFleet lets the fleet change the groups of engines. It reports whether it
+// proposed a change.
+func (controller *Controller) reconcileFleet(now time.Time, actions *Actions) bool {
+	decided := controller.leadership.fleet.Tick(now, fleet.State{
+		Register: controller.register, Roster: controller.roster,
+		Lags: func(version id.Version) bool { return len(controller.laggingNodes(now, version)) > 0 },
+	})
+	actions.Orders = append(actions.Orders, decided.Orders...)
+	actions.Decisions = append(actions.Decisions, decided.Decisions...)
+	for index := range decided.Commands {
+		controller.proposeAsLeader(now, actions, decided.Commands[index])
+	}
+	return len(decided.Commands) > 0
+}
+
 // sweepCallRecords marks the non-idempotent calls whose owner is lost, one owner
 // at a time, and removes expired answers. It reports whether it proposed a
 // change.
@@ -137,7 +154,7 @@
 		if unfreed[name].PreviousGroup != nil {
 			continue
 		}
-		controller.sendOrder(now, actions, Order{Host: name, Kind: OrderUnload, Fencing: unfreed[name].Fencing})
+		controller.sendOrder(now, actions, action.Order{Host: name, Kind: action.OrderUnload, Fencing: unfreed[name].Fencing})
 	}
 }
 
@@ -158,8 +175,8 @@
 		peers[rank] = member.Announcement.Address
 	}
 	for rank, host := range group.Hosts {
-		controller.sendOrder(now, actions, Order{
-			Host: host, Kind: OrderLoad, Group: group.Group, Model: group.Model,
+		controller.sendOrder(now, actions, action.Order{
+			Host: host, Kind: action.OrderLoad, Group: group.Group, Model: group.Model,
 			Fencing: group.Fencing, Rank: rank, Peers: peers,
 		})
 	}
@@ -167,7 +184,7 @@
 
 // sendOrder sends an order to a host that has a lease and doesn't announce the
 // order's effect yet, and at most one order to a host in orderRetryInterval.
-func (controller *Controller) sendOrder(now time.Time, actions *Actions, order Order) {
+func (controller *Controller) sendOrder(now time.Time, actions *Actions, order action.Order) {
 	member, ok := controller.roster.Member(order.Host)
 	if !ok || !now.Before(member.Expiry) || now.Before(controller.leadership.lastOrderAtByHost[order.Host].Add(orderRetryInterval)) {
 		return
--- /dev/null
+++ b/core/process/fleet/fleet.go
@@ -0,0 +1,153 @@
+// Package fleet decides for the leader which groups the engines of the declared
+// services form. It forms groups by the planner's plan, orders their engines to join
+// and their heads to open, retires a group that can't serve any more, and frees its
+// engines once the group's head certainly serves no more. It stages the weights of
+// further models, so that an engine can change its model without a load.
+//
+// It holds what the leader of one term knows beyond the replicated state, and is
+// discarded with the term. It proposes changes and sends nothing itself.
+//
+// # Usage
+//
+//	fleet := fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: timeout})
+//	fleet.Step(now, fleet.CallReported{})
+//	actions := fleet.Tick(now, fleet.State{Register: state, Roster: hosts, Lags: lags})
+package fleet
+
+import (
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+)
+
+// Config is fixed for one term.
+type Config struct {
+	Term id.Term
+	// EngineStallTimeout is how long the head of a group waits for an engine that it
+	// has lost before it gives the group up.
+	EngineStallTimeout time.Duration
+}
+
+// State is what a decision is based on beside the fleet's own records. It is read
+// only.
+type State struct {
+	Register *register.Register
+	Roster   *roster.Roster
+	// Lags reports whether a node may still act on a state older than a version.
+	Lags func(id.Version) bool
+}
+
+// Actions are what the caller must do: propose the commands and send the orders.
+type Actions struct {
+	Commands  []register.Command
+	Orders    []action.Order
+	Decisions []action.Decision
+}
+
+// Fleet is the leader's state machine for the groups of engines. It isn't safe for
+// concurrent use.
+type Fleet struct {
+	config    Config
+	startedAt time.Time
+	// state is that of the present Tick.
+	state State
+	// groupCount counts the groups formed in this term.
+	groupCount int
+	// joinStartedAtByGroup is when the hosts of a group were first considered for
+	// an order to join. leftGroupAtByHost is when a host of a retired group was
+	// first seen outside that group.
+	joinStartedAtByGroup map[id.Group]time.Time
+	leftGroupAtByHost    map[id.Host]time.Time
+	// openedGroups holds the groups whose opening was already recorded as a
+	// decision.
+	openedGroups map[id.Group]bool
+	// idleSummary is the last logged summary of the engines that are in no group,
+	// and idleSummaryAt the time at which it was logged.
+	idleSummary   string
+	idleSummaryAt time.Time
+	// lastOrderByHost holds the last order sent to each engine.
+	lastOrderByHost map[id.Host]sentOrder
+	// stallReportedAtByGroup is when a node last reported that its calls to a group
+	// are stalled.
+	stallReportedAtByGroup map[id.Group]time.Time
+	// undeliveredAtByHost is when an order last found no host at its address.
+	undeliveredAtByHost map[id.Host]time.Time
+	// stagingByHost holds the orders to stage weights that are in progress.
+	stagingByHost map[id.Host]staging
+	// lastDissolvedAt is when a group was last retired in favour of another model.
+	lastDissolvedAt time.Time
+	// engineCount is the number of engines that discovery has seen, and
+	// engineCountChangedAt the time at which that number last changed.
+	engineCount          int
+	engineCountChangedAt time.Time
+	// loadStartTimes are the starts of loads from the weight store within the
+	// last loadWindow.
+	loadStartTimes []time.Time
+	// callsSeen is set once a node has reported a call in this term.
+	callsSeen bool
+}
+
+// New returns the fleet of a leader whose term begins now.
+func New(now time.Time, config Config) *Fleet {
+	return &Fleet{
+		config: config, startedAt: now,
+		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
+		lastOrderByHost: map[id.Host]sentOrder{}, stallReportedAtByGroup: map[id.Group]time.Time{},
+		undeliveredAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
+	}
+}
+
+// Event is an input of a fleet: CallReported, StallReported or OrderUndelivered.
+type Event interface{ event() }
+
+// CallReported says that a node has calls in progress: the system serves.
+type CallReported struct{}
+
+// StallReported is a node's report that its calls to a group make no progress.
+type StallReported struct{ Group id.Group }
+
+// OrderUndelivered reports an order that found no host at its address.
+type OrderUndelivered struct{ Host id.Host }
+
+func (CallReported) event()     {}
+func (StallReported) event()    {}
+func (OrderUndelivered) event() {}
+
+// Step records an event.
+func (fleet *Fleet) Step(now time.Time, event Event) {
+	switch event := event.(type) {
+	case CallReported:
+		fleet.callsSeen = true
+	case StallReported:
+		fleet.stallReportedAtByGroup[event.Group] = now
+	case OrderUndelivered:
+		fleet.undeliveredAtByHost[event.Host] = now
+	}
+}
+
+// Tick retires, frees, opens and forms groups. The commands of one tick must be applied
+// before the next tick.
+func (fleet *Fleet) Tick(now time.Time, state State) Actions {
+	fleet.state = state
+	var actions Actions
+	declared := state.Register.Declared()
+	if declared == nil {
+		return actions
+	}
+	fleet.dropRetiredGroupState()
+	fleet.retireBrokenGroups(now, &actions)
+	fleet.freeRetiredHosts(now, &actions)
+	fleet.advanceGroups(now, &actions)
+	if len(actions.Commands) > 0 {
+		return actions
+	}
+	for index := range declared.Declaration.Services {
+		if service := &declared.Declaration.Services[index]; service.Engine != nil {
+			fleet.formGroups(now, &actions, service)
+		}
+	}
+	return actions
+}
--- a/core/process/controller/engine_forming.go
+++ b/core/process/fleet/forming.go
@@ -1,11 +1,14 @@
-package controller
+package fleet
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
@@ -30,43 +33,41 @@
 	maxIdleKinds        = 40
 )
 
-// formEngineGroups forms groups of the assignable engines of a service, stages
-// weights on those that are left, and retires a group when another model needs
-// its hosts more. It reports whether it proposed a change.
-func (controller *Controller) formEngineGroups(now time.Time, actions *Actions, service *routing.Service) bool {
-	free, groups := controller.assignableEngines(now, service), controller.plannerGroups(service)
-	if controller.discoveringEngines(now, service) {
-		return false
+// formGroups forms groups of the assignable engines of a service, stages weights on
+// those that are left, and retires a group when another model needs its hosts more.
+func (fleet *Fleet) formGroups(now time.Time, actions *Actions, service *routing.Service) {
+	free, groups := fleet.assignableEngines(now, service), fleet.plannerGroups(service)
+	if fleet.discoveringEngines(now, service) {
+		return
 	}
-	controller.dropFinishedStagings(now)
-	constraints := controller.planConstraints(now, service.Engine)
+	fleet.dropFinishedStagings(now)
+	constraints := fleet.planConstraints(now, service.Engine)
 	plan := grouper.New(free, groups, engineSpecs(service.Engine), constraints).Plan()
-	controller.recordIdleEngines(now, actions, service, free, constraints)
-	for position, assignment := range plan.Form {
-		name := controller.engineGroupName(position)
-		actions.Decisions = append(actions.Decisions, Decision{
+	fleet.recordIdleEngines(now, actions, service, free, constraints)
+	for _, assignment := range plan.Form {
+		name := fleet.newGroupName()
+		actions.Decisions = append(actions.Decisions, action.Decision{
 			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
 			Reason: fmt.Sprintf("%d engines free", len(free)),
 		})
-		controller.proposeAsLeader(now, actions, register.Command{CommitGroup: &register.CommitGroup{
+		actions.Commands = append(actions.Commands, register.Command{CommitGroup: &register.CommitGroup{
 			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
 		}})
 	}
 	for _, staging := range plan.Stage {
-		controller.orderStaging(now, actions, service, staging.Host, staging.Model)
+		fleet.orderStaging(now, actions, service, staging.Host, staging.Model)
 	}
-	if controller.dissolveGroup(now, actions, plan) || len(plan.Form) > 0 {
-		return true
+	if fleet.dissolveGroup(now, actions, plan) || len(plan.Form) > 0 {
+		return
 	}
-	controller.stageFurtherModels(now, actions, service)
-	return false
+	fleet.stageFurtherModels(now, actions, service)
 }
 
 // recordIdleEngines records how many engines are in no group, by fabric domain
 // and weights held, and how many loads the weight store takes, when that has
 // changed.
-func (controller *Controller) recordIdleEngines(now time.Time, actions *Actions, service *routing.Service, free []grouper.Host, constraints grouper.Constraints) {
-	if now.Before(controller.leadership.idleSummaryAt.Add(idleSummaryInterval)) {
+func (fleet *Fleet) recordIdleEngines(now time.Time, actions *Actions, service *routing.Service, free []grouper.Host, constraints grouper.Constraints) {
+	if now.Before(fleet.idleSummaryAt.Add(idleSummaryInterval)) {
 		return
 	}
 	engineCountByKind := map[string]int{}
@@ -74,7 +75,7 @@
 		engineCountByKind[fmt.Sprintf("%s:%s", host.Domain, joinModels(host.Loaded)+"/"+joinModels(host.Staged))]++
 	}
 	var summary strings.Builder
-	for position, kind := range sortedKeys(engineCountByKind) {
+	for position, kind := range slices.Sorted(maps.Keys(engineCountByKind)) {
 		if position == maxIdleKinds {
 			fmt.Fprintf(&summary, "and %d more kinds ", len(engineCountByKind)-position)
 			break
@@ -82,9 +83,9 @@
 		fmt.Fprintf(&summary, "%s=%d ", kind, engineCountByKind[kind])
 	}
 	fmt.Fprintf(&summary, "loads=%d", constraints.MaxLoads)
-	if text := summary.String(); text != controller.leadership.idleSummary {
-		controller.leadership.idleSummary, controller.leadership.idleSummaryAt = text, now
-		actions.Decisions = append(actions.Decisions, Decision{Step: "idle_engines", Group: id.Group(service.Name), Reason: text})
+	if text := summary.String(); text != fleet.idleSummary {
+		fleet.idleSummary, fleet.idleSummaryAt = text, now
+		actions.Decisions = append(actions.Decisions, action.Decision{Step: "idle_engines", Group: id.Group(service.Name), Reason: text})
 	}
 }
 
@@ -99,62 +100,61 @@
 // discoveringEngines reports whether engines are still announcing themselves for
 // the first time, as at the start of a system. Planning waits for them, since a
 // plan for all engines is better than one for some.
-func (controller *Controller) discoveringEngines(now time.Time, service *routing.Service) bool {
-	leadership := controller.leadership
-	if leadership.callsSeen || now.Sub(leadership.startedAt) > discoveryTimeout {
+func (fleet *Fleet) discoveringEngines(now time.Time, service *routing.Service) bool {
+	if fleet.callsSeen || now.Sub(fleet.startedAt) > discoveryTimeout {
 		return false
 	}
 	count, quietPeriod := 0, time.Duration(0)
-	for _, host := range controller.roster.Members() {
+	for _, host := range fleet.state.Roster.Members() {
 		if host.Announcement.Engine && host.Announcement.Service == service.Name {
 			count++
 			quietPeriod = max(quietPeriod, announcementIntervals(host, discoveryQuietIntervals))
 		}
 	}
-	if count != leadership.engineCount {
-		leadership.engineCount, leadership.engineCountChangedAt = count, now
+	if count != fleet.engineCount {
+		fleet.engineCount, fleet.engineCountChangedAt = count, now
 	}
-	return now.Sub(leadership.engineCountChangedAt) < quietPeriod
+	return now.Sub(fleet.engineCountChangedAt) < quietPeriod
 }
 
 // dissolveGroup retires the group whose hosts the plan needs for another model,
 // at most one in dissolveInterval. It reports whether it proposed a change.
-func (controller *Controller) dissolveGroup(now time.Time, actions *Actions, plan grouper.Plan) bool {
-	if plan.Dissolve == "" || now.Before(controller.leadership.lastDissolvedAt.Add(dissolveInterval)) {
+func (fleet *Fleet) dissolveGroup(now time.Time, actions *Actions, plan grouper.Plan) bool {
+	if plan.Dissolve == "" || now.Before(fleet.lastDissolvedAt.Add(dissolveInterval)) {
 		return false
 	}
-	group, ok := controller.register.Group(plan.Dissolve)
+	group, ok := fleet.state.Register.Group(plan.Dissolve)
 	if !ok {
 		return false
 	}
-	controller.leadership.lastDissolvedAt = now
-	actions.Decisions = append(actions.Decisions, Decision{
+	fleet.lastDissolvedAt = now
+	actions.Decisions = append(actions.Decisions, action.Decision{
 		Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(plan.DissolveFor),
 	})
-	controller.proposeAsLeader(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+	actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
 	return true
 }
 
 // plannerHost converts an engine's announcement to the grouper's form.
-func (controller *Controller) plannerHost(host roster.Member) grouper.Host {
+func (fleet *Fleet) plannerHost(host roster.Member) grouper.Host {
 	announcement := &host.Announcement
 	return grouper.Host{
 		Host: announcement.Host, Domain: announcement.Domain, Loaded: announcement.Loaded, Staged: announcement.Staged,
-		StagingModel: controller.leadership.stagingByHost[announcement.Host].model,
+		StagingModel: fleet.stagingByHost[announcement.Host].model,
 	}
 }
 
 // plannerGroups converts the groups of a service to the grouper's form.
-func (controller *Controller) plannerGroups(service *routing.Service) []grouper.Group {
+func (fleet *Fleet) plannerGroups(service *routing.Service) []grouper.Group {
 	var groups []grouper.Group
-	for _, group := range controller.engineGroups() {
+	for _, group := range fleet.groups() {
 		if group.Service != service.Name {
 			continue
 		}
 		plannerGroup := grouper.Group{Group: group.Group, Model: group.Model}
 		for _, name := range group.Hosts {
-			host, _ := controller.roster.Member(name)
-			plannerGroup.Hosts = append(plannerGroup.Hosts, controller.plannerHost(host))
+			host, _ := fleet.state.Roster.Member(name)
+			plannerGroup.Hosts = append(plannerGroup.Hosts, fleet.plannerHost(host))
 		}
 		plannerGroup.Domain = plannerGroup.Hosts[0].Domain
 		groups = append(groups, plannerGroup)
@@ -165,23 +165,22 @@
 // planConstraints returns the constraints of a plan now: the loads that the
 // weight store takes, and the hosts of retired groups that will soon be free.
 // Loads aren't limited until a node has reported a call in this term.
-func (controller *Controller) planConstraints(now time.Time, engine *routing.Engine) grouper.Constraints {
-	constraints := grouper.Constraints{BeforeTraffic: !controller.leadership.callsSeen}
-	for _, name := range sortedKeys(controller.register.Unfreed()) {
-		host, ok := controller.roster.Member(name)
+func (fleet *Fleet) planConstraints(now time.Time, engine *routing.Engine) grouper.Constraints {
+	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen}
+	for _, name := range slices.Sorted(maps.Keys(fleet.state.Register.Unfreed())) {
+		host, ok := fleet.state.Roster.Member(name)
 		if ok && host.Live(now) && host.SinceLastAnnouncement(now) <= announcementIntervals(host, recentlySeenIntervals) {
-			constraints.DrainingHosts = append(constraints.DrainingHosts, controller.plannerHost(host))
+			constraints.DrainingHosts = append(constraints.DrainingHosts, fleet.plannerHost(host))
 		}
 	}
-	constraints.MaxLoads = controller.availableLoads(engine)
+	constraints.MaxLoads = fleet.availableLoads(engine)
 	return constraints
 }
 
-// engineGroupName returns a group name that is unique for each term, log index
-// and position in the plan.
-func (controller *Controller) engineGroupName(position int) id.Group {
-	status := controller.quorum.Status()
-	return id.Group(fmt.Sprintf("g%d-%d-%d", status.Term, status.LastIndex, position))
+// newGroupName returns a group name that is unique for each term and group.
+func (fleet *Fleet) newGroupName() id.Group {
+	fleet.groupCount++
+	return id.Group(fmt.Sprintf("g%d-%d", fleet.config.Term, fleet.groupCount))
 }
 
 func engineSpecs(engine *routing.Engine) []grouper.Spec {
@@ -194,10 +193,10 @@
 
 // assignableEngines lists the engines of a service that can be put into a group
 // now.
-func (controller *Controller) assignableEngines(now time.Time, service *routing.Service) []grouper.Host {
-	unfreed := controller.register.Unfreed()
+func (fleet *Fleet) assignableEngines(now time.Time, service *routing.Service) []grouper.Host {
+	unfreed := fleet.state.Register.Unfreed()
 	var free []grouper.Host
-	for _, host := range controller.roster.Members() {
+	for _, host := range fleet.state.Roster.Members() {
 		announcement := host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) {
 			continue
@@ -205,13 +204,13 @@
 		if _, notFreed := unfreed[announcement.Host]; notFreed {
 			continue
 		}
-		if _, assigned := controller.register.GroupOf(announcement.Host); assigned {
+		if _, assigned := fleet.state.Register.GroupOf(announcement.Host); assigned {
 			continue
 		}
-		if host.SinceLastAnnouncement(now) > announcementIntervals(host, recentlySeenIntervals) || controller.hostLost(now, host) {
+		if host.SinceLastAnnouncement(now) > announcementIntervals(host, recentlySeenIntervals) || fleet.hostLost(now, host) {
 			continue
 		}
-		free = append(free, controller.plannerHost(host))
+		free = append(free, fleet.plannerHost(host))
 	}
 	return free
 }
--- /dev/null
+++ b/core/process/fleet/orders.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// loadWindow is the sliding window of the limit on starts of loads.
+	loadWindow = time.Second
+	// orderRetryInterval is how long the effect of an order is awaited before the
+	// order is sent again.
+	orderRetryInterval = time.Second
+)
+
+// advanceGroups orders the hosts of each group to join it, and its head to
+// open once all hosts are ready and all nodes know the group.
+func (fleet *Fleet) advanceGroups(now time.Time, actions *Actions) {
+	for _, group := range fleet.groups() {
+		head, ok := fleet.state.Roster.Member(group.Hosts[0])
+		if !ok {
+			continue
+		}
+		if inGroup(head, group) && head.Announcement.Serving.Open {
+			fleet.recordOpened(now, actions, group, head)
+			continue
+		}
+		ready := true
+		for _, name := range group.Hosts {
+			host, known := fleet.state.Roster.Member(name)
+			if !known {
+				ready = false
+				continue
+			}
+			joined := inGroup(host, group)
+			ready = ready && joined && host.Announcement.Serving.Ready
+			if !joined && fleet.mayJoin(now, host, group) {
+				fleet.sendOrder(now, actions, host, group, action.OrderLoad)
+			}
+		}
+		// A node that lags behind may still use one of the hosts in its last group.
+		if ready && !fleet.state.Lags(group.Version) {
+			fleet.sendOrder(now, actions, head, group, action.OrderOpen)
+		}
+	}
+}
+
+// recordOpened records a decision, once for each group, when the group is open.
+func (fleet *Fleet) recordOpened(now time.Time, actions *Actions, group register.GroupRecord, head roster.Member) {
+	if fleet.openedGroups[group.Group] {
+		return
+	}
+	fleet.openedGroups[group.Group] = true
+	actions.Decisions = append(actions.Decisions, action.Decision{
+		Step: "group_open", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Host: group.Hosts[0], Age: head.SinceLastAnnouncement(now),
+	})
+}
+
+// countLoads returns how many loads of weights are in progress: the hosts in
+// groups that don't hold their model yet, and the stagings.
+func (fleet *Fleet) countLoads(groups []register.GroupRecord) int {
+	loads := 0
+	for _, group := range groups {
+		for _, name := range group.Hosts {
+			host, ok := fleet.state.Roster.Member(name)
+			inGroupReady := inGroup(host, group) && host.Announcement.Serving.Ready
+			if ok && !inGroupReady && !host.Announcement.HasWeights(group.Model) {
+				loads++
+			}
+		}
+	}
+	return loads + len(fleet.stagingByHost)
+}
+
+// mayJoin reports whether a host may be ordered to join its group now. A host
+// that holds the model's weights may at any time; any other needs a load from
+// the weight store, which acquireLoad limits.
+func (fleet *Fleet) mayJoin(now time.Time, host roster.Member, group register.GroupRecord) bool {
+	if fleet.joinStartedAtByGroup[group.Group].IsZero() {
+		fleet.joinStartedAtByGroup[group.Group] = now
+	}
+	if fleet.orderedRecently(now, host.Announcement.Host, action.OrderLoad, group.Fencing) {
+		return false
+	}
+	if host.Announcement.HasWeights(group.Model) {
+		return true
+	}
+	return fleet.acquireLoad(now, fleet.declaredEngine(group.Service))
+}
+
+// acquireLoad reports whether one more load from the weight store may start now,
+// and counts it against the service's LoadsPerSecond if so. There is no limit
+// until a node has reported a call in this term.
+func (fleet *Fleet) acquireLoad(now time.Time, engine *routing.Engine) bool {
+	if !fleet.callsSeen || engine == nil {
+		return true
+	}
+	fleet.loadStartTimes = slices.DeleteFunc(fleet.loadStartTimes, func(startedAt time.Time) bool { return now.Sub(startedAt) >= loadWindow })
+	if float64(len(fleet.loadStartTimes)) >= engine.LoadsPerSecond {
+		return false
+	}
+	fleet.loadStartTimes = append(fleet.loadStartTimes, now)
+	return true
+}
+
+// declaredEngine returns the engine settings of a service in the declaration in
+// force, or nil if it has none.
+func (fleet *Fleet) declaredEngine(service id.Service) *routing.Engine {
+	declared := fleet.state.Register.Declared()
+	if declared == nil {
+		return nil
+	}
+	found, ok := declared.Declaration.Service(service)
+	if !ok {
+		return nil
+	}
+	return found.Engine
+}
+
+// sentOrder is the last order that was sent to an engine.
+type sentOrder struct {
+	kind    action.OrderKind
+	fencing id.FencingToken
+	sentAt  time.Time
+}
+
+// orderedRecently reports whether the same order was sent to a host less than
+// orderRetryInterval ago, so that its effect may still be announced.
+func (fleet *Fleet) orderedRecently(now time.Time, host id.Host, kind action.OrderKind, fencing id.FencingToken) bool {
+	last := fleet.lastOrderByHost[host]
+	return last.kind == kind && last.fencing == fencing && now.Before(last.sentAt.Add(orderRetryInterval))
+}
+
+// sendOrder sends an order to a host with a lease, and the same order again
+// only after orderRetryInterval.
+func (fleet *Fleet) sendOrder(now time.Time, actions *Actions, host roster.Member, group register.GroupRecord, kind action.OrderKind) {
+	name := host.Announcement.Host
+	if !now.Before(host.Expiry) || fleet.orderedRecently(now, name, kind, group.Fencing) {
+		return
+	}
+	actions.Decisions = append(actions.Decisions, action.Decision{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.SinceLastAnnouncement(now)})
+	fleet.lastOrderByHost[name] = sentOrder{kind: kind, fencing: group.Fencing, sentAt: now}
+	actions.Orders = append(actions.Orders, action.Order{
+		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
+		Fencing: group.Fencing, Members: group.Hosts,
+		Term: fleet.config.Term,
+	})
+}
--- a/core/process/controller/engines.go
+++ b/core/process/fleet/retire.go
@@ -1,4 +1,4 @@
-package controller
+package fleet
 
 import (
 	"cmp"
@@ -7,7 +7,7 @@
 	"time"
 
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 )
@@ -27,33 +27,9 @@
 	stalledGroupIntervals = 1.25
 )
 
-// reconcileEngines retires, frees, opens and forms the groups of engines, whose
-// hosts join, open, close and leave by order. It reports whether it proposed a
-// change.
-func (controller *Controller) reconcileEngines(now time.Time, actions *Actions) bool {
-	declared := controller.register.Declared()
-	if declared == nil {
-		return false
-	}
-	controller.dropRetiredGroupState()
-	proposed := controller.retireBrokenGroups(now, actions)
-	proposed = controller.freeRetiredHosts(now, actions) || proposed
-	controller.advanceEngineGroups(now, actions)
-	if proposed {
-		return true
-	}
-	for index := range declared.Declaration.Services {
-		service := &declared.Declaration.Services[index]
-		if service.Engine != nil && controller.formEngineGroups(now, actions, service) {
-			proposed = true
-		}
-	}
-	return proposed
-}
-
-// engineGroups lists the groups of engines that aren't retired, oldest first.
-func (controller *Controller) engineGroups() []register.GroupRecord {
-	groups := slices.DeleteFunc(controller.register.Groups(), func(group register.GroupRecord) bool {
+// groups lists the groups of engines that aren't retired, oldest first.
+func (fleet *Fleet) groups() []register.GroupRecord {
+	groups := slices.DeleteFunc(fleet.state.Register.Groups(), func(group register.GroupRecord) bool {
 		return group.Service == "" || group.Phase == register.PhaseRetired
 	})
 	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
@@ -62,13 +38,13 @@
 
 // dropRetiredGroupState deletes the leader's volatile state of groups that are
 // retired or unknown.
-func (controller *Controller) dropRetiredGroupState() {
+func (fleet *Fleet) dropRetiredGroupState() {
 	outOfUse := func(name id.Group) bool {
-		group, ok := controller.register.Group(name)
+		group, ok := fleet.state.Register.Group(name)
 		return !ok || group.Phase == register.PhaseRetired
 	}
-	maps.DeleteFunc(controller.leadership.joinStartedAtByGroup, func(group id.Group, _ time.Time) bool { return outOfUse(group) })
-	maps.DeleteFunc(controller.leadership.openedGroups, func(group id.Group, _ bool) bool { return outOfUse(group) })
+	maps.DeleteFunc(fleet.joinStartedAtByGroup, func(group id.Group, _ time.Time) bool { return outOfUse(group) })
+	maps.DeleteFunc(fleet.openedGroups, func(group id.Group, _ bool) bool { return outOfUse(group) })
 }
 
 // inGroup reports whether a host announces that it is in a group under the
@@ -78,23 +54,19 @@
 	return serving.Group == group.Group && serving.Fencing == group.Fencing
 }
 
-// retireBrokenGroups retires each group that can't serve any more. It reports
-// whether it proposed a change.
-func (controller *Controller) retireBrokenGroups(now time.Time, actions *Actions) bool {
-	proposed := false
-	for _, group := range controller.engineGroups() {
-		reason, host := controller.retireReason(now, group)
+// retireBrokenGroups retires each group that can't serve any more.
+func (fleet *Fleet) retireBrokenGroups(now time.Time, actions *Actions) {
+	for _, group := range fleet.groups() {
+		reason, host := fleet.retireReason(now, group)
 		if reason == "" {
 			continue
 		}
-		member, _ := controller.roster.Member(host)
-		actions.Decisions = append(actions.Decisions, Decision{
+		member, _ := fleet.state.Roster.Member(host)
+		actions.Decisions = append(actions.Decisions, action.Decision{
 			Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Host: host, Reason: reason, Age: member.SinceLastAnnouncement(now),
 		})
-		controller.proposeAsLeader(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
-		proposed = true
+		actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
 	}
-	return proposed
 }
 
 // The reasons for retiring a group, as written in the process's log.
@@ -112,12 +84,12 @@
 // if there is one: a host is unknown, lost, leaving or no longer in the group, the
 // engine gave the group up, or the group wasn't open in time. It returns "" for a
 // group that can go on.
-func (controller *Controller) retireReason(now time.Time, group register.GroupRecord) (string, id.Host) {
-	head, _ := controller.roster.Member(group.Hosts[0])
+func (fleet *Fleet) retireReason(now time.Time, group register.GroupRecord) (string, id.Host) {
+	head, _ := fleet.state.Roster.Member(group.Hosts[0])
 	open := inGroup(head, group) && head.Announcement.Serving.Open
-	stalled := open && controller.leadership.stallReportedRecently(now, group)
+	stalled := open && fleet.stallReportedRecently(now, group)
 	for _, name := range group.Hosts {
-		host, ok := controller.roster.Member(name)
+		host, ok := fleet.state.Roster.Member(name)
 		switch {
 		case !ok:
 			return hostUnknown, name
@@ -127,13 +99,13 @@
 			return hostGaveUp, name
 		case open && !inGroup(host, group):
 			return hostAbsent, name
-		case stalled && controller.sinceLastAnnouncement(now, host) > announcementIntervals(host, stalledGroupIntervals):
+		case stalled && fleet.sinceLastAnnouncement(now, host) > announcementIntervals(host, stalledGroupIntervals):
 			return groupStalled, name
-		case !open && controller.hostLost(now, host):
+		case !open && fleet.hostLost(now, host):
 			return hostSilent, name
 		}
 	}
-	joinStartedAt := controller.leadership.joinStartedAtByGroup[group.Group]
+	joinStartedAt := fleet.joinStartedAtByGroup[group.Group]
 	if !open && !joinStartedAt.IsZero() && now.Sub(joinStartedAt) > groupReadyTimeout {
 		return neverReady, ""
 	}
@@ -148,44 +120,40 @@
 
 // sinceLastAnnouncement returns the time since a host's last announcement, or
 // since the start of this leader's term if that is later.
-func (controller *Controller) sinceLastAnnouncement(now time.Time, host roster.Member) time.Duration {
-	return min(host.SinceLastAnnouncement(now), now.Sub(controller.leadership.startedAt))
+func (fleet *Fleet) sinceLastAnnouncement(now time.Time, host roster.Member) time.Duration {
+	return min(host.SinceLastAnnouncement(now), now.Sub(fleet.startedAt))
 }
 
 // hostLost reports whether a host that takes no requests yet counts as lost: the
 // time since its last announcement (see sinceLastAnnouncement) exceeds its lease,
 // or an order has found no host at its address within that time.
-func (controller *Controller) hostLost(now time.Time, host roster.Member) bool {
-	elapsed := controller.sinceLastAnnouncement(now, host)
-	undeliveredAt := controller.leadership.undeliveredAtByHost[host.Announcement.Host]
+func (fleet *Fleet) hostLost(now time.Time, host roster.Member) bool {
+	elapsed := fleet.sinceLastAnnouncement(now, host)
+	undeliveredAt := fleet.undeliveredAtByHost[host.Announcement.Host]
 	return elapsed > host.Announcement.Lease() || undeliveredAt.After(now.Add(-elapsed))
 }
 
 // stallReportedRecently reports whether a node has reported within
 // groupStallReportLifetime that its calls to a group are stalled.
-func (leadership *leadership) stallReportedRecently(now time.Time, group register.GroupRecord) bool {
-	return now.Sub(leadership.stallReportedAtByEndpoint[feed.Endpoint{Group: group.Group}]) < groupStallReportLifetime
+func (fleet *Fleet) stallReportedRecently(now time.Time, group register.GroupRecord) bool {
+	return now.Sub(fleet.stallReportedAtByGroup[group.Group]) < groupStallReportLifetime
 }
 
 // freeRetiredHosts orders the hosts of retired groups to leave, and frees each
-// once the head of its group certainly serves no more. It reports whether it
-// proposed a change.
-func (controller *Controller) freeRetiredHosts(now time.Time, actions *Actions) bool {
-	unfreed := controller.register.Unfreed()
-	proposed := false
-	for _, host := range sortedKeys(unfreed) {
+// once the head of its group certainly serves no more.
+func (fleet *Fleet) freeRetiredHosts(now time.Time, actions *Actions) {
+	unfreed := fleet.state.Register.Unfreed()
+	for _, host := range slices.Sorted(maps.Keys(unfreed)) {
 		record := unfreed[host]
 		if record.PreviousGroup == nil {
 			continue
 		}
-		if !controller.mayFreeHost(now, actions, host, *record.PreviousGroup) {
+		if !fleet.mayFreeHost(now, actions, host, *record.PreviousGroup) {
 			continue
 		}
-		delete(controller.leadership.leftGroupAtByHost, host)
-		controller.proposeAsLeader(now, actions, register.Command{FreeHost: &register.FreeHost{Host: host, Base: record.Fencing}})
-		proposed = true
+		delete(fleet.leftGroupAtByHost, host)
+		actions.Commands = append(actions.Commands, register.Command{FreeHost: &register.FreeHost{Host: host, Base: record.Fencing}})
 	}
-	return proposed
 }
 
 // mayFreeHost reports whether a host of a retired group may join another one, and
@@ -193,55 +161,55 @@
 // head of its old one is open. So the head must have left the group, or, when
 // the head doesn't announce itself, it must have been without one of its hosts
 // for so long that it has given the group up.
-func (controller *Controller) mayFreeHost(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
-	head, known := controller.roster.Member(previousGroup.Hosts[0])
+func (fleet *Fleet) mayFreeHost(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
+	head, known := fleet.state.Roster.Member(previousGroup.Hosts[0])
 	live := known && now.Before(head.Expiry)
 	if live && !inGroup(head, previousGroup) {
 		return true
 	}
 	if name == previousGroup.Hosts[0] {
 		if live {
-			controller.orderHeadToLeave(now, actions, head, previousGroup)
+			fleet.orderHeadToLeave(now, actions, head, previousGroup)
 		}
 		return false
 	}
-	if live && controller.sinceLastAnnouncement(now, head) <= announcementIntervals(head, stalledGroupIntervals) {
+	if live && fleet.sinceLastAnnouncement(now, head) <= announcementIntervals(head, stalledGroupIntervals) {
 		return false
 	}
-	return controller.leftLostHead(now, actions, name, previousGroup)
+	return fleet.leftLostHead(now, actions, name, previousGroup)
 }
 
 // leftLostHead orders a host to leave a group whose head doesn't announce itself.
 // It reports whether the host has been outside the group for longer than the head
 // waits for it (Config.EngineStallTimeout and stallMargin).
-func (controller *Controller) leftLostHead(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
-	host, ok := controller.roster.Member(name)
+func (fleet *Fleet) leftLostHead(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
+	host, ok := fleet.state.Roster.Member(name)
 	if !ok || !now.Before(host.Expiry) {
 		return false
 	}
 	if inGroup(host, previousGroup) {
-		delete(controller.leadership.leftGroupAtByHost, name)
-		controller.sendEngineOrder(now, actions, host, previousGroup, OrderUnload)
+		delete(fleet.leftGroupAtByHost, name)
+		fleet.sendOrder(now, actions, host, previousGroup, action.OrderUnload)
 		return false
 	}
-	if controller.leadership.leftGroupAtByHost[name].IsZero() {
-		controller.leadership.leftGroupAtByHost[name] = now
+	if fleet.leftGroupAtByHost[name].IsZero() {
+		fleet.leftGroupAtByHost[name] = now
 	}
-	return now.Sub(controller.leadership.leftGroupAtByHost[name]) > controller.config.EngineStallTimeout+stallMargin
+	return now.Sub(fleet.leftGroupAtByHost[name]) > fleet.config.EngineStallTimeout+stallMargin
 }
 
 // orderHeadToLeave orders the head of a retired group to leave it. While all its
 // hosts are in the group, the head is first ordered to finish its requests.
-func (controller *Controller) orderHeadToLeave(now time.Time, actions *Actions, head roster.Member, previousGroup register.GroupRecord) {
+func (fleet *Fleet) orderHeadToLeave(now time.Time, actions *Actions, head roster.Member, previousGroup register.GroupRecord) {
 	complete := !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
-		host, ok := controller.roster.Member(name)
+		host, ok := fleet.state.Roster.Member(name)
 		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup)
 	})
 	switch serving := head.Announcement.Serving; {
 	case complete && serving.Closing:
 	case complete && serving.Open && !serving.Broken:
-		controller.sendEngineOrder(now, actions, head, previousGroup, OrderClose)
+		fleet.sendOrder(now, actions, head, previousGroup, action.OrderClose)
 	default:
-		controller.sendEngineOrder(now, actions, head, previousGroup, OrderUnload)
+		fleet.sendOrder(now, actions, head, previousGroup, action.OrderUnload)
 	}
 }
--- a/core/process/controller/engine_staging.go
+++ b/core/process/fleet/staging.go
@@ -1,10 +1,11 @@
-package controller
+package fleet
 
 import (
 	"slices"
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/grouper"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/stager"
@@ -34,8 +35,8 @@
 
 // availableLoads returns how many more loads the weight store takes now without
 // slowing any of them down.
-func (controller *Controller) availableLoads(engine *routing.Engine) int {
-	return max(0, engine.LoadsAtOnce-controller.countLoads(controller.engineGroups()))
+func (fleet *Fleet) availableLoads(engine *routing.Engine) int {
+	return max(0, engine.LoadsAtOnce-fleet.countLoads(fleet.groups()))
 }
 
 // stagingTimeout returns how long the weights of a model may take to reach a
@@ -49,14 +50,14 @@
 // dropFinishedStagings deletes the stagings that are over: the host holds the
 // weights, has no lease, is leaving, has restarted or wasn't found at its address,
 // or the staging timed out.
-func (controller *Controller) dropFinishedStagings(now time.Time) {
-	for name, staging := range controller.leadership.stagingByHost {
-		host, known := controller.roster.Member(name)
+func (fleet *Fleet) dropFinishedStagings(now time.Time) {
+	for name, staging := range fleet.stagingByHost {
+		host, known := fleet.state.Roster.Member(name)
 		announcement := &host.Announcement
 		unavailable := !known || !host.Live(now) || announcement.Incarnation != staging.incarnation
-		undelivered := controller.leadership.undeliveredAtByHost[name].After(staging.orderedAt)
+		undelivered := fleet.undeliveredAtByHost[name].After(staging.orderedAt)
 		if unavailable || undelivered || !now.Before(staging.deadline) || slices.Contains(announcement.Staged, staging.model) {
-			delete(controller.leadership.stagingByHost, name)
+			delete(fleet.stagingByHost, name)
 		}
 	}
 }
@@ -64,50 +65,50 @@
 // stageFurtherModels stages the weights of further models on hosts that are idle
 // or serve, so that each can change to another model without a load once its
 // group is lost. It leaves reservedRepairLoads of the weight store's loads unused.
-func (controller *Controller) stageFurtherModels(now time.Time, actions *Actions, service *routing.Service) {
-	loads := controller.availableLoads(service.Engine) - reservedRepairLoads
-	if !controller.leadership.callsSeen {
-		loads = earlyLoadSeconds*int(service.Engine.LoadsPerSecond) - len(controller.leadership.stagingByHost)
+func (fleet *Fleet) stageFurtherModels(now time.Time, actions *Actions, service *routing.Service) {
+	loads := fleet.availableLoads(service.Engine) - reservedRepairLoads
+	if !fleet.callsSeen {
+		loads = earlyLoadSeconds*int(service.Engine.LoadsPerSecond) - len(fleet.stagingByHost)
 	}
-	for _, staging := range stager.Plan(controller.settledEngines(now, service), engineSpecs(service.Engine), service.Engine.StagedModels, loads) {
-		controller.orderStaging(now, actions, service, staging.Host, staging.Model)
+	for _, staging := range stager.Plan(fleet.settledEngines(now, service), engineSpecs(service.Engine), service.Engine.StagedModels, loads) {
+		fleet.orderStaging(now, actions, service, staging.Host, staging.Model)
 	}
 }
 
 // orderStaging orders a host to stage a model's weights, unless a staging is in
 // progress there or the weight store takes no further load now.
-func (controller *Controller) orderStaging(now time.Time, actions *Actions, service *routing.Service, name id.Host, model id.Model) {
-	host, ok := controller.roster.Member(name)
-	if _, inProgress := controller.leadership.stagingByHost[name]; !ok || inProgress || !controller.acquireLoad(now, service.Engine) {
+func (fleet *Fleet) orderStaging(now time.Time, actions *Actions, service *routing.Service, name id.Host, model id.Model) {
+	host, ok := fleet.state.Roster.Member(name)
+	if _, inProgress := fleet.stagingByHost[name]; !ok || inProgress || !fleet.acquireLoad(now, service.Engine) {
 		return
 	}
-	controller.leadership.stagingByHost[name] = staging{
+	fleet.stagingByHost[name] = staging{
 		model: model, incarnation: host.Announcement.Incarnation, orderedAt: now, deadline: now.Add(stagingTimeout(service.Engine, model)),
 	}
-	controller.sendEngineOrder(now, actions, host, register.GroupRecord{Model: model}, OrderStage)
+	fleet.sendOrder(now, actions, host, register.GroupRecord{Model: model}, action.OrderStage)
 }
 
 // settledEngines lists the engines that no change affects at present: they are in
 // no group, or ready in one that is in use.
-func (controller *Controller) settledEngines(now time.Time, service *routing.Service) []grouper.Host {
-	unfreed := controller.register.Unfreed()
+func (fleet *Fleet) settledEngines(now time.Time, service *routing.Service) []grouper.Host {
+	unfreed := fleet.state.Register.Unfreed()
 	var settled []grouper.Host
-	for _, host := range controller.roster.Members() {
+	for _, host := range fleet.state.Roster.Members() {
 		announcement := &host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || host.SinceLastAnnouncement(now) > announcementIntervals(host, recentlySeenIntervals) {
 			continue
 		}
 		_, notFreed := unfreed[announcement.Host]
-		if _, inProgress := controller.leadership.stagingByHost[announcement.Host]; notFreed || inProgress {
+		if _, inProgress := fleet.stagingByHost[announcement.Host]; notFreed || inProgress {
 			continue
 		}
-		if name, assigned := controller.register.GroupOf(announcement.Host); assigned {
-			group, known := controller.register.Group(name)
+		if name, assigned := fleet.state.Register.GroupOf(announcement.Host); assigned {
+			group, known := fleet.state.Register.Group(name)
 			if !known || !inGroup(host, group) || !announcement.Serving.Ready {
 				continue
 			}
 		}
-		settled = append(settled, controller.plannerHost(host))
+		settled = append(settled, fleet.plannerHost(host))
 	}
 	return settled
 }
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -23,7 +23,7 @@
 
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/fakeengine/request/scheduler"
 )
@@ -244,7 +244,7 @@
 
 // applyOrder makes the host serve what an order names. The model is ready after
 // LoadTime, or at once if it is the model that the host serves and has loaded.
-func (engine *Engine) applyOrder(order controller.Order) (orderAccepted, error) {
+func (engine *Engine) applyOrder(order action.Order) (orderAccepted, error) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	if engine.config.ChecksFencing && order.Fencing < engine.serving.Fencing {
@@ -253,7 +253,7 @@
 	loaded := engine.serving.Model == order.Model && !engine.now().Before(engine.loadedAt)
 	engine.serving = roster.Serving{Group: order.Group, Model: order.Model, Fencing: order.Fencing}
 	engine.rank = order.Rank
-	if order.Kind == controller.OrderUnload {
+	if order.Kind == action.OrderUnload {
 		engine.serving.Group, engine.serving.Model = "", ""
 	}
 	if !loaded {
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -11,12 +11,12 @@
 
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/action"
 	"carobline.dev/fakeengine/request/scheduler"
 )
 
 // handleOrder has the signature that rest.Handle takes.
-func (engine *Engine) handleOrder(_ context.Context, order controller.Order) (orderAccepted, error) {
+func (engine *Engine) handleOrder(_ context.Context, order action.Order) (orderAccepted, error) {
 	return engine.applyOrder(order)
 }
 
--- a/measure/process/capacity/capacity.go
+++ b/measure/process/capacity/capacity.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/member"
@@ -239,10 +240,10 @@
 	}
 }
 
-func (system *system) applyOrder(order controller.Order) {
+func (system *system) applyOrder(order action.Order) {
 	for _, host := range system.hosts {
 		if host.announcement.Host == order.Host {
-			host.announcement.Serving = roster.Serving{Group: order.Group, Model: order.Model, Fencing: order.Fencing, Ready: order.Kind == controller.OrderLoad}
+			host.announcement.Serving = roster.Serving{Group: order.Group, Model: order.Model, Fencing: order.Fencing, Ready: order.Kind == action.OrderLoad}
 		}
 	}
 }
