grouper: the first plan packs large groups first, and several small groups give way in one step

Causes: (1) the first plan formed 5 groups of 16 and 34 of 4 of 222 engines whose work asks for 6.9 and 27.8: while it alternated between the models, groups of 4 took hosts of each domain until none had 16 left.

Evidence: three tests failed before: groups {four:34 sixteen:5}, {four:5 three:9} and one dissolution of three.

Change: before there is traffic the number of groups of the most underserved model is raised by one as long as all groups fit into the domains together, largest first, each where it strands the fewest hosts. On ties the smaller groups go first. Later, as many groups of a domain give way as complete the larger one, in each domain on its own.

--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -68,4 +68,3 @@
 	// rests. It has no meaning where Host is empty or unknown.
 	Age time.Duration
 }
-
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -77,8 +77,9 @@
 	undeliveredAtByHost map[id.Host]time.Time
 	// stagingByHost holds the orders to stage weights that are in progress.
 	stagingByHost map[id.Host]staging
-	// lastDissolvedAt is when a group was last retired in favour of another model.
-	lastDissolvedAt time.Time
+	// lastDissolvedAtByDomain is when groups of a domain were last retired in favour of
+	// another model.
+	lastDissolvedAtByDomain map[id.Domain]time.Time
 	// engineCount is the number of engines that discovery has seen, and
 	// engineCountChangedAt the time at which that number last changed.
 	engineCount          int
@@ -97,6 +98,7 @@
 		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
 		lastOrderByHost: map[id.Host]sentOrder{}, stallReportedAtByGroup: map[id.Group]time.Time{},
 		undeliveredAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
+		lastDissolvedAtByDomain: map[id.Domain]time.Time{},
 	}
 }
 
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -21,8 +21,8 @@
 	// leader waits for that.
 	discoveryQuietIntervals = 1.1
 	discoveryTimeout        = 6 * time.Second
-	// dissolveInterval is the least time between two groups that are retired in
-	// favour of another model.
+	// dissolveInterval is the least time between two steps in one fabric domain in
+	// which groups are retired in favour of another model.
 	dissolveInterval = 2 * time.Second
 	// recentlySeenIntervals is how many announcement intervals may have passed
 	// since the last announcement of a host that is put into a new group.
@@ -57,7 +57,8 @@
 	for _, staging := range plan.Stage {
 		fleet.orderStaging(now, actions, service, staging.Host, staging.Model)
 	}
-	if fleet.dissolveGroup(now, actions, plan) || len(plan.Form) > 0 {
+	fleet.dissolveGroups(now, actions, plan.Dissolve)
+	if len(actions.Commands) > 0 {
 		return
 	}
 	fleet.stageFurtherModels(now, actions, service)
@@ -117,22 +118,20 @@
 	return now.Sub(fleet.engineCountChangedAt) < quietPeriod
 }
 
-// dissolveGroup retires the group whose hosts the plan needs for another model,
-// at most one in dissolveInterval. It reports whether it proposed a change.
-func (fleet *Fleet) dissolveGroup(now time.Time, actions *Actions, plan grouper.Plan) bool {
-	if plan.Dissolve == "" || now.Before(fleet.lastDissolvedAt.Add(dissolveInterval)) {
-		return false
-	}
-	group, ok := fleet.state.Register.Group(plan.Dissolve)
-	if !ok {
-		return false
+// dissolveGroups retires the groups whose hosts the plan needs for another model, once
+// in dissolveInterval in each domain.
+func (fleet *Fleet) dissolveGroups(now time.Time, actions *Actions, dissolutions []grouper.Dissolution) {
+	for _, dissolution := range dissolutions {
+		group, ok := fleet.state.Register.Group(dissolution.Group)
+		if last, dissolved := fleet.lastDissolvedAtByDomain[dissolution.Domain]; !ok || (dissolved && last != now && now.Before(last.Add(dissolveInterval))) {
+			continue
+		}
+		fleet.lastDissolvedAtByDomain[dissolution.Domain] = now
+		actions.Decisions = append(actions.Decisions, action.Decision{
+			Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(dissolution.For),
+		})
+		actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
 	}
-	fleet.lastDissolvedAt = now
-	actions.Decisions = append(actions.Decisions, action.Decision{
-		Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(plan.DissolveFor),
-	})
-	actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
-	return true
 }
 
 // plannerHost converts an engine's announcement to the grouper's form.
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -10,6 +10,9 @@
 // soon need are reserved for it, and a group of a better served model is
 // dissolved where its hosts complete one.
 //
+// Before there is traffic loads are cheap, and groups are formed of any hosts, as many
+// of each model as fit into the domains together.
+//
 // # Usage
 //
 //	plan := grouper.New(free, groups, specs, grouper.Constraints{MaxLoads: 7}).Plan()
@@ -59,10 +62,17 @@
 	// Form lists the groups to form, and Stage the loads to start.
 	Form  []Assignment
 	Stage []Staging
-	// Dissolve is a group to retire because its hosts complete a group of the
-	// model DissolveFor. Both are empty if no group is to be retired.
-	Dissolve    id.Group
-	DissolveFor id.Model
+	// Dissolve lists the groups to retire because their hosts complete a group of
+	// another model.
+	Dissolve []Dissolution
+}
+
+// Dissolution is a group to retire, in a domain where its hosts complete a group of the
+// model For.
+type Dissolution struct {
+	Group  id.Group
+	Domain id.Domain
+	For    id.Model
 }
 
 // Constraints limits a plan.
@@ -134,15 +144,22 @@
 	}
 }
 
+// minTarget stands for the target of a model without a share of the work.
+const minTarget = 1e-9
+
 // servedRatio returns the number of groups of a model, divided by its target.
 func (grouper *Grouper) servedRatio(model id.Model) float64 {
-	return float64(grouper.groupCountByModel[model]) / max(grouper.targetGroupsByModel[model], 1e-9)
+	return float64(grouper.groupCountByModel[model]) / max(grouper.targetGroupsByModel[model], minTarget)
 }
 
 // Plan computes the changes to make now. It forms groups for the most
 // underserved model, one at a time, until no further group can be formed of any
 // model, and then stages weights.
 func (grouper *Grouper) Plan() Plan {
+	if grouper.constraints.BeforeTraffic {
+		grouper.formFirstGroups()
+		return grouper.plan
+	}
 	skipped := map[id.Model]bool{}
 	for {
 		spec, ok := grouper.mostUnderserved(skipped)
@@ -156,9 +173,7 @@
 		skipped[spec.Model] = true
 		grouper.reserveHosts(spec)
 	}
-	if !grouper.constraints.BeforeTraffic {
-		grouper.stageWeights()
-	}
+	grouper.stageWeights()
 	return grouper.plan
 }
 
@@ -178,24 +193,13 @@
 
 // formableDomain returns the domain in which a group can be formed now. Of
 // several it takes the one with the fewest hosts that hold the model's weights.
-// Before there is traffic any free host qualifies, and the domain with the most
-// free hosts is taken.
 func (grouper *Grouper) formableDomain(spec Spec) (id.Domain, bool) {
 	var best id.Domain
 	fewest, found := 0, false
 	for _, domain := range grouper.domains() {
-		eligible := grouper.countHolders(domain, spec.Model)
-		if grouper.constraints.BeforeTraffic {
-			eligible = len(grouper.freeHostsByDomain[domain])
-		}
-		if eligible < spec.HostsPerGroup {
-			continue
-		}
-		if grouper.constraints.BeforeTraffic {
-			eligible = -eligible
-		}
-		if !found || eligible < fewest {
-			best, fewest, found = domain, eligible, true
+		holders := grouper.countHolders(domain, spec.Model)
+		if holders >= spec.HostsPerGroup && (!found || holders < fewest) {
+			best, fewest, found = domain, holders, true
 		}
 	}
 	return best, found
--- a/core/process/grouper/grouper_test.go
+++ b/core/process/grouper/grouper_test.go
@@ -141,14 +141,14 @@
 		free[index].Loaded, free[index].Staged = []id.Model{"four"}, []id.Model{"pair"}
 	}
 	plan := grouper.New(free, pairGroups(domains, "four"), specs, grouper.Constraints{}).Plan()
-	if plan.Dissolve != "p1" || plan.DissolveFor != "four" || len(plan.Form) != 0 {
+	if !cmp.Equal(plan.Dissolve, []grouper.Dissolution{{Group: "p1", Domain: "d1", For: "four"}}) || len(plan.Form) != 0 {
 		t.Errorf("plan %+v, want p1 dissolved and the three hosts reserved", plan)
 	}
-	if plan := grouper.New(free, pairGroups(domains, "pair"), specs, grouper.Constraints{}).Plan(); plan.Dissolve != "" || len(plan.Form) != 1 {
+	if plan := grouper.New(free, pairGroups(domains, "pair"), specs, grouper.Constraints{}).Plan(); len(plan.Dissolve) != 0 || len(plan.Form) != 1 {
 		t.Errorf("plan %+v, want a pair formed of hosts whose group of four can't be completed", plan)
 	}
 	withDrainingHost := grouper.Constraints{DrainingHosts: newHosts("d1", "four")}
-	if plan := grouper.New(free, pairGroups(domains, "four"), specs, withDrainingHost).Plan(); plan.Dissolve != "" || len(plan.Form) != 0 {
+	if plan := grouper.New(free, pairGroups(domains, "four"), specs, withDrainingHost).Plan(); len(plan.Dissolve) != 0 || len(plan.Form) != 0 {
 		t.Errorf("plan %+v, want the three hosts reserved until the draining host is free", plan)
 	}
 }
@@ -156,11 +156,86 @@
 // A pair is not dissolved if its own model would then be the more underserved.
 func TestNoGroupOfAMoreUnderservedModelIsDissolved(t *testing.T) {
 	groups := append(pairGroups([]string{"d"}, "four"), grouper.Group{Group: "f", Model: "four", Domain: "e", Hosts: newHosts("e", "four", "four", "four", "four")})
-	if plan := grouper.New(newHosts("d", "four", "four", "four"), groups, specs, grouper.Constraints{}).Plan(); plan.Dissolve != "" {
+	if plan := grouper.New(newHosts("d", "four", "four", "four"), groups, specs, grouper.Constraints{}).Plan(); len(plan.Dissolve) != 0 {
 		t.Errorf("plan %+v, want no group dissolved", plan)
 	}
 }
 
+// largeSpecs are a model with groups of sixteen engines and one with groups of four,
+// whose shares of the work are equal.
+var largeSpecs = []grouper.Spec{{Model: "sixteen", HostsPerGroup: 16, Share: 0.5}, {Model: "four", HostsPerGroup: 4, Share: 0.5}}
+
+// Guards against a first plan in which small groups take so many hosts of each fabric
+// domain that the large model gets fewer groups than its share, though there are
+// hosts for them.
+func TestSmallGroupsDontFragmentTheDomainsOfLargeOnes(t *testing.T) {
+	var free []grouper.Host
+	for domain := range 6 {
+		free = append(free, newHosts(fmt.Sprintf("d%d", domain), make([]id.Model, 37)...)...)
+	}
+	plan := grouper.New(free, nil, largeSpecs, grouper.Constraints{BeforeTraffic: true}).Plan()
+	counts := map[id.Model]int{}
+	for _, assignment := range plan.Form {
+		counts[assignment.Model]++
+	}
+	if want := (map[id.Model]int{"sixteen": 7, "four": 26}); !cmp.Equal(counts, want) {
+		t.Errorf("groups %v, want %v", counts, want)
+	}
+}
+
+// Guards against a first plan that leaves more hosts out of groups than the sizes of
+// the groups require: nine hosts of a domain are three groups of three, or two of four.
+func TestFirstPlanStrandsFewHosts(t *testing.T) {
+	specs := []grouper.Spec{{Model: "four", HostsPerGroup: 4, Share: 0.5}, {Model: "three", HostsPerGroup: 3, Share: 0.5}}
+	var free []grouper.Host
+	for domain := range 6 {
+		free = append(free, newHosts(fmt.Sprintf("d%d", domain), make([]id.Model, 9)...)...)
+	}
+	plan := grouper.New(free, nil, specs, grouper.Constraints{BeforeTraffic: true}).Plan()
+	counts := map[id.Model]int{}
+	for _, assignment := range plan.Form {
+		counts[assignment.Model]++
+	}
+	if want := (map[id.Model]int{"four": 6, "three": 9}); !cmp.Equal(counts, want) {
+		t.Errorf("groups %v, want %v", counts, want)
+	}
+}
+
+// fourGroups returns groups of four engines in a domain, which have "four" in memory
+// and "sixteen" staged.
+func fourGroups(domain string, count int) []grouper.Group {
+	var groups []grouper.Group
+	for index := range count {
+		members := newHosts(domain, "sixteen", "sixteen", "sixteen", "sixteen")
+		for position := range members {
+			members[position].Host += id.Host(fmt.Sprintf("-f%d", index))
+			members[position].Loaded = []id.Model{"four"}
+		}
+		groups = append(groups, grouper.Group{Group: id.Group(fmt.Sprintf("f%d", index)), Model: "four", Domain: id.Domain(domain), Hosts: members})
+	}
+	return groups
+}
+
+// Guards against a large group that stays unformed since it lacks more hosts than any
+// one small group has: as many small groups give way as complete it, and no more, in
+// each domain at once.
+func TestSeveralSmallGroupsGiveWayToALargeOneInOneStep(t *testing.T) {
+	groups := append(fourGroups("a", 5), fourGroups("b", 5)...)
+	for index := range groups[5:] {
+		groups[5+index].Group = id.Group(fmt.Sprintf("g%d", index))
+	}
+	free := append(newHosts("a", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen"),
+		newHosts("b", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen")...)
+	plan := grouper.New(free, groups, largeSpecs, grouper.Constraints{}).Plan()
+	want := []grouper.Dissolution{
+		{Group: "f0", Domain: "a", For: "sixteen"}, {Group: "f1", Domain: "a", For: "sixteen"},
+		{Group: "g0", Domain: "b", For: "sixteen"},
+	}
+	if !cmp.Equal(plan.Dissolve, want) || len(plan.Form) != 0 {
+		t.Errorf("plan %+v, want %+v", plan, want)
+	}
+}
+
 // No host is in two groups, and no group spans two domains.
 func TestPlansAreSound(t *testing.T) {
 	for seed := range uint64(500) {
--- a/core/process/grouper/reserve.go
+++ b/core/process/grouper/reserve.go
@@ -1,10 +1,15 @@
 package grouper
 
-import "carobline.dev/core/id"
+import (
+	"cmp"
+	"slices"
+
+	"carobline.dev/core/id"
+)
 
 // reserveHosts takes the hosts that hold the weights of an underserved model out
 // of the free ones if they will soon form a group of it: because draining hosts
-// of the domain complete the group, or a group of a better served model is
+// of the domain complete the group, or groups of better served models are
 // dissolved for it.
 func (grouper *Grouper) reserveHosts(spec Spec) {
 	for _, domain := range grouper.domains() {
@@ -16,42 +21,62 @@
 		case holders+draining >= spec.HostsPerGroup:
 			grouper.takeHosts(domain, spec.Model, holders)
 		default:
-			if group, ok := grouper.groupToDissolve(domain, spec, spec.HostsPerGroup-holders-draining); ok {
-				grouper.dissolve(group, spec)
+			if groups := grouper.groupsToDissolve(domain, spec, spec.HostsPerGroup-holders-draining); len(groups) > 0 {
+				grouper.dissolve(groups, spec)
 				grouper.takeHosts(domain, spec.Model, holders)
 			}
 		}
 	}
 }
 
-// groupToDissolve finds a group of another model in the domain that can be
-// dissolved: at least the missing number of its hosts hold the weights of the
-// underserved model, and its own model still has the higher served ratio
-// afterwards.
-func (grouper *Grouper) groupToDissolve(domain id.Domain, spec Spec, missing int) (Group, bool) {
-	for _, group := range grouper.groups {
-		if group.Domain != domain || group.Model == spec.Model {
-			continue
+// groupsToDissolve finds the fewest groups of other models in the domain that can be
+// dissolved: together at least the missing number of their hosts hold the weights of
+// the underserved model, and each of their models still has the higher served ratio
+// afterwards. It returns none if there aren't enough.
+func (grouper *Grouper) groupsToDissolve(domain id.Domain, spec Spec, missing int) []Group {
+	holdersOf := func(group Group) int {
+		return count(group.Hosts, func(host Host) bool { return host.HasWeights(spec.Model) })
+	}
+	candidates := slices.DeleteFunc(slices.Clone(grouper.groups), func(group Group) bool {
+		return group.Domain != domain || group.Model == spec.Model || holdersOf(group) == 0
+	})
+	slices.SortStableFunc(candidates, func(a, b Group) int { return cmp.Compare(holdersOf(b), holdersOf(a)) })
+	var chosen []Group
+	chosenByModel := map[id.Model]int{}
+	for _, group := range candidates {
+		if missing <= 0 {
+			break
 		}
-		holders := count(group.Hosts, func(host Host) bool { return host.HasWeights(spec.Model) })
-		if holders >= missing && grouper.servedRatioWithoutOne(group.Model) > grouper.servedRatio(spec.Model) {
-			return group, true
+		if grouper.servedRatioWithout(group.Model, chosenByModel[group.Model]+1) <= grouper.servedRatio(spec.Model) {
+			continue
 		}
+		chosenByModel[group.Model]++
+		chosen, missing = append(chosen, group), missing-holdersOf(group)
+	}
+	if missing > 0 {
+		return nil
 	}
-	return Group{}, false
+	return chosen
 }
 
-// servedRatioWithoutOne returns the served ratio of a model with one group less.
-func (grouper *Grouper) servedRatioWithoutOne(model id.Model) float64 {
-	return float64(grouper.groupCountByModel[model]-1) / max(grouper.targetGroupsByModel[model], 1e-9)
+// servedRatioWithout returns the served ratio of a model with fewer groups.
+func (grouper *Grouper) servedRatioWithout(model id.Model, groups int) float64 {
+	return float64(grouper.groupCountByModel[model]-groups) / max(grouper.targetGroupsByModel[model], minTarget)
 }
 
-// dissolve plans to retire a group. It plans at most one, and none while hosts of
-// the domain are still draining.
-func (grouper *Grouper) dissolve(group Group, spec Spec) {
-	if grouper.plan.Dissolve != "" || len(grouper.drainingHostsByDomain[group.Domain]) > 0 {
+// dissolve plans to retire groups of one domain. It plans none while hosts of the
+// domain are still draining, nor for two models in one domain.
+func (grouper *Grouper) dissolve(groups []Group, spec Spec) {
+	domain := groups[0].Domain
+	planned := slices.ContainsFunc(grouper.plan.Dissolve, func(dissolution Dissolution) bool { return dissolution.Domain == domain })
+	if planned || len(grouper.drainingHostsByDomain[domain]) > 0 {
 		return
 	}
-	grouper.plan.Dissolve, grouper.plan.DissolveFor = group.Group, spec.Model
-	grouper.groupCountByModel[group.Model]--
+	for _, group := range groups {
+		grouper.plan.Dissolve = append(grouper.plan.Dissolve, Dissolution{Group: group.Group, Domain: domain, For: spec.Model})
+		grouper.groupCountByModel[group.Model]--
+	}
+	// The group that they complete counts, so that no further one is sought than the
+	// model needs.
+	grouper.groupCountByModel[spec.Model]++
 }
--- a/measure/process/formation/formation.go
+++ b/measure/process/formation/formation.go
@@ -84,7 +84,7 @@
 // Simulate simulates one day. It starts six seconds earlier, with faster loads, for
 // the first groups to form. The same seed gives the same result.
 func Simulate(day Day, policy Policy, seed uint64) Result {
-	simulation := &simulation{now: -6 * time.Second, policy: policy, rand: rand.New(rand.NewPCG(seed, 5)), lastDissolvedAt: -time.Hour} //nolint:gosec // a seeded model
+	simulation := &simulation{now: -6 * time.Second, policy: policy, rand: rand.New(rand.NewPCG(seed, 5)), lastDissolvedAtByDomain: map[id.Domain]time.Duration{}} //nolint:gosec // a seeded model
 	for domain := range domainCount {
 		for range enginesPerDomain {
 			simulation.addEngine(domain)
--- a/measure/process/formation/simulation.go
+++ b/measure/process/formation/simulation.go
@@ -40,13 +40,14 @@
 
 // simulation runs one day.
 type simulation struct {
-	now             time.Duration
-	policy          Policy
-	rand            *rand.Rand
-	engines         []*engine
-	groups          []*group
-	lastNumber      int
-	lastDissolvedAt time.Duration
+	now        time.Duration
+	policy     Policy
+	rand       *rand.Rand
+	engines    []*engine
+	groups     []*group
+	lastNumber int
+	// lastDissolvedAtByDomain is when groups of a domain were last dissolved.
+	lastDissolvedAtByDomain map[id.Domain]time.Duration
 }
 
 func (simulation *simulation) addEngine(domain int) {
@@ -181,9 +182,13 @@
 	for _, staging := range plan.Stage {
 		simulation.startLoad(staging.Host, staging.Model)
 	}
-	if plan.Dissolve != "" && simulation.now >= simulation.lastDissolvedAt+dissolveInterval {
-		simulation.lastDissolvedAt = simulation.now
-		index := slices.IndexFunc(simulation.groups, func(group *group) bool { return group.Group.Group == plan.Dissolve })
+	for _, dissolution := range plan.Dissolve {
+		last, dissolved := simulation.lastDissolvedAtByDomain[dissolution.Domain]
+		if dissolved && last != simulation.now && simulation.now < last+dissolveInterval {
+			continue
+		}
+		simulation.lastDissolvedAtByDomain[dissolution.Domain] = simulation.now
+		index := slices.IndexFunc(simulation.groups, func(group *group) bool { return group.Group.Group == dissolution.Group })
 		simulation.retire(simulation.groups[index], dissolveDrainTime)
 	}
 	simulation.stageSecondModels()
