grouper: only the plan without any groups packs the domains anew

Cause: the packing replaced every plan before traffic, and ties between models without a group went to the smaller.

All tests of grouper and controller pass.

--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -10,8 +10,8 @@
 // soon need are reserved for it, and a group of a better served model is
 // dissolved where its hosts complete one.
 //
-// Before there is traffic loads are cheap, and groups are formed of any hosts, as many
-// of each model as fit into the domains together.
+// The first plan, before there is traffic, forms groups of any hosts, as many of each
+// model as fit into the domains together, since loads are cheap then.
 //
 // # Usage
 //
@@ -156,7 +156,7 @@
 // underserved model, one at a time, until no further group can be formed of any
 // model, and then stages weights.
 func (grouper *Grouper) Plan() Plan {
-	if grouper.constraints.BeforeTraffic {
+	if grouper.constraints.BeforeTraffic && len(grouper.groups) == 0 {
 		grouper.formFirstGroups()
 		return grouper.plan
 	}
@@ -173,7 +173,9 @@
 		skipped[spec.Model] = true
 		grouper.reserveHosts(spec)
 	}
-	grouper.stageWeights()
+	if !grouper.constraints.BeforeTraffic {
+		grouper.stageWeights()
+	}
 	return grouper.plan
 }
 
@@ -193,13 +195,24 @@
 
 // formableDomain returns the domain in which a group can be formed now. Of
 // several it takes the one with the fewest hosts that hold the model's weights.
+// Before there is traffic any free host qualifies, and the domain with the most
+// free hosts is taken.
 func (grouper *Grouper) formableDomain(spec Spec) (id.Domain, bool) {
 	var best id.Domain
 	fewest, found := 0, false
 	for _, domain := range grouper.domains() {
-		holders := grouper.countHolders(domain, spec.Model)
-		if holders >= spec.HostsPerGroup && (!found || holders < fewest) {
-			best, fewest, found = domain, holders, true
+		eligible := grouper.countHolders(domain, spec.Model)
+		if grouper.constraints.BeforeTraffic {
+			eligible = len(grouper.freeHostsByDomain[domain])
+		}
+		if eligible < spec.HostsPerGroup {
+			continue
+		}
+		if grouper.constraints.BeforeTraffic {
+			eligible = -eligible
+		}
+		if !found || eligible < fewest {
+			best, fewest, found = domain, eligible, true
 		}
 	}
 	return best, found
--- a/core/process/grouper/partition.go
+++ b/core/process/grouper/partition.go
@@ -24,7 +24,8 @@
 // most underserved model by one at a time, as long as all groups still fit into the
 // domains together, so that small groups don't take the hosts that a large one needs.
 // Of equally served models the one with the smaller groups goes first, since the loss
-// of an engine then costs less.
+// of an engine then costs less; but of models without a group the one with the larger
+// groups does, as these are harder to place.
 func (grouper *Grouper) formFirstGroups() {
 	smallestFirst := slices.Clone(grouper.specs)
 	slices.Reverse(smallestFirst)
@@ -56,7 +57,7 @@
 	lowest, found := 0.0, false
 	for _, spec := range specs {
 		ratio := float64(grouper.groupCountByModel[spec.Model]+added[spec.Model]) / max(grouper.targetGroupsByModel[spec.Model], minTarget)
-		if !full[spec.Model] && (!found || ratio < lowest) {
+		if !full[spec.Model] && (!found || ratio < lowest || ratio == 0) {
 			best, lowest, found = spec, ratio, true
 		}
 	}
