register, fleet: what a tick changes about groups is one change of the state

Evidence: TestPlanIsOneEntryOfTheLog failed before (11 entries for 10 groups).

Change: the command change_groups retires, frees and commits in this order; a refused part changes nothing and doesn't hold up the rest. Nodes get a plan in one delta. A voter of an older build doesn't know the command: builds don't mix, as before.

--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -420,6 +420,21 @@
 	}
 }
 
+// Guards against a plan that takes the log one entry, and all nodes one version, for
+// each of its groups.
+func TestPlanIsOneEntryOfTheLog(t *testing.T) {
+	t.Parallel()
+	simulation := newEngineSimulation(t, 210, 30, 100*time.Millisecond)
+	before := simulation.leader().voter.Quorum().LastIndex
+	simulation.run(20 * time.Second)
+	if groups := simulation.countOpenGroups(); groups < 8 {
+		simulation.fail("%d groups open, want 8 or more of 30 engines", groups)
+	}
+	if entries := simulation.leader().voter.Quorum().LastIndex - before; entries > 2 {
+		simulation.fail("the plan took %d entries of the log, want 1", entries)
+	}
+}
+
 // Guards against engines that are given up as silent, or left out of repairs, while the
 // nodes that they announce themselves to are cut off from the leader.
 func TestEnginesAreHeardWhileTheirRelaysAreCutOffFromTheLeader(t *testing.T) {
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -73,10 +73,11 @@
 	})
 	actions.Orders = append(actions.Orders, decided.Orders...)
 	actions.Decisions = append(actions.Decisions, decided.Decisions...)
-	for index := range decided.Commands {
-		controller.proposeAsLeader(now, actions, decided.Commands[index])
+	if decided.Changes.Empty() {
+		return false
 	}
-	return len(decided.Commands) > 0
+	controller.proposeAsLeader(now, actions, register.Command{ChangeGroups: &decided.Changes})
+	return true
 }
 
 // sweepCallRecords marks the non-idempotent calls whose owner is lost, one owner
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -40,9 +40,10 @@
 	Lags func(id.Version) bool
 }
 
-// Actions are what the caller must do: propose the commands and send the orders.
+// Actions are what the caller must do: propose the changes, unless they are empty, and
+// send the orders.
 type Actions struct {
-	Commands  []register.Command
+	Changes   register.ChangeGroups
 	Orders    []action.Order
 	Decisions []action.Decision
 }
@@ -130,7 +131,7 @@
 	}
 }
 
-// Tick retires, frees, opens and forms groups. The commands of one tick must be applied
+// Tick retires, frees, opens and forms groups. The changes of one tick must be applied
 // before the next tick.
 func (fleet *Fleet) Tick(now time.Time, state State) Actions {
 	fleet.state = state
@@ -143,7 +144,7 @@
 	fleet.retireBrokenGroups(now, &actions)
 	fleet.freeRetiredHosts(now, &actions)
 	fleet.advanceGroups(now, &actions)
-	if len(actions.Commands) > 0 {
+	if !actions.Changes.Empty() {
 		return actions
 	}
 	for index := range declared.Declaration.Services {
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -50,15 +50,15 @@
 			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
 			Reason: fmt.Sprintf("%d engines free", len(free)),
 		})
-		actions.Commands = append(actions.Commands, register.Command{CommitGroup: &register.CommitGroup{
+		actions.Changes.Commit = append(actions.Changes.Commit, register.CommitGroup{
 			Group: name, Model: assignment.Model, Hosts: assignment.Hosts, Service: service.Name,
-		}})
+		})
 	}
 	for _, staging := range plan.Stage {
 		fleet.orderStaging(now, actions, service, staging.Host, staging.Model)
 	}
 	fleet.dissolveGroups(now, actions, plan.Dissolve)
-	if len(actions.Commands) > 0 {
+	if !actions.Changes.Empty() {
 		return
 	}
 	fleet.stageFurtherModels(now, actions, service)
@@ -130,7 +130,7 @@
 		actions.Decisions = append(actions.Decisions, action.Decision{
 			Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Reason: "room_for_" + string(dissolution.For),
 		})
-		actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+		actions.Changes.Retire = append(actions.Changes.Retire, register.RetireGroup{Group: group.Group, Base: group.Fencing})
 	}
 }
 
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -65,7 +65,7 @@
 		actions.Decisions = append(actions.Decisions, action.Decision{
 			Step: "retire_group", Group: group.Group, Model: group.Model, Hosts: group.Hosts, Host: host, Reason: reason, Age: member.SinceLastAnnouncement(now),
 		})
-		actions.Commands = append(actions.Commands, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
+		actions.Changes.Retire = append(actions.Changes.Retire, register.RetireGroup{Group: group.Group, Base: group.Fencing})
 	}
 }
 
@@ -152,7 +152,7 @@
 			continue
 		}
 		delete(fleet.leftGroupAtByHost, host)
-		actions.Commands = append(actions.Commands, register.Command{FreeHost: &register.FreeHost{Host: host, Base: record.Fencing}})
+		actions.Changes.Free = append(actions.Changes.Free, register.FreeHost{Host: host, Base: record.Fencing})
 	}
 }
 
--- a/core/process/grouper/grouper_test.go
+++ b/core/process/grouper/grouper_test.go
@@ -228,7 +228,8 @@
 		newHosts("b", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen")...)
 	plan := grouper.New(free, groups, largeSpecs, grouper.Constraints{}).Plan()
 	want := []grouper.Dissolution{
-		{Group: "f0", Domain: "a", For: "sixteen"}, {Group: "f1", Domain: "a", For: "sixteen"},
+		{Group: "f0", Domain: "a", For: "sixteen"},
+		{Group: "f1", Domain: "a", For: "sixteen"},
 		{Group: "g0", Domain: "b", For: "sixteen"},
 	}
 	if !cmp.Equal(plan.Dissolve, want) || len(plan.Form) != 0 {
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -49,6 +49,8 @@
 		return register.retireGroup(index, command, *command.RetireGroup)
 	case command.FreeHost != nil:
 		return register.freeHost(*command.FreeHost)
+	case command.ChangeGroups != nil:
+		return register.changeGroups(index, command, command.ChangeGroups)
 	case command.BeginCall != nil:
 		return register.beginCall(command, *command.BeginCall)
 	case command.FinishCall != nil:
--- a/core/process/register/command.go
+++ b/core/process/register/command.go
@@ -32,6 +32,7 @@
 	DrainGroup     *DrainGroup     `json:"drain_group,omitempty"`
 	RetireGroup    *RetireGroup    `json:"retire_group,omitempty"`
 	FreeHost       *FreeHost       `json:"free_host,omitempty"`
+	ChangeGroups   *ChangeGroups   `json:"change_groups,omitempty"`
 	BeginCall      *BeginCall      `json:"begin_call,omitempty"`
 	FinishCall     *FinishCall     `json:"finish_call,omitempty"`
 	MarkOwnerLost  *MarkOwnerLost  `json:"lose_owner,omitempty"`
@@ -136,6 +137,20 @@
 	Base id.FencingToken `json:"base"`
 }
 
+// ChangeGroups retires groups, frees hosts and commits groups, in this order, as one
+// change: nodes get all of it in one delta. A part that is refused changes nothing and
+// doesn't hold up the others.
+type ChangeGroups struct {
+	Retire []RetireGroup `json:"retire,omitempty"`
+	Free   []FreeHost    `json:"free,omitempty"`
+	Commit []CommitGroup `json:"commit,omitempty"`
+}
+
+// Empty reports whether there is nothing to change.
+func (change *ChangeGroups) Empty() bool {
+	return len(change.Retire)+len(change.Free)+len(change.Commit) == 0
+}
+
 // CallKey identifies one non-idempotent call. Key is the caller's idempotency key.
 type CallKey struct {
 	ClientAccount id.ClientAccount `json:"customer"`
--- a/core/process/register/groups.go
+++ b/core/process/register/groups.go
@@ -117,6 +117,27 @@
 	return register.recordChange(index, command, "group_retire", string(old.Group), jsonText(old), string(updated.Phase))
 }
 
+// changeGroups applies all parts of a change, and returns the first refusal if there is
+// one.
+func (register *Register) changeGroups(index id.Index, command Command, change *ChangeGroups) Result {
+	result := Result{Verdict: VerdictDone, Version: id.Version(index)}
+	record := func(part Result) {
+		if result.Verdict == VerdictDone && part.Verdict != VerdictDone {
+			result = part
+		}
+	}
+	for _, retire := range change.Retire {
+		record(register.retireGroup(index, command, retire))
+	}
+	for _, free := range change.Free {
+		record(register.freeHost(free))
+	}
+	for _, commit := range change.Commit {
+		record(register.commitGroup(index, command, commit))
+	}
+	return result
+}
+
 // setGroup stores a group and updates groupByHost.
 func (register *Register) setGroup(group *GroupRecord) {
 	if old := register.state.Groups[group.Group]; old != nil {
