controller, fleet: a lost engine is replaced without waiting for the next round

Change: the leader reconciles 20 ms after its proposal is applied or a host's facts have changed, else every 100 ms as before; the head of a group whose stall was reported leaves at once. Its streams go on elsewhere, as they did when they had stalled.

--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -26,6 +26,9 @@
 	storeLoadTime    = 12 * time.Second
 	stagedLoadTime   = time.Second
 	residentLoadTime = 200 * time.Millisecond
+	// stallDetectionTime is the time without an announcement after which a host of a
+	// stalled group counts as lost.
+	stallDetectionTime = engineAnnounceInterval * 5 / 4
 )
 
 // engineService has a model with groups of four hosts and one with groups of two.
@@ -420,6 +423,45 @@
 	}
 }
 
+// repairTime crashes an engine that isn't the head of a group of four, whose stall the
+// nodes report after a while, and returns the time until four engines serve the model
+// again.
+func repairTime(t *testing.T, seed uint64) time.Duration {
+	t.Helper()
+	simulation := newEngineSimulation(t, seed, 9, 40*time.Second)
+	simulation.run(time.Duration(seed%6) * engineAnnounceInterval / 6)
+	index := slices.IndexFunc(simulation.engines, func(engine *engine) bool { return engine.state == "open" && engine.model == "four" })
+	if index < 0 {
+		simulation.fail("no group of four is open")
+	}
+	lost := simulation.engine(simulation.engines[index].members[1])
+	lost.up = false
+	crashedAt := simulation.now
+	simulation.schedule(500*time.Millisecond, func() {
+		for _, node := range simulation.nodes {
+			node.report = member.UsageReported{ActiveCalls: 1, StalledEndpoints: []feed.Endpoint{{Group: lost.group}}}
+		}
+	})
+	for simulation.countServingEngines("four") < 4 || simulation.engine(simulation.engines[index].headName()) == nil || slices.Contains(simulation.engines[index].members, lost.name) {
+		if simulation.run(20 * time.Millisecond); simulation.now > crashedAt+20*time.Second {
+			simulation.fail("the group isn't repaired")
+		}
+	}
+	return simulation.now - crashedAt
+}
+
+// Guards against a repair that takes much longer than to find the loss and to warm up
+// the host that replaces the lost one.
+func TestGroupIsRepairedAtThePriceOfOneWarmUp(t *testing.T) {
+	t.Parallel()
+	const overhead = 500 * time.Millisecond
+	for seed := range uint64(12) {
+		if took := repairTime(t, 220+seed); took > stallDetectionTime+stagedLoadTime+overhead {
+			t.Errorf("seed %d: repaired after %v, want at most %v", 220+seed, took, stallDetectionTime+stagedLoadTime+overhead)
+		}
+	}
+}
+
 // Guards against a plan that takes the log one entry, and all nodes one version, for
 // each of its groups.
 func TestPlanIsOneEntryOfTheLog(t *testing.T) {
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -15,8 +15,10 @@
 	// inForceTimeout is how long an operator's request waits until every node has
 	// the change in force.
 	inForceTimeout = 8 * time.Second
-	// reconcileInterval is the time between two runs of the leader's reconciliation.
-	reconcileInterval = 100 * time.Millisecond
+	// reconcileInterval is the time between two runs of the leader's reconciliation,
+	// and urgentReconcileInterval the least time when there is something new to act on.
+	reconcileInterval       = 100 * time.Millisecond
+	urgentReconcileInterval = 20 * time.Millisecond
 	// stallBroadcastLifetime is how long the other nodes avoid an endpoint after
 	// one node has reported that its calls there are stalled.
 	stallBroadcastLifetime = 500 * time.Millisecond
@@ -40,8 +42,11 @@
 	// ownProposalIndex is the log index of the leader's own last proposal. The
 	// leader changes no groups until it is applied, so that each decision sees
 	// the effects of those before.
-	ownProposalIndex           id.Index
-	nextReconcileAt            time.Time
+	ownProposalIndex id.Index
+	// reconciledAt is when the leader last reconciled, and reconciledInputs what it
+	// acted on.
+	reconciledAt               time.Time
+	reconciledInputs           reconcileInputs
 	nextCallExpiryAt           time.Time
 	lastOrderAtByHost          map[id.Host]time.Time
 	brokenSinceByGroup         map[id.Group]time.Time
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -38,10 +38,10 @@
 // proposal is applied and groupChangeDelay has passed since the term began.
 func (controller *Controller) reconcile(now time.Time, actions *Actions) {
 	leadership := controller.leadership
-	if now.Before(leadership.nextReconcileAt) {
+	if !controller.reconcileDue(now) {
 		return
 	}
-	leadership.nextReconcileAt = now.Add(reconcileInterval)
+	leadership.reconciledAt, leadership.reconciledInputs = now, controller.reconcileInputs()
 	if controller.transferLeadershipIfStopping(now, actions) {
 		return
 	}
@@ -64,6 +64,26 @@
 	controller.formGroups(now, actions)
 }
 
+// reconcileInputs are what makes a reconciliation urgent when it changes: facts of
+// hosts, and whether the leader's last proposal is applied.
+type reconcileInputs struct {
+	urgentCursor    uint64
+	proposalApplied bool
+}
+
+func (controller *Controller) reconcileInputs() reconcileInputs {
+	return reconcileInputs{controller.roster.UrgentCursor(), controller.leadership.ownProposalIndex <= controller.appliedIndex}
+}
+
+// reconcileDue reports whether the last reconciliation was long enough ago.
+func (controller *Controller) reconcileDue(now time.Time) bool {
+	interval := reconcileInterval
+	if controller.reconcileInputs() != controller.leadership.reconciledInputs {
+		interval = urgentReconcileInterval
+	}
+	return now.Sub(controller.leadership.reconciledAt) >= interval
+}
+
 // reconcileFleet lets the fleet change the groups of engines. It reports whether it
 // proposed a change.
 func (controller *Controller) reconcileFleet(now time.Time, actions *Actions) bool {
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -199,15 +199,16 @@
 }
 
 // orderHeadToLeave orders the head of a retired group to leave it. While all its
-// hosts are in the group, the head is first ordered to finish its requests.
+// hosts are in the group and its requests make progress, the head is first ordered to
+// finish them.
 func (fleet *Fleet) orderHeadToLeave(now time.Time, actions *Actions, head roster.Member, previousGroup register.GroupRecord) {
-	complete := !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
+	serves := !fleet.stallReportedRecently(now, previousGroup) && !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
 		host, ok := fleet.state.Roster.Member(name)
 		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup)
 	})
 	switch serving := head.Announcement.Serving; {
-	case complete && serving.Closing:
-	case complete && serving.Open && !serving.Broken:
+	case serves && serving.Closing:
+	case serves && serving.Open && !serving.Broken:
 		fleet.sendOrder(now, actions, head, previousGroup, action.OrderClose)
 	default:
 		fleet.sendOrder(now, actions, head, previousGroup, action.OrderUnload)
