fleet: spares have their weights in memory before they are needed

A first form of the change failed TestHostsAreStagedAgainAfterAJoin: survivors of a lost group that waited for a replacement were warmed for the model served in their domain and lost their own; so an engine whose memory holds what its host doesn't is left as it is.

Change: an idle engine whose host holds the weights of the largest model with a group in its domain joins a group of its own, never opened, under the latest fencing token, which is lower than that of any group to come. Its next join takes what a rejoin takes. Price: one order for each spare.

--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -462,6 +462,18 @@
 	}
 }
 
+// Guards against a repair that waits for the warm-up of a spare which could have had the
+// weights in its memory before.
+func TestSpareReplacesALostEngineWithoutAWarmUp(t *testing.T) {
+	t.Parallel()
+	const overhead = 500 * time.Millisecond
+	for seed := range uint64(12) {
+		if took := repairTime(t, 240+seed); took > stallDetectionTime+residentLoadTime+overhead {
+			t.Errorf("seed %d: repaired after %v, want at most %v", 240+seed, took, stallDetectionTime+residentLoadTime+overhead)
+		}
+	}
+}
+
 // Guards against a plan that takes the log one entry, and all nodes one version, for
 // each of its groups.
 func TestPlanIsOneEntryOfTheLog(t *testing.T) {
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -62,6 +62,7 @@
 		return
 	}
 	fleet.stageFurtherModels(now, actions, service)
+	fleet.warmSpares(now, actions, service, free)
 }
 
 // recordIdleEngines records how many engines are in no group, by fabric domain
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -197,6 +197,9 @@
 // can't be assigned yet.
 func (register *Register) Unfreed() map[id.Host]HostRecord { return maps.Clone(register.state.Hosts) }
 
+// LastFencing returns the latest fencing token that was issued.
+func (register *Register) LastFencing() id.FencingToken { return register.state.Fencing }
+
 // Call returns a call's record in the ledger.
 func (register *Register) Call(key CallKey) (CallRecord, bool) {
 	record, ok := register.callByKey[key]
