fleet: a group opens once no node uses its hosts elsewhere, not once no node lags

Evidence: TestFirstGroupsOpenWhileNodesLagBehindLaterChanges failed before (no group ever opened with a node at the version of the configuration). The reason for the wait has a test of its own, TestGroupOpensOnlyOnceNoNodeUsesItsHostsElsewhere.

Change: what a lagging node may do wrong is to use a host in its former group. So the open waits until no node lags behind the retirement of the last group of any of the hosts, or, for hosts of a term before, behind the version at this leader's first tick. A first group needs no wait beyond the configuration itself.

--- /dev/null
+++ b/core/process/fleet/fleet_test.go
@@ -0,0 +1,155 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/fleet"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/routing"
+)
+
+const announceInterval = 1200 * time.Millisecond
+
+// world is a fleet with its replicated state and the engines that it orders about. A
+// change is applied and an order carried out at once.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	index   id.Index
+	state   *register.Register
+	hosts   *roster.Roster
+	fleet   *fleet.Fleet
+	engines map[id.Host]*roster.Announcement
+	// nodesAt is the version that the slowest node has reached.
+	nodesAt id.Version
+	orders  []action.Order
+}
+
+func newWorld(t *testing.T, domains, enginesPerDomain int, models ...routing.Model) *world {
+	t.Helper()
+	world := &world{t: t, now: time.Unix(0, 0), state: register.New(), hosts: roster.New(), engines: map[id.Host]*roster.Announcement{}}
+	world.fleet = fleet.New(world.now, fleet.Config{Term: 1, EngineStallTimeout: 4 * time.Second})
+	world.apply(register.Command{Declare: &register.Declare{Declaration: routing.Declaration{
+		Revision: 1, Services: []routing.Service{{Name: "pool", Engine: &routing.Engine{Slots: 8, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1, Models: models}}},
+	}}})
+	for domain := range domains {
+		for index := range enginesPerDomain {
+			host := id.Host(fmt.Sprintf("e%02d-%02d", domain, index))
+			world.engines[host] = &roster.Announcement{
+				Host: host, Incarnation: 1, Address: string(host), Domain: id.Domain(fmt.Sprintf("d%02d", domain)), Service: "pool", Engine: true,
+				LeaseMS: 4 * announceInterval.Milliseconds(), Load: roster.Load{Slots: 8},
+			}
+		}
+	}
+	return world
+}
+
+func (world *world) apply(command register.Command) {
+	world.t.Helper()
+	world.index++
+	command.Change = id.Change(fmt.Sprint(world.index))
+	if result := world.state.Apply(world.index, command); result.Verdict != register.VerdictDone {
+		world.t.Fatalf("%v: change %d is %s: %s", world.now, world.index, result.Verdict, result.Reason)
+	}
+}
+
+// run passes time, in which engines announce themselves and carry out orders, and
+// returns the orders of that time.
+func (world *world) run(duration time.Duration) []action.Order {
+	world.t.Helper()
+	const step = 100 * time.Millisecond
+	first := len(world.orders)
+	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(step) {
+		for _, engine := range world.engines {
+			engine.Sequence++
+			world.hosts.Merge(world.now, *engine, world.now.Add(engine.Lease()))
+		}
+		actions := world.fleet.Tick(world.now, fleet.State{
+			Register: world.state, Roster: world.hosts, Lags: func(version id.Version) bool { return world.nodesAt < version },
+		})
+		if !actions.Changes.Empty() {
+			world.apply(register.Command{ChangeGroups: &actions.Changes})
+		}
+		for _, order := range actions.Orders {
+			world.carryOut(order)
+		}
+		world.orders = append(world.orders, actions.Orders...)
+	}
+	return world.orders[first:]
+}
+
+func (world *world) carryOut(order action.Order) {
+	engine := world.engines[order.Host]
+	if engine == nil {
+		return
+	}
+	switch order.Kind {
+	case action.OrderLoad:
+		engine.Serving = roster.Serving{Group: order.Group, Fencing: order.Fencing, Ready: true}
+		engine.Loaded, engine.Staged = []id.Model{order.Model}, []id.Model{order.Model}
+	case action.OrderStage:
+		engine.Staged = []id.Model{order.Model}
+	case action.OrderOpen:
+		engine.Serving.Open = true
+	case action.OrderClose:
+		engine.Serving.Open = false
+	case action.OrderUnload:
+		engine.Serving = roster.Serving{}
+	}
+}
+
+// lose removes an engine, whose group's calls stall from then on.
+func (world *world) lose(host id.Host) {
+	group, _ := world.state.GroupOf(host)
+	delete(world.engines, host)
+	world.fleet.Step(world.now, fleet.StallReported{Group: group})
+}
+
+func (world *world) openGroups(model id.Model) []register.GroupRecord {
+	var open []register.GroupRecord
+	for _, group := range world.state.Groups() {
+		head := world.engines[group.Hosts[0]]
+		if group.Phase == register.PhaseServing && group.Model == model && head != nil && head.Serving.Open && head.Serving.Group == group.Group {
+			open = append(open, group)
+		}
+	}
+	return open
+}
+
+var (
+	four = routing.Model{Name: "four", Hosts: 4, Share: 0.5, LoadMS: 12_000}
+	two  = routing.Model{Name: "two", Hosts: 2, Share: 0.5, LoadMS: 12_000}
+)
+
+// Guards against groups that never open in a large system, where some node always lags
+// behind the latest change. Hosts without a former group need no wait.
+func TestFirstGroupsOpenWhileNodesLagBehindLaterChanges(t *testing.T) {
+	world := newWorld(t, 1, 8, four, two)
+	world.nodesAt = world.state.Version()
+	world.run(4 * time.Second)
+	if open := len(world.openGroups("four")) + len(world.openGroups("two")); open != 3 {
+		t.Errorf("%d groups are open, want 3", open)
+	}
+}
+
+// Guards against a group that opens while a node still uses one of its hosts in the group
+// that it was in before.
+func TestGroupOpensOnlyOnceNoNodeUsesItsHostsElsewhere(t *testing.T) {
+	world := newWorld(t, 1, 9, four, two)
+	world.nodesAt = world.state.Version()
+	world.run(8 * time.Second)
+	first := world.openGroups("four")[0]
+	world.lose(first.Hosts[1])
+	if world.run(3 * time.Second); len(world.openGroups("four")) != 0 {
+		t.Error("a group is open, though nodes haven't heard that its hosts' last group is retired")
+	}
+	world.nodesAt = world.state.Version()
+	if world.run(time.Second); len(world.openGroups("four")) != 1 {
+		t.Error("no group is open, though all nodes have heard that its hosts' last group is retired")
+	}
+}
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -20,7 +20,7 @@
 )
 
 // advanceGroups orders the hosts of each group to join it, and its head to
-// open once all hosts are ready and all nodes know the group.
+// open once all hosts are ready and no node uses them in other groups.
 func (fleet *Fleet) advanceGroups(now time.Time, actions *Actions) {
 	for _, group := range fleet.groups() {
 		head, ok := fleet.state.Roster.Member(group.Hosts[0])
@@ -44,13 +44,22 @@
 				fleet.sendOrder(now, actions, host, group, action.OrderLoad)
 			}
 		}
-		// A node that lags behind may still use one of the hosts in its last group.
-		if ready && !fleet.state.Lags(group.Version) {
+		if ready && !fleet.state.Lags(fleet.lastRetirement(group)) {
 			fleet.sendOrder(now, actions, head, group, action.OrderOpen)
 		}
 	}
 }
 
+// lastRetirement returns the latest version at which a former group of one of a group's
+// hosts was retired. A node that lags behind it may still use the host in that group.
+func (fleet *Fleet) lastRetirement(group register.GroupRecord) id.Version {
+	last := fleet.startVersion
+	for _, host := range group.Hosts {
+		last = max(last, fleet.retiredAtByHost[host])
+	}
+	return last
+}
+
 // recordOpened records a decision, once for each group, when the group is open.
 func (fleet *Fleet) recordOpened(now time.Time, actions *Actions, group register.GroupRecord, head roster.Member) {
 	if fleet.openedGroups[group.Group] {
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -152,6 +152,7 @@
 			continue
 		}
 		delete(fleet.leftGroupAtByHost, host)
+		fleet.retiredAtByHost[host] = record.Version
 		actions.Changes.Free = append(actions.Changes.Free, register.FreeHost{Host: host, Base: record.Fencing})
 	}
 }
