--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -23,7 +23,9 @@
 	// An engine becomes ready after storeLoadTime when the weights come from the
 	// weight store, after stagedLoadTime when its host holds them, and after
 	// residentLoadTime when they are in its memory.
-	storeLoadTime    = 12 * time.Second
+	storeLoadTime = 12 * time.Second
+	// earlyLoadTime replaces storeLoadTime in simulations of a system that starts.
+	earlyLoadTime    = 1600 * time.Millisecond
 	stagedLoadTime   = time.Second
 	residentLoadTime = 200 * time.Millisecond
 	// stallDetectionTime is the time without an announcement after which a host of a
@@ -63,6 +65,17 @@
 	relay *node
 }
 
+// engineAlias names the type where a variable has its name.
+type engineAlias = engine
+
+// storeLoadTime returns how long the weight store takes for a load.
+func (simulation *simulation) storeLoadTime() time.Duration {
+	if simulation.fastLoads {
+		return earlyLoadTime
+	}
+	return storeLoadTime
+}
+
 func membershipKey(group id.Group, fencing id.FencingToken, members []id.Host) string {
 	return fmt.Sprint(group, fencing, members)
 }
@@ -72,6 +85,10 @@
 		simulation: simulation, name: id.Host(fmt.Sprintf("e%02d", index)), domain: id.Domain(fmt.Sprintf("d%d", index/10)),
 		up: true, incarnation: 1, readyMemberships: map[string]bool{},
 	}
+	if simulation.engineByName == nil {
+		simulation.engineByName = map[id.Host]*engineAlias{}
+	}
+	simulation.engineByName[engine.name] = engine
 	simulation.schedule(time.Duration(simulation.rand.Int64N(int64(engineAnnounceInterval))), engine.announcePeriodically)
 	return engine
 }
@@ -131,21 +148,20 @@
 
 // orderEngine delivers an order to an engine. Some orders arrive seconds late.
 func (simulation *simulation) orderEngine(from *node, order action.Order) {
-	for _, engine := range simulation.engines {
-		if engine.name != order.Host {
-			continue
-		}
-		if !engine.up || engine.unreachable {
-			from.step(controller.OrderUndelivered{Host: order.Host})
-			continue
-		}
-		deliver := func() { engine.executeOrder(order) }
-		if simulation.chance(simulation.faults.delayRate * 10) {
-			simulation.schedule(2*time.Second+time.Duration(simulation.rand.Int64N(int64(10*time.Second))), deliver)
-			continue
-		}
-		simulation.send(string(from.name), string(engine.name), deliver)
+	engine := simulation.engine(order.Host)
+	if engine == nil {
+		return
+	}
+	if !engine.up || engine.unreachable {
+		from.step(controller.OrderUndelivered{Host: order.Host})
+		return
 	}
+	deliver := func() { engine.executeOrder(order) }
+	if simulation.chance(simulation.faults.delayRate * 10) {
+		simulation.schedule(2*time.Second+time.Duration(simulation.rand.Int64N(int64(10*time.Second))), deliver)
+		return
+	}
+	simulation.send(string(from.name), string(engine.name), deliver)
 }
 
 func (engine *engine) executeOrder(order action.Order) {
@@ -200,7 +216,7 @@
 		engine.simulation.fail("engine %s joins group %s/%d while the head %s of its present group %s/%d is %s", engine.name, order.Group, order.Fencing, head.name, engine.group, engine.fencing, head.state)
 	}
 	engine.highestFencing = order.Fencing
-	delay := storeLoadTime
+	delay := engine.simulation.storeLoadTime()
 	switch order.Model {
 	case engine.loadedModel:
 		delay = residentLoadTime
@@ -271,14 +287,7 @@
 	checkMembers()
 }
 
-func (simulation *simulation) engine(name id.Host) *engine {
-	for _, engine := range simulation.engines {
-		if engine.name == name {
-			return engine
-		}
-	}
-	return nil
-}
+func (simulation *simulation) engine(name id.Host) *engine { return simulation.engineByName[name] }
 
 func (engine *engine) restart() {
 	engine.up, engine.unreachable = true, false
--- /dev/null
+++ b/core/process/controller/large_test.go
@@ -0,0 +1,111 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	// largeEntryNodes and largeEngines are the entry hosts and the engines of the
+	// largest deployment, whose fabric domains have largeDomainSize engines.
+	largeEntryNodes = 300
+	largeEngines    = 760
+	largeDomainSize = 19
+	// formingBound is within how long of the configuration all groups must be open at
+	// all entry hosts: requests come soon after it.
+	formingBound = 8 * time.Second
+)
+
+// largeService has a model with groups of eight hosts and one with groups of four.
+var largeService = routing.Service{Name: "pool", Engine: &routing.Engine{
+	Slots: 14, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1,
+	Models: []routing.Model{{Name: "eight", Hosts: 8, Share: 0.5, LoadMS: 16_000}, {Name: "four", Hosts: 4, Share: 0.5, LoadMS: 12_000}},
+}}
+
+// newLargeFleet returns a simulation of 300 entry hosts and 760 engines, in which the
+// control hosts have one processor each. Nothing is declared yet.
+func newLargeFleet(t testing.TB, seed uint64) *spread {
+	t.Helper()
+	large := &spread{simulation: newBootstrapSimulationOf(t, seed, largeEntryNodes), leaveSeen: map[id.Host]time.Duration{}}
+	large.checker.off, large.fastLoads = true, true
+	for _, node := range large.nodes[:diskNodeCount] {
+		node.processor = &processor{}
+	}
+	for index := range largeEngines {
+		engine := newEngine(large.simulation, index)
+		engine.domain = id.Domain(fmt.Sprintf("d%02d", index/largeDomainSize))
+		large.engines = append(large.engines, engine)
+	}
+	for large.run(3 * time.Second); large.leader() == nil; large.run(100 * time.Millisecond) {
+		if large.now > 10*time.Second {
+			large.fail("no leader")
+		}
+	}
+	return large
+}
+
+// declareEngines proposes a declaration with largeService to the leader.
+func (spread *spread) declareEngines() {
+	spread.revision++
+	declaration := routing.Declaration{Revision: spread.revision, Services: []routing.Service{largeService}}
+	for index := range spreadRoutes / 4 {
+		declaration.Routes = append(declaration.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%07x", index*7919), Host: "leje88.example", PathPrefix: fmt.Sprintf("/%08x/", index*104729), Repeat: routing.RepeatStream,
+			TimeoutMS: 8000, TargetMS: 500, Priority: 1, Attempts: 2, Backends: []routing.Backend{{Service: "pool", Weight: 1}},
+		})
+	}
+	leader := spread.leader()
+	if leader == nil {
+		spread.fail("no leader takes revision %d", spread.revision)
+	}
+	command := register.Command{Change: id.Change(fmt.Sprintf("declare-%d", spread.revision)), Declare: &register.Declare{Declaration: declaration}}
+	leader.step(controller.ChangeProposed{Ticket: leader.newTicket(func(any) {}), Command: command})
+}
+
+// leastOpenGroups returns the number of open groups at the entry host that knows of the
+// fewest, or 0 if one has no lease.
+func (spread *spread) leastOpenGroups() int {
+	least := largeEngines
+	for _, node := range spread.entryNodes() {
+		open := 0
+		for name := range node.view.Endpoints {
+			if (name != feed.Endpoint{}) && name.Group != "" {
+				open++
+			}
+		}
+		if !node.view.AcceptsNewWork(node.now()) {
+			open = 0
+		}
+		least = min(least, open)
+	}
+	return least
+}
+
+// Guards against a system that takes requests long before any group is open, since what
+// the leader tells 300 entry hosts of 760 engines holds up all else.
+func TestAllGroupsOpenInTimeAtThreeHundredEntryHosts(t *testing.T) {
+	t.Parallel()
+	large := newLargeFleet(t, 1)
+	large.declareEngines()
+	term, declaredAt := large.leader().voter.Quorum().Term, large.now
+	for large.now < declaredAt+formingBound {
+		large.run(500 * time.Millisecond)
+		if stats := large.leader(); stats != nil {
+			taken := stats.voter.TakeStats()
+			t.Logf("%v after: %d groups open at all, %d responses, %d announcements, %d renewals, %d whole rosters", large.now-declaredAt, large.leastOpenGroups(), taken.Responses, taken.Announcements, taken.Renewals, taken.WholeRosters)
+		}
+	}
+	if open := large.leastOpenGroups(); open < 120 {
+		large.fail("%d groups are open at all entry hosts %v after the configuration, want 120 or more", open, formingBound)
+	}
+	if leader := large.leader(); leader == nil || leader.voter.Quorum().Term != term {
+		large.fail("the leader of term %d was deposed while groups were formed", term)
+	}
+}
--- a/core/process/controller/simulation_test.go
+++ b/core/process/controller/simulation_test.go
@@ -77,7 +77,11 @@
 	nodes   []*node
 	hosts   []*host
 	engines []*engine
-	checker *checker
+	// engineByName holds the engines, and fastLoads is set while loads take
+	// earlyLoadTime.
+	engineByName map[id.Host]*engine
+	fastLoads    bool
+	checker      *checker
 }
 
 var simulationStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
