grouper: groups aren't dissolved for a small gain

Each turn costs both models seconds of their hosts.

Evidence: TestGroupsAreNotDissolvedForASmallGain fails with the rule as it was (four groups given up for a rise of the lowest served ratio by 0.04).

Change: the lowest served ratio must rise by 0.05.

--- a/core/process/grouper/grouper_test.go
+++ b/core/process/grouper/grouper_test.go
@@ -153,6 +153,32 @@
 	}
 }
 
+// Guards against groups that are dissolved in turns: the hosts of a lost large group
+// became small ones, these gave way to a large group seconds later, and both models were
+// without them meanwhile. Four groups of four aren't given up for a group of sixteen
+// when the worse served model hardly gains.
+func TestGroupsAreNotDissolvedForASmallGain(t *testing.T) {
+	var groups []grouper.Group
+	for domain := range 6 {
+		name := fmt.Sprintf("d%d", domain)
+		groups = append(groups, fourGroups(name, 4)...)
+		if domain > 0 {
+			groups = append(groups, grouper.Group{Group: id.Group("s-" + name), Model: "sixteen", Domain: id.Domain(name), Hosts: newHosts(name, make([]id.Model, 16)...)})
+		}
+	}
+	groups = append(groups, fourGroups("d6", 1)...)
+	// The large model has 0.87 of its share. The small one has 1.09, and 0.92 without
+	// four groups.
+	free := newHosts("d0", "sixteen", "sixteen", "sixteen")
+	if plan := grouper.New(free, groups, largeSpecs, grouper.Constraints{}).Plan(); len(plan.Dissolve) != 0 {
+		t.Errorf("plan %+v, want no group dissolved", plan)
+	}
+	free = newHosts("d0", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen", "sixteen")
+	if plan := grouper.New(free, groups, largeSpecs, grouper.Constraints{}).Plan(); len(plan.Dissolve) != 1 {
+		t.Errorf("plan %+v, want one group dissolved", plan)
+	}
+}
+
 // A pair is not dissolved if its own model would then be the more underserved.
 func TestNoGroupOfAMoreUnderservedModelIsDissolved(t *testing.T) {
 	groups := append(pairGroups([]string{"d"}, "four"), grouper.Group{Group: "f", Model: "four", Domain: "e", Hosts: newHosts("e", "four", "four", "four", "four")})
--- a/core/process/grouper/reserve.go
+++ b/core/process/grouper/reserve.go
@@ -7,6 +7,10 @@
 	"carobline.dev/core/id"
 )
 
+// minDissolveGain is by how much the lowest served ratio must rise for groups to be
+// dissolved: their calls and hosts are lost for seconds.
+const minDissolveGain = 0.05
+
 // reserveHosts takes the hosts that hold the weights of an underserved model out
 // of the free ones if they will soon form a group of it: because draining hosts
 // of the domain complete the group, or groups of better served models are
@@ -31,8 +35,8 @@
 
 // groupsToDissolve finds the fewest groups of other models in the domain that can be
 // dissolved: together at least the missing number of their hosts hold the weights of
-// the underserved model, and each of their models still has the higher served ratio
-// afterwards. It returns none if there aren't enough.
+// the underserved model, and the lowest served ratio rises by minDissolveGain. It returns
+// none if there aren't enough.
 func (grouper *Grouper) groupsToDissolve(domain id.Domain, spec Spec, missing int) []Group {
 	holdersOf := func(group Group) int {
 		return count(group.Hosts, func(host Host) bool { return host.HasWeights(spec.Model) })
@@ -47,7 +51,7 @@
 		if missing <= 0 {
 			break
 		}
-		if grouper.servedRatioWithout(group.Model, chosenByModel[group.Model]+1) <= grouper.servedRatio(spec.Model) {
+		if grouper.servedRatioWithout(group.Model, chosenByModel[group.Model]+1) < grouper.servedRatio(spec.Model)+minDissolveGain {
 			continue
 		}
 		chosenByModel[group.Model]++
