roster, controller: entry hosts hear of engines only when a group opens, ends or leaves

The leader sent up to 164,000 renewals, 64,000 announcements and 274 whole rosters a second to 300 entry hosts, events took up to 0.3 s, three leaders followed one another within seconds and the first plan came 8 s after the configuration.

Change: an entry host reads of engines only the heads of open groups and the departures (the leader retires what is lost), so it is told just these, without leases: a scope of the roster with its own cursor and digest. Nodes with a disk hear all, as before, and don't wait. Services without groups are relayed and renewed as before.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -66,6 +66,9 @@
 	scannedInputs pollInputs
 	liveNodes     int
 	liveCalls     int
+	// respondingUntil is when the responses given so far would be over if each took
+	// responseSpacing.
+	respondingUntil time.Time
 	// departuresKnown is set once a majority of the voters has offered the departures
 	// that it knows. Before, the roster may lack some that were acknowledged.
 	departuresKnown bool
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +17,9 @@
 	// responses to one node, so that the leader gives no more than one response in
 	// each responseSpacing, however many nodes there are and whatever changes.
 	responseSpacing = time.Millisecond
+	// responseBurst bounds the responses given at once, as the time that they take at
+	// responseSpacing, so that heartbeats to the other voters don't wait behind them.
+	responseBurst = 20 * time.Millisecond
 	// minScanInterval is the least time between two looks at all held polls.
 	minScanInterval = 5 * time.Millisecond
 )
@@ -28,7 +33,7 @@
 }
 
 func (controller *Controller) pollInputs() pollInputs {
-	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(), controller.leadership.newStallReports, controller.leadership.departuresKnown}
+	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(roster.ScopeControl), controller.leadership.newStallReports, controller.leadership.departuresKnown}
 }
 
 // scanPolls looks at all held polls, if something that concerns all nodes has changed
@@ -58,7 +63,7 @@
 	}
 	leadership.countNodes(now)
 	nodesToNotify := leadership.granter.NodesToNotify(now)
-	for _, node := range sortedKeys(leadership.pollByNode) {
+	for _, node := range leadership.longestWaiting() {
 		_, quotaChanged := slices.BinarySearch(nodesToNotify, node)
 		controller.answerIfDue(now, actions, leadership.pollByNode[node], quotaChanged)
 	}
@@ -67,6 +72,20 @@
 	})
 }
 
+// longestWaiting lists the nodes with a held poll, the one whose last response is the
+// oldest first.
+func (leadership *leadership) longestWaiting() []id.Node {
+	return slices.SortedFunc(maps.Keys(leadership.pollByNode), func(a, b id.Node) int {
+		return cmp.Or(leadership.stateByNode[a].lastResponseAt.Compare(leadership.stateByNode[b].lastResponseAt), cmp.Compare(a, b))
+	})
+}
+
+// mayRespond reports whether a further response is within responseBurst. Nodes with a
+// disk are few, and relay what hosts announce, so that they needn't wait.
+func (leadership *leadership) mayRespond(now time.Time, request *feed.Request) bool {
+	return request.HasDisk || !leadership.respondingUntil.After(now.Add(responseBurst))
+}
+
 // countNodes counts the nodes that may act on a response, and their calls.
 func (leadership *leadership) countNodes(now time.Time) {
 	leadership.liveNodes, leadership.liveCalls = 0, 0
@@ -98,17 +117,28 @@
 	if held.announcementsAccepted && sinceResponse < leadership.holdTime() && (!updated || sinceResponse < leadership.responsePause()) {
 		return
 	}
+	if !leadership.mayRespond(now, &held.request) {
+		return
+	}
+	leadership.respondingUntil = latest(leadership.respondingUntil, now).Add(responseSpacing)
 	delete(leadership.pollByNode, held.request.Node)
 	controller.respond(now, actions, held)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // hasUpdate reports whether a node doesn't know this leader's roster, or its version,
 // an urgent announcement or a report of a stall is out of date, or what it awaits has
 // come.
 func (controller *Controller) hasUpdate(held heldPoll) bool {
 	request := held.request
 	return request.Epoch != controller.epoch() || request.Version != controller.register.Version() ||
-		request.Cursor < controller.roster.UrgentCursor() || held.stallReports < controller.leadership.newStallReports ||
+		request.Cursor < controller.roster.UrgentCursor(roster.ScopeOf(request.HasDisk)) || held.stallReports < controller.leadership.newStallReports ||
 		(held.withoutLease && controller.leadership.departuresKnown) || (request.AwaitedCursor > 0 && request.AwaitedCursor <= controller.majorityCursor())
 }
 
@@ -190,9 +220,9 @@
 // rosterUpdate returns what a node lacks of this leader's roster.
 func (controller *Controller) rosterUpdate(now time.Time, request feed.Request) ([]roster.RelayedAnnouncement, []roster.Renewal) {
 	if request.Epoch != controller.epoch() {
-		return controller.roster.Missing(now, request.RosterDigest), nil
+		return controller.roster.Missing(now, request.RosterDigest, roster.ScopeOf(request.HasDisk)), nil
 	}
-	return controller.roster.Since(now, request.Cursor)
+	return controller.roster.Since(now, request.Cursor, roster.ScopeOf(request.HasDisk))
 }
 
 // share returns a node's part of the calls in progress at all nodes, from 0 to
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -72,7 +72,7 @@
 }
 
 func (controller *Controller) reconcileInputs() reconcileInputs {
-	return reconcileInputs{controller.roster.UrgentCursor(), controller.leadership.ownProposalIndex <= controller.appliedIndex}
+	return reconcileInputs{controller.roster.UrgentCursor(roster.ScopeControl), controller.leadership.ownProposalIndex <= controller.appliedIndex}
 }
 
 // reconcileDue reports whether the last reconciliation was long enough ago.
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -337,7 +337,7 @@
 		request.AwaitedCursor = slices.Min(slices.Collect(maps.Values(member.awaitedCursorByHost)))
 	}
 	if member.rosterEpoch.Node != "" && member.rosterEpoch.Node != member.leader {
-		request.RosterDigest = member.hosts.Digest(now)
+		request.RosterDigest = member.hosts.Digest(now, member.scope())
 	}
 	return &Send{To: member.leader, Request: request}
 }
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -194,7 +194,7 @@
 // and for any other change once the view is viewRefreshInterval old. If so, it
 // records the view as rebuilt.
 func (member *Member) viewDue(now time.Time) bool {
-	current := viewInputs{member.hosts.UrgentCursor(), member.version, member.grant.Serial}
+	current := viewInputs{member.hosts.UrgentCursor(member.scope()), member.version, member.grant.Serial}
 	if current == member.builtFrom && (!member.viewStale || now.Sub(member.viewBuiltAt) < viewRefreshInterval) {
 		return false
 	}
@@ -297,6 +297,9 @@
 	return member.respondedAt.IsZero() || now.Sub(member.respondedAt) < leaderContactTimeout
 }
 
+// scope returns the part of the roster that this node gets from the leader.
+func (member *Member) scope() roster.Scope { return roster.ScopeOf(member.config.HasDisk) }
+
 // addVoters adds nodes that may know the leader, so that a node that can no longer
 // reach any node it knew finds the cluster again.
 func (member *Member) addVoters(nodes []id.Node) {
--- a/core/process/roster/digest.go
+++ b/core/process/roster/digest.go
@@ -35,15 +35,16 @@
 	return hash.Sum64()
 }
 
-// Digest returns the digest of the roster. Its time grows with the number of hosts.
-func (roster *Roster) Digest(now time.Time) Digest {
+// Digest returns the digest of what a scope holds of the roster. Its time grows with the
+// number of hosts.
+func (roster *Roster) Digest(now time.Time, scope Scope) Digest {
 	digest := make(Digest, digestBuckets*bucketBytes)
 	for host, member := range roster.memberByHost {
-		if !member.relayable(now) {
+		if scope.renews(member) && !member.relayable(now) {
 			continue
 		}
 		sum := digest.bucket(bucketOf(host))
-		binary.BigEndian.PutUint64(sum, binary.BigEndian.Uint64(sum)+member.factsHash)
+		binary.BigEndian.PutUint64(sum, binary.BigEndian.Uint64(sum)+member.hashIn(scope))
 	}
 	return digest
 }
@@ -52,16 +53,20 @@
 	return digest[index*bucketBytes : (index+1)*bucketBytes]
 }
 
-// Missing returns the announcements of the hosts in whose buckets a roster with this
-// digest differs from this one, or of all hosts for a digest that isn't complete.
-func (roster *Roster) Missing(now time.Time, other Digest) []RelayedAnnouncement {
+// Missing returns the announcements of the hosts within a scope in whose buckets a roster
+// with this digest differs from this one, or of all hosts for a digest that isn't
+// complete.
+func (roster *Roster) Missing(now time.Time, other Digest, scope Scope) []RelayedAnnouncement {
 	complete := len(other) == digestBuckets*bucketBytes
 	own := Digest(nil)
 	if complete {
-		own = roster.Digest(now)
+		own = roster.Digest(now, scope)
 	}
 	return roster.relay(now, func(member *Member) bool {
 		bucket := bucketOf(member.Announcement.Host)
+		if member.cursorIn(scope) == 0 {
+			return false
+		}
 		return !complete || string(own.bucket(bucket)) != string(other.bucket(bucket))
 	})
 }
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -42,10 +42,14 @@
 	// that at the last change of more than the lease and the load.
 	Cursor      uint64
 	FactsCursor uint64
+	// EntryCursor is the roster's cursor at the last change of what ScopeEntry holds
+	// of this entry, or 0 if that is nothing and always was.
+	EntryCursor uint64
 	// prefixesUpdatedAt is when the prefixes were last updated.
 	prefixesUpdatedAt time.Time
-	// factsHash is the hash of the announcement's facts.
-	factsHash uint64
+	// factsHash is the hash of the announcement's facts, and entryHash that of what
+	// ScopeEntry holds of it, or 0 for nothing.
+	factsHash, entryHash uint64
 }
 
 // relayable reports whether other nodes are told of the host: it has a lease, or has
@@ -70,8 +74,9 @@
 type Roster struct {
 	memberByHost map[id.Host]*Member
 	cursor       uint64
-	// urgentCursor is the cursor of the last ChangeUrgent.
-	urgentCursor uint64
+	// urgentCursor is the cursor of the last ChangeUrgent, and entryUrgentCursor that
+	// of the last one that ScopeEntry holds.
+	urgentCursor, entryUrgentCursor uint64
 }
 
 // New returns an empty roster.
@@ -131,6 +136,7 @@
 	if change == ChangeRenewed {
 		updated.factsHash = old.factsHash
 	}
+	roster.setEntryFacts(updated, old, change)
 	roster.memberByHost[announcement.Host] = updated
 	return change
 }
@@ -185,25 +191,34 @@
 // Cursor returns the number of changes so far.
 func (roster *Roster) Cursor() uint64 { return roster.cursor }
 
-// UrgentCursor returns the cursor of the last change that must be relayed at once.
-func (roster *Roster) UrgentCursor() uint64 { return roster.urgentCursor }
+// UrgentCursor returns the cursor of the last change within a scope that must be relayed
+// at once.
+func (roster *Roster) UrgentCursor(scope Scope) uint64 {
+	if scope == ScopeEntry {
+		return roster.entryUrgentCursor
+	}
+	return roster.urgentCursor
+}
 
-// Since returns the hosts that changed after a cursor and that still have a lease
-// or have left not long ago, the earliest change first: whole announcements where
-// more than the lease and the load changed, otherwise renewals.
-func (roster *Roster) Since(now time.Time, cursor uint64) ([]RelayedAnnouncement, []Renewal) {
+// Since returns the hosts of which a scope holds something that changed after a cursor,
+// and that still have a lease or have left not long ago, the earliest change first:
+// whole announcements where more than the lease and the load changed, otherwise renewals.
+func (roster *Roster) Since(now time.Time, cursor uint64, scope Scope) ([]RelayedAnnouncement, []Renewal) {
 	if cursor >= roster.cursor {
 		return nil, nil
 	}
+	renewed := func(member *Member) bool {
+		return scope.renews(member) && member.Cursor > cursor && member.cursorIn(scope) <= cursor
+	}
 	var renewals []Renewal
-	for _, member := range roster.changed(now, func(member *Member) bool { return member.Cursor > cursor && member.FactsCursor <= cursor }) {
+	for _, member := range roster.changed(now, renewed) {
 		announcement := &member.Announcement
 		renewals = append(renewals, Renewal{
 			Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: member.remainingMS(now),
 			Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
 		})
 	}
-	return roster.relay(now, func(member *Member) bool { return member.FactsCursor > cursor }), renewals
+	return roster.relay(now, func(member *Member) bool { return member.cursorIn(scope) > cursor }), renewals
 }
 
 // relay returns the announcements of the hosts that match, the earliest change first.
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -65,10 +65,10 @@
 	hosts.Merge(start, newAnnouncement(1, 1, false), start.Add(lease))
 	known := hosts.Cursor()
 	hosts.Merge(start, newAnnouncement(1, 2, false), start.Add(lease))
-	if whole, renewals := hosts.Since(start, known); len(whole) != 0 || len(renewals) != 1 {
+	if whole, renewals := hosts.Since(start, known, roster.ScopeControl); len(whole) != 0 || len(renewals) != 1 {
 		t.Errorf("%d whole announcements and %d renewals for a node that knows the facts, want one renewal", len(whole), len(renewals))
 	}
-	if whole, renewals := hosts.Since(start, 0); len(whole) != 1 || len(renewals) != 0 {
+	if whole, renewals := hosts.Since(start, 0, roster.ScopeControl); len(whole) != 1 || len(renewals) != 0 {
 		t.Errorf("%d whole announcements and %d renewals for a node that knows nothing, want one announcement", len(whole), len(renewals))
 	}
 	hosts.Renew(start, roster.Renewal{Host: "h", Incarnation: 2, Sequence: 9}, start.Add(2*lease))
@@ -120,7 +120,7 @@
 				}
 			}
 		}
-		missing := leader.Missing(start, node.Digest(start))
+		missing := leader.Missing(start, node.Digest(start, roster.ScopeControl), roster.ScopeControl)
 		for _, relayed := range missing {
 			node.Merge(start, relayed.Announcement, start.Add(lease))
 		}
@@ -131,15 +131,60 @@
 				t.Fatalf("seed %d: the node knows %+v, the leader %+v", seed, got.Announcement, want.Announcement)
 			}
 		}
-		if all := leader.Missing(start, nil); len(all) != len(leader.Members()) {
+		if all := leader.Missing(start, nil, roster.ScopeControl); len(all) != len(leader.Members()) {
 			t.Fatalf("seed %d: without a digest %d of %d hosts are sent", seed, len(all), len(leader.Members()))
 		}
 		node = roster.New()
-		for _, relayed := range leader.Missing(start, nil) {
+		for _, relayed := range leader.Missing(start, nil, roster.ScopeControl) {
 			node.Merge(start, relayed.Announcement, start.Add(lease))
 		}
-		if again := leader.Missing(start, node.Digest(start)); len(again) != 0 {
+		if again := leader.Missing(start, node.Digest(start, roster.ScopeControl), roster.ScopeControl); len(again) != 0 {
 			t.Fatalf("seed %d: %d hosts are sent to a node that has them", seed, len(again))
 		}
 	}
 }
+
+// Guards against entry hosts that miss the opening, the end or the leaving of a group's
+// head, and against news for them of all else that engines do.
+func TestEntryScopeHoldsOpenHeadsAndDepartures(t *testing.T) {
+	const engines, changes = 20, 400
+	random := rand.New(rand.NewPCG(7, 2))
+	leader, node := roster.New(), roster.New()
+	now, cursor, relayedCount := start, uint64(0), 0
+	latest := map[id.Host]roster.Announcement{}
+	for sequence := range uint64(changes) {
+		now = now.Add(100 * time.Millisecond)
+		host := id.Host(fmt.Sprintf("e%d", random.IntN(engines)))
+		announcement := roster.Announcement{
+			Host: host, Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:1", Engine: true, Service: "pool", LeaseMS: 4000,
+			Staged: []id.Model{id.Model(fmt.Sprint(random.IntN(3)))}, Leaving: latest[host].Leaving || random.IntN(100) == 0,
+		}
+		if state := random.IntN(10); state > 0 {
+			announcement.Serving = roster.Serving{Group: "g", Fencing: id.FencingToken(random.IntN(2)), Ready: state > 2, Open: state == 3}
+		}
+		leader.Merge(now, announcement, now.Add(4*time.Second))
+		latest[host] = announcement
+		relayed, renewals := leader.Since(now, cursor, roster.ScopeEntry)
+		cursor = leader.Cursor()
+		if len(renewals) != 0 {
+			t.Fatalf("renewals %+v of engines are sent to a node that doesn't read their leases", renewals)
+		}
+		for _, change := range relayed {
+			node.Merge(now, change.Announcement, now.Add(time.Duration(change.RemainingMS)*time.Millisecond))
+			relayedCount++
+		}
+		for host, want := range latest {
+			got, known := node.Member(host)
+			open, leaving := known && got.Announcement.Serving.Open, known && got.Announcement.Leaving
+			if open != want.Serving.Open || leaving != want.Leaving || (open && got.Announcement.Serving != want.Serving) {
+				t.Fatalf("change %d: the node has %+v of %s, the leader %+v", sequence, got.Announcement, host, want)
+			}
+		}
+	}
+	if relayedCount > changes/2 {
+		t.Errorf("%d of %d changes were relayed", relayedCount, changes)
+	}
+	if missing := leader.Missing(now, node.Digest(now, roster.ScopeEntry), roster.ScopeEntry); len(missing) != 0 {
+		t.Errorf("the digests differ in %d announcements, though the node has all", len(missing))
+	}
+}
