--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -33,12 +33,18 @@
 // control hosts have one processor each. Nothing is declared yet.
 func newLargeFleet(t testing.TB, seed uint64) *spread {
 	t.Helper()
-	large := &spread{simulation: newBootstrapSimulationOf(t, seed, largeEntryNodes), leaveSeen: map[id.Host]time.Duration{}}
+	return newFleetOf(t, seed, largeEntryNodes, largeEngines)
+}
+
+// newFleetOf is newLargeFleet with numbers of entry hosts and engines.
+func newFleetOf(t testing.TB, seed uint64, entryNodes, engines int) *spread {
+	t.Helper()
+	large := &spread{simulation: newBootstrapSimulationOf(t, seed, entryNodes), leaveSeen: map[id.Host]time.Duration{}}
 	large.checker.off, large.fastLoads = true, true
 	for _, node := range large.nodes[:diskNodeCount] {
 		node.processor = &processor{}
 	}
-	for index := range largeEngines {
+	for index := range engines {
 		engine := newEngine(large.simulation, index)
 		engine.domain = id.Domain(fmt.Sprintf("d%02d", index/largeDomainSize))
 		large.engines = append(large.engines, engine)
@@ -109,3 +115,70 @@
 		large.fail("the leader of term %d was deposed while groups were formed", term)
 	}
 }
+
+// Guards against entry hosts that act by an old configuration, since the leader tells 300
+// of them of a large change one after the other.
+func TestLargeChangesAreInForceInTimeAtThreeHundredEntryHosts(t *testing.T) {
+	t.Parallel()
+	large := newSpread(t, 11, largeEntryNodes)
+	large.storm(4, 900*time.Millisecond)
+	large.run(spreadBound)
+}
+
+// Guards against work that goes to leaving hosts, whose leave waits behind large changes
+// at the leader of 300 entry hosts.
+func TestLeavesReachThreeHundredEntryHostsInTimeBesideLargeChanges(t *testing.T) {
+	t.Parallel()
+	large := newSpread(t, 12, largeEntryNodes)
+	for index := range 4 {
+		large.change()
+		large.run(450 * time.Millisecond)
+		large.leave(spreadHost(index))
+		large.schedule(spreadBound, func() { large.checkLeft(spreadHost(index)) })
+		large.run(450 * time.Millisecond)
+	}
+	large.run(spreadBound)
+}
+
+// Guards against a leader that is deposed by 150 entry hosts which start anew at once and
+// ask for all that it knows.
+func TestLeaderOutlivesAHerdOfRestartsAtThreeHundredEntryHosts(t *testing.T) {
+	t.Parallel()
+	large := newLargeFleet(t, 13)
+	large.declareEngines()
+	large.run(formingBound)
+	term := large.leader().voter.Quorum().Term
+	herd := large.entryNodes()[:largeEntryNodes/2]
+	for _, node := range herd {
+		node.crash()
+		node.startAfter(time.Second)
+	}
+	large.run(time.Second + spreadBound)
+	if leader := large.leader(); leader == nil || leader.voter.Quorum().Term != term {
+		large.fail("the leader of term %d was deposed by a herd of restarts", term)
+	}
+	if open := large.leastOpenGroups(); open < 120 {
+		large.fail("%d groups are open at all entry hosts %v after a herd of restarts, want 120 or more", open, spreadBound)
+	}
+}
+
+// Guards against a leader whose work in a calm system grows with entry hosts times
+// engines. It must stay below a quarter of what its processor encodes.
+func TestLeadersWorkIsBoundedAtThreeHundredEntryHosts(t *testing.T) {
+	t.Parallel()
+	const duration = 2 * time.Second
+	for _, size := range []struct{ entryNodes, engines int }{{75, 160}, {150, 160}, {300, 160}, {300, 760}} {
+		large := newFleetOf(t, 14, size.entryNodes, size.engines)
+		large.declareEngines()
+		large.run(formingBound)
+		leader := large.leader()
+		before := *leader.processor
+		large.run(duration)
+		bytes := float64(leader.processor.sentBytes-before.sentBytes) / duration.Seconds()
+		messages := float64(leader.processor.sentMessages-before.sentMessages) / duration.Seconds()
+		t.Logf("%d entry hosts, %d engines: %.0f messages and %.2f MB a second", size.entryNodes, size.engines, messages, bytes/1e6)
+		if bytes > encodedBytesPerSecond/4 {
+			large.fail("the leader sends %.1f MB a second to %d entry hosts of %d engines, want at most %.1f", bytes/1e6, size.entryNodes, size.engines, encodedBytesPerSecond/4e6)
+		}
+	}
+}
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -32,7 +32,11 @@
 )
 
 // processor is the one processor of a node. It sends one message after another.
-type processor struct{ busyUntil time.Duration }
+type processor struct {
+	busyUntil time.Duration
+	// sentMessages and sentBytes count what it has sent.
+	sentMessages, sentBytes int
+}
 
 // sendAfterWork sends a message once the node's processor has encoded it, after all
 // that it has to encode before.
@@ -47,6 +51,8 @@
 	if err != nil {
 		simulation.fail("encode: %v", err)
 	}
+	node.processor.sentMessages++
+	node.processor.sentBytes += len(data)
 	work := messageWork + time.Duration(len(data))*time.Second/encodedBytesPerSecond
 	node.processor.busyUntil = max(node.processor.busyUntil, simulation.now) + work
 	simulation.schedule(node.processor.busyUntil-simulation.now, node.whenUp(send))
