entryapi: a system that has just started tells callers when it will serve

Evidence: TestCallersComeBackOnceAStartedSystemServes failed before (0.5 s in all cases).

Change: an entry host that has had no configuration since its start names the rest of 2 s; one that lost its lease still says 0.5 s, since others may serve. A host that starts alone gets no callers before it is ready.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -48,6 +48,9 @@
 	// defaultRetryAfter is the Retry-After of a node without a configuration in
 	// force, and of refusals for which the balancer gives no time.
 	defaultRetryAfter = 500 * time.Millisecond
+	// startupTime is within how long of its start an entry host gets a configuration in
+	// force when the whole system starts at once.
+	startupTime = 2 * time.Second
 	// retryBudgetRatio is the fraction of calls that may be sent a second time.
 	// maxSavedRetries is the number of retries that one entry host may save up, as
 	// far as its share of Config.SavedRetries allows, and minSavedRetries what it
@@ -78,6 +81,7 @@
 // API serves callers. It is safe for concurrent use.
 type API struct {
 	config         Config
+	startedAt      time.Time
 	retryBudget    *budget.Budget
 	draining       atomic.Bool
 	activeCalls    atomic.Int64
@@ -92,7 +96,7 @@
 // New returns an API without endpoints. The first Update supplies them.
 func New(config Config) *API {
 	return &API{
-		config: config, retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
+		config: config, startedAt: config.Now(), retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
 		decisionByCall: map[balancer.Number]chan balancer.Decision{},
 		latency:        metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
@@ -265,7 +269,7 @@
 func (api *API) admit(call *call) *refusal {
 	now, current := api.config.Now(), api.config.View()
 	if current.Routing == nil || !current.AcceptsNewWork(now) {
-		return closingConnection(newRefusal(http.StatusServiceUnavailable, "no_state_in_force", defaultRetryAfter))
+		return closingConnection(newRefusal(http.StatusServiceUnavailable, "no_state_in_force", api.stateRetryAfter(now, current)))
 	}
 	if call.id == "" {
 		return newRefusal(http.StatusBadRequest, "no_request_id", 0)
@@ -292,6 +296,16 @@
 	return nil
 }
 
+// stateRetryAfter returns when a node without a configuration in force may have one. A
+// node that has had one is cut off, while others may serve; one that has just started
+// gets callers only if all others have too.
+func (api *API) stateRetryAfter(now time.Time, current *view.View) time.Duration {
+	if current.Routing != nil {
+		return defaultRetryAfter
+	}
+	return max(defaultRetryAfter, startupTime-now.Sub(api.startedAt))
+}
+
 // waitedPastTarget reports whether a caller with this much time left has
 // already waited past the route's target, as one that retries after a refusal
 // has.
