--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -182,3 +182,52 @@
 		}
 	}
 }
+
+// Guards against a system that comes back slowly after all its nodes lost power at once:
+// the first leader is deposed while it tells 300 entry hosts of a large configuration.
+func TestThreeHundredEntryHostsServeSoonAfterAPowerLoss(t *testing.T) {
+	t.Parallel()
+	large := newSpread(t, 15, largeEntryNodes)
+	for _, node := range large.nodes {
+		node.crash()
+		if node.processor != nil {
+			node.processor.busyUntil = 0
+		}
+		node.startAfter(time.Second)
+	}
+	large.run(time.Second + spreadBound)
+	without := 0
+	for _, node := range large.entryNodes() {
+		if !node.view.AcceptsNewWork(node.now()) || node.view.Routing == nil {
+			without++
+		}
+	}
+	if without > 0 {
+		large.fail("%d of %d entry hosts take no calls %v after all nodes are back", without, largeEntryNodes, spreadBound)
+	}
+}
+
+// Guards against a new leader that spends its first moments on encoding the configuration
+// for all entry hosts at once, so that its heartbeats come late and it is deposed.
+func TestLargeResponsesToThreeHundredEntryHostsAreSpacedOut(t *testing.T) {
+	t.Parallel()
+	const window, maxInWindow = 100 * time.Millisecond, 65
+	large := newSpread(t, 16, largeEntryNodes)
+	leader := large.leader()
+	for _, node := range large.entryNodes() {
+		node.crash()
+		node.start()
+	}
+	leader.voter.TakeStats()
+	for range 30 {
+		large.run(window)
+		if sent := leader.voter.TakeStats().Declarations; sent > maxInWindow {
+			large.fail("%d responses with the configuration in %v, want at most %d", sent, window, maxInWindow)
+		}
+	}
+	for _, node := range large.entryNodes() {
+		if !node.view.AcceptsNewWork(node.now()) {
+			large.fail("node %s has no lease %v after its restart", node.name, 30*window)
+		}
+	}
+}
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -20,6 +20,10 @@
 	// responseBurst bounds the responses given at once, as the time that they take at
 	// responseSpacing, so that heartbeats to the other voters don't wait behind them.
 	responseBurst = 20 * time.Millisecond
+	// largeResponseTime replaces responseSpacing for a response with the declaration or
+	// with at least largeRoster announcements.
+	largeResponseTime = 2 * time.Millisecond
+	largeRoster       = 50
 	// minScanInterval is the least time between two looks at all held polls.
 	minScanInterval = 5 * time.Millisecond
 )
@@ -120,9 +124,17 @@
 	if !leadership.mayRespond(now, &held.request) {
 		return
 	}
-	leadership.respondingUntil = latest(leadership.respondingUntil, now).Add(responseSpacing)
 	delete(leadership.pollByNode, held.request.Node)
-	controller.respond(now, actions, held)
+	response := controller.respond(now, actions, held)
+	leadership.respondingUntil = latest(leadership.respondingUntil, now).Add(responseTime(response))
+}
+
+// responseTime returns how much of the leader's time a response counts for.
+func responseTime(response *feed.Response) time.Duration {
+	if response.Delta.Declared != nil || len(response.Roster) >= largeRoster {
+		return largeResponseTime
+	}
+	return responseSpacing
 }
 
 func latest(a, b time.Time) time.Time {
@@ -191,8 +203,8 @@
 	return feed.Epoch{Node: controller.config.Self, Incarnation: controller.config.Incarnation}
 }
 
-// respond answers a held poll and renews the node's lease.
-func (controller *Controller) respond(now time.Time, actions *Actions, held heldPoll) {
+// respond answers a held poll and renews the node's lease. It returns the response.
+func (controller *Controller) respond(now time.Time, actions *Actions, held heldPoll) *feed.Response {
 	request := held.request
 	grant := controller.leadership.granter.Allocate(now, granter.Request{Node: request.Node, HeldGrant: request.HeldGrant, DemandByClientAccount: request.DemandByClientAccount})
 	relayed, renewals := controller.rosterUpdate(now, request)
@@ -215,6 +227,7 @@
 	node.stallReports = controller.leadership.newStallReports
 	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
+	return response
 }
 
 // rosterUpdate returns what a node lacks of this leader's roster.
