--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -27,7 +27,6 @@
 	engines map[id.Host]*roster.Announcement
 	// nodesAt is the version that the slowest node has reached.
 	nodesAt id.Version
-	orders  []action.Order
 }
 
 func newWorld(t *testing.T, domains, enginesPerDomain int, models ...routing.Model) *world {
@@ -58,12 +57,10 @@
 	}
 }
 
-// run passes time, in which engines announce themselves and carry out orders, and
-// returns the orders of that time.
-func (world *world) run(duration time.Duration) []action.Order {
+// run passes time, in which engines announce themselves and carry out orders.
+func (world *world) run(duration time.Duration) {
 	world.t.Helper()
 	const step = 100 * time.Millisecond
-	first := len(world.orders)
 	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(step) {
 		for _, engine := range world.engines {
 			engine.Sequence++
@@ -78,9 +75,7 @@
 		for _, order := range actions.Orders {
 			world.carryOut(order)
 		}
-		world.orders = append(world.orders, actions.Orders...)
 	}
-	return world.orders[first:]
 }
 
 func (world *world) carryOut(order action.Order) {
