fleet, controller: orders and deltas of a large plan are spaced out

Evidence: TestOrdersOfALargePlanAreSpacedOut failed before (660 orders in one tick) and passes: at most 50 in 100 ms, and 120 groups open within 6 s of the configuration.

--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -21,9 +21,9 @@
 	// responseSpacing, so that heartbeats to the other voters don't wait behind them.
 	responseBurst = 20 * time.Millisecond
 	// largeResponseTime replaces responseSpacing for a response with the declaration or
-	// with at least largeRoster announcements.
-	largeResponseTime = 2 * time.Millisecond
-	largeRoster       = 50
+	// with at least largeResponseRecords announcements and groups.
+	largeResponseTime    = 2 * time.Millisecond
+	largeResponseRecords = 50
 	// minScanInterval is the least time between two looks at all held polls.
 	minScanInterval = 5 * time.Millisecond
 )
@@ -131,7 +131,7 @@
 
 // responseTime returns how much of the leader's time a response counts for.
 func responseTime(response *feed.Response) time.Duration {
-	if response.Delta.Declared != nil || len(response.Roster) >= largeRoster {
+	if response.Delta.Declared != nil || len(response.Roster)+len(response.Delta.Groups) >= largeResponseRecords {
 		return largeResponseTime
 	}
 	return responseSpacing
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -76,6 +76,9 @@
 	idleSummaryAt time.Time
 	// lastOrderByHost holds the last order sent to each engine.
 	lastOrderByHost map[id.Host]sentOrder
+	// orderingUntil is when the orders sent so far would be over if each took
+	// orderSpacing.
+	orderingUntil time.Time
 	// stallReportedAtByGroup is when a node last reported that its calls to a group
 	// are stalled.
 	stallReportedAtByGroup map[id.Group]time.Time
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -27,6 +27,8 @@
 	engines map[id.Host]*roster.Announcement
 	// nodesAt is the version that the slowest node has reached.
 	nodesAt id.Version
+	// mostOrders is the largest number of orders in one tick.
+	mostOrders int
 }
 
 func newWorld(t *testing.T, domains, enginesPerDomain int, models ...routing.Model) *world {
@@ -72,6 +74,7 @@
 		if !actions.Changes.Empty() {
 			world.apply(register.Command{ChangeGroups: &actions.Changes})
 		}
+		world.mostOrders = max(world.mostOrders, len(actions.Orders))
 		for _, order := range actions.Orders {
 			world.carryOut(order)
 		}
@@ -148,3 +151,19 @@
 		t.Error("no group is open, though all nodes have heard that its hosts' last group is retired")
 	}
 }
+
+// Guards against a leader that is deposed since its heartbeats wait behind the orders of
+// a plan for 760 engines, which it sends all at once. The groups must be open soon.
+func TestOrdersOfALargePlanAreSpacedOut(t *testing.T) {
+	const domains, enginesPerDomain, maxOrders = 40, 19, 60
+	eight := routing.Model{Name: "eight", Hosts: 8, Share: 0.5, LoadMS: 16_000}
+	world := newWorld(t, domains, enginesPerDomain, eight, four)
+	world.nodesAt = world.state.Version()
+	world.run(6 * time.Second)
+	if world.mostOrders > maxOrders {
+		t.Errorf("%d orders in one tick, want at most %d", world.mostOrders, maxOrders)
+	}
+	if open := len(world.openGroups("eight")) + len(world.openGroups("four")); open < 120 {
+		t.Errorf("%d groups are open 6 s after the configuration, want 120 or more", open)
+	}
+}
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -17,6 +17,11 @@
 	// orderRetryInterval is how long the effect of an order is awaited before the
 	// order is sent again.
 	orderRetryInterval = time.Second
+	// orderSpacing is the mean time between two orders, and orderBurst bounds the orders
+	// sent at once, as the time that they take at orderSpacing. Each order is a request
+	// over a connection of its own, and heartbeats mustn't wait behind hundreds.
+	orderSpacing = 2 * time.Millisecond
+	orderBurst   = 100 * time.Millisecond
 )
 
 // advanceGroups orders the hosts of each group to join it, and its head to
@@ -40,7 +45,7 @@
 			}
 			joined := inGroup(host, group)
 			ready = ready && joined && host.Announcement.Serving.Ready
-			if !joined && fleet.mayJoin(now, host, group) {
+			if !joined && fleet.mayOrder(now) && fleet.mayJoin(now, host, group) {
 				fleet.sendOrder(now, actions, host, group, action.OrderLoad)
 			}
 		}
@@ -146,13 +151,23 @@
 	return last.kind == kind && last.fencing == fencing && now.Before(last.sentAt.Add(orderRetryInterval))
 }
 
+// mayOrder reports whether a further order is within orderBurst.
+func (fleet *Fleet) mayOrder(now time.Time) bool {
+	return !fleet.orderingUntil.After(now.Add(orderBurst))
+}
+
 // sendOrder sends an order to a host with a lease, and the same order again
-// only after orderRetryInterval.
+// only after orderRetryInterval. An order beyond orderBurst isn't sent: the caller
+// tries again at the next tick.
 func (fleet *Fleet) sendOrder(now time.Time, actions *Actions, host roster.Member, group register.GroupRecord, kind action.OrderKind) {
 	name := host.Announcement.Host
-	if !now.Before(host.Expiry) || fleet.orderedRecently(now, name, kind, group.Fencing) {
+	if !now.Before(host.Expiry) || !fleet.mayOrder(now) || fleet.orderedRecently(now, name, kind, group.Fencing) {
 		return
 	}
+	if fleet.orderingUntil.Before(now) {
+		fleet.orderingUntil = now
+	}
+	fleet.orderingUntil = fleet.orderingUntil.Add(orderSpacing)
 	actions.Decisions = append(actions.Decisions, action.Decision{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.SinceLastAnnouncement(now)})
 	fleet.lastOrderByHost[name] = sentOrder{kind: kind, fencing: group.Fencing, sentAt: now}
 	actions.Orders = append(actions.Orders, action.Order{
--- a/core/process/fleet/staging.go
+++ b/core/process/fleet/staging.go
@@ -79,7 +79,7 @@
 // progress there or the weight store takes no further load now.
 func (fleet *Fleet) orderStaging(now time.Time, actions *Actions, service *routing.Service, name id.Host, model id.Model) {
 	host, ok := fleet.state.Roster.Member(name)
-	if _, inProgress := fleet.stagingByHost[name]; !ok || inProgress || !fleet.acquireLoad(now, service.Engine) {
+	if _, inProgress := fleet.stagingByHost[name]; !ok || inProgress || !fleet.mayOrder(now) || !fleet.acquireLoad(now, service.Engine) {
 		return
 	}
 	fleet.stagingByHost[name] = staging{
