--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -57,10 +57,10 @@
 	state State
 	// groupCount counts the groups formed in this term.
 	groupCount int
-	// startVersion is the version of the replicated state at the first tick, and
-	// retiredAtByHost the version at which the last group of a host was retired, for
-	// the hosts freed in this term.
-	startVersion    id.Version
+	// formedAtByGroup is the version of the replicated state by which a group was formed
+	// in this term, and retiredAtByHost the version at which the last group of a host was
+	// retired, for the hosts freed in this term.
+	formedAtByGroup map[id.Group]id.Version
 	retiredAtByHost map[id.Host]id.Version
 	// joinStartedAtByGroup is when the hosts of a group were first considered for
 	// an order to join. leftGroupAtByHost is when a host of a retired group was
@@ -104,7 +104,7 @@
 func New(now time.Time, config Config) *Fleet {
 	return &Fleet{
 		config: config, startedAt: now,
-		retiredAtByHost:      map[id.Host]id.Version{},
+		formedAtByGroup: map[id.Group]id.Version{}, retiredAtByHost: map[id.Host]id.Version{},
 		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
 		lastOrderByHost: map[id.Host]sentOrder{}, stallReportedAtByGroup: map[id.Group]time.Time{},
 		undeliveredAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
@@ -144,9 +144,6 @@
 // before the next tick.
 func (fleet *Fleet) Tick(now time.Time, state State) Actions {
 	fleet.state = state
-	if fleet.startVersion == 0 {
-		fleet.startVersion = state.Register.Version()
-	}
 	var actions Actions
 	declared := state.Register.Declared()
 	if declared == nil {
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// Guards against a new leader that opens a group of the one before, though nodes may
+// still use its hosts in their last groups: it doesn't know when these were retired.
+func TestNewLeaderOpensAGroupOnlyOnceAllNodesKnowIt(t *testing.T) {
+	world := newWorld(t, 1, 9, four, two)
+	world.nodesAt = world.state.Version()
+	world.run(8 * time.Second)
+	world.lose(world.openGroups("four")[0].Hosts[1])
+	world.run(3 * time.Second)
+	world.fleet = fleet.New(world.now, fleet.Config{Term: 2, EngineStallTimeout: 4 * time.Second})
+	if world.run(2 * time.Second); len(world.openGroups("four")) != 0 {
+		t.Error("a group is open, though nodes haven't heard that its hosts' last group is retired")
+	}
+	world.nodesAt = world.state.Version()
+	if world.run(time.Second); len(world.openGroups("four")) != 1 {
+		t.Error("no group is open, though all nodes know it")
+	}
+}
+
 // Guards against a leader that is deposed since its heartbeats wait behind the orders of
 // a plan for 760 engines, which it sends all at once. The groups must be open soon.
 func TestOrdersOfALargePlanAreSpacedOut(t *testing.T) {
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -46,6 +46,7 @@
 	fleet.recordIdleEngines(now, actions, service, free, constraints)
 	for _, assignment := range plan.Form {
 		name := fleet.newGroupName()
+		fleet.formedAtByGroup[name] = fleet.state.Register.Version()
 		actions.Decisions = append(actions.Decisions, action.Decision{
 			Step: "form_group", Group: name, Model: assignment.Model, Hosts: assignment.Hosts,
 			Reason: fmt.Sprintf("%d engines free", len(free)),
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -57,10 +57,20 @@
 
 // lastRetirement returns the latest version at which a former group of one of a group's
 // hosts was retired. A node that lags behind it may still use the host in that group.
+// Where that isn't known it was by the state in which the group was formed, or for a group
+// of another term, before the group's own version.
 func (fleet *Fleet) lastRetirement(group register.GroupRecord) id.Version {
-	last := fleet.startVersion
+	formedAt, formedInTerm := fleet.formedAtByGroup[group.Group]
+	if !formedInTerm {
+		return group.Version
+	}
+	last := id.Version(0)
 	for _, host := range group.Hosts {
-		last = max(last, fleet.retiredAtByHost[host])
+		retiredAt, known := fleet.retiredAtByHost[host]
+		if !known {
+			retiredAt = formedAt
+		}
+		last = max(last, retiredAt)
 	}
 	return last
 }
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -44,6 +44,7 @@
 		return !ok || group.Phase == register.PhaseRetired
 	}
 	maps.DeleteFunc(fleet.joinStartedAtByGroup, func(group id.Group, _ time.Time) bool { return outOfUse(group) })
+	maps.DeleteFunc(fleet.formedAtByGroup, func(group id.Group, _ id.Version) bool { return outOfUse(group) })
 	maps.DeleteFunc(fleet.openedGroups, func(group id.Group, _ bool) bool { return outOfUse(group) })
 }
 
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -35,7 +35,7 @@
 	member.lastProcessedNumber = response.Number
 	member.consecutiveFailures, member.nextSendAt = 0, now
 	member.forgetThrough(response.Number)
-	member.leader, member.respondedAt = response.Leader, sentAt
+	member.leader, member.contactAt = response.Leader, sentAt
 	if !member.applyDelta(response.Delta) {
 		return
 	}
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -48,6 +48,9 @@
 	// leaderContactTimeout is how long after the leader's last response a node counts as
 	// cut off from it. An election takes less in most cases.
 	leaderContactTimeout = 800 * time.Millisecond
+	// firstContactTime is how long after its start a node needn't have heard from a
+	// leader: the voters may elect the first one.
+	firstContactTime = 3 * time.Second
 	// rosterPruneInterval is how often hosts that have long been dead are dropped
 	// from the roster.
 	rosterPruneInterval = time.Minute
@@ -111,8 +114,9 @@
 	consecutiveFailures int
 	quotaRequestedAt    time.Time
 	rosterPrunedAt      time.Time
-	// respondedAt is when the request was sent that the leader answered last.
-	respondedAt time.Time
+	// contactAt is when the request was sent that the leader answered last, and before
+	// the first answer firstContactTime after the start.
+	contactAt time.Time
 	// leaderStamp was received at leaderStampAt.
 	leaderStamp   clock.Stamp
 	leaderStampAt time.Time
@@ -141,6 +145,7 @@
 	return &Member{
 		config:                  config,
 		voters:                  slices.Clone(config.Voters),
+		contactAt:               now.Add(firstContactTime),
 		clock:                   clock.New(now, config.Self, config.Incarnation),
 		hosts:                   hosts,
 		contractByClientAccount: map[id.ClientAccount]register.ContractRecord{},
@@ -291,10 +296,10 @@
 }
 
 // ReachesLeader reports whether the leader has answered this node lately, so that what
-// a host announces here soon reaches it. A node that hasn't had any answer since its
-// start reports true: the system may only just be starting.
+// a host announces here soon reaches it. For firstContactTime after its start a node is
+// taken to, since the whole system may only just be starting.
 func (member *Member) ReachesLeader(now time.Time) bool {
-	return member.respondedAt.IsZero() || now.Sub(member.respondedAt) < leaderContactTimeout
+	return now.Sub(member.contactAt) < leaderContactTimeout
 }
 
 // scope returns the part of the roster that this node gets from the leader.
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -120,3 +120,16 @@
 		}
 	}
 }
+
+// Guards against hosts that stay with a node which has restarted while it is cut off: the
+// leader never hears of them there.
+func TestRestartedNodeWithoutALeaderSendsHostsElsewhere(t *testing.T) {
+	const startup, silence = 3 * time.Second, time.Second
+	node := member.New(start, member.Config{Self: "n", Voters: []id.Node{"m"}}, roster.New())
+	if !node.ReachesLeader(start.Add(startup)) {
+		t.Error("a node of a system that is starting refuses announcements")
+	}
+	if node.ReachesLeader(start.Add(startup + silence)) {
+		t.Error("a node that has never heard from a leader takes announcements")
+	}
+}
