--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -459,28 +459,30 @@
 	return simulation.now - crashedAt
 }
 
+// checkRepairTime fails unless groups are repaired within a time of the silence that
+// shows the loss of an engine.
+func checkRepairTime(t *testing.T, firstSeed uint64, joinTime time.Duration) {
+	t.Helper()
+	const seeds, overhead = 12, 500 * time.Millisecond
+	for seed := firstSeed; seed < firstSeed+seeds; seed++ {
+		if took, most := repairTime(t, seed), stallDetectionTime+joinTime+overhead; took > most {
+			t.Errorf("seed %d: repaired after %v, want at most %v", seed, took, most)
+		}
+	}
+}
+
 // Guards against a repair that takes much longer than to find the loss and to warm up
 // the host that replaces the lost one.
 func TestGroupIsRepairedAtThePriceOfOneWarmUp(t *testing.T) {
 	t.Parallel()
-	const overhead = 500 * time.Millisecond
-	for seed := range uint64(12) {
-		if took := repairTime(t, 220+seed); took > stallDetectionTime+stagedLoadTime+overhead {
-			t.Errorf("seed %d: repaired after %v, want at most %v", 220+seed, took, stallDetectionTime+stagedLoadTime+overhead)
-		}
-	}
+	checkRepairTime(t, 220, stagedLoadTime)
 }
 
 // Guards against a repair that waits for the warm-up of a spare which could have had the
 // weights in its memory before.
 func TestSpareReplacesALostEngineWithoutAWarmUp(t *testing.T) {
 	t.Parallel()
-	const overhead = 500 * time.Millisecond
-	for seed := range uint64(12) {
-		if took := repairTime(t, 240+seed); took > stallDetectionTime+residentLoadTime+overhead {
-			t.Errorf("seed %d: repaired after %v, want at most %v", 240+seed, took, stallDetectionTime+residentLoadTime+overhead)
-		}
-	}
+	checkRepairTime(t, 240, residentLoadTime)
 }
 
 // Guards against a plan that takes the log one entry, and all nodes one version, for
--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -130,13 +130,7 @@
 func TestLeavesReachThreeHundredEntryHostsInTimeBesideLargeChanges(t *testing.T) {
 	t.Parallel()
 	large := newSpread(t, 12, largeEntryNodes)
-	for index := range 4 {
-		large.change()
-		large.run(450 * time.Millisecond)
-		large.leave(spreadHost(index))
-		large.schedule(spreadBound, func() { large.checkLeft(spreadHost(index)) })
-		large.run(450 * time.Millisecond)
-	}
+	large.leaves(4, 450*time.Millisecond)
 	large.run(spreadBound)
 }
 
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -152,7 +152,7 @@
 		}
 	}
 	if late > 0 || without > 0 {
-		spread.fail("%v after revision %d, %d of %d entry hosts act by an older one and %d have no lease", spreadBound, revision, late, spreadEntryNodes, without)
+		spread.fail("%v after revision %d, %d of %d entry hosts act by an older one and %d have no lease", spreadBound, revision, late, len(spread.entryNodes()), without)
 	}
 }
 
@@ -166,7 +166,7 @@
 		}
 	}
 	if late > 0 {
-		spread.fail("%v after host %s said that it leaves, %d of %d entry hosts use it", spreadBound, host, late, spreadEntryNodes)
+		spread.fail("%v after host %s said that it leaves, %d of %d entry hosts use it", spreadBound, host, late, len(spread.entryNodes()))
 	}
 }
 
@@ -181,6 +181,18 @@
 	}
 }
 
+// leaves lets one host after another leave between two large changes, and checks
+// spreadBound after each that no entry host uses it.
+func (spread *spread) leaves(hosts int, interval time.Duration) {
+	for index := range hosts {
+		spread.change()
+		spread.run(interval)
+		spread.leave(spreadHost(index))
+		spread.schedule(spreadBound, func() { spread.checkLeft(spreadHost(index)) })
+		spread.run(interval)
+	}
+}
+
 // Guards against entry hosts that act by an old configuration, since a large change
 // takes the leader longer than they wait for its answer.
 func TestLargeChangesAreInForceAtSeventyEntryHostsInTime(t *testing.T) {
@@ -195,13 +207,7 @@
 func TestLeavesReachSeventyEntryHostsInTimeBesideLargeChanges(t *testing.T) {
 	t.Parallel()
 	spread := newSpread(t, 2, spreadEntryNodes)
-	for index := range 8 {
-		spread.change()
-		spread.run(350 * time.Millisecond)
-		spread.leave(spreadHost(index))
-		spread.schedule(spreadBound, func() { spread.checkLeft(spreadHost(index)) })
-		spread.run(350 * time.Millisecond)
-	}
+	spread.leaves(8, 350*time.Millisecond)
 	spread.run(spreadBound)
 }
 
--- a/measure/process/admission/simulation.go
+++ b/measure/process/admission/simulation.go
@@ -27,8 +27,9 @@
 
 // call is one call with what its caller has seen of it.
 type call struct {
-	number    balancer.Number
-	kind      int
+	number balancer.Number
+	kind   int
+	// size weighs the call's credit: its prompt and ten times its answer, in tokens.
 	size      int
 	prompt    int
 	events    int
@@ -72,7 +73,7 @@
 	lastNumber balancer.Number
 	// returns are the refused calls by when they come back.
 	returns []returning
-	// counts are the calls at each group by entry host, at the reports of late.
+	// counts are the calls of each entry host at each group, by report.
 	counts  [][][]int
 	started time.Time
 }
@@ -124,6 +125,9 @@
 	for _, host := range simulation.hosts {
 		simulation.expire(host)
 	}
+	for index, group := range simulation.groups {
+		simulation.cancelOverdue(index, group)
+	}
 }
 
 // arrive adds the calls of one tick.
@@ -216,8 +220,7 @@
 	}
 }
 
-// expire refuses the calls that have waited for too long, and cancels those past their
-// deadline.
+// expire refuses the calls that have waited for too long.
 func (simulation *simulation) expire(host *entryHost) {
 	for number, call := range host.waiting {
 		if simulation.now < call.waitUntil {
@@ -227,22 +230,23 @@
 			simulation.decide(call, decision)
 		}
 	}
-	if host.index > 0 {
-		return
-	}
-	for index, group := range simulation.groups {
-		for _, call := range slices.Clone(group.calls) {
-			if simulation.now-call.arrivedAt > call.kindOf.Deadline {
-				group.calls = slices.DeleteFunc(group.calls, func(other *callAlias) bool { return other == call })
-				simulation.done(call, index, balancer.Abandoned)
-			}
+}
+
+// cancelOverdue cancels the calls of a group that are past their deadline.
+func (simulation *simulation) cancelOverdue(index int, group *group) {
+	var overdue []*call
+	group.calls = slices.DeleteFunc(group.calls, func(call *call) bool {
+		late := simulation.now-call.arrivedAt > call.kindOf.Deadline
+		if late {
+			overdue = append(overdue, call)
 		}
+		return late
+	})
+	for _, call := range overdue {
+		simulation.done(call, index, balancer.Abandoned)
 	}
 }
 
-// callAlias names the type where a variable has its name.
-type callAlias = call
-
 // applyLosses stops groups, whose calls go on elsewhere, and brings them back.
 func (simulation *simulation) applyLosses() {
 	for index, loss := range simulation.scenario.Losses {
