entryapi: the log of a request names the answer's framing and the bytes after its last whole event

Nothing in the logs told a stream that ended with its connection from one with chunks, nor an end within an event from one after it; both hypotheses of the incident predict the same lines. No logic changed.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -227,6 +227,10 @@
 	// timeToFirstEvent is measured from the arrival of the request. longestPause
 	// is the longest time between two writes of events.
 	timeToFirstEvent, longestPause time.Duration
+	// framing is that of the endpoint's answer. unfinishedBytes is what followed
+	// the last complete event of a stream.
+	framing         framing
+	unfinishedBytes int
 }
 
 func (api *API) serve(writer http.ResponseWriter, call *call) result {
@@ -408,7 +412,8 @@
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
 			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried)).
-			Int64("first_ms", result.timeToFirstEvent.Milliseconds()).Int64("pause_ms", result.longestPause.Milliseconds())
+			Int64("first_ms", result.timeToFirstEvent.Milliseconds()).Int64("pause_ms", result.longestPause.Milliseconds()).
+			Str("framing", string(result.framing)).Int("unfinished_bytes", result.unfinishedBytes)
 	}
 	if result.host == "" && result.limit > 0 {
 		event = event.Int("running", result.running).Int("limit", result.limit).Int("waiting", result.waiting)
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -340,7 +340,9 @@
 	copyHeaders(writer.Header(), exchange.response.Header)
 	writer.WriteHeader(exchange.response.StatusCode)
 	_, err := writer.Write(exchange.body)
-	return attempt.result(exchange.response.StatusCode, "answered", "ran", err)
+	result := attempt.result(exchange.response.StatusCode, "answered", "ran", err)
+	result.framing = framingOf(exchange.response)
+	return result
 }
 
 // fail answers a call whose last attempt gave no answer that can be passed on.
--- /dev/null
+++ b/caroblined/connection/entryapi/framing.go
@@ -0,0 +1,27 @@
+package entryapi
+
+import (
+	"net/http"
+	"slices"
+)
+
+// framing is how an answer shows its end (RFC 9112, section 6.3).
+type framing string
+
+const (
+	framingLength     framing = "length"
+	framingChunked    framing = "chunked"
+	framingConnection framing = "connection"
+)
+
+// framingOf returns the framing of an endpoint's answer.
+func framingOf(response *http.Response) framing {
+	switch {
+	case slices.Contains(response.TransferEncoding, "chunked"):
+		return framingChunked
+	case response.ContentLength >= 0:
+		return framingLength
+	default:
+		return framingConnection
+	}
+}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -65,6 +65,9 @@
 	// write of events. longestPause is the longest time between two writes.
 	firstEventAt, lastEventAt time.Time
 	longestPause              time.Duration
+	// unfinishedBytes is what followed the last complete event when the latest
+	// endpoint's stream ended.
+	unfinishedBytes int
 }
 
 // recordWrite records the time at which events are passed on.
@@ -95,6 +98,7 @@
 		_ = exchange.response.Body.Close()
 		result := attempt.result(http.StatusOK, "answered", "ran", err)
 		result.events, result.longestPause = progress.events, progress.longestPause
+		result.framing, result.unfinishedBytes = framingOf(exchange.response), progress.unfinishedBytes
 		if !progress.firstEventAt.IsZero() {
 			result.timeToFirstEvent = progress.firstEventAt.Sub(call.arrivedAt)
 		}
@@ -141,6 +145,7 @@
 		exchange := api.exchange(ctx, call, attempt)
 		if exchange.usable() && call.streams(exchange.response) {
 			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.lastEventID).
+				Int("unfinished_bytes", progress.unfinishedBytes).
 				Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("stream broke off; resumed at another endpoint after the last complete event")
 			return attempt, exchange
 		}
@@ -163,6 +168,9 @@
 		buffer = buffer[:len(buffer)+count]
 		complete := completeEventsLen(buffer)
 		ended := errors.Is(err, io.EOF)
+		if err != nil {
+			progress.unfinishedBytes = len(buffer) - complete
+		}
 		if ended {
 			complete = len(buffer)
 		}
