--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -62,6 +62,7 @@
 		}
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 		lastResult = attempt.result(0, exchange.reason, "", exchange.err)
+		lastResult.framing = exchange.framing()
 		if !api.mayRetry(ctx, call, exchange) {
 			return api.fail(ctx, writer, call, lastResult, exchange)
 		}
@@ -341,7 +342,7 @@
 	writer.WriteHeader(exchange.response.StatusCode)
 	_, err := writer.Write(exchange.body)
 	result := attempt.result(exchange.response.StatusCode, "answered", "ran", err)
-	result.framing = framingOf(exchange.response)
+	result.framing = exchange.framing()
 	return result
 }
 
--- a/caroblined/connection/entryapi/framing.go
+++ b/caroblined/connection/entryapi/framing.go
@@ -25,3 +25,12 @@
 		return framingConnection
 	}
 }
+
+// framing returns the framing of the endpoint's answer, or an empty string when there
+// was none.
+func (exchange *exchange) framing() framing {
+	if exchange.response == nil {
+		return ""
+	}
+	return framingOf(exchange.response)
+}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -65,8 +65,9 @@
 	// write of events. longestPause is the longest time between two writes.
 	firstEventAt, lastEventAt time.Time
 	longestPause              time.Duration
-	// unfinishedBytes is what followed the last complete event when the latest
-	// endpoint's stream ended.
+	// framing is that of the latest endpoint's stream. unfinishedBytes is what
+	// followed the last complete event when it ended.
+	framing         framing
 	unfinishedBytes int
 }
 
@@ -98,7 +99,7 @@
 		_ = exchange.response.Body.Close()
 		result := attempt.result(http.StatusOK, "answered", "ran", err)
 		result.events, result.longestPause = progress.events, progress.longestPause
-		result.framing, result.unfinishedBytes = framingOf(exchange.response), progress.unfinishedBytes
+		result.framing, result.unfinishedBytes = progress.framing, progress.unfinishedBytes
 		if !progress.firstEventAt.IsZero() {
 			result.timeToFirstEvent = progress.firstEventAt.Sub(call.arrivedAt)
 		}
@@ -145,7 +146,7 @@
 		exchange := api.exchange(ctx, call, attempt)
 		if exchange.usable() && call.streams(exchange.response) {
 			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.lastEventID).
-				Int("unfinished_bytes", progress.unfinishedBytes).
+				Str("framing", string(progress.framing)).Int("unfinished_bytes", progress.unfinishedBytes).
 				Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("stream broke off; resumed at another endpoint after the last complete event")
 			return attempt, exchange
 		}
@@ -161,6 +162,7 @@
 	watchdog := newWatchdog(api, call, attempt, exchange.cancel)
 	defer watchdog.stop()
 	controller := http.NewResponseController(writer)
+	progress.framing = exchange.framing()
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		buffer = grow(buffer)
