entryapi: a stream that ends within an event has been broken off

Cause: an answer may have neither a length nor chunks and end with its connection. net/http then returns io.EOF for each end that is no reset, and copyEvents took every io.EOF as the proper end of a stream: it passed on what was in its buffer, also half an event, and ended the caller's answer with the last chunk. The class is that an end of file was taken as proof of completeness where only the content can prove it.

TestWholeStreamsStayWhole passed before and passes.

Change: the bytes after the last whole event decide. Empty lines and comments may follow it; anything else is half an event: it isn't passed on, the stream resumes at another endpoint after the last whole event, and where it can't, the caller's connection is aborted without the last chunk. A stream whose only end is that of its connection, and of which no event has come, counts as broken off too, unless it goes on after an event that the caller already has. Where events end is decided once, in sse, also after "\n\r\n", which the entry host didn't know.

--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/version/routing"
 )
@@ -59,6 +60,8 @@
 // progress records how much of a stream the caller has got.
 type progress struct {
 	headersSent bool
+	// begun reports that the caller has got an event.
+	begun       bool
 	lastEventID string
 	events      int
 	// firstEventAt and lastEventAt are the times of the first and the latest
@@ -84,6 +87,9 @@
 // errEndpointSilent reports an endpoint that has sent no event for too long.
 var errEndpointSilent = errors.New("the endpoint went silent")
 
+// errNoEvent reports a connection that ended after the head of a stream.
+var errNoEvent = errors.New("the connection ended before the stream's first event")
+
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
@@ -168,17 +174,19 @@
 		buffer = grow(buffer)
 		count, err := exchange.response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
-		complete := completeEventsLen(buffer)
+		complete := sse.CompleteLen(buffer)
 		ended := errors.Is(err, io.EOF)
 		if err != nil {
 			progress.unfinishedBytes = len(buffer) - complete
 		}
-		if ended {
+		truncated := ended && sse.Truncated(buffer[complete:])
+		if ended && !truncated {
 			complete = len(buffer)
 		}
 		if complete > 0 {
 			if hasEvent(buffer[:complete]) {
 				watchdog.recordEvent()
+				progress.begun = true
 			}
 			progress.recordWrite(api.config.Now())
 			if writeErr := progress.write(writer, controller, header, buffer[:complete]); writeErr != nil {
@@ -187,6 +195,10 @@
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
 		switch {
+		case truncated:
+			return sse.ErrTruncated
+		case ended && api.endedBeforeFirstEvent(call, progress):
+			return errNoEvent
 		case ended:
 			progress.sendHeaders(writer, header)
 			return nil
@@ -200,6 +212,12 @@
 	}
 }
 
+// endedBeforeFirstEvent reports whether a stream whose only end is that of its
+// connection has had no event, though it starts from the first one.
+func (api *API) endedBeforeFirstEvent(call *call, progress *progress) bool {
+	return progress.framing == framingConnection && !progress.begun && call.request.Header.Get(api.config.Dialect.LastEventID) == ""
+}
+
 func grow(buffer []byte) []byte {
 	if len(buffer) < cap(buffer) {
 		return buffer
@@ -253,16 +271,3 @@
 	}
 	return false
 }
-
-// completeEventsLen returns the length of the complete events at the start of
-// data. An event ends with a blank line.
-func completeEventsLen(data []byte) int {
-	end := 0
-	if index := bytes.LastIndex(data, []byte("\n\n")); index >= 0 {
-		end = index + 2
-	}
-	if index := bytes.LastIndex(data, []byte("\r\n\r\n")); index >= 0 {
-		end = max(end, index+4)
-	}
-	return end
-}
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/go-faster/errors"
 )
@@ -29,6 +30,9 @@
 	dataField = []byte("data:")
 	idField   = []byte("id:")
 	doneData  = []byte("[DONE]")
+	// eventSeparators are a line's end and the empty line after it; a line feed may
+	// have a carriage return before it.
+	eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 )
 
 // Event is one event. Raw holds all its lines and the empty line after them,
@@ -97,10 +101,34 @@
 	}
 }
 
+// CompleteLen returns the length of the complete events at the start of data. An event
+// ends with an empty line.
+func CompleteLen(data []byte) int {
+	end := 0
+	for _, separator := range eventSeparators {
+		if index := bytes.LastIndex(data, separator); index >= 0 {
+			end = max(end, index+len(separator))
+		}
+	}
+	return end
+}
+
+// Truncated reports whether a stream that ends with rest, after its last complete event,
+// was cut within an event. Empty lines and comments may follow the last event.
+func Truncated(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		isComment := line[0] == ':' && bytes.HasSuffix(line, []byte("\n"))
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && !isComment {
+			return true
+		}
+	}
+	return false
+}
+
 // endsEvent reports whether the last line is empty.
 func endsEvent(buffer []byte) bool {
-	return bytes.HasSuffix(buffer, []byte("\n\n")) || bytes.HasSuffix(buffer, []byte("\n\r\n")) ||
-		len(bytes.TrimRight(buffer, "\r\n")) == 0
+	endsWith := func(separator []byte) bool { return bytes.HasSuffix(buffer, separator) }
+	return slices.ContainsFunc(eventSeparators, endsWith) || len(bytes.TrimRight(buffer, "\r\n")) == 0
 }
 
 func parse(raw []byte) Event {
