entryapi: tests of answers cut at any byte, and of errors that follow a broken stream

Seven answers in three framings are cut after each of their bytes, head included: the caller gets a 502 or a broken connection each time. After a stream that broke off, eleven answers of the next endpoint that are no continuation: the caller keeps the whole events it has and its connection is aborted.

--- a/caroblined/connection/entryapi/framing_test.go
+++ b/caroblined/connection/entryapi/framing_test.go
@@ -148,3 +148,80 @@
 		}
 	}
 }
+
+// Guards against an answer that was cut at any byte, of its head too, and that its
+// caller gets as complete: with a short or empty body, as another status, or as not run.
+func TestAnswersCutAtAnyByteDoNotLookComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nMark: m\r\n"
+	for name, test := range map[string]struct {
+		repeat routing.Repeat
+		whole  string
+		// framedAt is the first length at which the connection's end completes the
+		// answer. It is that of the whole where the answer shows its own end.
+		framedAt int
+	}{
+		"length":            {routing.RepeatNever, head + "Content-Length: 4\r\n\r\ndone", 0},
+		"chunks":            {routing.RepeatNever, head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("do") + chunk("ne") + "0\r\n\r\n", 0},
+		"connection":        {routing.RepeatNever, head + "\r\ndone", len(head + "\r\n")},
+		"interim answer":    {routing.RepeatNever, "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 4\r\n\r\ndone", 0},
+		"stream, length":    {routing.RepeatStream, head + "Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n" + event(1), 0},
+		"stream, chunks":    {routing.RepeatStream, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(event(1)) + "0\r\n\r\n", 0},
+		"stream,connection": {routing.RepeatStream, head + "Content-Type: text/event-stream\r\n\r\n" + event(1), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			framedAt := len(test.whole)
+			if test.framedAt > 0 {
+				framedAt = test.framedAt
+			}
+			for length := range framedAt {
+				service := newService(t, func(_ *service, connection net.Conn, _ *http.Request, _ int) {
+					_, _ = io.WriteString(connection, test.whole[:length])
+					_ = connection.Close()
+				})
+				routes := route(test.repeat)
+				routes[0].Resumable = false
+				got, err := call(t, newEntryHost(t, routes, service), post("/a", "x"))
+				if err == nil && got.status != http.StatusBadGateway {
+					t.Errorf("cut after %q: the caller got status %d with %q, want a 502 or a broken connection", test.whole[:length], got.status, got.body)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an endpoint's error, or its head, in the middle of a stream that another
+// one began, and against such a stream that ends as if it were complete.
+func TestErrorsOfTheNextEndpointAreNotJoinedToAStream(t *testing.T) {
+	for name, next := range map[string]string{
+		"error":               "500 Internal Server Error\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+		"error of its stream": "500 Internal Server Error\r\nMark: m\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
+		"refusal":             "503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"client error":        "404 Not Found\r\nMark: m\r\nContent-Length: 4\r\n\r\nnone",
+		"redirect":            "302 Found\r\nMark: m\r\nLocation: /b\r\nContent-Length: 0\r\n\r\n",
+		"no content":          "204 No Content\r\nMark: m\r\n\r\n",
+		"another type":        "200 OK\r\nMark: m\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops",
+		"partial content":     "206 Partial Content\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n" + event(2),
+		"no mark":             "200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n" + event(2),
+		"error by connection": "500 Internal Server Error\r\nMark: m\r\n\r\noops",
+		"nothing":             "200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\n",
+	} {
+		for _, framing := range []string{"connection", "chunked"} {
+			t.Run(name+" after "+framing, func(t *testing.T) {
+				respond := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+					if request.Header.Get("Last-Event-Id") == "" {
+						streamEnding{framing, "id: 2\nda"}.write(connection, request, event(1))
+						return
+					}
+					status, rest, _ := strings.Cut(next, "\r\n")
+					_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\n"+rest)
+					_ = connection.Close()
+				}
+				got, err := call(t, newEntryHost(t, route(routing.RepeatStream), newService(t, respond), newService(t, respond)), post("/a", "x"))
+				if err == nil || got.body != event(1) {
+					t.Errorf("error %v, body %q; want a broken answer with the first event alone", err, got.body)
+				}
+			})
+		}
+	}
+}
