endpoint: the connection of an answer to another request is closed

What callers saw: an endpoint that writes an earlier refusal once more on a kept connection. No caller is told that its call hasn't run, since the answer's id is compared: the call gets a 502. But the next call on that connection got the answer of the one before, and so on, each a 502 for a call that the endpoint had run and answered.

Cause: a refusal without a body frees its connection before the entry host compares ids, so net/http hands it to the next call while the real answer is still to come. A connection on which one answer is foreign is out of step for good.

Change: the transport to endpoints compares the id that an answer repeats and closes the connection when it is another's (ErrForeignAnswer). It serves all paths: entry hosts, engines and services of the callers' interface, sends that must not repeat, orders. An answer that names no request is left to the caller of the transport, as before.

--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -175,7 +175,7 @@
 		LeaseUntil: leaseUntil, Share: 1 / float64(entryHosts), Routing: routing.NewTable(declaration), Endpoints: endpointByName,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	}
-	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2})
+	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IDHeader: dialect.RequestID})
 	api := entryapi.New(entryapi.Config{
 		Dialect: dialect, View: func() *view.View { return current }, Now: time.Now, Transport: transport,
 		Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/version/view"
@@ -20,6 +21,9 @@
 // maxWholeAnswerBytes bounds an answer that is held whole before it is passed on.
 const maxWholeAnswerBytes = 4 << 20
 
+// reasonForeignAnswer is the reason of an exchange whose answer doesn't name its request.
+const reasonForeignAnswer = "answer_to_another_request"
+
 // errCallEnded reports that the caller has disconnected or its deadline has
 // passed.
 var errCallEnded = errors.New("the caller has gone or the deadline has passed")
@@ -217,7 +221,7 @@
 	stop()
 	if err != nil {
 		cancel()
-		exchange.err, exchange.reason = err, "no_answer"
+		exchange.err, exchange.reason = err, reasonOf(err)
 		exchange.notRun = rest.DialFailed(err)
 		if !exchange.notRun {
 			call.possibleRuns++
@@ -239,6 +243,14 @@
 	return exchange
 }
 
+// reasonOf returns the reason of an exchange that ended without an answer of its own.
+func reasonOf(err error) string {
+	if errors.Is(err, endpoint.ErrForeignAnswer) {
+		return reasonForeignAnswer
+	}
+	return "no_answer"
+}
+
 // limitAnswerStart cancels an exchange when its endpoint takes too long to
 // begin the answer, if the call may still be tried elsewhere. The limit is
 // shorter when the endpoint's other streams get no events either. The returned
@@ -293,7 +305,7 @@
 	dialect, response := &api.config.Dialect, exchange.response
 	switch {
 	case response.Header.Get(dialect.RequestID) != string(call.id):
-		exchange.reason = "answer_to_another_request"
+		exchange.reason = reasonForeignAnswer
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		exchange.notRun, exchange.reason = true, "misdirected"
 	case response.Header.Get(dialect.NotRun) != "":
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -123,10 +123,10 @@
 	daemon := &Daemon{
 		settings: nodeSettings, log: log.With().Str("node", string(nodeSettings.Node)).Logger(), now: time.Now, network: network,
 		metrics: metrics.NewRegistry(), stopFinished: make(chan struct{}),
-		engineTransport: endpoint.New(endpoint.Config{Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes}),
+		engineTransport: endpoint.New(endpoint.Config{Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes, IDHeader: rest.HeaderRequestID}),
 		// Each call that must not repeat gets a new connection, since the transport
 		// may send a request again when a reused connection fails.
-		singleSendTransport: endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true}),
+		singleSendTransport: endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID}),
 	}
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -145,8 +145,12 @@
 func New(config Config) (*Node, error) {
 	node := &Node{
 		config: config, clock: boottime.New(time.Now()), metrics: metrics.NewRegistry(), serveErrors: make(chan error, 1),
-		endpointTransport: endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout}),
 	}
+	transportConfig := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout}
+	if config.Entry != nil {
+		transportConfig.IDHeader = config.Entry.Dialect.RequestID
+	}
+	node.endpointTransport = endpoint.New(transportConfig)
 	if err := node.start(); err != nil {
 		if closeErr := node.close(); closeErr != nil {
 			config.Log.Error().Err(closeErr).Str("step", "stop").Msg("closing the node after a failed start failed as well")
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -1,11 +1,12 @@
 // Package endpoint is the HTTP transport to the hosts of engines and services. A host
 // in trouble may send bytes that are no answer and never end, so heads and bodies are
-// bounded. Whatever breaks a bound costs the connection, which isn't used again.
+// bounded, and an answer to another request isn't taken for that to this one. Either costs
+// the connection, which isn't used again.
 //
 // # Usage
 //
-//	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second})
-//	response, err := transport.RoundTrip(request)
+//	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second, IDHeader: "X-Request-Id"})
+//	response, err := transport.RoundTrip(request) // ErrForeignAnswer for an answer to another request
 //	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes
 //	transport.CloseIdleConnections()
 package endpoint
@@ -15,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +29,9 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// ErrForeignAnswer reports an answer that belongs to another request.
+var ErrForeignAnswer = errors.New("the endpoint answered another request")
+
 // ErrTooLarge reports an answer whose body is larger than MaxAnswerBytes.
 var ErrTooLarge = errors.New("the answer is larger than 16 MiB")
 
@@ -39,16 +44,22 @@
 	// BufferBytes is the size of a connection's buffers. Zero stands for the
 	// default of net/http.
 	BufferBytes int
+	// IDHeader names the header of a request that its answer repeats. An answer with
+	// another value belongs to another request.
+	IDHeader string
 	// SingleUse gives each request a connection of its own.
 	SingleUse bool
 }
 
 // Transport sends requests to hosts. It is safe for concurrent use.
-type Transport struct{ transport *http.Transport }
+type Transport struct {
+	transport *http.Transport
+	idHeader  string
+}
 
 // New returns a transport without connections.
 func New(config Config) *Transport {
-	return &Transport{&http.Transport{
+	return &Transport{idHeader: config.IDHeader, transport: &http.Transport{
 		DialContext: config.Dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
 		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
 		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
@@ -56,12 +67,23 @@
 }
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
-// says that it is larger than MaxAnswerBytes.
+// says that it is larger than MaxAnswerBytes, and ErrForeignAnswer for one that belongs
+// to another request. The connection of the latter is closed: the answer to this request
+// would come as that to the next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := transport.transport.RoundTrip(request)
+	var connection net.Conn
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+	})
+	response, err := transport.transport.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
 	}
+	if transport.foreign(request, response) {
+		_ = response.Body.Close()
+		_ = connection.Close()
+		return nil, ErrForeignAnswer
+	}
 	if response.ContentLength > MaxAnswerBytes {
 		_ = response.Body.Close()
 		return nil, ErrTooLarge
@@ -70,6 +92,16 @@
 	return response, nil
 }
 
+// foreign reports whether an answer names another request. One that names none may still
+// be this request's.
+func (transport *Transport) foreign(request *http.Request, response *http.Response) bool {
+	if transport.idHeader == "" {
+		return false
+	}
+	answered := response.Header.Get(transport.idHeader)
+	return answered != "" && answered != request.Header.Get(transport.idHeader)
+}
+
 // CloseIdleConnections closes the connections that aren't in use.
 func (transport *Transport) CloseIdleConnections() { transport.transport.CloseIdleConnections() }
 
