daemon: a test of an engine that writes the refusal of another request

What callers saw: a client error of another request as their own, with the outcome not_run, while the engine may have run theirs: the callers' interface compared ids only of answers with status 200.

--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -81,6 +81,8 @@
 	// RefuseUnrun refuses service calls with an error that states that the call
 	// wasn't run.
 	RefuseUnrun bool `json:"refuse_unrun,omitempty"`
+	// OldRefusal answers each call with the refusal of another request.
+	OldRefusal bool `json:"old_refusal,omitempty"`
 	// Endless answers each stream and service call without end.
 	Endless Endless `json:"endless,omitempty"`
 	// WrongRequest puts another request's id into the response header.
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -26,6 +26,11 @@
 		answerEndlessly(writer, request, form)
 		return
 	}
+	if engine.currentFaults().OldRefusal {
+		writer.Header().Set(rest.HeaderRequestID, "another")
+		rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", "the refusal of another request"))
+		return
+	}
 	var requestBody body
 	if err := json.NewDecoder(io.LimitReader(request.Body, 64<<20)).Decode(&requestBody); err != nil {
 		rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", err.Error()))
