callerapi: a refusal counts as not run only if it names the request

What callers saw: the outcome not_run on the word of an engine's or a service's refusal that didn't say whose it was; it may be an earlier request's, written once more on a kept connection.

Evidence: TestRefusalWithoutAnIDProvesNothing failed before for a completion and for a booking that must not repeat (outcome not_run, want unknown) and passes now.

Change: an engine's answer has to return the request's id whatever its status, and a service's refusal has to return it to count as one. The stand-in engine returns it with refusals too.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -322,15 +322,15 @@
 	}
 }
 
-// checkResponse checks that the engine's answer has status 200 and belongs to
-// this request.
+// checkResponse checks that the engine's answer belongs to this request and has
+// status 200.
 func (relay *relay) checkResponse(response *http.Response) error {
+	if got := response.Header.Get(rest.HeaderRequestID); got != string(relay.call.id) {
+		return errors.Errorf("engine answered request %q with %s, not this one", got, response.Status)
+	}
 	if response.StatusCode != http.StatusOK {
 		return readEngineError(response)
 	}
-	if got := response.Header.Get(rest.HeaderRequestID); got != string(relay.call.id) {
-		return errors.Errorf("engine answered request %q, not this one", got)
-	}
 	return nil
 }
 
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -183,11 +183,10 @@
 	if len(body) > maxAnswerBytes {
 		return nil, true, errors.Errorf("read service at %s: the answer is too large", endpoint.Address)
 	}
-	if got := response.Header.Get(rest.HeaderRequestID); got != "" && got != string(serviceCall.call.id) {
-		return nil, true, errors.Errorf("service at %s answered request %q, not this one", endpoint.Address, got)
-	}
 	if response.Header.Get(rest.HeaderOutcome) == string(rest.OutcomeNotRun) {
-		return nil, false, errors.Errorf("service at %s refused without running: %s", endpoint.Address, response.Status)
+		// A refusal that doesn't name the request may be another one's.
+		mayHaveRun := response.Header.Get(rest.HeaderRequestID) != string(serviceCall.call.id)
+		return nil, mayHaveRun, errors.Errorf("service at %s refused without running: %s", endpoint.Address, response.Status)
 	}
 	admission.RecordAnswerTime(api.config.Now().Sub(startedAt))
 	return &register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, true, nil
--- a/caroblined/process/daemon/calls_test.go
+++ b/caroblined/process/daemon/calls_test.go
@@ -93,6 +93,28 @@
 	}
 }
 
+// Guards against a caller that is told that its call hasn't run on the word of a refusal
+// that may be another request's.
+func TestRefusalWithoutAnIDProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		faults := engine.Faults{NamelessRefusal: true}
+		for _, host := range system.engines {
+			host.SetFaults(faults)
+		}
+		system.service.SetFaults(engine.Faults{RefuseUnrun: true, NamelessRefusal: true})
+		for name, got := range map[string]reply{
+			"completion": system.call(context.Background(), 0, http.MethodPost, "/v1/completions", "acme-token", nil, `{"model":"pulp","prompt":"x"}`),
+			"booking":    system.book(context.Background(), 0, "booking-1", `{"batch":7}`),
+		} {
+			if outcome := got.header.Get(rest.HeaderOutcome); got.status < http.StatusBadRequest || outcome != "unknown" {
+				t.Errorf("%s: status %d, outcome %q: %s; want the outcome unknown", name, got.status, outcome, got.body)
+			}
+		}
+	})
+}
+
 // TestBadRequests checks that each invalid request is rejected with its code
 // and the outcome not_run.
 func TestBadRequests(t *testing.T) {
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -83,6 +83,8 @@
 	RefuseUnrun bool `json:"refuse_unrun,omitempty"`
 	// OldRefusal answers each call with the refusal of another request.
 	OldRefusal bool `json:"old_refusal,omitempty"`
+	// NamelessRefusal does so without any request's id.
+	NamelessRefusal bool `json:"nameless_refusal,omitempty"`
 	// Endless answers each stream and service call without end.
 	Endless Endless `json:"endless,omitempty"`
 	// WrongRequest puts another request's id into the response header.
--- a/fakeengine/process/engine/orders.go
+++ b/fakeengine/process/engine/orders.go
@@ -37,7 +37,9 @@
 	ticket := engine.scheduler.Enqueue(0)
 	defer engine.scheduler.Remove(ticket)
 	faults := engine.currentFaults()
-	writer.Header().Set(rest.HeaderRequestID, request.Header.Get(rest.HeaderRequestID))
+	if refused := engine.refuseAsFault(writer, request); refused {
+		return
+	}
 	if faults.RefuseUnrun {
 		rest.WriteError(writer, rest.NotRun(http.StatusServiceUnavailable, "busy", "not now"))
 		return
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -26,9 +26,7 @@
 		answerEndlessly(writer, request, form)
 		return
 	}
-	if engine.currentFaults().OldRefusal {
-		writer.Header().Set(rest.HeaderRequestID, "another")
-		rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", "the refusal of another request"))
+	if refused := engine.refuseAsFault(writer, request); refused {
 		return
 	}
 	var requestBody body
@@ -54,6 +52,23 @@
 	stream.run(request.Context(), lastEventID)
 }
 
+// refuseAsFault refuses a call as the faults say and returns false when they don't. Other
+// answers repeat the request's id.
+func (engine *Engine) refuseAsFault(writer http.ResponseWriter, request *http.Request) bool {
+	header, faults := writer.Header(), engine.currentFaults()
+	header.Set(rest.HeaderRequestID, request.Header.Get(rest.HeaderRequestID))
+	switch {
+	case faults.OldRefusal:
+		header.Set(rest.HeaderRequestID, "another")
+	case faults.NamelessRefusal:
+		header.Del(rest.HeaderRequestID)
+	default:
+		return false
+	}
+	rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", "the refusal of another request"))
+	return true
+}
+
 // admit returns an error unless the host serves the model, has rank 0 in its group,
 // and, if it checks fencing, serves the group and the fencing token that the
 // request names.
