rest: an aborted answer resets the connection of an HTTP/1.0 caller

What callers saw: a stream that was broken off looked complete to a caller of HTTP/1.0. Such a caller gets no chunks; its answer ends with the connection, and aborting a handler closes that in the ordinary way.

Change: one function for entry hosts and the callers' interface ends an incomplete answer; for HTTP/1.0 it resets the connection.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -171,7 +171,7 @@
 		if err == nil {
 			err = handle(writer, request, call)
 		}
-		api.finish(writer, call, err)
+		api.finish(writer, request, call, err)
 	}
 }
 
@@ -206,7 +206,7 @@
 	return body, nil
 }
 
-func (api *API) finish(writer http.ResponseWriter, call *call, err error) {
+func (api *API) finish(writer http.ResponseWriter, request *http.Request, call *call, err error) {
 	elapsed := api.config.Now().Sub(call.startedAt)
 	api.meters.duration.Update(elapsed.Microseconds())
 	if err == nil {
@@ -222,9 +222,7 @@
 	call.log.Info().Err(err).Str("step", restError.Code).Str("endpoint", call.lastEndpoint).
 		Str("outcome", string(restError.Outcome)).Dur("elapsed", elapsed).Msg("call failed")
 	if call.answerStarted {
-		// A part of the answer has been sent. Aborting the connection is the
-		// only way left to show the caller that the answer is incomplete.
-		panic(http.ErrAbortHandler)
+		rest.AbortAnswer(writer, request)
 	}
 	rest.WriteError(writer, restError)
 }
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -26,6 +26,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
@@ -204,9 +205,7 @@
 	result := api.serve(writer, call)
 	api.record(call, result)
 	if result.abort {
-		// Aborting the connection shows the caller that the answer is
-		// incomplete.
-		panic(http.ErrAbortHandler)
+		rest.AbortAnswer(writer, request)
 	}
 }
 
--- a/caroblined/connection/entryapi/framing_test.go
+++ b/caroblined/connection/entryapi/framing_test.go
@@ -225,3 +225,17 @@
 		}
 	}
 }
+
+// Guards against a stream that was broken off and looks complete to a caller of the older
+// protocol, to whom the end of the connection is the end of the answer.
+func TestBrokenStreamIsResetForCallersWithoutChunks(t *testing.T) {
+	service := newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		streamEnding{"chunked", "id: 2\nda"}.write(connection, request, event(1))
+	})
+	routes := route(routing.RepeatStream)
+	routes[0].Resumable = false
+	raw := strings.Replace(post("/a", "x"), "HTTP/1.1", "HTTP/1.0", 1)
+	if got, err := call(t, newEntryHost(t, routes, service), raw); err == nil {
+		t.Errorf("the answer looks complete: %q", got.body)
+	}
+}
