entryapi: an endpoint that says in an answer that it is leaving gets no more calls

The entry host passed the header on and read nothing from it; it stopped only once control told it, which a machine that is cut off doesn't learn.

Change: a notice, kept by the entry host itself, of the host's incarnation, which views name now: it holds whatever control knows, in any group that this host heads, until the host starts again or hasn't been an endpoint for ten minutes. It is read from each answer, also one that is dropped or turns the call away, before anything else is decided.

--- a/caroblined/connection/entryapi/dialect.go
+++ b/caroblined/connection/entryapi/dialect.go
@@ -24,6 +24,8 @@
 	Model string
 	// NotRun is set by an endpoint that has not run the request.
 	NotRun string
+	// Leaving is set by an endpoint that will stop and wants no further requests.
+	Leaving string
 	// EndpointMark marks an answer as the endpoint's own. A success without it
 	// is rejected.
 	EndpointMark string
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -229,6 +229,7 @@
 		return exchange
 	}
 	exchange.response = response
+	api.recordNotices(attempt, response)
 	api.checkHeaders(call, exchange)
 	if exchange.reason == "" && !call.streams(response) {
 		api.readResponseBody(exchange)
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -138,7 +138,7 @@
 	}
 	endpoint := &view.Endpoint{
 		Name: feed.Endpoint{Group: group.Group}, Model: group.Model, EngineService: group.Service, Fencing: group.Fencing,
-		Host: group.Hosts[0], Address: head.Announcement.Address, DataCentre: head.Announcement.DataCentre,
+		Host: group.Hosts[0], Incarnation: head.Announcement.Incarnation, Address: head.Announcement.Address, DataCentre: head.Announcement.DataCentre,
 		Load: head.Announcement.Load, AnnouncementSequence: head.Announcement.Sequence,
 		Accepting: group.Phase == register.PhaseServing, ValidUntil: member.leaseUntil,
 	}
@@ -166,7 +166,7 @@
 		return
 	}
 	endpoint := &view.Endpoint{
-		Name: feed.Endpoint{Host: announcement.Host}, Service: announcement.Service, Address: announcement.Address, Host: announcement.Host,
+		Name: feed.Endpoint{Host: announcement.Host}, Service: announcement.Service, Address: announcement.Address, Host: announcement.Host, Incarnation: announcement.Incarnation,
 		DataCentre: announcement.DataCentre, Load: announcement.Load, AnnouncementSequence: announcement.Sequence,
 		Accepting: !stopping && !announcement.Leaving, ValidUntil: host.Expiry,
 	}
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -31,6 +31,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/request/notice"
 	"carobline.dev/core/version/view"
 )
 
@@ -157,11 +158,12 @@
 	salt            [8]byte
 	stateByEndpoint map[feed.Endpoint]*endpointState
 	queueByPool     map[Pool]*queue
+	notices         *notice.Notices
 }
 
 // New returns a balancer that knows no endpoints.
 func New(source *rand.Rand) *Balancer {
-	balancer := &Balancer{view: view.Empty(), rand: source, stateByEndpoint: map[feed.Endpoint]*endpointState{}, queueByPool: map[Pool]*queue{}}
+	balancer := &Balancer{view: view.Empty(), rand: source, stateByEndpoint: map[feed.Endpoint]*endpointState{}, queueByPool: map[Pool]*queue{}, notices: notice.New()}
 	binary.LittleEndian.PutUint64(balancer.salt[:], source.Uint64())
 	return balancer
 }
@@ -175,15 +177,16 @@
 			delete(balancer.stateByEndpoint, endpoint)
 		}
 	}
+	balancer.notices.Forget(now)
 	return balancer.dispatchWaiting(now)
 }
 
 // Submit decides whether a new call goes to an endpoint, waits or is refused.
 func (balancer *Balancer) Submit(now time.Time, call Call) Decision {
 	queue := balancer.queue(call.Pool)
-	endpoints := balancer.endpoints(call.Pool)
+	endpoints := balancer.available(now, call.Pool)
 	if len(endpoints) == 0 {
-		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: noEndpointRetryAfter}
+		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
 	ahead := balancer.queuedAhead(queue, call)
 	if ahead == 0 || call.Failover {
@@ -226,7 +229,7 @@
 		return Decision{}, false
 	}
 	queue.waiting = slices.Delete(queue.waiting, index, index+1)
-	running, limit := balancer.poolLoad(balancer.endpoints(call.Pool))
+	running, limit := balancer.poolLoad(balancer.available(now, call.Pool))
 	return queue.refuse(now, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
 }
 
@@ -258,7 +261,7 @@
 	var decisions []Decision
 	for _, pool := range balancer.poolsWithWaiting() {
 		queue := balancer.queueByPool[pool]
-		endpoints := balancer.endpoints(pool)
+		endpoints := balancer.available(now, pool)
 		fullByMaxLoad := map[float64]bool{}
 		queue.waiting = slices.DeleteFunc(queue.waiting, func(call Call) bool {
 			if fullByMaxLoad[call.maxLoad()] {
@@ -418,6 +421,31 @@
 	return set.Endpoints
 }
 
+// available returns the endpoints that may serve a pool and want requests.
+func (balancer *Balancer) available(now time.Time, pool Pool) []*view.Endpoint {
+	return balancer.notices.Filter(now, balancer.endpoints(pool))
+}
+
+// firstBack returns the RetryAfter for a pool of which no endpoint wants requests.
+func (balancer *Balancer) firstBack(now time.Time, pool Pool) time.Duration {
+	wait, ok := balancer.notices.FirstBack(now, balancer.endpoints(pool))
+	if !ok {
+		return noEndpointRetryAfter
+	}
+	return min(maxRetryAfter, max(minRetryAfter, wait))
+}
+
+// Leaving records that an endpoint has said that it is leaving. Its host gets no calls
+// until it starts again.
+func (balancer *Balancer) Leaving(now time.Time, endpoint *view.Endpoint) {
+	balancer.notices.Leave(now, endpoint)
+}
+
+// Paused records that an endpoint wants no calls of this entry host for a time.
+func (balancer *Balancer) Paused(now time.Time, endpoint *view.Endpoint, pause time.Duration) {
+	balancer.notices.Pause(now, endpoint, pause)
+}
+
 // queuedAhead counts the waiting calls that go before a new one.
 func (balancer *Balancer) queuedAhead(queue *queue, call Call) int {
 	count := 0
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -35,12 +35,14 @@
 	EngineService id.Service
 	// Host is the host that serves at Address: the group's head, or the host of
 	// the plain service.
-	Host       id.Host
-	Address    string
-	DataCentre id.DataCentre
-	Fencing    id.FencingToken
-	Resumes    bool
-	Load       roster.Load
+	Host id.Host
+	// Incarnation is that of Host.
+	Incarnation id.Incarnation
+	Address     string
+	DataCentre  id.DataCentre
+	Fencing     id.FencingToken
+	Resumes     bool
+	Load        roster.Load
 	// Prefixes are the hashes of the prompt prefixes that the endpoint reports
 	// as cached.
 	Prefixes []uint32
