--- a/caroblined/connection/entryapi/notice_test.go
+++ b/caroblined/connection/entryapi/notice_test.go
@@ -4,12 +4,21 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"carobline.dev/core/version/routing"
 )
 
+// refuseFor returns a response that turns a request away for a time, as a header value
+// in seconds.
+func refuseFor(seconds string) func(*service, net.Conn, *http.Request, int) {
+	return func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		reply(connection, request, "503 Service Unavailable", "", "Not-Run: 1", "Retry-After: "+seconds)
+	}
+}
+
 // Guards against requests to an endpoint that has said in one of its answers, of whatever
 // kind, that it is leaving.
 func TestEndpointThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
@@ -79,3 +88,53 @@
 		t.Errorf("the leaving endpoint got %d requests, want 1", len(leaving.requests()))
 	}
 }
+
+// Guards against requests to an endpoint that turned one away and named the time for
+// which it wants none.
+func TestEndpointThatNamesATimeGetsNoRequestsUntilThen(t *testing.T) {
+	const pause = 1200 * time.Millisecond
+	refusing, serving := newService(t, refuseFor("1.2")), newService(t, respondDone)
+	server := newEntryHost(t, route(routing.RepeatSafe), refusing, serving)
+	var refusedAt time.Time
+	for startedAt := time.Now(); time.Since(startedAt) < 2*pause; time.Sleep(5 * time.Millisecond) {
+		sentAt, before := time.Now(), len(refusing.requests())
+		if got, err := call(t, server, post("/a", "x")); err != nil || got.status != http.StatusOK {
+			t.Fatalf("status %d, error %v; want the other endpoint's answer", got.status, err)
+		}
+		if len(refusing.requests()) == before {
+			continue
+		}
+		if !refusedAt.IsZero() && sentAt.Sub(refusedAt) < pause-50*time.Millisecond {
+			t.Fatalf("a request came %v after the refusal, want none for %v", sentAt.Sub(refusedAt), pause)
+		}
+		refusedAt = sentAt
+	}
+	if got := len(refusing.requests()); got < 2 {
+		t.Errorf("the endpoint got %d requests, want one more after its time", got)
+	}
+}
+
+// Guards against callers that are kept waiting, or told to come back too early, when the
+// only endpoint has named the time for which it wants no requests.
+func TestCallersAreToldTheTimeThatTheOnlyEndpointNames(t *testing.T) {
+	const pause = 1.5 // seconds
+	refusing := newService(t, refuseFor("1.5"))
+	server := newEntryHost(t, route(routing.RepeatSafe), refusing)
+	startedAt := time.Now()
+	for range 5 {
+		got, err := call(t, server, post("/a", "x"))
+		if err != nil || got.status != http.StatusServiceUnavailable {
+			t.Fatalf("%+v, error %v; want a 503", got, err)
+		}
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		if err != nil || seconds > pause || seconds < pause-0.5 {
+			t.Errorf("Retry-After is %q, want nearly %v", got.header.Get("Retry-After"), pause)
+		}
+	}
+	if elapsed := time.Since(startedAt); elapsed > time.Second {
+		t.Errorf("five refusals took %v", elapsed)
+	}
+	if len(refusing.requests()) != 1 {
+		t.Errorf("the endpoint got %d requests, want 1", len(refusing.requests()))
+	}
+}
