balancer: a call that has been to every endpoint is refused at once

What callers saw: a call that the only endpoints had turned away, or a broken stream whose last other endpoint had, was kept until its due time and then ended as it would have at once.

Cause: endpoints that were tried are skipped when one is picked, but counted when the balancer decides whether the call may wait.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -188,6 +188,9 @@
 	if len(endpoints) == 0 {
 		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
+	if !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }) {
+		return queue.refuse(now, Decision{Call: call.Number})
+	}
 	ahead := balancer.queuedAhead(queue, call)
 	if ahead == 0 || call.Failover {
 		if decision, ok := balancer.assign(now, call, endpoints); ok {
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -281,3 +281,21 @@
 		}
 	}
 }
+
+// Guards against a call that has been to every endpoint and waits for none until its time
+// is over, with a broken stream open before its caller.
+func TestCallThatTriedEveryEndpointIsRefusedAtOnce(t *testing.T) {
+	pools := newBalancer(1, 2, 0, 0)
+	tried := []feed.Endpoint{{Host: "h00"}, {Host: "h01"}}
+	for _, failover := range []bool{false, true} {
+		again := call(1, start)
+		again.Tried, again.Failover = tried, failover
+		if decision := pools.Submit(start, again); decision.Verdict != balancer.VerdictRefuse || decision.RetryAfter <= 0 {
+			t.Errorf("failover %v: %+v, want a refusal with a time to come back", failover, decision)
+		}
+		again.Tried = tried[:1]
+		if decision := pools.Submit(start, again); decision.Verdict != balancer.VerdictGo || decision.Endpoint.Host != "h01" {
+			t.Errorf("failover %v: %+v, want the endpoint that wasn't tried", failover, decision)
+		}
+	}
+}
