entryapi, callerapi: an answer of events that ends within one is broken off on every path

What callers saw: the fault of the incident on the paths that pass an answer on whole: routes that aren't streaming, streaming routes with another status than 200, and the services of the callers' interface. An answer of events whose end lies within an event reached its caller as complete.

Change: sse decides for all paths what an answer of events is and whether it was cut. Such an answer is tried elsewhere where the call may repeat, else the caller gets a 502 with the outcome unknown.

--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -19,6 +19,7 @@
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/caroblined/request/traffic"
 	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/request/dispatcher"
@@ -183,6 +184,9 @@
 	if len(body) > maxAnswerBytes {
 		return nil, true, errors.Errorf("read service at %s: the answer is too large", endpoint.Address)
 	}
+	if sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(body) {
+		return nil, true, errors.Wrapf(sse.ErrTruncated, "read service at %s", endpoint.Address)
+	}
 	if response.Header.Get(rest.HeaderOutcome) == string(rest.OutcomeNotRun) {
 		// A refusal that doesn't name the request may be another one's.
 		mayHaveRun := response.Header.Get(rest.HeaderRequestID) != string(serviceCall.call.id)
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -14,6 +14,7 @@
 
 	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/version/view"
 )
@@ -331,6 +332,8 @@
 		exchange.reason, exchange.err = "answer_broken_off", err
 	case len(body) > maxWholeAnswerBytes:
 		exchange.reason = "answer_too_large"
+	case sse.Matches(exchange.response.Header.Get("Content-Type")) && sse.Truncated(body):
+		exchange.reason, exchange.err = "answer_broken_off", sse.ErrTruncated
 	default:
 		exchange.body = body
 	}
--- a/caroblined/connection/entryapi/framing_test.go
+++ b/caroblined/connection/entryapi/framing_test.go
@@ -20,7 +20,12 @@
 
 // write sends an answer with the given events and this ending.
 func (ending streamEnding) write(connection net.Conn, request *http.Request, events string) {
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMark: m\r\nCall-Id: " + request.Header.Get("Call-Id") + "\r\n"
+	ending.writeStatus(connection, request, "200 OK", events)
+}
+
+// writeStatus does so with another status.
+func (ending streamEnding) writeStatus(connection net.Conn, request *http.Request, status, events string) {
+	head := "HTTP/1.1 " + status + "\r\nContent-Type: text/event-stream\r\nMark: m\r\nCall-Id: " + request.Header.Get("Call-Id") + "\r\n"
 	switch ending.framing {
 	case "chunked":
 		head += "Transfer-Encoding: chunked\r\n\r\n"
@@ -239,3 +244,21 @@
 		t.Errorf("the answer looks complete: %q", got.body)
 	}
 }
+
+// Guards against the same on routes whose answers are passed on whole: an answer of events
+// that ends within one has been broken off there too.
+func TestWholeAnswerCutWithinAnEventIsNotPassedOn(t *testing.T) {
+	for _, ending := range unfinishedEndings() {
+		for repeat, status := range map[routing.Repeat]string{routing.RepeatNever: "200 OK", routing.RepeatSafe: "200 OK", routing.RepeatStream: "201 Created"} {
+			t.Run(fmt.Sprintf("%s %s %q", repeat, ending.framing, ending.tail), func(t *testing.T) {
+				service := newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+					ending.writeStatus(connection, request, status, event(1)+event(2))
+				})
+				got, err := call(t, newEntryHost(t, route(repeat), service), post("/a", "x"))
+				if err == nil && got.status != http.StatusBadGateway {
+					t.Errorf("status %d, body %q; want a 502", got.status, got.body)
+				}
+			})
+		}
+	}
+}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,8 +35,7 @@
 
 // streams reports whether an answer is passed on event by event.
 func (call *call) streams(response *http.Response) bool {
-	return call.route.Repeat == routing.RepeatStream && response.StatusCode == http.StatusOK &&
-		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	return call.route.Repeat == routing.RepeatStream && response.StatusCode == http.StatusOK && sse.Matches(response.Header.Get("Content-Type"))
 }
 
 // answerStartTimeout returns how long an endpoint may take to begin its answer.
@@ -179,7 +177,7 @@
 		if err != nil {
 			progress.unfinishedBytes = len(buffer) - complete
 		}
-		truncated := ended && sse.Truncated(buffer[complete:])
+		truncated := ended && sse.Truncated(buffer)
 		if ended && !truncated {
 			complete = len(buffer)
 		}
--- a/caroblined/process/daemon/once_test.go
+++ b/caroblined/process/daemon/once_test.go
@@ -143,6 +143,20 @@
 	})
 }
 
+// Guards against a service's answer that was cut within an event and reaches its caller as
+// complete.
+func TestServiceAnswerCutWithinAnEventIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		system.service.SetFaults(engine.Faults{Garbage: true})
+		got := system.call(context.Background(), 0, http.MethodGet, "/services/orders/stock?item=7", "acme-token", nil, "")
+		if got.status != http.StatusBadGateway || got.header.Get(rest.HeaderOutcome) != "unknown" {
+			t.Errorf("status %d, outcome %q: %s; want a 502 with the outcome unknown", got.status, got.header.Get(rest.HeaderOutcome), got.body)
+		}
+	})
+}
+
 // A service may send bytes that are no answer and never end. The caller gets a clear
 // error in time, and a call that must not repeat isn't run again.
 func TestServiceAnswersWithoutEnd(t *testing.T) {
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"io"
 	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -113,10 +114,13 @@
 	return end
 }
 
-// Truncated reports whether a stream that ends with rest, after its last complete event,
-// was cut within an event. Empty lines and comments may follow the last event.
-func Truncated(rest []byte) bool {
-	for line := range bytes.Lines(rest) {
+// Matches reports whether a Content-Type is that of a stream of events.
+func Matches(contentType string) bool { return strings.HasPrefix(contentType, "text/event-stream") }
+
+// Truncated reports whether a stream that ends with data was cut within an event. Empty
+// lines and comments may follow the last event.
+func Truncated(data []byte) bool {
+	for line := range bytes.Lines(data[CompleteLen(data):]) {
 		isComment := line[0] == ':' && bytes.HasSuffix(line, []byte("\n"))
 		if len(bytes.TrimRight(line, "\r\n")) > 0 && !isComment {
 			return true
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -63,7 +63,8 @@
 	// CutAfter aborts the connection of each stream after the token of this
 	// index.
 	CutAfter int `json:"cut_after,omitempty"`
-	// Garbage sends one event that isn't JSON in place of each stream.
+	// Garbage sends one event that isn't JSON in place of each stream, and half an
+	// event in place of each answer to a service call that may repeat.
 	Garbage bool `json:"garbage,omitempty"`
 	// EndEarly ends the response of each stream normally after the second token,
 	// without the end mark.
--- a/fakeengine/process/engine/orders.go
+++ b/fakeengine/process/engine/orders.go
@@ -52,6 +52,11 @@
 		answerEndlessly(writer, request, faults.Endless)
 		return
 	}
+	if request.Method != http.MethodPost && faults.Garbage {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, "data: {}\n\ndata: {")
+		return
+	}
 	if request.Method != http.MethodPost {
 		rest.WriteJSON(writer, http.StatusOK, map[string]string{"path": strings.TrimPrefix(request.URL.Path, "/"), "stock": "1200"})
 		return
