entryapi: TestOutcomes has the refusals of other requests

A refusal that names another request, or none, isn't taken as proof that this call hasn't run: a call that must not repeat gets a 502 after one send, one that may is sent to another endpoint.

--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -125,6 +125,14 @@
 	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nCall-Id: another\r\nMark: m\r\nContent-Length: 4\r\n\r\nevil")
 }
 
+func refuseAnotherRequest(_ *service, connection net.Conn, _ *http.Request, _ int) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 503 Service Unavailable\r\nCall-Id: another\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+func refuseWithoutID(_ *service, connection net.Conn, _ *http.Request, _ int) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 func closeInBody(_ *service, connection net.Conn, request *http.Request, _ int) {
 	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\nMark: m\r\nContent-Length: 40\r\n\r\nhalf")
 	_ = connection.Close()
@@ -298,6 +306,9 @@
 		{"broken off, safe", closeUnanswered, routing.RepeatSafe, 200, "done", 2},
 		{"another's answer, never repeated", answerAnotherRequest, routing.RepeatNever, 502, "answer_to_another_request\n", 1},
 		{"another's answer, safe", answerAnotherRequest, routing.RepeatSafe, 200, "done", 2},
+		{"another's refusal, never repeated", refuseAnotherRequest, routing.RepeatNever, 502, "answer_to_another_request\n", 1},
+		{"a refusal without an id, never repeated", refuseWithoutID, routing.RepeatNever, 502, "answer_to_another_request\n", 1},
+		{"another's refusal, safe", refuseAnotherRequest, routing.RepeatSafe, 200, "done", 2},
 		{"cut short, never repeated", closeInBody, routing.RepeatNever, 502, "answer_broken_off\n", 1},
 		{"cut short, safe", closeInBody, routing.RepeatSafe, 200, "done", 2},
 		{"no mark, never repeated", respondWithoutMark, routing.RepeatNever, 502, "answer_without_mark\n", 1},
