fleet: a host joins no group while its last one is open again

Cause, as suspected: a head that has left a retired group carries out an order to join and one to open that it was sent before. Its hosts have been freed by then, and nothing looks at the head again. design/platform.md took a late open for harmless, since the head is outside; a late join puts it back, for its token is as high as any that this head has seen.

Evidence: TestHostsOfAGroupThatALateOrderOpenedJoinNoOther failed before (a host is to join g1-2 while g1-1, which it hasn't left, is open) and passes now. Every test of the fleet checks it.

Change: before a host is ordered to join a group, also a spare's own, the group that it says it is in mustn't be open by its head's word. Otherwise the head is ordered to leave once more. What remains is a head that reopens between that look and the join.

--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -88,6 +88,7 @@
 	}
 	switch order.Kind {
 	case action.OrderLoad:
+		world.checkJoin(engine, order)
 		engine.Serving = roster.Serving{Group: order.Group, Fencing: order.Fencing, Ready: true}
 		engine.Loaded, engine.Staged = []id.Model{order.Model}, []id.Model{order.Model}
 	case action.OrderStage:
@@ -101,6 +102,18 @@
 	}
 }
 
+// checkJoin reports an engine that joins a group while the head of another one, which the
+// engine hasn't left, is open.
+func (world *world) checkJoin(engine *roster.Announcement, order action.Order) {
+	world.t.Helper()
+	for _, head := range world.engines {
+		old := head.Serving
+		if old.Open && old.Group == engine.Serving.Group && old.Group != order.Group {
+			world.t.Errorf("%v: %s is to join %s while %s, which it hasn't left, is open at %s", world.now, engine.Host, order.Group, old.Group, head.Host)
+		}
+	}
+}
+
 // lose removes an engine, whose group's calls stall from then on.
 func (world *world) lose(host id.Host) {
 	group, _ := world.state.GroupOf(host)
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -45,7 +45,7 @@
 			}
 			joined := inGroup(host, group)
 			ready = ready && joined && host.Announcement.Serving.Ready
-			if !joined && fleet.mayOrder(now) && fleet.mayJoin(now, host, group) {
+			if !joined && fleet.mayOrder(now) && fleet.leftOpenGroup(now, actions, host, group.Group) && fleet.mayJoin(now, host, group) {
 				fleet.sendOrder(now, actions, host, group, action.OrderLoad)
 			}
 		}
--- a/core/process/fleet/standby.go
+++ b/core/process/fleet/standby.go
@@ -29,7 +29,7 @@
 		index := slices.IndexFunc(specs, func(spec grouper.Spec) bool {
 			return spare.HasWeights(spec.Model) && served[domainModel{spare.Domain, spec.Model}]
 		})
-		if index < 0 || slices.Contains(spare.Loaded, specs[index].Model) {
+		if index < 0 || slices.Contains(spare.Loaded, specs[index].Model) || !fleet.leftOpenGroup(now, actions, host, standby) {
 			continue
 		}
 		// The latest fencing token is lower than that of any group to come.
