--- a/core/connection/rest/abort.go
+++ b/core/connection/rest/abort.go
@@ -5,8 +5,8 @@
 	"net/http"
 )
 
-// AbortAnswer ends an answer that has begun and stays incomplete: the caller sees its
-// connection break. It doesn't return.
+// AbortAnswer ends an answer that stays incomplete: the caller sees its connection break.
+// It doesn't return.
 func AbortAnswer(writer http.ResponseWriter, request *http.Request) {
 	if !request.ProtoAtLeast(1, 1) {
 		resetConnection(writer)
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -110,6 +110,7 @@
 			return
 		}
 		if rank == 0 {
+			endpoint.Host, endpoint.Incarnation = name, host.Announcement.Incarnation
 			endpoint.Address = host.Announcement.Address
 			endpoint.DataCentre = host.Announcement.DataCentre
 			endpoint.Resumes = host.Announcement.Resumes
