roster: finding what a node lacks takes the time of what has changed

What callers saw: at 295 entry hosts and 760 engines the system serves too little when traffic begins and after the leader is lost: groups open late, and entry hosts know of them late.

Cause, one part: the leader gives a thousand responses a second, and looked at each of 760 hosts twice for each of them; each list of hosts was sorted anew and copied, several times for each reconciliation (50 a second), as were the groups.

Change: the roster keeps its entries sorted by host and its changes by cursor, so that an update walks over the changes after the node's cursor alone. The fleet lists its groups once in a tick. The measure of processor time in tests is a package of its own, as two tests use it now.

--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -55,8 +55,9 @@
 	startedAt time.Time
 	// state is that of the present Tick.
 	state State
-	// openHeadByGroup is filled by openHeads, once in a Tick.
+	// openHeadByGroup is filled by openHeads, and groupsInUse by groups, once in a Tick.
 	openHeadByGroup map[openGroup]roster.Member
+	groupsInUse     []register.GroupRecord
 	// groupCount counts the groups formed in this term.
 	groupCount int
 	// formedAtByGroup is the version of the replicated state by which a group was formed
@@ -145,7 +146,7 @@
 // Tick retires, frees, opens and forms groups. The changes of one tick must be applied
 // before the next tick.
 func (fleet *Fleet) Tick(now time.Time, state State) Actions {
-	fleet.state, fleet.openHeadByGroup = state, nil
+	fleet.state, fleet.openHeadByGroup, fleet.groupsInUse = state, nil, nil
 	var actions Actions
 	declared := state.Register.Declared()
 	if declared == nil {
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -63,7 +63,7 @@
 		return
 	}
 	fleet.stageFurtherModels(now, actions, service)
-	fleet.warmSpares(now, actions, service, free)
+	fleet.warmSpares(now, actions, service, free, groups)
 }
 
 // recordIdleEngines records how many engines are in no group, by fabric domain
@@ -111,7 +111,7 @@
 	for _, host := range fleet.state.Roster.Members() {
 		if host.Announcement.Engine && host.Announcement.Service == service.Name {
 			count++
-			quietPeriod = max(quietPeriod, announcementIntervals(host, discoveryQuietIntervals))
+			quietPeriod = max(quietPeriod, announcementIntervals(*host, discoveryQuietIntervals))
 		}
 	}
 	if count != fleet.engineCount {
@@ -198,7 +198,7 @@
 	unfreed := fleet.state.Register.Unfreed()
 	var free []grouper.Host
 	for _, host := range fleet.state.Roster.Members() {
-		announcement := host.Announcement
+		announcement := &host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) {
 			continue
 		}
@@ -208,10 +208,10 @@
 		if _, assigned := fleet.state.Register.GroupOf(announcement.Host); assigned {
 			continue
 		}
-		if host.SinceLastAnnouncement(now) > announcementIntervals(host, recentlySeenIntervals) || fleet.hostLost(now, host) {
+		if host.SinceLastAnnouncement(now) > announcementIntervals(*host, recentlySeenIntervals) || fleet.hostLost(now, *host) {
 			continue
 		}
-		free = append(free, fleet.plannerHost(host))
+		free = append(free, fleet.plannerHost(*host))
 	}
 	return free
 }
--- a/core/process/fleet/reopened.go
+++ b/core/process/fleet/reopened.go
@@ -23,7 +23,7 @@
 	fleet.openHeadByGroup = map[openGroup]roster.Member{}
 	for _, host := range fleet.state.Roster.Members() {
 		if serving := host.Announcement.Serving; serving.Open && !serving.Broken && now.Before(host.Expiry) {
-			fleet.openHeadByGroup[openGroup{serving.Group, serving.Fencing}] = host
+			fleet.openHeadByGroup[openGroup{serving.Group, serving.Fencing}] = *host
 		}
 	}
 	return fleet.openHeadByGroup
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -27,12 +27,16 @@
 	stalledGroupIntervals = 1.25
 )
 
-// groups lists the groups of engines that aren't retired, oldest first.
+// groups lists the groups of engines that aren't retired, oldest first. It is read-only.
 func (fleet *Fleet) groups() []register.GroupRecord {
+	if fleet.groupsInUse != nil {
+		return fleet.groupsInUse
+	}
 	groups := slices.DeleteFunc(fleet.state.Register.Groups(), func(group register.GroupRecord) bool {
 		return group.Service == "" || group.Phase == register.PhaseRetired
 	})
 	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
+	fleet.groupsInUse = groups
 	return groups
 }
 
--- a/core/process/fleet/standby.go
+++ b/core/process/fleet/standby.go
@@ -16,10 +16,10 @@
 // that they replace a lost engine in a fraction of the time. Each joins a group of its
 // own, which is never opened and which its next group replaces. An engine whose memory
 // holds weights that its host doesn't is left as it is: it would lose them.
-func (fleet *Fleet) warmSpares(now time.Time, actions *Actions, service *routing.Service, free []grouper.Host) {
+func (fleet *Fleet) warmSpares(now time.Time, actions *Actions, service *routing.Service, free []grouper.Host, groups []grouper.Group) {
 	specs := engineSpecs(service.Engine)
 	slices.SortFunc(specs, func(a, b grouper.Spec) int { return cmp.Compare(b.HostsPerGroup, a.HostsPerGroup) })
-	served := fleet.servedModels(service)
+	served := servedModels(groups)
 	for _, spare := range free {
 		host, known := fleet.state.Roster.Member(spare.Host)
 		standby := id.Group("standby-" + string(spare.Host))
@@ -50,10 +50,10 @@
 	model  id.Model
 }
 
-// servedModels returns the models of which a service has a group, by domain.
-func (fleet *Fleet) servedModels(service *routing.Service) map[domainModel]bool {
+// servedModels returns the models of the groups, by domain.
+func servedModels(groups []grouper.Group) map[domainModel]bool {
 	served := map[domainModel]bool{}
-	for _, group := range fleet.plannerGroups(service) {
+	for _, group := range groups {
 		served[domainModel{group.Domain, group.Model}] = true
 	}
 	return served
--- a/core/process/granter/granter_test.go
+++ b/core/process/granter/granter_test.go
@@ -4,13 +4,12 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/threadtime"
 )
 
 const (
@@ -122,31 +121,18 @@
 	}
 	allocator, now, held := granter.New(start.Add(-lease), lease), start, make([]granter.Grant, nodes)
 	allocator.SetLimits(limits)
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	startedAt := threadTime()
-	for round := range rounds {
-		for node := range nodes {
-			now = now.Add(time.Millisecond)
-			for account := range limits {
-				demand[account] = granter.Quota{RequestsPerSecond: float64((node + round) % 17), Concurrency: float64((node + round) % 5)}
+	return threadtime.Of(func() {
+		for round := range rounds {
+			for node := range nodes {
+				now = now.Add(time.Millisecond)
+				for account := range limits {
+					demand[account] = granter.Quota{RequestsPerSecond: float64((node + round) % 17), Concurrency: float64((node + round) % 5)}
+				}
+				held[node] = allocator.Allocate(now, granter.Request{Node: id.Node(fmt.Sprint(node)), HeldGrant: held[node], DemandByClientAccount: maps.Clone(demand)})
+				allocator.NodesToNotify(now)
 			}
-			held[node] = allocator.Allocate(now, granter.Request{Node: id.Node(fmt.Sprint(node)), HeldGrant: held[node], DemandByClientAccount: maps.Clone(demand)})
-			allocator.NodesToNotify(now)
 		}
-	}
-	return (threadTime() - startedAt) / exchanges
-}
-
-// threadTime returns the processor time of the present thread, which other processes
-// don't lengthen by taking the processor away.
-func threadTime() time.Duration {
-	var usage syscall.Rusage
-	const thread = 1 // RUSAGE_THREAD
-	if err := syscall.Getrusage(thread, &usage); err != nil {
-		panic(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	}) / exchanges
 }
 
 // Guards against a leader whose time for each exchange grows with the nodes, so that
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -161,8 +161,8 @@
 
 // addServiceHost adds a host of a plain service while its lease lasts. Hosts of
 // engines are added with their groups.
-func (member *Member) addServiceHost(now time.Time, built *view.View, host roster.Member, stopping bool) {
-	announcement := host.Announcement
+func (member *Member) addServiceHost(now time.Time, built *view.View, host *roster.Member, stopping bool) {
+	announcement := &host.Announcement
 	if announcement.Service == "" || announcement.Engine || !now.Before(host.Expiry) {
 		return
 	}
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -13,7 +13,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +28,10 @@
 // still relayed, so that nodes which missed its departure hear of it.
 const departureRelayTime = time.Minute
 
+// maxChangesPerHost bounds the changes that are kept, those that have been replaced with
+// them, so that dropping these costs little for each change.
+const maxChangesPerHost = 4
+
 // prefixUpdateInterval is the shortest time between two updates of a host's cached
 // prefixes, if nothing else about it has changed.
 const prefixUpdateInterval = 5 * time.Second
@@ -50,6 +53,8 @@
 	// factsHash is the hash of the announcement's facts, and entryHash that of what
 	// ScopeEntry holds of it, or 0 for nothing.
 	factsHash, entryHash uint64
+	// replaced is set once the roster has a later entry for the host, or none.
+	replaced bool
 }
 
 // relayable reports whether other nodes are told of the host: it has a lease, or has
@@ -73,7 +78,10 @@
 // Roster holds the known hosts. It isn't safe for concurrent use.
 type Roster struct {
 	memberByHost map[id.Host]*Member
-	cursor       uint64
+	// sorted holds the entries by host, and changes all entries by cursor, with some that
+	// have been replaced.
+	sorted, changes []*Member
+	cursor          uint64
 	// urgentCursor is the cursor of the last ChangeUrgent, and entryUrgentCursor that
 	// of the last one that ScopeEntry holds.
 	urgentCursor, entryUrgentCursor uint64
@@ -137,10 +145,31 @@
 		updated.factsHash = old.factsHash
 	}
 	roster.setEntryFacts(updated, old, change)
-	roster.memberByHost[announcement.Host] = updated
+	roster.put(updated, old)
 	return change
 }
 
+// put stores the entry of a host in place of its former one, or nil.
+func (roster *Roster) put(updated, old *Member) {
+	host := updated.Announcement.Host
+	roster.memberByHost[host] = updated
+	position, _ := roster.position(host)
+	if old == nil {
+		roster.sorted = slices.Insert(roster.sorted, position, updated)
+	} else {
+		old.replaced, roster.sorted[position] = true, updated
+	}
+	roster.changes = append(roster.changes, updated)
+	if len(roster.changes) > maxChangesPerHost*len(roster.memberByHost) {
+		roster.changes = slices.DeleteFunc(roster.changes, func(member *Member) bool { return member.replaced })
+	}
+}
+
+// position returns the index of a host in sorted, or where it would be.
+func (roster *Roster) position(host id.Host) (int, bool) {
+	return slices.BinarySearchFunc(roster.sorted, host, func(member *Member, host id.Host) int { return cmp.Compare(member.Announcement.Host, host) })
+}
+
 // Renew merges a renewal whose lease ends at expiry. It drops a renewal of an
 // unknown host or of another incarnation than the known one.
 func (roster *Roster) Renew(now time.Time, renewal Renewal, expiry time.Time) {
@@ -179,14 +208,9 @@
 	return ok && member.Live(now)
 }
 
-// Members returns the entries of all known hosts, sorted by host.
-func (roster *Roster) Members() []Member {
-	members := make([]Member, 0, len(roster.memberByHost))
-	for _, host := range slices.Sorted(maps.Keys(roster.memberByHost)) {
-		members = append(members, *roster.memberByHost[host])
-	}
-	return members
-}
+// Members returns the entries of all known hosts, sorted by host. They are read-only and
+// don't change.
+func (roster *Roster) Members() []*Member { return slices.Clone(roster.sorted) }
 
 // Cursor returns the number of changes so far.
 func (roster *Roster) Cursor() uint64 { return roster.cursor }
@@ -207,39 +231,43 @@
 	if cursor >= roster.cursor {
 		return nil, nil
 	}
-	renewed := func(member *Member) bool {
-		return scope.renews(member) && member.Cursor > cursor && member.cursorIn(scope) <= cursor
-	}
+	first, _ := slices.BinarySearchFunc(roster.changes, cursor+1, func(member *Member, cursor uint64) int { return cmp.Compare(member.Cursor, cursor) })
+	var relayed []RelayedAnnouncement
 	var renewals []Renewal
-	for _, member := range roster.changed(now, renewed) {
-		announcement := &member.Announcement
-		renewals = append(renewals, Renewal{
-			Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: member.remainingMS(now),
-			Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
-		})
+	for _, member := range roster.changes[first:] {
+		switch {
+		case member.replaced || !member.relayable(now):
+		case member.cursorIn(scope) > cursor:
+			relayed = append(relayed, member.relayed(now))
+		case scope.renews(member):
+			renewals = append(renewals, member.renewal(now))
+		}
 	}
-	return roster.relay(now, func(member *Member) bool { return member.cursorIn(scope) > cursor }), renewals
+	return relayed, renewals
 }
 
-// relay returns the announcements of the hosts that match, the earliest change first.
+// relay returns the announcements of the relayable hosts that match, the earliest change
+// first.
 func (roster *Roster) relay(now time.Time, matches func(*Member) bool) []RelayedAnnouncement {
 	var relayed []RelayedAnnouncement
-	for _, member := range roster.changed(now, matches) {
-		relayed = append(relayed, RelayedAnnouncement{Announcement: member.Announcement, RemainingMS: member.remainingMS(now)})
+	for _, member := range roster.changes {
+		if !member.replaced && matches(member) && member.relayable(now) {
+			relayed = append(relayed, member.relayed(now))
+		}
 	}
 	return relayed
 }
 
-// changed returns the relayable entries that match, the earliest change first.
-func (roster *Roster) changed(now time.Time, matches func(*Member) bool) []*Member {
-	var changed []*Member
-	for _, member := range roster.memberByHost {
-		if matches(member) && member.relayable(now) {
-			changed = append(changed, member)
-		}
+func (member *Member) relayed(now time.Time) RelayedAnnouncement {
+	return RelayedAnnouncement{Announcement: member.Announcement, RemainingMS: member.remainingMS(now)}
+}
+
+func (member *Member) renewal(now time.Time) Renewal {
+	announcement := &member.Announcement
+	return Renewal{
+		Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: member.remainingMS(now),
+		Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
 	}
-	slices.SortFunc(changed, func(a, b *Member) int { return cmp.Compare(a.Cursor, b.Cursor) })
-	return changed
 }
 
 func (member *Member) remainingMS(now time.Time) int64 {
@@ -248,9 +276,12 @@
 
 // Tick drops hosts whose lease ended more than deadHostRetention ago.
 func (roster *Roster) Tick(now time.Time) {
+	dead := func(member *Member) bool { return now.Sub(member.Expiry) > deadHostRetention }
 	for host, member := range roster.memberByHost {
-		if now.Sub(member.Expiry) > deadHostRetention {
+		if dead(member) {
+			member.replaced = true
 			delete(roster.memberByHost, host)
 		}
 	}
+	roster.sorted = slices.DeleteFunc(roster.sorted, dead)
 }
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/roster"
+	"carobline.dev/core/threadtime"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -188,3 +190,95 @@
 		t.Errorf("the digests differ in %d announcements, though the node has all", len(missing))
 	}
 }
+
+// randomUpdate merges an announcement of a random host that may join or open a group, leave
+// or start again.
+func randomUpdate(random *rand.Rand, hosts *roster.Roster, now time.Time, sequence uint64) {
+	announcement := roster.Announcement{
+		Host: id.Host(fmt.Sprintf("h%d", random.IntN(30))), Incarnation: id.Incarnation(1 + random.IntN(2)), Sequence: sequence,
+		Engine: random.IntN(3) > 0, Leaving: random.IntN(20) == 0, LeaseMS: lease.Milliseconds(),
+	}
+	if random.IntN(2) == 0 {
+		announcement.Serving = roster.Serving{Group: id.Group(fmt.Sprint(random.IntN(3))), Ready: true, Open: random.IntN(2) == 0}
+	}
+	hosts.Merge(now, announcement, now.Add(time.Duration(random.Int64N(int64(2*lease)))))
+}
+
+// Guards against a node that misses a change, or gets one twice, since the leader looks
+// only at the latest changes.
+func TestUpdatesHoldEachChangeOnceInOrder(t *testing.T) {
+	random, hosts, now := rand.New(rand.NewPCG(1, 1)), roster.New(), start
+	for sequence := range uint64(3000) {
+		now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
+		randomUpdate(random, hosts, now, sequence)
+		if sequence%7 > 0 {
+			continue
+		}
+		cursor := uint64(random.Int64N(int64(hosts.Cursor() + 1)))
+		for _, scope := range []roster.Scope{roster.ScopeControl, roster.ScopeEntry} {
+			checkUpdate(t, hosts, now, cursor, scope)
+		}
+	}
+}
+
+// checkUpdate compares what Since returns with a look at each host.
+func checkUpdate(t *testing.T, hosts *roster.Roster, now time.Time, cursor uint64, scope roster.Scope) {
+	t.Helper()
+	want, wantRenewed := map[id.Host]bool{}, map[id.Host]bool{}
+	for _, member := range hosts.Members() {
+		relayable := now.Before(member.Expiry) || (member.Announcement.Leaving && now.Before(member.Expiry.Add(time.Minute)))
+		factsCursor, renews := member.FactsCursor, true
+		if scope == roster.ScopeEntry {
+			factsCursor, renews = member.EntryCursor, !member.Announcement.Engine
+		}
+		switch {
+		case !relayable:
+		case factsCursor > cursor:
+			want[member.Announcement.Host] = true
+		case renews && member.Cursor > cursor:
+			wantRenewed[member.Announcement.Host] = true
+		}
+	}
+	whole, renewals := hosts.Since(now, cursor, scope)
+	got, gotRenewed, last := map[id.Host]bool{}, map[id.Host]bool{}, uint64(0)
+	for _, relayed := range whole {
+		member, _ := hosts.Member(relayed.Announcement.Host)
+		if member.Cursor <= last {
+			t.Errorf("scope %s since %d: host %s isn't in the order of changes", scope, cursor, relayed.Announcement.Host)
+		}
+		got[relayed.Announcement.Host], last = true, member.Cursor
+	}
+	for _, renewal := range renewals {
+		gotRenewed[renewal.Host] = true
+	}
+	if !maps.Equal(got, want) || !maps.Equal(gotRenewed, wantRenewed) || len(got) != len(whole) || len(gotRenewed) != len(renewals) {
+		t.Errorf("scope %s since %d: %v and renewals of %v, want %v and %v", scope, cursor, got, gotRenewed, want, wantRenewed)
+	}
+}
+
+// updateCost returns the processor time of finding what a node lacks of which one host has
+// changed.
+func updateCost(hosts int) time.Duration {
+	const rounds = 50_000
+	known := roster.New()
+	for index := range hosts {
+		known.Merge(start, roster.Announcement{Host: id.Host(fmt.Sprint(index)), Incarnation: 1, Sequence: 1, Engine: true}, start.Add(lease))
+	}
+	return threadtime.Of(func() {
+		for round := range rounds {
+			cursor := known.Cursor()
+			known.Merge(start, roster.Announcement{Host: "0", Incarnation: 1, Sequence: uint64(2 + round), Engine: true}, start.Add(lease))
+			known.Since(start, cursor, roster.ScopeControl)
+		}
+	}) / rounds
+}
+
+// Guards against a leader that looks at each of hundreds of hosts for each of a thousand
+// responses a second.
+func TestCostOfAnUpdateDoesNotGrowWithHosts(t *testing.T) {
+	const few, many, most = 40, 4000, 5
+	cost := func(hosts int) time.Duration { return min(updateCost(hosts), updateCost(hosts), updateCost(hosts)) }
+	if small, large := cost(few), cost(many); large > most*small {
+		t.Errorf("an update with one change takes %v with %d hosts and %v with %d", small, few, large, many)
+	}
+}
