feed: the counts of calls are encoded once for all entry hosts

What callers saw: the leader of 295 entry hosts falls behind once there is traffic; counts reach entry hosts late, which then choose endpoints that are full.

Cause, one part: each response held the calls of all other nodes by endpoint, a map of its own for each of a thousand responses a second: built, sorted and encoded each time.

Change: the response holds the calls of all nodes, at most 20 ms old and encoded once for all that are sent meanwhile; each node takes off those that it reported with its request. Nodes of both builds don't mix, as before.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -22,6 +22,9 @@
 	// stallBroadcastLifetime is how long the other nodes avoid an endpoint after
 	// one node has reported that its calls there are stalled.
 	stallBroadcastLifetime = 500 * time.Millisecond
+	// callCountsInterval is how old the counts of calls in a response may be, so that
+	// they are encoded for many responses at once.
+	callCountsInterval = 20 * time.Millisecond
 	// callExpiryInterval is the time between two checks for expired call records.
 	callExpiryInterval = time.Minute
 )
@@ -51,8 +54,11 @@
 	lastOrderAtByHost          map[id.Host]time.Time
 	brokenSinceByGroup         map[id.Group]time.Time
 	replacementWaitSinceByStop map[id.Stop]time.Time
-	// callsByEndpoint sums the calls in progress of all nodes.
-	callsByEndpoint map[feed.Endpoint]int
+	// callsByEndpoint sums the calls in progress of all nodes. callCounts is a copy for
+	// the responses, taken at callCountsTakenAt.
+	callsByEndpoint   map[feed.Endpoint]int
+	callCounts        *feed.CallCounts
+	callCountsTakenAt time.Time
 	// stallReportedAtByEndpoint is when a node last reported that its calls to an
 	// endpoint are stalled.
 	stallReportedAtByEndpoint map[feed.Endpoint]time.Time
@@ -206,16 +212,12 @@
 	}
 }
 
-// callsAtOtherNodes returns the calls in progress by endpoint at all nodes but
-// the one whose calls are given.
-func (leadership *leadership) callsAtOtherNodes(own map[feed.Endpoint]int) map[feed.Endpoint]int {
-	callsByEndpoint := make(map[feed.Endpoint]int, len(leadership.callsByEndpoint))
-	for endpoint, calls := range leadership.callsByEndpoint {
-		if otherCalls := calls - own[endpoint]; otherCalls > 0 {
-			callsByEndpoint[endpoint] = otherCalls
-		}
+// callCountsAt returns the calls in progress of all nodes, at most callCountsInterval old.
+func (leadership *leadership) callCountsAt(now time.Time) *feed.CallCounts {
+	if leadership.callCounts == nil || now.Sub(leadership.callCountsTakenAt) >= callCountsInterval {
+		leadership.callCounts, leadership.callCountsTakenAt = feed.NewCallCounts(leadership.callsByEndpoint), now
 	}
-	return callsByEndpoint
+	return leadership.callCounts
 }
 
 // stalledEndpoints lists the endpoints that a node reported as stalled within
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -217,7 +217,7 @@
 		Voters: controller.quorum.Status().Membership.Voters,
 	}
 	node := controller.leadership.stateByNode[request.Node]
-	response.RunningElsewhereByEndpoint = controller.leadership.callsAtOtherNodes(node.callsByEndpoint)
+	response.RunningByEndpoint = controller.leadership.callCountsAt(now)
 	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
 	if response.Delta.Declared != nil {
 		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -155,9 +155,8 @@
 	// StalledEndpoints are those at which any node has lately reported calls that make
 	// no progress.
 	StalledEndpoints []Endpoint `json:"stalled,omitempty"`
-	// RunningElsewhereByEndpoint is the number of calls in progress of all other nodes
-	// at each endpoint.
-	RunningElsewhereByEndpoint map[Endpoint]int `json:"elsewhere,omitempty"`
+	// RunningByEndpoint is the number of calls in progress of all nodes at each endpoint.
+	RunningByEndpoint *CallCounts `json:"running,omitempty"`
 }
 
 // Redirect is the answer of a node that doesn't lead. Leader is empty when unknown.
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -18,7 +18,9 @@
 	to            id.Node
 	sentAt        time.Time
 	announcements []roster.RelayedAnnouncement
-	overdue       bool
+	// runningByEndpoint are the node's calls that the request reported.
+	runningByEndpoint map[feed.Endpoint]int
+	overdue           bool
 }
 
 // handleResponse applies the leader's response to one request. Responses that
@@ -51,7 +53,8 @@
 	if response.Grant.Serial != member.grant.Serial {
 		member.sendAtOnce = true
 	}
-	member.grant, member.demandShare, member.runningElsewhereByEndpoint = response.Grant, response.Share, response.RunningElsewhereByEndpoint
+	member.grant, member.demandShare = response.Grant, response.Share
+	member.runningElsewhereByEndpoint = response.RunningByEndpoint.Elsewhere(request.runningByEndpoint)
 	member.stalledEndpoints = response.StalledEndpoints
 	member.holdTime = time.Duration(response.HoldMS) * time.Millisecond
 	if len(response.Voters) > 0 {
@@ -324,7 +327,7 @@
 	member.nextSendAt = now.Add(minSendInterval)
 	member.lastNumber++
 	announcements := member.unacceptedAnnouncements(now)
-	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements}
+	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements, runningByEndpoint: member.usage.RunningByEndpoint}
 	request := feed.Request{
 		Node: member.config.Self, Incarnation: member.config.Incarnation, Number: member.lastNumber,
 		Version: member.version, Epoch: member.rosterEpoch, Cursor: member.rosterCursor,
