member: views are built for what calls depend on, and none of endpoints on control hosts

Cause, one part: each control host built a new view at once for every change of every engine, thousands while groups are formed, though calls depend only on the heads of open groups and on departures, and a control host forwards no calls at all.

Evidence: TestEnginesThatServeNobodyAreNoReasonForANewView (20 views for 20 steps) and TestViewsOfControlHostsHoldNoEndpoints fail on the code before.

Change: a view is due at once for what the entry scope holds; the views of a node without an entry hold no endpoints.

--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -67,10 +67,12 @@
 	TargetVoters       int
 	EngineStallTimeout time.Duration
 	NodeLease          time.Duration
-	Timing             quorum.Timing
-	Peers              *peers.Peers
-	Log                zerolog.Logger
-	Now                func() time.Time
+	// ControlOnly is passed on to member.Config.
+	ControlOnly bool
+	Timing      quorum.Timing
+	Peers       *peers.Peers
+	Log         zerolog.Logger
+	Now         func() time.Time
 	// SendOrder delivers an order to its host.
 	SendOrder func(ctx context.Context, order action.Order) error
 	// CollectUsage returns the demand, the active calls and the stalled endpoints
@@ -129,7 +131,7 @@
 		hosts: roster.New(), resolveByTicket: map[controller.Ticket]func(any){}, delays: newDelays(now),
 	}
 	control.view.Store(view.Empty())
-	control.member = member.New(now, member.Config{Self: config.Self, Incarnation: config.Incarnation, Voters: config.Contacts(), HasDisk: config.DataFolder != ""}, control.hosts)
+	control.member = member.New(now, member.Config{Self: config.Self, Incarnation: config.Incarnation, Voters: config.Contacts(), HasDisk: config.DataFolder != "", ControlOnly: config.ControlOnly}, control.hosts)
 	if config.DataFolder != "" {
 		if err := control.openVoter(now); err != nil {
 			return nil, err
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -225,7 +225,7 @@
 func (node *Node) startControl(seeds []string) error {
 	config := control.Config{
 		Self: node.self.Node, Incarnation: node.self.Incarnation, Seeds: seedNodes(seeds), Timing: quorum.DefaultTiming(),
-		TargetVoters: node.config.TargetVoters, EngineStallTimeout: node.config.EngineStallTimeout, NodeLease: node.config.NodeLease, Disk: node.config.Disk, Peers: node.peers,
+		TargetVoters: node.config.TargetVoters, EngineStallTimeout: node.config.EngineStallTimeout, NodeLease: node.config.NodeLease, ControlOnly: node.config.Entry == nil, Disk: node.config.Disk, Peers: node.peers,
 		Log: node.config.Log, Now: node.clock.Now, SendOrder: node.sendOrder, CollectUsage: node.collectUsage, OnViewChange: node.viewChanged,
 	}
 	if controlConfig := node.config.Control; controlConfig != nil {
--- a/core/process/controller/bootstrap_test.go
+++ b/core/process/controller/bootstrap_test.go
@@ -85,7 +85,7 @@
 func (node *node) startBootstrap() {
 	contacts := slices.Concat(node.bootstrap.initialVoters, node.bootstrap.seeds)
 	node.member = member.New(node.now(), member.Config{
-		Self: node.name, Incarnation: node.incarnation, Voters: contacts, HasDisk: node.bootstrap.hasDisk,
+		Self: node.name, Incarnation: node.incarnation, Voters: contacts, HasDisk: node.bootstrap.hasDisk, ControlOnly: node.bootstrap.hasDisk,
 	}, node.hosts)
 	if !node.bootstrap.hasDisk {
 		return
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -67,6 +67,8 @@
 	Voters []id.Node
 	// HasDisk is true if the node has a disk for the log and could become a voter.
 	HasDisk bool
+	// ControlOnly is true if the node forwards no calls. Its views hold no endpoints.
+	ControlOnly bool
 }
 
 // Member is the state machine of one node. It reads no clock and sends nothing
@@ -186,8 +188,8 @@
 	return actions
 }
 
-// viewInputs are what the view must never lag behind: the facts of hosts, the
-// version of the state, and the grant. Once a grant is acknowledged the leader no
+// viewInputs are what the view must never lag behind: the facts of hosts that calls
+// depend on, the version of the state, and the grant. Once a grant is acknowledged the leader no
 // longer counts the one before it.
 type viewInputs struct {
 	urgentCursor uint64
@@ -199,7 +201,7 @@
 // and for any other change once the view is viewRefreshInterval old. If so, it
 // records the view as rebuilt.
 func (member *Member) viewDue(now time.Time) bool {
-	current := viewInputs{member.hosts.UrgentCursor(member.scope()), member.version, member.grant.Serial}
+	current := viewInputs{member.hosts.UrgentCursor(roster.ScopeEntry), member.version, member.grant.Serial}
 	if current == member.builtFrom && (!member.viewStale || now.Sub(member.viewBuiltAt) < viewRefreshInterval) {
 		return false
 	}
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -133,3 +133,40 @@
 		t.Error("a node that has never heard from a leader takes announcements")
 	}
 }
+
+// Guards against control hosts that spend their processor on views: of an engine only the
+// head of an open group, and its departure, concern calls.
+func TestEnginesThatServeNobodyAreNoReasonForANewView(t *testing.T) {
+	now := start
+	node := member.New(now, member.Config{Self: "n", HasDisk: true}, roster.New())
+	views := func(serving roster.Serving, sequence uint64) int {
+		engine := roster.Announcement{Host: "e", Incarnation: 1, Sequence: sequence, Service: "pool", Engine: true, LeaseMS: 5000, Serving: serving}
+		if node.Step(now, member.AnnouncedWithoutEcho{Announcement: engine}).Changed {
+			return 1
+		}
+		return 0
+	}
+	node.Step(now, member.AnnouncedWithoutEcho{Announcement: announcement(1, 1)})
+	built := 0
+	for sequence := range uint64(20) {
+		now = now.Add(time.Millisecond)
+		built += views(roster.Serving{Group: "g", Fencing: id.FencingToken(sequence), Ready: sequence%2 == 0}, 1+sequence)
+	}
+	if built > 0 {
+		t.Errorf("%d views for 20 steps of an engine that isn't open, want none within the refresh interval", built)
+	}
+	if views(roster.Serving{Group: "g", Fencing: 20, Ready: true, Open: true}, 100) != 1 {
+		t.Error("no view at once for a group that is open")
+	}
+}
+
+// A node that forwards no calls needs no endpoints, which are the most of a view.
+func TestViewsOfControlHostsHoldNoEndpoints(t *testing.T) {
+	for _, controlOnly := range []bool{false, true} {
+		node := member.New(start, member.Config{Self: "n", HasDisk: true, ControlOnly: controlOnly}, roster.New())
+		node.Step(start, member.AnnouncedWithoutEcho{Announcement: announcement(1, 1)})
+		if endpoints := len(node.View(start).Endpoints); (endpoints == 0) != controlOnly {
+			t.Errorf("control only %v: %d endpoints", controlOnly, endpoints)
+		}
+	}
+}
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -28,7 +28,18 @@
 		Services:                 map[id.Service]*view.Set{},
 		Endpoints:                map[feed.Endpoint]*view.Endpoint{},
 	}
+	member.setStopState(built)
+	if member.config.ControlOnly {
+		return built
+	}
 	member.addClientAccounts(built)
+	member.addEndpoints(now, built)
+	indexEndpoints(built)
+	return built
+}
+
+// addEndpoints adds the groups and the hosts of plain services.
+func (member *Member) addEndpoints(now time.Time, built *view.View) {
 	stopping := member.stoppingIncarnationByHost()
 	for _, group := range member.groupByID {
 		member.addGroup(now, built, group)
@@ -36,9 +47,6 @@
 	for _, host := range member.hosts.Members() {
 		member.addServiceHost(now, built, host, stopping[host.Announcement.Host] == host.Announcement.Incarnation)
 	}
-	indexEndpoints(built)
-	member.setStopState(built)
-	return built
 }
 
 // indexEndpoints adds the endpoints that accept work to the sets of the models and
