member: announcements on their way to the leader aren't sent again

What callers saw: at 760 engines groups open late and are repaired late; the engines' calls to control fail.

Cause, one part: a relay sends a request for each change of an engine, up to 200 a second while groups are formed, and put all that the leader hadn't accepted into each of them. A response comes 0.3 s apart at 300 entry hosts, and a request that a later one supersedes counted as not accepted, so that the leader decoded each announcement dozens of times.

Evidence: TestAnnouncementsAreSentOnceWhileTheLeaderOwesAnAnswer fails on the code before (1 to 10 times each of ten hosts).

Change: what a request that isn't overdue takes to the present leader is left out of the next; the leader says of a superseded request whether it has merged its announcements. Departures go on being sent until a response names their cursor. Requests without an answer are 20 ms apart instead of 5.

TestAnnouncementsOfALostRequestAreSentAgain covers requests that fail, are superseded unmerged or are answered without being merged; the leader that accepts, the cut and the departure tests pass unchanged.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -195,7 +195,9 @@
 	if held, ok := leadership.pollByNode[request.Node]; ok {
 		// The node has replaced its older request by this one.
 		controller.responses.Superseded++
-		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{Leader: controller.config.Self, Superseded: true}})
+		actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Redirect: &feed.Redirect{
+			Leader: controller.config.Self, Superseded: true, AnnouncementsAccepted: held.announcementsAccepted,
+		}})
 	}
 	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, state: node, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports, withoutLease: node.withoutLease}
 }
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -167,4 +167,7 @@
 	// Superseded is set when a later request of the same node has replaced this one.
 	// The leader itself then sends the Redirect.
 	Superseded bool `json:"superseded,omitempty"`
+	// AnnouncementsAccepted is set when the leader has merged the announcements of the
+	// superseded request.
+	AnnouncementsAccepted bool `json:"took,omitempty"`
 }
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -85,17 +85,22 @@
 		return
 	}
 	for _, relayed := range announcements {
-		announcement := relayed.Announcement
-		queued := member.unacceptedByHost[announcement.Host]
-		if queued.Incarnation <= announcement.Incarnation && (queued.Incarnation < announcement.Incarnation || queued.Sequence <= announcement.Sequence) {
-			delete(member.unacceptedByHost, announcement.Host)
-		}
-		if announcement.Leaving {
-			member.awaitedCursorByHost[announcement.Host] = response.Cursor
+		member.dropUnaccepted(&relayed.Announcement)
+		if relayed.Announcement.Leaving {
+			member.awaitedCursorByHost[relayed.Announcement.Host] = response.Cursor
 		}
 	}
 }
 
+// dropUnaccepted drops what is queued for the leader of a host, unless it is newer than an
+// announcement.
+func (member *Member) dropUnaccepted(announcement *roster.Announcement) {
+	queued := member.unacceptedByHost[announcement.Host]
+	if queued.Incarnation <= announcement.Incarnation && (queued.Incarnation < announcement.Incarnation || queued.Sequence <= announcement.Sequence) {
+		delete(member.unacceptedByHost, announcement.Host)
+	}
+}
+
 // mergeRoster merges the hosts that the leader relays. Leases count from when the
 // request was sent, so that a delayed response can't extend them.
 func (member *Member) mergeRoster(now, sentAt time.Time, response feed.Response) {
@@ -132,8 +137,9 @@
 }
 
 // handleRedirect follows a redirect to the leader, or tries the next voter if it
-// names no other node. A superseded request is only forgotten, because the leader
-// has received a later one.
+// names no other node. A superseded request is forgotten, because the leader has received
+// a later one, with the announcements that the leader has taken from it. Departures
+// are kept until a response tells which cursor they have.
 func (member *Member) handleRedirect(now time.Time, event Redirected) {
 	request := member.inFlightByNumber[event.Number]
 	if request == nil {
@@ -141,6 +147,11 @@
 	}
 	delete(member.inFlightByNumber, event.Number)
 	if event.Redirect.Superseded {
+		for _, relayed := range request.announcements {
+			if event.Redirect.AnnouncementsAccepted && !relayed.Announcement.Leaving {
+				member.dropUnaccepted(&relayed.Announcement)
+			}
+		}
 		return
 	}
 	member.addVoters(event.Redirect.Voters)
@@ -345,6 +356,30 @@
 	return &Send{To: member.leader, Request: request}
 }
 
+// sentAnnouncement identifies an announcement of a host.
+type sentAnnouncement struct {
+	incarnation id.Incarnation
+	sequence    uint64
+}
+
+// announcementsInFlight returns what requests that aren't overdue take to the present
+// leader, by host.
+func (member *Member) announcementsInFlight() map[id.Host]sentAnnouncement {
+	sent := map[id.Host]sentAnnouncement{}
+	for _, request := range member.inFlightByNumber {
+		if request.overdue || request.to != member.leader {
+			continue
+		}
+		for _, relayed := range request.announcements {
+			latest := sentAnnouncement{relayed.Announcement.Incarnation, relayed.Announcement.Sequence}
+			if known, ok := sent[relayed.Announcement.Host]; !ok || known.incarnation < latest.incarnation || known.sequence < latest.sequence {
+				sent[relayed.Announcement.Host] = latest
+			}
+		}
+	}
+	return sent
+}
+
 // heldQuota returns the quota that the node may use, which is none once its lease
 // has run out.
 func (member *Member) heldQuota(now time.Time) map[id.ClientAccount]granter.Quota {
@@ -355,12 +390,13 @@
 }
 
 // unacceptedAnnouncements returns the announcements that the leader hasn't
-// accepted yet, with what remains of their leases.
+// accepted yet, with what remains of their leases, but for those on their way to it.
 func (member *Member) unacceptedAnnouncements(now time.Time) []roster.RelayedAnnouncement {
 	var announcements []roster.RelayedAnnouncement
+	sent := member.announcementsInFlight()
 	for _, host := range slices.Sorted(maps.Keys(member.unacceptedByHost)) {
 		known, ok := member.hosts.Member(host)
-		if !ok {
+		if !ok || (sent[host] == sentAnnouncement{known.Announcement.Incarnation, known.Announcement.Sequence} && !known.Announcement.Leaving) {
 			continue
 		}
 		remaining := max(0, known.Expiry.Sub(now))
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -41,7 +41,7 @@
 	voterRetryDelay = 50 * time.Millisecond
 	// minSendInterval is the shortest time between two requests, and the delay
 	// after a failed one.
-	minSendInterval = 5 * time.Millisecond
+	minSendInterval = 20 * time.Millisecond
 	// quotaRequestInterval is the shortest time between two requests that are sent
 	// at once because demand exceeds the node's quota.
 	quotaRequestInterval = 50 * time.Millisecond
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -170,3 +171,68 @@
 		}
 	}
 }
+
+// Guards against relays that send each announcement again with every request until the
+// leader has answered one, which costs the leader most of its time while groups are formed.
+func TestAnnouncementsAreSentOnceWhileTheLeaderOwesAnAnswer(t *testing.T) {
+	now := start
+	node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"leader"}, HasDisk: true}, roster.New())
+	sentByHost, lastNumber := map[id.Host]int{}, uint64(0)
+	send := func(actions member.Actions) {
+		if actions.Send == nil {
+			return
+		}
+		for _, relayed := range actions.Send.Request.Announcements {
+			sentByHost[relayed.Announcement.Host]++
+		}
+		if lastNumber > 0 {
+			node.Step(now, member.Redirected{Number: lastNumber, Redirect: feed.Redirect{Leader: "leader", Superseded: true, AnnouncementsAccepted: true}})
+		}
+		lastNumber = actions.Send.Request.Number
+	}
+	const hosts = 10
+	for index := range hosts {
+		engine := announcement(1, 1)
+		engine.Host = id.Host(fmt.Sprint("e", index))
+		send(node.Step(now, member.AnnouncedWithoutEcho{Announcement: engine}))
+		now = now.Add(30 * time.Millisecond)
+		send(node.Tick(now))
+	}
+	for host, times := range sentByHost {
+		if times != 1 {
+			t.Errorf("host %s is sent %d times, want once", host, times)
+		}
+	}
+	if len(sentByHost) != hosts {
+		t.Errorf("%d hosts are sent, want %d", len(sentByHost), hosts)
+	}
+}
+
+// Guards against announcements that get lost with the request that took them.
+func TestAnnouncementsOfALostRequestAreSentAgain(t *testing.T) {
+	lose := map[string]func(number uint64) member.Event{
+		"failed":                     func(number uint64) member.Event { return member.Failed{Number: number} },
+		"superseded, but not merged": func(number uint64) member.Event { return superseded(number, false) },
+		"not merged": func(number uint64) member.Event {
+			return member.Responded{Response: feed.Response{Number: number, Leader: "leader"}}
+		},
+	}
+	for name, event := range lose {
+		now := start
+		node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"leader"}, HasDisk: true}, roster.New())
+		node.Step(now, member.AnnouncedWithoutEcho{Announcement: announcement(1, 1)})
+		first := nextSend(t, node, &now)
+		if len(first.Request.Announcements) == 0 {
+			first = nextSend(t, node, &now)
+		}
+		node.Step(now, event(first.Request.Number))
+		if again := nextSend(t, node, &now); len(again.Request.Announcements) != 1 {
+			t.Errorf("%s: %d announcements in the next request, want 1", name, len(again.Request.Announcements))
+		}
+	}
+}
+
+// superseded returns the redirect of a request that a later one has replaced.
+func superseded(number uint64, accepted bool) member.Event {
+	return member.Redirected{Number: number, Redirect: feed.Redirect{Leader: "leader", Superseded: true, AnnouncementsAccepted: accepted}}
+}
