fleet: weights for later groups are planned ten times a second

What callers saw: as before, a leader without processor time left at 760 engines.

Cause, one part: which weights to stage and which spares to warm up was planned anew in each reconciliation, 50 a second while anything changes, and all held polls were looked at 200 times a second.

Change: that planning runs every 100 ms; what groups need at once is still planned each time. Held polls are looked at 100 times a second at most.

The tests of the fleet and the controller pass unchanged.

--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -24,7 +24,7 @@
 	largeResponseTime    = 2 * time.Millisecond
 	largeResponseRecords = 50
 	// minScanInterval is the least time between two looks at all held polls.
-	minScanInterval = 5 * time.Millisecond
+	minScanInterval = 10 * time.Millisecond
 )
 
 // pollInputs are what every node must be told of when it changes.
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -77,6 +77,8 @@
 	// and idleSummaryAt the time at which it was logged.
 	idleSummary   string
 	idleSummaryAt time.Time
+	// preparedAt is when engines were last prepared for later groups.
+	preparedAt time.Time
 	// lastOrderByHost holds the last order sent to each engine.
 	lastOrderByHost map[id.Host]sentOrder
 	// orderingUntil is when the orders sent so far would be over if each took
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -27,6 +27,9 @@
 	// recentlySeenIntervals is how many announcement intervals may have passed
 	// since the last announcement of a host that is put into a new group.
 	recentlySeenIntervals = 1.2
+	// preparationInterval is the least time between two looks at which weights engines
+	// should have for later groups.
+	preparationInterval = 100 * time.Millisecond
 	// idleSummaryInterval is the least time between two records of the idle
 	// engines, and maxIdleKinds the number of kinds that one record names.
 	idleSummaryInterval = time.Second
@@ -62,8 +65,11 @@
 	if !actions.Changes.Empty() {
 		return
 	}
-	fleet.stageFurtherModels(now, actions, service)
-	fleet.warmSpares(now, actions, service, free, groups)
+	if now.Sub(fleet.preparedAt) >= preparationInterval {
+		fleet.preparedAt = now
+		fleet.stageFurtherModels(now, actions, service)
+		fleet.warmSpares(now, actions, service, free, groups)
+	}
 }
 
 // recordIdleEngines records how many engines are in no group, by fabric domain
