core/request/estimate: the moving average of the first token as a package

The dispatcher keeps a moving average of the time to the first token and of its deviation. The entry host needs the same of whole answers, so the arithmetic moves to a package of its own. Nothing decides otherwise: the figures are the same but for the rounding of one bound to a nanosecond.

--- a/core/request/dispatcher/dispatcher.go
+++ b/core/request/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/request/bucket"
 	"carobline.dev/core/request/chooser"
+	"carobline.dev/core/request/estimate"
 	"carobline.dev/core/request/fairqueue"
 	"carobline.dev/core/version/contract"
 	"carobline.dev/core/version/view"
@@ -76,12 +77,10 @@
 	runningByTicket      map[Ticket]*running
 	stateByClientAccount map[id.ClientAccount]*accountState
 	drainRate            rate
-	// firstTokenMean and firstTokenDeviation are moving averages of the time
-	// from the start at an endpoint to the first token and of its absolute
-	// deviation from the mean, in seconds.
-	firstTokenMean      float64
-	firstTokenDeviation float64
-	lastTicket          Ticket
+	// firstToken estimates the time from the start at an endpoint to the first
+	// token.
+	firstToken estimate.Estimate
+	lastTicket Ticket
 	// displaced are running calls that wait for another endpoint.
 	displaced []Ticket
 }
--- a/core/request/dispatcher/waiting.go
+++ b/core/request/dispatcher/waiting.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"math"
 	"time"
 
 	"carobline.dev/core/process/feed"
@@ -13,19 +12,13 @@
 // deviations, but never more than half the deadline.
 func (dispatcher *Dispatcher) firstTokenMargin(clientAccount *view.ClientAccount) time.Duration {
 	const deviations = 3
-	margin := time.Duration((dispatcher.firstTokenMean + deviations*dispatcher.firstTokenDeviation) * float64(time.Second))
-	return min(margin, clientAccount.Contract.Deadline()/2)
+	return min(dispatcher.firstToken.UpperBound(deviations), clientAccount.Contract.Deadline()/2)
 }
 
 // FirstToken records the time from a call's start at an endpoint to its first
 // token.
 func (dispatcher *Dispatcher) FirstToken(elapsed time.Duration) {
-	if dispatcher.firstTokenMean == 0 {
-		dispatcher.firstTokenMean, dispatcher.firstTokenDeviation = elapsed.Seconds(), elapsed.Seconds()/2
-	}
-	deviation := elapsed.Seconds() - dispatcher.firstTokenMean
-	dispatcher.firstTokenMean += smoothing * deviation
-	dispatcher.firstTokenDeviation += smoothing * (math.Abs(deviation) - dispatcher.firstTokenDeviation)
+	dispatcher.firstToken.Record(elapsed)
 }
 
 // estimatedWait returns how long a client account's next call would wait: its
@@ -59,7 +52,7 @@
 		return false
 	}
 	const deviations, meanFactor, medianFactor = 8, 3, 10
-	limit := max(dispatcher.firstTokenMean+deviations*dispatcher.firstTokenDeviation, meanFactor*dispatcher.firstTokenMean)
+	limit := max(dispatcher.firstToken.UpperBound(deviations), meanFactor*dispatcher.firstToken.Mean()).Seconds()
 	if hasFirstToken {
 		limit = medianFactor * dispatcher.chooser.MedianPace(call.endpoint)
 	}
