node, entryapi: a stopping entry host takes only what it can answer

Callers saw, in a planned stop of one entry host in calm: requests that came late in the grace period were taken and passed on, and at its end their connections were closed without an answer, among them requests that must not repeat.

From SIGTERM on the host took every call as before. Its listeners closed after 3.5 s, and what still ran 0.7 s before the end of the grace period was cut, whatever its deadline. Besides, the shutdown of net/http reads a request that comes on an open connection after the listeners have closed, and closes the connection without an answer.

TestPlannedStopCutsNoCall stops a node with a grace period of 6 s beside eleven callers. On the old code six of them got an unexpected EOF: a call that must not repeat that came 0.2 s after the signal, one 3.2 s after it, a call whose body came after 3.8 s, and one that ran from before the signal had been passed on and were cut; both first requests of connections opened at 2.5 s were read at 3.8 s and dropped.

A draining host knows when it closes its listeners and when it ends what still runs, and decides on each call at the present time, before and after its body is read: - a call whose deadline comes before the end is taken: it ends with the deadline at the latest; - any other call that must not repeat is refused with 503 host_stopping, not run, and its connection closes; - any other call that may be repeated is taken while the listeners are open, if the answers of its route usually end in time (moving average and four deviations), and refused once they are closed, since the balancer sends callers elsewhere by then. Open connections are answered until the end of the grace period: the sockets close first, the server shuts down once no connection has a request or is new. What still runs at the end and has no answer yet gets 504 in place of a closed connection.

The test passes: of the same eleven calls six get their whole answer, four are refused without being passed on, and the one that outlasts the host gets 504. The tests of entryapi and node pass.

It works since a call is bounded by its deadline anyhow, so that a deadline before the end proves that it is answered; nothing depends on how long the balancer or an engine takes. A call that waits for an endpoint when the signal comes has been taken before and isn't refused again.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -8,7 +8,8 @@
 //
 //	entry := entryapi.New(entryapi.Config{Dialect: dialect, View: loop.View, ...})
 //	server := &http.Server{Handler: entry}
-//	entry.Drain()
+//	entry.Drain(closesAt, stopsAt)
+//	entry.Stop()
 package entryapi
 
 import (
@@ -31,6 +32,7 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/budget"
+	"carobline.dev/core/request/estimate"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -81,10 +83,13 @@
 
 // API serves callers. It is safe for concurrent use.
 type API struct {
-	config         Config
-	startedAt      time.Time
-	retryBudget    *budget.Budget
-	draining       atomic.Bool
+	config      Config
+	startedAt   time.Time
+	retryBudget *budget.Budget
+	// drain is nil until the host is about to stop.
+	drain          atomic.Pointer[drain]
+	stopCtx        context.Context //nolint:containedctx // bounds the API itself
+	stop           context.CancelFunc
 	activeCalls    atomic.Int64
 	lastCallNumber atomic.Uint64
 
@@ -92,20 +97,21 @@
 	balancer       *balancer.Balancer
 	decisionByCall map[balancer.Number]chan balancer.Decision
 	latency        metrics.Histogram
+	// answerTimeByRoute holds the routes of table.
+	answerTimeByRoute map[string]estimate.Estimate
+	table             *routing.Table
 }
 
 // New returns an API without endpoints. The first Update supplies them.
 func New(config Config) *API {
+	stopCtx, stop := context.WithCancel(context.Background())
 	return &API{
 		config: config, startedAt: config.Now(), retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
-		decisionByCall: map[balancer.Number]chan balancer.Decision{},
-		latency:        metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+		stopCtx: stopCtx, stop: stop, decisionByCall: map[balancer.Number]chan balancer.Decision{}, answerTimeByRoute: map[string]estimate.Estimate{},
+		latency: metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 }
 
-// Drain makes every answer from now on close its connection.
-func (api *API) Drain() { api.draining.Store(true) }
-
 // ActiveCalls returns the number of calls in progress.
 func (api *API) ActiveCalls() int { return int(api.activeCalls.Load()) }
 
@@ -158,6 +164,7 @@
 	}
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
+	api.forgetDroppedRoutes(current.Routing)
 	api.deliver(api.balancer.Update(api.config.Now(), current))
 }
 
@@ -197,7 +204,7 @@
 func (api *API) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	api.activeCalls.Add(1)
 	defer api.activeCalls.Add(-1)
-	if api.draining.Load() {
+	if api.drain.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
 	now := api.config.Now()
@@ -236,13 +243,28 @@
 	if refusal := api.admit(call); refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
+	if refusal := api.refuseBeforeStop(api.config.Now(), call); refusal != nil {
+		return api.refuse(writer, call, refusal)
+	}
 	if refusal := api.readBody(writer, call); refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
+	// Time has passed while the body came.
+	if refusal := api.refuseBeforeStop(api.config.Now(), call); refusal != nil {
+		return api.refuse(writer, call, refusal)
+	}
 	ctx, cancel := context.WithDeadline(call.request.Context(), time.Now().Add(call.deadline.Sub(api.config.Now())))
 	defer cancel()
+	defer context.AfterFunc(api.stopCtx, cancel)()
 	api.retryBudget.Earn()
-	return api.forward(ctx, writer, call)
+	result := api.forward(ctx, writer, call)
+	switch {
+	case result.outcome == "ran":
+		api.recordAnswerEnd(call.route, api.config.Now().Sub(call.arrivedAt))
+	case result.outcome == "unknown" && api.stopCtx.Err() != nil:
+		result.reason = "host_stopped"
+	}
+	return result
 }
 
 // refusal is an answer that the entry host gives itself.
--- /dev/null
+++ b/caroblined/process/node/listener.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// busyPollInterval is the pause between two checks whether a connection is busy.
+const busyPollInterval = 20 * time.Millisecond
+
+// listener serves HTTP at one address.
+type listener struct {
+	socket net.Listener
+	server *http.Server
+
+	mutex sync.Mutex
+	// busy holds the connections that have a request in progress, or have not had
+	// one yet.
+	busy map[net.Conn]struct{}
+	// closing is set before the listener closes its socket itself.
+	closing bool
+}
+
+func listen(address string, handler http.Handler) (*listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", address)
+	}
+	listener := &listener{socket: socket, busy: map[net.Conn]struct{}{}}
+	listener.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ConnState: listener.connStateChanged,
+	}
+	return listener, nil
+}
+
+func (listener *listener) connStateChanged(connection net.Conn, state http.ConnState) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		listener.busy[connection] = struct{}{}
+	} else {
+		delete(listener.busy, connection)
+	}
+}
+
+// serve accepts connections until the listener closes. It returns nil unless it was
+// closed by something else.
+func (listener *listener) serve() error {
+	err := listener.server.Serve(listener.socket)
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	if listener.closing {
+		return nil
+	}
+	return errors.Wrapf(err, "serve at %s", listener.socket.Addr())
+}
+
+// stopAccepting closes the socket. Open connections are served on: the shutdown of
+// net/http, in contrast, reads a request that comes now and closes its connection
+// without an answer.
+func (listener *listener) stopAccepting() error {
+	listener.mutex.Lock()
+	listener.closing = true
+	listener.mutex.Unlock()
+	return listener.socket.Close()
+}
+
+// drain waits until no connection has a request in progress or is new, and then closes
+// the others. It returns sooner when ctx ends.
+func (listener *listener) drain(ctx context.Context) {
+	for listener.anyBusy() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(busyPollInterval):
+		}
+	}
+	// Fails when a request has come in between that still runs when ctx ends.
+	_ = listener.server.Shutdown(ctx)
+}
+
+func (listener *listener) anyBusy() bool {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	return len(listener.busy) > 0
+}
+
+// close closes the socket and the idle connections, and breaks off the requests that
+// still run when ctx ends.
+func (listener *listener) close(ctx context.Context) {
+	listener.mutex.Lock()
+	listener.closing = true
+	listener.mutex.Unlock()
+	if listener.server.Shutdown(ctx) != nil {
+		_ = listener.server.Close()
+	}
+}
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -135,9 +135,11 @@
 	loggedRevision    id.Revision
 	loggedLeaseHeld   bool
 	endpointTransport *endpoint.Transport
-	servers           []*http.Server
-	serverGoroutines  sync.WaitGroup
-	serveErrors       chan error
+	listeners         []*listener
+	// callerListeners are those of the entry, which stop accepting first.
+	callerListeners  []*listener
+	serverGoroutines sync.WaitGroup
+	serveErrors      chan error
 }
 
 // New starts a node and opens its listeners. On an error it closes what it has
@@ -289,32 +291,39 @@
 	if controlConfig := node.config.Control; controlConfig != nil {
 		handlerByAddress[controlConfig.Address] = controlConfig.Handler(loop)
 	}
+	callerHandlerByAddress := map[string]http.Handler{}
 	if entryConfig := node.config.Entry; entryConfig != nil {
-		handlerByAddress[entryConfig.Address] = node.entry
-		handlerByAddress[entryConfig.ReadyAddress] = node.readinessHandler(entryConfig.ReadyPath)
+		callerHandlerByAddress[entryConfig.Address] = node.entry
+		callerHandlerByAddress[entryConfig.ReadyAddress] = node.readinessHandler(entryConfig.ReadyPath)
 	}
 	for address, handler := range handlerByAddress {
-		if err := node.openListener(address, handler); err != nil {
+		if _, err := node.openListener(address, handler); err != nil {
 			return err
 		}
 	}
+	for address, handler := range callerHandlerByAddress {
+		listener, err := node.openListener(address, handler)
+		if err != nil {
+			return err
+		}
+		node.callerListeners = append(node.callerListeners, listener)
+	}
 	return nil
 }
 
-func (node *Node) openListener(address string, handler http.Handler) error {
-	socket, err := net.Listen("tcp", address)
+func (node *Node) openListener(address string, handler http.Handler) (*listener, error) {
+	listener, err := listen(address, handler)
 	if err != nil {
-		return errors.Wrapf(err, "listen at %s", address)
+		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	node.servers = append(node.servers, server)
+	node.listeners = append(node.listeners, listener)
 	node.serverGoroutines.Go(func() {
-		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-			node.reportServeError(errors.Wrapf(err, "serve at %s", address))
+		if err := listener.serve(); err != nil {
+			node.reportServeError(err)
 		}
 	})
 	node.config.Log.Info().Str("step", "listen").Str("address", address).Msg("listening")
-	return nil
+	return listener, nil
 }
 
 func (node *Node) reportServeError(err error) {
@@ -363,7 +372,7 @@
 		case err := <-node.serveErrors:
 			return err
 		case <-ctx.Done():
-			node.drain()
+			node.drain(node.clock.Now())
 			return node.close()
 		}
 	}
@@ -395,22 +404,32 @@
 // drain transfers leadership on a node without an entry, and else waits for
 // running calls to end. Callers arrive until the balancer has noticed that the
 // node isn't ready, so the listeners stay open for minDrainTime. Meanwhile each
-// answer is the last on its connection.
-func (node *Node) drain() {
+// answer is the last on its connection, and calls that may outlast the node are
+// refused.
+func (node *Node) drain(now time.Time) {
 	node.draining.Store(true)
 	node.config.Log.Info().Str("step", "drain").Msg("draining")
 	if node.entry == nil {
 		node.transferLeadership()
 		return
 	}
-	node.entry.Drain()
-	time.Sleep(minDrainTime)
-	ctx, cancel := context.WithTimeout(context.Background(), node.config.GracePeriod-minDrainTime-shutdownReserve)
+	stopsAt := now.Add(node.config.GracePeriod - shutdownReserve)
+	closesAt := now.Add(min(minDrainTime, node.config.GracePeriod-shutdownReserve))
+	node.entry.Drain(closesAt, stopsAt)
+	time.Sleep(closesAt.Sub(node.clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), stopsAt.Sub(node.clock.Now()))
 	defer cancel()
-	for _, server := range node.servers {
-		// Calls that still run when ctx ends are broken off by close.
-		_ = server.Shutdown(ctx)
+	for _, listener := range node.callerListeners {
+		if err := listener.stopAccepting(); err != nil {
+			node.config.Log.Warn().Err(err).Str("step", "drain").Msg("closing a listener failed")
+		}
+	}
+	var draining sync.WaitGroup
+	for _, listener := range node.callerListeners {
+		draining.Go(func() { listener.drain(ctx) })
 	}
+	draining.Wait()
+	node.entry.Stop()
 }
 
 func (node *Node) transferLeadership() {
@@ -424,11 +443,11 @@
 func (node *Node) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range node.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-		}
+	var closing sync.WaitGroup
+	for _, listener := range node.listeners {
+		closing.Go(func() { listener.close(ctx) })
 	}
+	closing.Wait()
 	node.serverGoroutines.Wait()
 	var err error
 	if loop := node.loop.Load(); loop != nil {
