node: a failed listener or disk drains the entry before the process ends

Callers would see: all running answers of an entry host end at once, when an unrelated listener of the process fails, or when the disk of the control host in the same process refuses a write. No report of it exists.

Run returned the error of a listener at once, and the process ended with it. On a failed disk it closed the node, which breaks off what runs 0.3 s later.

On the old code TestFailedListenerCutsNoCall shows that Run returns after 0.2 s while a call of 4 s runs, and TestFailedDiskCutsNoCall gets an unexpected EOF in a call of 4 s. TestReloadCutsNoCall passed before too: a reload only reads the seeds again.

All ends of Run drain first, as a planned stop does.

All three pass.

--- a/caroblined/process/node/drain_test.go
+++ b/caroblined/process/node/drain_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"carobline.dev/core/process/wal"
 )
 
@@ -96,3 +100,43 @@
 		t.Errorf("%+v, %v", got, err)
 	}
 }
+
+// Guards against a failed listener that ends the process, and so all running calls, at
+// once.
+func TestFailedListenerCutsNoCall(t *testing.T) {
+	const work = 4 * time.Second
+	system := newSystem(t, wal.OS())
+	failure, startedAt := errors.New("accept failed"), time.Now()
+	time.AfterFunc(200*time.Millisecond, func() { system.node.FailListener(failure) })
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		if got, err := system.call("/once/x", "c1", work); err != nil || got.body != "done" {
+			t.Errorf("%+v, %v", got, err)
+		}
+	})
+	if err := <-system.stopped; !errors.Is(err, failure) || time.Since(startedAt) < work {
+		t.Errorf("Run returned %v after %v, while a call ran", err, time.Since(startedAt))
+	}
+	caller.Wait()
+}
+
+// Guards against an entry host that cuts running calls when the disk of its control
+// host fails.
+func TestFailedDiskCutsNoCall(t *testing.T) {
+	var full atomic.Bool
+	disk := wal.OS()
+	disk.Write = func(file *os.File, data []byte) (int, error) {
+		if full.Load() {
+			return 0, syscall.ENOSPC
+		}
+		return file.Write(data)
+	}
+	system := newSystem(t, disk)
+	time.AfterFunc(200*time.Millisecond, func() {
+		full.Store(true)
+		system.declare(2) // writes
+	})
+	if got, err := system.call("/once/x", "c1", 4*time.Second); err != nil || got.body != "done" {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -353,9 +353,9 @@
 	})
 }
 
-// Run serves until ctx ends, then drains and closes the node. A signal on reloads
-// reads the seeds again and breaks off no call. Run returns an error if a listener
-// or the voter's disk fails.
+// Run serves until ctx ends or a listener or the voter's disk fails, then drains and
+// closes the node; it returns the error of a failure. A signal on reloads reads the
+// seeds again and breaks off no call.
 func (node *Node) Run(ctx context.Context, reloads <-chan os.Signal) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -367,17 +367,25 @@
 		case <-ticker.C:
 			node.checkLease()
 			if reason := node.loop.Load().Failure(); reason != "" {
-				return diskWriteError(reason, node.close())
+				return diskWriteError(reason, node.stop())
 			}
 		case err := <-node.serveErrors:
+			if closeErr := node.stop(); closeErr != nil {
+				node.config.Log.Error().Err(closeErr).Str("step", "stop").Msg("closing the node after a failed listener failed as well")
+			}
 			return err
 		case <-ctx.Done():
-			node.drain(node.clock.Now())
-			return node.close()
+			return node.stop()
 		}
 	}
 }
 
+// stop drains and closes the node.
+func (node *Node) stop() error {
+	node.drain(node.clock.Now())
+	return node.close()
+}
+
 // checkLease logs when the configuration lease is acquired or lost, and reads the
 // seeds again while it isn't held, since all known control hosts may be gone.
 func (node *Node) checkLease() {
