--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -54,6 +54,10 @@
 	header         http.Header
 	body           []byte
 	idempotencyKey string
+	// mayMove is set if the call may run again, so that it may leave a lost endpoint.
+	// reservation is the endpoint to which it moves.
+	mayMove     bool
+	reservation *traffic.Reservation
 }
 
 func (api *API) service(writer http.ResponseWriter, request *http.Request, call *call) error {
@@ -126,6 +130,7 @@
 		return nil, err
 	}
 	api.config.RetryBudget.Earn()
+	serviceCall.mayMove = repeatable(serviceCall.method)
 	for attempt := 1; ; attempt++ {
 		answer, sent, err := api.exchange(ctx, admission, serviceCall, attempt, api.config.EngineTransport)
 		if err == nil {
@@ -133,7 +138,12 @@
 			return answer, nil
 		}
 		serviceCall.call.log.Warn().Err(err).Str("step", "service").Int("attempt", attempt).Bool("sent", sent).Msg("service attempt failed")
-		retry := (!sent || repeatable(serviceCall.method)) && ctx.Err() == nil && attempt < maxAttempts
+		if reservation := serviceCall.reservation; reservation != nil {
+			serviceCall.reservation = nil
+			reservation.Take(nil, true)
+			continue
+		}
+		retry := (!sent || serviceCall.mayMove) && ctx.Err() == nil && attempt < maxAttempts
 		if retry && api.config.RetryBudget.Spend() && admission.Move(ctx, 0, true) {
 			continue
 		}
@@ -162,6 +172,9 @@
 	defer cancel(nil)
 	inactivityTimer := time.AfterFunc(api.config.InactivityTimeout, func() { cancel(errEndpointSilent) })
 	defer inactivityTimer.Stop()
+	if serviceCall.mayMove {
+		defer api.leaveLostEndpoint(attemptCtx, cancel, admission, serviceCall)()
+	}
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -196,6 +209,41 @@
 	return &register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, true, nil
 }
 
+// leaveLostEndpoint ends an attempt at an endpoint that is lost once another one is
+// reserved for the call. Without one the attempt goes on, since the service may be at
+// work all the same. The returned function ends the watch.
+func (api *API) leaveLostEndpoint(attempt context.Context, cancel context.CancelCauseFunc, admission *traffic.Admission, serviceCall *serviceCall) func() {
+	done, moves := make(chan struct{}), admission.Moves()
+	go func() {
+		defer close(done)
+		var reason error
+		select {
+		case <-attempt.Done():
+			return
+		case reason = <-moves:
+		}
+		for attempt.Err() == nil {
+			reservation, ok := admission.Reserve(0, true)
+			if ok && api.config.RetryBudget.Spend() {
+				serviceCall.reservation = reservation
+				cancel(reason)
+				return
+			}
+			if ok {
+				reservation.Release(false)
+			}
+			select {
+			case <-attempt.Done():
+			case <-time.After(minHandoverInterval):
+			}
+		}
+	}()
+	return func() {
+		cancel(nil)
+		<-done
+	}
+}
+
 // forwardedHeaders are the headers of the caller that are sent on to a service.
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", headerIdempotencyKey}
 
--- a/caroblined/request/traffic/admission.go
+++ b/caroblined/request/traffic/admission.go
@@ -13,12 +13,11 @@
 	"carobline.dev/core/version/view"
 )
 
-// ErrEndpointLost is the cause with which an attempt is cancelled when its
-// endpoint has lost a host or its lease.
+// ErrEndpointLost is the reason to move a call whose endpoint has lost a host or its
+// lease. Its engine may go on all the same.
 var ErrEndpointLost = errors.New("the endpoint lost a host")
 
-// ErrStalled is the cause with which an attempt is cancelled when it has been
-// without a token for so long that the call should move to another endpoint.
+// ErrStalled is the reason to move a call that has been without a token for long.
 var ErrStalled = errors.New("the endpoint stalled")
 
 // paceSampleInterval is the least time between two samples of a stream's pace.
@@ -41,6 +40,8 @@
 	// lastTokenAt is when the attempt's last token arrived, in nanoseconds
 	// since Traffic.startedAt. It is zero before the first token.
 	lastTokenAt atomic.Int64
+	// moves receives why the current attempt's call should move, once per attempt.
+	moves chan error
 }
 
 // Endpoint returns the endpoint that the call is assigned to.
@@ -49,27 +50,36 @@
 // Level returns the priority level to which the call has been demoted.
 func (admission *Admission) Level() attained.Level { return admission.level }
 
-// Attempt starts an attempt at the endpoint. The attempt's context is cancelled
-// with the cause ErrEndpointLost when the endpoint loses a host or its lease,
-// and with ErrStalled when the call should move. Attempt returns false when the
-// node may no longer start work at the endpoint, which is checked here as the
-// last step before the write.
+// Attempt starts an attempt at the endpoint. It returns false when the node may no
+// longer start work at the endpoint, which is checked here as the last step before the
+// write. Nothing but the caller of Attempt ends the attempt: what speaks for a move is
+// sent to Moves.
 func (admission *Admission) Attempt(ctx context.Context) (context.Context, context.CancelCauseFunc, bool) {
 	traffic := admission.traffic
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	now, current := traffic.config.Now(), traffic.config.View()
-	if !now.Before(current.LeaseUntil) || !current.Valid(now, admission.endpoint.Name, admission.endpoint.Fencing) {
+	now := traffic.config.Now()
+	if !traffic.mayStart(now, admission.endpoint) {
 		return nil, nil, false
 	}
 	attempt, cancel := context.WithCancelCause(ctx)
+	admission.attemptStarted(now, cancel)
+	return attempt, cancel, true
+}
+
+// attemptStarted begins to watch an attempt. The caller holds the mutex.
+func (admission *Admission) attemptStarted(now time.Time, cancel context.CancelCauseFunc) {
 	admission.cancel = cancel
 	admission.paceSampledAt, admission.tokensSinceSample, admission.attemptStartedAt = time.Time{}, 0, now
 	admission.lastTokenAt.Store(0)
-	traffic.runningAttempts[admission] = struct{}{}
-	return attempt, cancel, true
+	admission.moves = make(chan error, 1)
+	admission.traffic.runningAttempts[admission] = struct{}{}
 }
 
+// Moves receives why the call of the current attempt should move to another endpoint,
+// ErrEndpointLost or ErrStalled, at most once.
+func (admission *Admission) Moves() <-chan error { return admission.moves }
+
 // RecordToken records the arrival of a token, for the endpoint's pace. It
 // returns true when the endpoint has been ejected as slow, so that the call
 // should move.
@@ -153,6 +163,75 @@
 	return ok
 }
 
+// Reservation is an endpoint that is held for the rest of a call, while the current
+// attempt goes on. It ends with Take or Release.
+type Reservation struct {
+	admission *Admission
+	endpoint  *view.Endpoint
+	level     attained.Level
+	startedAt time.Time
+}
+
+// Reserve holds an endpoint with capacity for the rest of the call, at a level. Set
+// failed if the current one is at fault. It returns false when there is none, or when
+// one is held already.
+func (admission *Admission) Reserve(level attained.Level, failed bool) (*Reservation, bool) {
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	endpoint, ok := traffic.dispatcher.Reserve(traffic.config.Now(), traffic.config.View(), admission.ticket, level, failed)
+	if !ok {
+		return nil, false
+	}
+	return &Reservation{admission: admission, endpoint: endpoint, level: level}, true
+}
+
+// Endpoint returns the reserved endpoint.
+func (reservation *Reservation) Endpoint() *view.Endpoint { return reservation.endpoint }
+
+// Level returns the priority level that the call has at the reserved endpoint.
+func (reservation *Reservation) Level() attained.Level { return reservation.level }
+
+// Attempt starts an attempt at the reserved endpoint beside the current one. It returns
+// false when the node may no longer start work there.
+func (reservation *Reservation) Attempt(ctx context.Context) (context.Context, context.CancelCauseFunc, bool) {
+	traffic := reservation.admission.traffic
+	now := traffic.config.Now()
+	if !traffic.mayStart(now, reservation.endpoint) {
+		return nil, nil, false
+	}
+	reservation.startedAt = now
+	attempt, cancel := context.WithCancelCause(ctx)
+	return attempt, cancel, true
+}
+
+// Take ends the current attempt and moves the call to the reserved endpoint. Set failed
+// if the old one was at fault. cancel ends the attempt that runs at the reserved endpoint; it is nil while none
+// does.
+func (reservation *Reservation) Take(cancel context.CancelCauseFunc, failed bool) {
+	admission := reservation.admission
+	traffic := admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	admission.endAttempt()
+	admission.endpoint, admission.level = reservation.endpoint, reservation.level
+	traffic.dispatcher.TakeReserved(traffic.config.Now(), admission.ticket, failed)
+	if cancel != nil {
+		admission.attemptStarted(reservation.startedAt, cancel)
+	}
+	traffic.dispatch()
+}
+
+// Release ends the reservation, and the call stays where it is. Set failed if the
+// reserved endpoint was at fault.
+func (reservation *Reservation) Release(failed bool) {
+	traffic := reservation.admission.traffic
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.dispatcher.ReleaseReserved(traffic.config.Now(), reservation.admission.ticket, failed)
+	traffic.dispatch()
+}
+
 // stalled reports whether the attempt has been without a token for too long.
 // The caller holds the mutex.
 func (admission *Admission) stalled(now time.Time) bool {
--- a/caroblined/request/traffic/traffic.go
+++ b/caroblined/request/traffic/traffic.go
@@ -124,7 +124,7 @@
 		traffic.dispatch()
 		if now := traffic.config.Now(); now.Sub(checkedAt) >= watchInterval {
 			checkedAt = now
-			traffic.cancelBrokenAttempts()
+			traffic.signalMoves()
 		}
 		timer.Reset(traffic.nextCheckIn())
 		traffic.mutex.Unlock()
@@ -155,21 +155,30 @@
 	}
 }
 
-// cancelBrokenAttempts cancels the attempts whose endpoint has lost a host or
-// its lease and, within the retry budget, those that have stalled at an
-// endpoint that can resume streams. The caller holds the mutex.
-func (traffic *Traffic) cancelBrokenAttempts() {
+// signalMoves tells the attempts whose endpoint has lost a host or its lease and, within
+// the retry budget, those that have stalled at an endpoint that can resume streams, that
+// their calls should move. The caller holds the mutex.
+func (traffic *Traffic) signalMoves() {
 	now, current := traffic.config.Now(), traffic.config.View()
 	for admission := range traffic.runningAttempts {
-		if !current.Valid(now, admission.endpoint.Name, admission.endpoint.Fencing) {
-			admission.cancel(ErrEndpointLost)
-		} else if admission.endpoint.Resumes && admission.stalled(now) && traffic.config.RetryBudget.Spend() {
-			admission.cancel(ErrStalled)
-			delete(traffic.runningAttempts, admission) // spends the budget once per attempt
+		reason := ErrStalled
+		switch {
+		case !current.Valid(now, admission.endpoint.Name, admission.endpoint.Fencing):
+			reason = ErrEndpointLost
+		case !admission.endpoint.Resumes || !admission.stalled(now) || !traffic.config.RetryBudget.Spend():
+			continue
 		}
+		admission.moves <- reason
+		delete(traffic.runningAttempts, admission) // signals and spends the budget once per attempt
 	}
 }
 
+// mayStart reports whether the node may start work at an endpoint.
+func (traffic *Traffic) mayStart(now time.Time, endpoint *view.Endpoint) bool {
+	current := traffic.config.View()
+	return now.Before(current.LeaseUntil) && current.Valid(now, endpoint.Name, endpoint.Fencing)
+}
+
 // Admit waits until a call may run. If the call is refused or ctx ends first,
 // it returns a *rest.Error with the reason.
 func (traffic *Traffic) Admit(ctx context.Context, call dispatcher.Call) (*Admission, error) {
--- a/core/request/dispatcher/call.go
+++ b/core/request/dispatcher/call.go
@@ -66,6 +66,10 @@
 	// by reassignBy.
 	failedEndpoint feed.Endpoint
 	reassignBy     time.Time
+	// reserved is the endpoint that is held for the rest of the call while it goes on
+	// at its own, or empty. reservedLevel is its level there.
+	reserved      feed.Endpoint
+	reservedLevel attained.Level
 }
 
 // waiting is a call in the queue.
--- a/core/request/dispatcher/dispatcher.go
+++ b/core/request/dispatcher/dispatcher.go
@@ -298,6 +298,7 @@
 	if call == nil {
 		return
 	}
+	dispatcher.ReleaseReserved(now, ticket, false)
 	delete(dispatcher.runningByTicket, ticket)
 	if call.endpoint != (feed.Endpoint{}) {
 		dispatcher.chooser.Finished(now, call.endpoint, call.level, failed)
--- a/core/request/dispatcher/reassign.go
+++ b/core/request/dispatcher/reassign.go
@@ -9,12 +9,12 @@
 	"carobline.dev/core/version/view"
 )
 
-// Move takes a running call from its endpoint and picks one for the rest of it,
-// at a level; failed is true if the old endpoint was at fault, and it isn't
-// picked again then. When no endpoint has capacity, a call that didn't fail stays
-// where it was, as long as that endpoint is valid. Otherwise the call is
-// displaced and Move returns false: it goes before all queued calls, and a later
-// Pump returns the decision.
+// Move takes a running call from its endpoint, where its attempt has ended, and picks
+// one for the rest of it, at a level; failed is true if the old endpoint was at fault,
+// and it isn't picked again then. When no endpoint has capacity, a call that didn't fail
+// stays where it was, as long as that endpoint is valid. Otherwise the call is displaced
+// and Move returns false: it goes before all queued calls, and a later Pump returns the
+// decision.
 func (dispatcher *Dispatcher) Move(now time.Time, current *view.View, ticket Ticket, level attained.Level, failed bool) (*view.Endpoint, bool) {
 	call := dispatcher.runningByTicket[ticket]
 	if call == nil {
@@ -26,11 +26,8 @@
 	if failed {
 		call.failedEndpoint = old
 	}
-	if endpoint, ok := dispatcher.reassign(now, current, call); ok {
-		return endpoint, true
-	}
-	if endpoint := current.Endpoints[old]; !failed && endpoint != nil && now.Before(endpoint.ValidUntil) {
-		// A call that is demoted to a lower level may queue at its own endpoint.
+	endpoint, ok := dispatcher.pickEndpoint(now, current, call, level, old, failed)
+	if ok {
 		dispatcher.assign(call, endpoint)
 		return endpoint, true
 	}
@@ -42,20 +39,69 @@
 	return nil, false
 }
 
-// reassign finds another endpoint for a call that has left its own.
-func (dispatcher *Dispatcher) reassign(now time.Time, current *view.View, call *running) (*view.Endpoint, bool) {
+// Reserve holds an endpoint for the rest of a call that goes on at its own, at a level.
+// The arguments are as in Move. It returns false when no endpoint has capacity, or one is
+// held already. TakeReserved or ReleaseReserved ends the reservation.
+func (dispatcher *Dispatcher) Reserve(now time.Time, current *view.View, ticket Ticket, level attained.Level, failed bool) (*view.Endpoint, bool) {
+	call := dispatcher.runningByTicket[ticket]
+	if call == nil || call.endpoint == (feed.Endpoint{}) || call.reserved != (feed.Endpoint{}) {
+		return nil, false
+	}
+	endpoint, ok := dispatcher.pickEndpoint(now, current, call, level, call.endpoint, failed)
+	if !ok {
+		return nil, false
+	}
+	call.reserved, call.reservedLevel = endpoint.Name, level
+	dispatcher.chooser.Started(endpoint.Name, level)
+	return endpoint, true
+}
+
+// TakeReserved moves a call to its reserved endpoint. Set failed if the old one was at
+// fault.
+func (dispatcher *Dispatcher) TakeReserved(now time.Time, ticket Ticket, failed bool) {
+	call := dispatcher.runningByTicket[ticket]
+	if call == nil || call.reserved == (feed.Endpoint{}) {
+		return
+	}
+	dispatcher.chooser.Finished(now, call.endpoint, call.level, failed)
+	call.endpoint, call.level, call.reserved = call.reserved, call.reservedLevel, feed.Endpoint{}
+}
+
+// ReleaseReserved ends a reservation without a move. Set failed if the reserved endpoint
+// was at fault.
+func (dispatcher *Dispatcher) ReleaseReserved(now time.Time, ticket Ticket, failed bool) {
+	call := dispatcher.runningByTicket[ticket]
+	if call == nil || call.reserved == (feed.Endpoint{}) {
+		return
+	}
+	dispatcher.chooser.Finished(now, call.reserved, call.reservedLevel, failed)
+	call.reserved = feed.Endpoint{}
+}
+
+// pickEndpoint picks an endpoint for the rest of a call that is or was at its own. A call
+// that didn't fail there, but is demoted, may queue at its own.
+func (dispatcher *Dispatcher) pickEndpoint(now time.Time, current *view.View, call *running, level attained.Level, own feed.Endpoint, failed bool) (*view.Endpoint, bool) {
+	avoid := feed.Endpoint{}
+	if failed {
+		avoid = own
+	}
+	if endpoint, ok := dispatcher.chooseRest(now, current, call, level, avoid); ok {
+		return endpoint, true
+	}
+	endpoint := current.Endpoints[own]
+	return endpoint, !failed && endpoint != nil && now.Before(endpoint.ValidUntil)
+}
+
+// chooseRest chooses an endpoint with capacity for the rest of a call.
+func (dispatcher *Dispatcher) chooseRest(now time.Time, current *view.View, call *running, level attained.Level, avoid feed.Endpoint) (*view.Endpoint, bool) {
 	if !now.Before(current.LeaseUntil) {
 		return nil, false
 	}
-	criteria := chooser.Criteria{Prefix: call.call.Prefix, Level: call.level, Avoid: call.failedEndpoint, Share: current.Share}
+	criteria := chooser.Criteria{Prefix: call.call.Prefix, Level: level, Avoid: avoid, Share: current.Share}
 	if clientAccount := current.ClientAccounts[call.call.ClientAccount]; clientAccount != nil {
 		criteria.Allowed = clientAccount.Contract.DataCentres
 	}
-	endpoint, ok := dispatcher.chooser.Choose(now, endpoints(current, call.call), criteria)
-	if ok {
-		dispatcher.assign(call, endpoint)
-	}
-	return endpoint, ok
+	return dispatcher.chooser.Choose(now, endpoints(current, call.call), criteria)
 }
 
 func (dispatcher *Dispatcher) assign(call *running, endpoint *view.Endpoint) {
@@ -72,7 +118,8 @@
 		if call == nil {
 			continue
 		}
-		if endpoint, ok := dispatcher.reassign(now, current, call); ok {
+		if endpoint, ok := dispatcher.chooseRest(now, current, call, call.level, call.failedEndpoint); ok {
+			dispatcher.assign(call, endpoint)
 			decisions = append(decisions, Decision{Ticket: ticket, Endpoint: endpoint})
 			continue
 		}
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -114,6 +114,10 @@
 		_, _ = io.WriteString(stream.writer, "data: this is no JSON\n\n")
 		return
 	}
+	// The headers say that the request is accepted. A write fails only when its caller
+	// has gone, which cancels ctx.
+	stream.writer.WriteHeader(http.StatusOK)
+	_ = stream.control.Flush()
 	prompt := stream.requestBody.text()
 	length := AnswerLength(prompt, stream.requestBody.MaxTokens)
 	for index := lastEventID + 1; index <= length; index++ {
