daemon: a stop waits until the answers of ended calls are written

Callers would see: an answer of a service that is cut when its node stops, although the service has answered whole.

The drain waited until the dispatcher had no call and closed the listeners 1 s later at most. A call to a service ends for the dispatcher before its answer is written, so a caller that reads slowly lost it.

--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -70,6 +70,8 @@
 	// closeTimeout bounds the transfer of leadership once calls are drained. A
 	// fifth of it bounds the shutdown of each listener.
 	closeTimeout = 5 * time.Second
+	// callersInterface is the name of the interface for callers.
+	callersInterface = "callers"
 )
 
 // Network opens a node's listeners and connections. Tests replace its fields.
@@ -239,7 +241,7 @@
 		Traffic: daemon.traffic, View: daemon.view, Now: daemon.now, RequestID: newRequestID,
 		Propose: loop.Propose, RunInBackground: daemon.runInBackground, Log: daemon.log, Metrics: daemon.metrics,
 		BodyBytes: nodeSettings.Limits.BodyBytes, InactivityTimeout: time.Duration(nodeSettings.Limits.InactivityTimeoutMS) * time.Millisecond,
-		CallerWriteTimeout: time.Duration(nodeSettings.Limits.CallerWriteTimeoutMS) * time.Millisecond,
+		CallerWriteTimeout: daemon.callerWriteTimeout(),
 		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
 	}).Handler()
 	if nodeSettings.RouterOff {
@@ -251,7 +253,7 @@
 		pair          settings.KeyPair
 		handler       http.Handler
 	}{
-		{"callers", nodeSettings.Listen.Callers, nodeSettings.TLS.Callers, callers},
+		{callersInterface, nodeSettings.Listen.Callers, nodeSettings.TLS.Callers, callers},
 		{"hosts", nodeSettings.Listen.Hosts, nodeSettings.TLS.Hosts, hostapi.New(loop, nodeSettings.Credentials.Announcers).Handler()},
 		{"operators", nodeSettings.Listen.Operators, nodeSettings.TLS.Operators, operatorapi.New(operatorapi.Config{
 			Control: loop, Credentials: nodeSettings.Credentials.Operators, Metrics: daemon.metrics,
@@ -290,6 +292,7 @@
 			daemon.reload()
 		case <-daemon.stopFinished:
 			daemon.log.Info().Str("step", "stop").Msg("the planned stop has finished; closing the node")
+			daemon.awaitAnswers()
 			return daemon.Close()
 		case <-ctx.Done():
 			daemon.drain()
@@ -319,6 +322,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	daemon.background.Wait()
+	daemon.awaitAnswers()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for len(daemon.settings.Voters()) > 1 && daemon.control.Load().TransferLeadership(ctx) && ctx.Err() == nil {
@@ -326,6 +330,25 @@
 	}
 }
 
+// awaitAnswers closes the callers' listener and waits until the answers of calls that
+// have ended are written. A caller that doesn't read bounds it as it bounds one write.
+func (daemon *Daemon) awaitAnswers() {
+	ctx, cancel := context.WithTimeout(context.Background(), daemon.callerWriteTimeout())
+	defer cancel()
+	for _, listener := range daemon.listeners {
+		if listener.name != callersInterface {
+			continue
+		}
+		if err := listener.server.Shutdown(ctx); err != nil {
+			daemon.log.Warn().Err(err).Str("step", "drain").Msg("some callers don't read their answers; they are broken off")
+		}
+	}
+}
+
+func (daemon *Daemon) callerWriteTimeout() time.Duration {
+	return time.Duration(daemon.settings.Limits.CallerWriteTimeoutMS) * time.Millisecond
+}
+
 // Close stops all parts and waits for them. It breaks off running calls; Run
 // drains first. A second call waits for the first and returns its error.
 func (daemon *Daemon) Close() error {
