endpoint, callerapi: a long stream is bounded by its tokens, not by 16 MiB

Callers would see: a stream that is cut after 16 MiB, some 90,000 tokens, while its engine goes on. Where engines resume it went on in a new attempt, at the cost of the budget. No report of it exists.

The transport to engines bounds each answer to 16 MiB, also a stream, since a host in trouble may send bytes without end.

The transport leaves a stream that the request accepts to its reader, where that is asked for (Config.ReaderBoundsStreams); the relay of the callers' interface bounds it by the size of an event, the events without a number and the tokens asked for. What the 16 MiB bounded besides gets bounds of its own: empty lines between events count towards the limit of an event, and tokens that come again are as many as were asked for at most.

The entry host of declared routes keeps the 16 MiB, since its streams have no number of tokens that bounds them.

--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -272,7 +272,7 @@
 func (relay *relay) copy(current *attempt, handover *handover) error {
 	body := current.response.Body
 	reader := sse.NewReader(body, maxEventBytes)
-	for unnumbered := 0; ; {
+	for unnumbered, repeated := 0, id.Tokens(0); ; {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			return errors.New("the stream ended without its end mark")
@@ -286,6 +286,9 @@
 			return err
 		}
 		if event.HasID && event.ID <= int64(relay.delivered()) {
+			if repeated++; repeated > relay.maxTokens {
+				return errors.Errorf("the stream repeated more than the %d tokens that were asked for", relay.maxTokens)
+			}
 			continue // already delivered before the stream was resumed
 		}
 		if event.HasID && event.ID > int64(relay.maxTokens)+1 {
--- a/caroblined/process/daemon/calls_test.go
+++ b/caroblined/process/daemon/calls_test.go
@@ -39,6 +39,7 @@
 		{"a stream of one event without end", engine.Faults{Endless: engine.EndlessEvent}, true, false, true},
 		{"a stream of one event without end everywhere", engine.Faults{Endless: engine.EndlessEvent}, true, true, false},
 		{"events without number and end everywhere", engine.Faults{Endless: engine.EndlessEvents}, true, true, false},
+		{"the first token again without end everywhere", engine.Faults{Endless: engine.EndlessRepeats}, true, true, false},
 		{"answers another request", engine.Faults{WrongRequest: true}, true, false, true},
 		{"refuses another request", engine.Faults{OldRefusal: true}, true, false, true},
 		{"answers another request everywhere", engine.Faults{WrongRequest: true}, true, true, false},
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -20,10 +20,13 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/sse"
 )
 
 const (
-	// MaxAnswerBytes bounds the body of an answer, also of a stream.
+	// MaxAnswerBytes bounds the body of an answer, also of a stream unless
+	// Config.ReaderBoundsStreams is set.
 	MaxAnswerBytes = 16 << 20
 	// maxHeaderBytes bounds the status line and the headers of an answer.
 	maxHeaderBytes = 64 << 10
@@ -47,19 +50,23 @@
 	// IDHeader names the header of a request that its answer repeats. An answer with
 	// another value belongs to another request.
 	IDHeader string
+	// ReaderBoundsStreams is set where the reader of a stream of events that a request
+	// accepts bounds it by what it asked for, so that its bytes needn't be bounded here.
+	ReaderBoundsStreams bool
 	// SingleUse gives each request a connection of its own.
 	SingleUse bool
 }
 
 // Transport sends requests to hosts. It is safe for concurrent use.
 type Transport struct {
-	transport *http.Transport
-	idHeader  string
+	transport           *http.Transport
+	idHeader            string
+	readerBoundsStreams bool
 }
 
 // New returns a transport without connections.
 func New(config Config) *Transport {
-	return &Transport{idHeader: config.IDHeader, transport: &http.Transport{
+	return &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, transport: &http.Transport{
 		DialContext: config.Dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
 		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
 		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
@@ -84,6 +91,9 @@
 		_ = connection.Close()
 		return nil, ErrForeignAnswer
 	}
+	if transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type")) {
+		return response, nil
+	}
 	if response.ContentLength > MaxAnswerBytes {
 		_ = response.Body.Close()
 		return nil, ErrTooLarge
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -69,13 +69,14 @@
 }
 
 // Next reads one event. It returns io.EOF when the stream ends after an event,
-// ErrTruncated when it ends within one, and ErrTooLong for an event beyond the
-// limit.
+// ErrTruncated when it ends within one, and ErrTooLong for an event that is beyond the
+// limit together with the empty lines before it.
 func (reader *Reader) Next() (Event, error) {
 	reader.buffer = reader.buffer[:0]
+	emptyLines := 0
 	for {
 		line, err := reader.source.ReadSlice('\n')
-		if len(reader.buffer)+len(line) > reader.limit {
+		if emptyLines+len(reader.buffer)+len(line) > reader.limit {
 			return Event{}, ErrTooLong
 		}
 		reader.buffer = append(reader.buffer, line...)
@@ -95,6 +96,7 @@
 			continue
 		}
 		if len(bytes.TrimSpace(reader.buffer)) == 0 {
+			emptyLines += len(reader.buffer)
 			reader.buffer = reader.buffer[:0]
 			continue
 		}
--- a/core/connection/sse/sse_test.go
+++ b/core/connection/sse/sse_test.go
@@ -27,6 +27,7 @@
 		{"cut in an event", "data: a\n\ndata: b\n", []string{"a"}, []int64{-1}, sse.ErrTruncated},
 		{"cut in a line", "data: a\n\nda", []string{"a"}, []int64{-1}, sse.ErrTruncated},
 		{"too long", "data: " + strings.Repeat("x", 9000) + "\n\n", nil, nil, sse.ErrTooLong},
+		{"empty lines without end", strings.Repeat("\n", 9000), nil, nil, sse.ErrTooLong},
 		{"nothing", "", nil, nil, io.EOF},
 	}
 	for _, test := range tests {
--- a/fakeengine/process/engine/endless.go
+++ b/fakeengine/process/engine/endless.go
@@ -17,16 +17,17 @@
 	EndlessHead Endless = "head"
 	EndlessBody Endless = "body"
 	// EndlessEvent is a stream of one event, EndlessEvents one of events without a
-	// number.
-	EndlessEvent  Endless = "event"
-	EndlessEvents Endless = "events"
+	// number, and EndlessRepeats one of the first token again and again.
+	EndlessEvent   Endless = "event"
+	EndlessEvents  Endless = "events"
+	EndlessRepeats Endless = "repeats"
 )
 
 // answerEndlessly writes an answer of the given form until the caller closes the
 // connection.
 func answerEndlessly(writer http.ResponseWriter, request *http.Request, form Endless) {
 	const blockBytes = 32 << 10
-	block := map[Endless]string{EndlessHead: "X: y\r\n", EndlessBody: "x", EndlessEvent: "x", EndlessEvents: "data: {}\n\n"}[form]
+	block := map[Endless]string{EndlessHead: "X: y\r\n", EndlessBody: "x", EndlessEvent: "x", EndlessEvents: "data: {}\n\n", EndlessRepeats: "id: 1\ndata: {}\n\n"}[form]
 	block = strings.Repeat(block, blockBytes/len(block))
 	connection, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
@@ -38,7 +39,7 @@
 	case EndlessHead:
 	case EndlessEvent:
 		head += "\r\ndata: "
-	case EndlessBody, EndlessEvents:
+	case EndlessBody, EndlessEvents, EndlessRepeats:
 		head += "\r\n"
 	}
 	_, err = io.WriteString(connection, head)
