--- /dev/null
+++ b/caroblined/connection/entryapi/drain_calls_test.go
@@ -0,0 +1,67 @@
+package entryapi_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"carobline.dev/caroblined/connection/entryapi"
+	"carobline.dev/core/version/routing"
+)
+
+// Guards against a stream that breaks off at its endpoint while the host drains and isn't
+// resumed, though new calls are refused.
+func TestStreamResumesWhileTheHostDrains(t *testing.T) {
+	var drain func()
+	respond := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		if request.Header.Get("Last-Event-Id") == "" {
+			drain()
+			_, _ = io.WriteString(connection, streamHead(request, "first")+chunk(event(1)))
+			_ = connection.Close()
+			return
+		}
+		_, _ = io.WriteString(connection, streamHead(request, "second")+chunk(event(2))+"0\r\n\r\n")
+	}
+	server := newEntryHost(t, route(routing.RepeatStream), newService(t, respond), newService(t, respond))
+	drain = func() {
+		server.Config.Handler.(*entryapi.API).Drain(time.Now(), time.Now().Add(5*time.Second))
+	}
+	if got, err := call(t, server, post("/a", "x")); err != nil || got.body != event(1)+event(2) {
+		t.Errorf("%q, %v", got.body, err)
+	}
+	got, err := call(t, server, post("/a", "x"))
+	if err != nil || got.status != http.StatusServiceUnavailable || !got.closes || got.header.Get("Retry-After") == "" {
+		t.Errorf("a new call that may outlast the host: %+v, %v", got, err)
+	}
+}
+
+// Guards against a call that waits for an endpoint when the host begins to drain and is
+// refused, though the host has taken it.
+func TestWaitingCallRunsWhileTheHostDrains(t *testing.T) {
+	const calls, work = 9, 500 * time.Millisecond // one more than the endpoint has slots
+	service := newService(t, func(service *service, connection net.Conn, request *http.Request, number int) {
+		time.Sleep(work)
+		respondDone(service, connection, request, number)
+	})
+	server := newEntryHost(t, route(routing.RepeatNever), service)
+	var callers sync.WaitGroup
+	for number := range calls {
+		callers.Go(func() {
+			got, err := call(t, server, strings.Replace(post("/a", "x"), "Call-Id: c1", fmt.Sprintf("Call-Id: c%d", number), 1))
+			if err != nil || got.body != "done" {
+				t.Errorf("call %d: %+v, %v", number, got, err)
+			}
+		})
+	}
+	time.Sleep(work / 2)
+	if arrived := len(service.requests()); arrived >= calls {
+		t.Errorf("%d calls run at an endpoint of 8 slots; none waits", arrived)
+	}
+	server.Config.Handler.(*entryapi.API).Drain(time.Now(), time.Now().Add(5*time.Second))
+	callers.Wait()
+}
