measure: real control hosts under the nodes and engines of a large fleet

Change: script/measure control runs five control hosts as child processes with one processor each, nodes without a disk with the product's state machine and client, and stand-ins for engines that announce themselves and carry out orders after the time that each takes. It declares a configuration, lets engines go dark in waves, kills the leader, and prints one line a second. A run claims a range of loopback addresses of its own and a temporary folder. Control hosts are ended by their process handle, and end by themselves with their standard input when the process that started them was killed.

--- a/measure/main.go
+++ b/measure/main.go
@@ -4,6 +4,7 @@
 //	measure traffic         dispatch policies on simulated engines; SEED=n changes the arrivals
 //	measure admission       calls of a model with few large groups, at the crest of a wave
 //	measure formation       forming groups while engines are lost, added and replaced
+//	measure control         cores of real control hosts, with engines that go dark and a leader that is killed; see measure control -h
 //	measure capacity        cost of the control plane at several sizes, with fitted lines
 //	measure capacity-page   the same, and writes docs/capacity/slopes.json and the table in docs/CAPACITY.md
 //	measure capacity-table  writes the table in docs/CAPACITY.md from the committed slopes
@@ -16,6 +17,7 @@
 	"strconv"
 
 	"carobline.dev/measure/process/admission"
+	"carobline.dev/measure/process/controlhost"
 	"carobline.dev/measure/process/formation"
 	"carobline.dev/measure/process/report"
 	"carobline.dev/measure/process/traffic"
@@ -64,8 +66,14 @@
 		}
 		seed = number
 	}
+	if len(arguments) > 0 && arguments[0] == controlCommand {
+		return runControl(arguments[1:], out, diagnostics)
+	}
+	if len(arguments) > 0 && arguments[0] == controlhost.Command {
+		return runControlHost(arguments[1:], os.Stdin, out, diagnostics)
+	}
 	if len(arguments) != 1 || measurementsByName[arguments[0]] == nil {
-		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|admission|formation|capacity|capacity-page|capacity-table")
+		fmt.Fprintln(diagnostics, "measure: usage: measure traffic|admission|formation|control|capacity|capacity-page|capacity-table")
 		return exitUsage
 	}
 	report := report.New(out)
--- /dev/null
+++ b/measure/process/controlhost/controlhost_test.go
@@ -0,0 +1,37 @@
+package controlhost_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"carobline.dev/measure/process/controlhost"
+	"carobline.dev/measure/process/loopback"
+)
+
+// TestControlHostEndsWithItsInput guards against control hosts that stay when the process
+// that started them was killed.
+func TestControlHostEndsWithItsInput(t *testing.T) {
+	addresses, err := loopback.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = addresses.Close() }()
+	peerAddress, peerErr := addresses.FreeAddress(0)
+	controlAddress, controlErr := addresses.FreeAddress(1)
+	data, err := json.Marshal(controlhost.Settings{
+		PeerAddress: peerAddress, ControlAddress: controlAddress, Seeds: []string{peerAddress}, DataFolder: t.TempDir(),
+	})
+	if peerErr != nil || controlErr != nil || err != nil {
+		t.Fatal(peerErr, controlErr, err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := controlhost.Run(t.Context(), path, strings.NewReader(""), t.Output()); err != nil {
+		t.Error(err)
+	}
+}
