--- a/measure/control.go
+++ b/measure/control.go
@@ -48,7 +48,7 @@
 // it returns an error.
 func parseControlFlags(arguments []string, diagnostics io.Writer) (controlload.Config, error) {
 	config := controlload.Config{WaveInterval: 3 * time.Second}
-	seconds, declareAt, firstWaveAt, killLeaderAt := 0, 0, 0, 0
+	seconds, declareAt, firstWaveAt, killLeaderAt, profileAt := 0, 0, 0, 0, 0
 	flags := flag.NewFlagSet("measure "+controlCommand, flag.ContinueOnError)
 	flags.SetOutput(diagnostics)
 	flags.IntVar(&config.Nodes, "nodes", 295, "how many nodes without a disk there are")
@@ -60,6 +60,8 @@
 	flags.IntVar(&config.WaveEngines, "wave-engines", 11, "how many engines go dark at a time")
 	flags.IntVar(&firstWaveAt, "first-wave-at", 14, "the second in which engines first go dark")
 	flags.IntVar(&killLeaderAt, "kill-leader-at", 21, "the second in which the leader is killed, 0 for never")
+	flags.StringVar(&config.ProfilePath, "profile", "", "the `FILE` for a processor profile of the leader, none if empty")
+	flags.IntVar(&profileAt, "profile-at", 16, "the second in which the profile begins")
 	if err := flags.Parse(arguments); err != nil {
 		return config, err
 	}
@@ -70,6 +72,7 @@
 	}
 	config.Length, config.DeclareAt = wholeSeconds(seconds), wholeSeconds(declareAt)
 	config.FirstWaveAt, config.KillLeaderAt = wholeSeconds(firstWaveAt), wholeSeconds(killLeaderAt)
+	config.ProfileAt = wholeSeconds(profileAt)
 	return config, nil
 }
 
--- a/measure/process/controlhost/handler.go
+++ b/measure/process/controlhost/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -21,6 +22,8 @@
 	AnnouncePath = "/announce"
 	// DeclarePath takes a routing.Declaration.
 	DeclarePath = "/declare"
+	// ProfilePath returns a processor profile over the seconds that the query asks for.
+	ProfilePath = "/profile"
 )
 
 const (
@@ -41,6 +44,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+AnnouncePath, rest.Handle(maxBodyBytes, handler.announce))
 	mux.Handle("POST "+DeclarePath, rest.Handle(maxBodyBytes, handler.declare))
+	mux.HandleFunc("GET "+ProfilePath, pprof.Profile)
 	return mux
 }
 
--- a/measure/process/controlload/config.go
+++ b/measure/process/controlload/config.go
@@ -22,6 +22,10 @@
 	// KillLeaderAt is when the leader is killed; 0 stands for never. It is started again
 	// on the same disk.
 	KillLeaderAt time.Duration
+	// ProfilePath is the file for a processor profile of the host that leads at ProfileAt;
+	// empty for none.
+	ProfilePath string
+	ProfileAt   time.Duration
 	// OnSecond is called after each second. The run ends when it returns false. It may be
 	// nil.
 	OnSecond func(Second) bool
--- a/measure/process/controlload/controlload.go
+++ b/measure/process/controlload/controlload.go
@@ -65,8 +65,10 @@
 	// wavesDone counts the waves so far. restartAt is when the killed leader is started.
 	wavesDone int
 	restartAt time.Time
+	// profiled is true once the profile was begun.
+	profiled bool
 
-	ctx        context.Context //nolint:containedctx // bounds the declaration
+	ctx        context.Context //nolint:containedctx // bounds the declaration and the profile
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
 }
@@ -221,8 +223,7 @@
 	if err != nil {
 		return false, err
 	}
-	second.Events, err = run.act(now, second.Leader)
-	if err != nil {
+	if err := run.act(now, &second); err != nil {
 		return false, err
 	}
 	fmt.Fprintln(run.out, second.String())
@@ -245,26 +246,30 @@
 	return second, nil
 }
 
-// act makes engines go dark, kills the leader and starts it again, each when it is due. It
-// returns what it did.
-func (run *run) act(now time.Time, leader int) ([]string, error) {
-	var events []string
+// act profiles the leader, makes engines go dark, kills the leader and starts it again, each
+// when it is due, and adds what it did to the second.
+func (run *run) act(now time.Time, second *Second) error {
 	elapsed := now.Sub(run.startedAt)
+	if run.profileDue(elapsed) && second.Leader != NoLeader {
+		second.Events = append(second.Events, run.profile(second.Leader))
+	}
 	if run.wavesDone < run.config.Waves && elapsed >= run.config.FirstWaveAt+time.Duration(run.wavesDone)*run.config.WaveInterval {
 		run.wavesDone++
-		events = append(events, fmt.Sprintf("%d engines go dark", run.fleet.Lose(now, run.config.WaveEngines)))
+		second.Disturbed = true
+		second.Events = append(second.Events, fmt.Sprintf("%d engines go dark", run.fleet.Lose(now, run.config.WaveEngines)))
 	}
-	if run.killDue(elapsed) && leader != NoLeader {
-		run.hosts[leader].kill()
-		run.result.KilledLeader, run.restartAt = leader, now.Add(restartTime)
-		events = append(events, fmt.Sprintf("control host %d is killed", leader))
+	if run.killDue(elapsed) && second.Leader != NoLeader {
+		run.hosts[second.Leader].kill()
+		run.result.KilledLeader, run.restartAt = second.Leader, now.Add(restartTime)
+		second.Disturbed = true
+		second.Events = append(second.Events, fmt.Sprintf("control host %d is killed", second.Leader))
 	}
-	if !run.restartAt.IsZero() && !now.Before(run.restartAt) {
-		run.restartAt = time.Time{}
-		events = append(events, fmt.Sprintf("control host %d is started again", run.result.KilledLeader))
-		return events, run.hosts[run.result.KilledLeader].start(now)
+	if run.restartAt.IsZero() || now.Before(run.restartAt) {
+		return nil
 	}
-	return events, nil
+	run.restartAt = time.Time{}
+	second.Events = append(second.Events, fmt.Sprintf("control host %d is started again", run.result.KilledLeader))
+	return run.hosts[run.result.KilledLeader].start(now)
 }
 
 func (run *run) killDue(elapsed time.Duration) bool {
--- a/measure/process/controlload/controlload_test.go
+++ b/measure/process/controlload/controlload_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -131,3 +132,20 @@
 	}
 	checkNothingIsLeft(t, result.Seconds)
 }
+
+// TestLeaderIsProfiled guards against a profile that is asked of no host or that isn't
+// written.
+func TestLeaderIsProfiled(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config := smallLoad(t)
+	config.Nodes, config.Engines, config.Waves, config.KillLeaderAt = 5, 19, 0, 0
+	config.ProfilePath, config.ProfileAt = filepath.Join(t.TempDir(), "profile"), time.Second
+	written := func() bool {
+		file, err := os.Stat(config.ProfilePath)
+		return err == nil && file.Size() > 0
+	}
+	config.OnSecond = func(controlload.Second) bool { return !written() }
+	if _, err := controlload.Run(t.Context(), config, t.Output()); err != nil || !written() {
+		t.Errorf("the run ended with %v; the profile was written: %v", err, written())
+	}
+}
--- a/measure/process/controlload/result.go
+++ b/measure/process/controlload/result.go
@@ -22,14 +22,14 @@
 }
 
 // firstWithAllGroups returns the index of the first second with as many open groups as
-// there are in any second up to the first event.
+// there are in any second up to the first that was disturbed.
 func (result *Result) firstWithAllGroups() int {
 	first, most := 0, 0
 	for index := range result.Seconds {
 		if open := result.Seconds[index].Engines.OpenGroups; open > most {
 			first, most = index, open
 		}
-		if len(result.Seconds[index].Events) > 0 {
+		if result.Seconds[index].Disturbed {
 			break
 		}
 	}
--- a/measure/process/controlload/second.go
+++ b/measure/process/controlload/second.go
@@ -28,8 +28,10 @@
 	Leader  int
 	Nodes   nodes.Sample
 	Engines engines.Sample
-	// Events says what was done at the end of the second.
-	Events []string
+	// Events says what was done at the end of the second, and Disturbed is true if engines
+	// went dark or the leader was killed then.
+	Events    []string
+	Disturbed bool
 }
 
 // String returns the second as one line.
