controller: whether any node lags is told without sorting all nodes

What callers saw: as before, a leader with little processor time left while groups open at 295 nodes and 760 engines.

Cause, one part: a group opens once no node lags behind the last retirement of its engines. For each group that is ready and not yet open, fifty times a second, all nodes were sorted by name and listed, only to see whether the list was empty.

Change: the look ends at the first node that lags and lists nothing. The rule is the same one for both.

--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -256,13 +256,27 @@
 	return float64(ownCalls) / float64(max(ownCalls, leadership.liveNodes+leadership.liveCalls))
 }
 
-// laggingNodes lists the nodes that may still act on a state older than the
-// version: they haven't reported it, and their lease may not have expired.
+// anyNodeLags reports whether laggingNodes lists any node.
+func (controller *Controller) anyNodeLags(now time.Time, version id.Version) bool {
+	for _, node := range controller.leadership.stateByNode {
+		if node.lags(now, version) {
+			return true
+		}
+	}
+	return false
+}
+
+// lags reports whether the node may still act on a state older than the version: it hasn't
+// reported it, and its lease may not have expired.
+func (node *nodeState) lags(now time.Time, version id.Version) bool {
+	return node.version < version && now.Before(node.leaseExpiryBound)
+}
+
+// laggingNodes lists the nodes that lag behind the version, sorted by name.
 func (controller *Controller) laggingNodes(now time.Time, version id.Version) []id.Node {
 	var lagging []id.Node
 	for _, name := range sortedKeys(controller.leadership.stateByNode) {
-		node := controller.leadership.stateByNode[name]
-		if node.version < version && now.Before(node.leaseExpiryBound) {
+		if controller.leadership.stateByNode[name].lags(now, version) {
 			lagging = append(lagging, name)
 		}
 	}
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -89,7 +89,7 @@
 func (controller *Controller) reconcileFleet(now time.Time, actions *Actions) bool {
 	decided := controller.leadership.fleet.Tick(now, fleet.State{
 		Register: controller.register, Roster: controller.roster,
-		Lags: func(version id.Version) bool { return len(controller.laggingNodes(now, version)) > 0 },
+		Lags: func(version id.Version) bool { return controller.anyNodeLags(now, version) },
 	})
 	actions.Orders = append(actions.Orders, decided.Orders...)
 	actions.Decisions = append(actions.Decisions, decided.Decisions...)
@@ -134,7 +134,7 @@
 		if record.PreviousGroup != nil {
 			continue
 		}
-		if len(controller.laggingNodes(now, record.Version)) > 0 {
+		if controller.anyNodeLags(now, record.Version) {
 			continue
 		}
 		member, known := controller.roster.Member(host)
--- a/core/process/controller/stops.go
+++ b/core/process/controller/stops.go
@@ -255,7 +255,7 @@
 // each node that may take calls has the version in force and reports no call
 // there, and the endpoint's own host reports none.
 func (controller *Controller) endpointIdle(now time.Time, endpoint feed.Endpoint, host id.Host, version id.Version) bool {
-	if len(controller.laggingNodes(now, version)) > 0 {
+	if controller.anyNodeLags(now, version) {
 		return false
 	}
 	for _, node := range controller.leadership.stateByNode {
