roster, instances, hostapi: an odd announcement names no endpoint

What callers saw: one entry of another writer among those of the engines, with a port out of range, was used as an endpoint. Requests of its service went there and ended with a 502 or 503.

Cause: of the address only the IP number was checked, so that ports 0, 65536 or a name of a port passed, and slots, zone and the length and characters of names weren't checked at all. An endpoint's share of the calls goes with its slots, so that one entry with 2^62 slots would draw all calls of its service. A name that isn't UTF-8 changes on its way between nodes, and one with control characters can't be sent in a header.

The entry is refused with 400 where it is announced, so that the roster, the feed, the views and the leader's plans never hold it; what the endpoint of the same name announced before stays.

--- a/caroblined/connection/hostapi/hostapi.go
+++ b/caroblined/connection/hostapi/hostapi.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -60,6 +59,9 @@
 	if field, allowed := firstInvalidField(&announce.Announcement); field != "" {
 		return member.AnnouncementReply{}, rest.NotRun(http.StatusBadRequest, "bad_announcement", "field announcement."+field+": want "+allowed)
 	}
+	if err := announce.Announcement.Validate(); err != nil {
+		return member.AnnouncementReply{}, rest.NotRun(http.StatusBadRequest, "bad_announcement", err.Error())
+	}
 	reply, err := api.control.Announce(ctx, announce.Announcement, announce.Echo)
 	if err != nil {
 		return reply, rest.Unknown(http.StatusServiceUnavailable, "unavailable", err.Error())
@@ -67,10 +69,10 @@
 	return reply, nil
 }
 
-// firstInvalidField returns the first invalid field of an announcement and what
-// is allowed there. The field is empty when the announcement is valid.
+// firstInvalidField returns the first field of an announcement that is missing or beyond
+// what a host may ask for, and what is allowed there. The field is empty when there is
+// none.
 func firstInvalidField(announcement *roster.Announcement) (field, allowed string) {
-	host, _, err := net.SplitHostPort(announcement.Address)
 	checks := []struct {
 		ok             bool
 		field, allowed string
@@ -78,13 +80,12 @@
 		{announcement.Host != "", "host", "a name"},
 		{announcement.Incarnation > 0, "incarnation", "a number that rises with each start"},
 		{announcement.Sequence > 0, "sequence", "a number that rises with each announcement"},
-		{err == nil && net.ParseIP(host) != nil, "address", "an IP number and a port"},
 		{announcement.DataCentre != "", "data_centre", "a name"},
 		{announcement.Service != "" || announcement.Domain != "", "domain", "a name, for a host of an engine"},
 		{(announcement.Service != "") != (len(announcement.Models) > 0), "models", "models or a service, one of the two"},
 		{len(announcement.Prefixes) <= maxPrefixes, "prefixes", "16 at most"},
 		{announcement.Accelerators >= 0, "accelerators", "0 or more"},
-		{announcement.Lease() >= minLease && announcement.Lease() <= maxLease, "lease_ms", "500 to 60000"},
+		{announcement.LeaseMS >= minLease.Milliseconds() && announcement.LeaseMS <= maxLease.Milliseconds(), "lease_ms", "500 to 60000"},
 	}
 	for _, check := range checks {
 		if !check.ok {
