node: a control host outlasts a disk that refuses to rename

What callers saw: nothing yet. A control host that restarts while its disk is full ended, and with it the process, again at each start until the disk had room.

Cause: Supervise takes an error of a file in the data folder for a full disk by its type, and knew one type. A rename returns another one. At a start the identity is written, whose file is replaced by a rename.

Evidence, on the code before: TestSuperviseRestartsAfterFullDisk, case "renames at the start": "Supervise returned start node: write identity: rename identity: ... no space left on device". Its other cases passed on the code before: writes and syncs that are refused at the start and while the node runs.

Change: both types count. The test had one case, a write refused with a bare error number from the start on, which reached only the log. wal.Disk now holds renames too and the identity is written through it, so that the cases refuse each of these calls, with errors as package os returns them and half of the bytes written, from the start on or from when the node listens.

Result: all five cases pass.

--- a/caroblined/process/identity/identity.go
+++ b/caroblined/process/identity/identity.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	own, err := identity.Open(folder, "10.0.0.4:7340", founder)
+//	own, err := identity.Open(wal.OS(), folder, "10.0.0.4:7340", founder)
 //	own.Node        // "10.0.0.4:7340~5f3a..."
 //	own.Incarnation // 1 at the first start
 package identity
@@ -61,7 +61,7 @@
 // has none, and increments the incarnation. It returns once the identity is
 // synced. With founder set, a folder without an identity gets the founder's
 // name; a stored name is never replaced.
-func Open(folder, address string, founder bool) (Identity, error) {
+func Open(disk wal.Disk, folder, address string, founder bool) (Identity, error) {
 	if err := os.MkdirAll(folder, folderPerm); err != nil {
 		return Identity{}, errors.Wrap(err, "make data folder")
 	}
@@ -77,7 +77,7 @@
 		}
 	}
 	stored.Incarnation++
-	return stored, write(folder, stored)
+	return stored, write(disk, folder, stored)
 }
 
 // read returns the stored identity, or a zero Identity if there is none.
@@ -97,10 +97,10 @@
 }
 
 // write stores the identity and returns once it is synced.
-func write(folder string, stored Identity) error {
+func write(disk wal.Disk, folder string, stored Identity) error {
 	data, err := json.Marshal(stored)
 	if err != nil {
 		return errors.Wrap(err, "encode identity")
 	}
-	return step.Wrap(wal.Replace(wal.OS(), folder, fileName, data), "write identity")
+	return step.Wrap(wal.Replace(disk, folder, fileName, data), "write identity")
 }
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -115,7 +115,7 @@
 	GracePeriod time.Duration
 	// SendOrder delivers an order to its host.
 	SendOrder func(ctx context.Context, client *http.Client, order action.Order) error
-	// Disk stores the write-ahead log of a control host.
+	// Disk stores the write-ahead log and the identity of a control host.
 	Disk wal.Disk
 	Log  zerolog.Logger
 }
@@ -196,7 +196,7 @@
 		node.self = identity.NewDiskless(node.config.PeerAddress)
 		return nil
 	}
-	self, err := identity.Open(node.config.Control.DataFolder, node.config.PeerAddress, node.config.Control.Founder)
+	self, err := identity.Open(node.config.Disk, node.config.Control.DataFolder, node.config.PeerAddress, node.config.Control.Founder)
 	node.self = self
 	return err
 }
--- a/caroblined/process/node/supervise.go
+++ b/caroblined/process/node/supervise.go
@@ -55,8 +55,7 @@
 // folder while the node starts counts as a failed disk write.
 func runOnce(ctx context.Context, config Config, reloads <-chan os.Signal) error {
 	node, err := New(config)
-	var pathErr *fs.PathError
-	if config.Control != nil && errors.As(err, &pathErr) && strings.HasPrefix(pathErr.Path, config.Control.DataFolder) {
+	if config.Control != nil && isFileError(err, config.Control.DataFolder) {
 		return errors.Wrap(errDiskWrite, err.Error())
 	}
 	if err != nil {
@@ -65,6 +64,16 @@
 	return node.Run(ctx, reloads)
 }
 
+// isFileError reports whether an error is that of a call on a file in a folder.
+func isFileError(err error, folder string) bool {
+	var pathErr *fs.PathError
+	if errors.As(err, &pathErr) {
+		return strings.HasPrefix(pathErr.Path, folder)
+	}
+	var renameErr *os.LinkError
+	return errors.As(err, &renameErr) && strings.HasPrefix(renameErr.New, folder)
+}
+
 // waitForDisk waits until the data folder accepts writes. It returns false if ctx
 // ends first.
 func waitForDisk(ctx context.Context, config Config) bool {
--- a/caroblined/process/node/supervise_test.go
+++ b/caroblined/process/node/supervise_test.go
@@ -44,36 +44,94 @@
 	return socket.Addr().String()
 }
 
+// fullDisk is a disk that refuses some of the operations while it is full.
+type fullDisk struct {
+	full  atomic.Bool
+	calls wal.Disk
+}
+
+// newFullDisk returns a disk that refuses what the given function changes.
+func newFullDisk(refuse func(calls *wal.Disk)) *fullDisk {
+	disk := &fullDisk{calls: wal.OS()}
+	refuse(&disk.calls)
+	return disk
+}
+
+func (disk *fullDisk) present() wal.Disk {
+	if disk.full.Load() {
+		return disk.calls
+	}
+	return wal.OS()
+}
+
+func (disk *fullDisk) disk() wal.Disk {
+	return wal.Disk{
+		Write:  func(file *os.File, data []byte) (int, error) { return disk.present().Write(file, data) },
+		Sync:   func(file *os.File) error { return disk.present().Sync(file) },
+		Rename: func(from, to string) error { return disk.present().Rename(from, to) },
+	}
+}
+
+// The errors of a full disk, as package os returns them.
+func refusedWrite(file *os.File, data []byte) (int, error) {
+	count, _ := file.Write(data[:len(data)/2])
+	return count, &os.PathError{Op: "write", Path: file.Name(), Err: syscall.ENOSPC}
+}
+
+func refusedSync(file *os.File) error {
+	return &os.PathError{Op: "sync", Path: file.Name(), Err: syscall.EIO}
+}
+
+func refusedRename(from, to string) error {
+	return &os.LinkError{Op: "rename", Old: from, New: to, Err: syscall.ENOSPC}
+}
+
 // TestSuperviseRestartsAfterFullDisk guards against a control host that exits for
 // good when its disk is full: it must stop, so that it doesn't vote, and restart
 // on the same addresses once the disk accepts writes.
 func TestSuperviseRestartsAfterFullDisk(t *testing.T) {
-	var full atomic.Bool
-	disk := wal.OS()
-	disk.Write = func(file *os.File, data []byte) (int, error) {
-		if full.Load() {
-			return 0, syscall.ENOSPC
-		}
-		return file.Write(data)
-	}
-	logged, address := make(logLines, 1000), freeAddress(t)
-	config := node.Config{
-		PeerAddress: address, ReadSeeds: func() ([]string, error) { return []string{address}, nil }, TargetVoters: 1, Disk: disk, Log: zerolog.New(logged),
-		Control: &node.Control{
-			Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
-			Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
-		},
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	supervised := make(chan error)
-	full.Store(true)
-	go func() { supervised <- node.Supervise(ctx, config, nil) }()
-	logged.awaitStep("disk_lost")
-	full.Store(false)
-	logged.awaitStep("disk_regained")
-	logged.awaitStep("lease")
-	stop()
-	if err := <-supervised; err != nil {
-		t.Errorf("Supervise returned %v", err)
+	for _, test := range []struct {
+		name   string
+		refuse func(calls *wal.Disk)
+		// running is set where the disk is full from when the node listens, and not from
+		// its start.
+		running bool
+	}{
+		{"writes at the start", func(calls *wal.Disk) { calls.Write = refusedWrite }, false},
+		{"writes", func(calls *wal.Disk) { calls.Write = refusedWrite }, true},
+		{"syncs at the start", func(calls *wal.Disk) { calls.Sync = refusedSync }, false},
+		{"syncs", func(calls *wal.Disk) { calls.Sync = refusedSync }, true},
+		{"renames at the start", func(calls *wal.Disk) { calls.Rename = refusedRename }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			disk := newFullDisk(test.refuse)
+			logged, address := make(logLines, 1000), freeAddress(t)
+			config := node.Config{
+				PeerAddress: address, ReadSeeds: func() ([]string, error) { return []string{address}, nil }, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
+				Control: &node.Control{
+					Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
+					Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+				},
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			supervised := make(chan error, 1)
+			disk.full.Store(!test.running)
+			go func() {
+				supervised <- node.Supervise(ctx, config, nil)
+				close(logged)
+			}()
+			if test.running {
+				logged.awaitStep("listen")
+				disk.full.Store(true)
+			}
+			logged.awaitStep("disk_lost")
+			disk.full.Store(false)
+			logged.awaitStep("disk_regained")
+			logged.awaitStep("lease")
+			stop()
+			if err := <-supervised; err != nil {
+				t.Errorf("Supervise returned %v", err)
+			}
+		})
 	}
 }
--- a/core/process/wal/power_test.go
+++ b/core/process/wal/power_test.go
@@ -35,7 +35,9 @@
 	return &lossyDisk{t: t, random: random, folder: folder, syncedByInode: map[uint64][]byte{}, inodeByName: map[string]uint64{}}
 }
 
-func (disk *lossyDisk) calls() wal.Disk { return wal.Disk{Write: (*os.File).Write, Sync: disk.sync} }
+func (disk *lossyDisk) calls() wal.Disk {
+	return wal.Disk{Write: (*os.File).Write, Sync: disk.sync, Rename: os.Rename}
+}
 
 func inode(info os.FileInfo) uint64 { return info.Sys().(*syscall.Stat_t).Ino }
 
--- a/core/process/wal/wal.go
+++ b/core/process/wal/wal.go
@@ -50,13 +50,14 @@
 // Disk holds the file operations that fail on a bad or full disk. Tests replace them
 // to inject faults.
 type Disk struct {
-	Write func(file *os.File, data []byte) (int, error)
-	Sync  func(file *os.File) error
+	Write  func(file *os.File, data []byte) (int, error)
+	Sync   func(file *os.File) error
+	Rename func(from, to string) error
 }
 
 // OS returns the Disk of the operating system.
 func OS() Disk {
-	return Disk{Write: (*os.File).Write, Sync: (*os.File).Sync}
+	return Disk{Write: (*os.File).Write, Sync: (*os.File).Sync, Rename: os.Rename}
 }
 
 // frame is the body of one frame of the log file, written by one Save.
@@ -203,7 +204,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write "+name)
 	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := disk.Rename(path+".new", path); err != nil {
 		return errors.Wrap(err, "rename "+name)
 	}
 	return syncFolder(folder, disk)
--- a/core/process/wal/wal_test.go
+++ b/core/process/wal/wal_test.go
@@ -183,8 +183,9 @@
 			folder := t.TempDir()
 			current := wal.OS()
 			disk := wal.Disk{
-				Write: func(file *os.File, data []byte) (int, error) { return current.Write(file, data) },
-				Sync:  func(file *os.File) error { return current.Sync(file) },
+				Write:  func(file *os.File, data []byte) (int, error) { return current.Write(file, data) },
+				Sync:   func(file *os.File) error { return current.Sync(file) },
+				Rename: func(from, to string) error { return current.Rename(from, to) },
 			}
 			log, _, err := wal.Open(folder, disk)
 			if err != nil {
