controller, platform: tests of disks that are full one after another

Report: the disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered while all processes ran.

In the simulation each control host's disk refuses writes for 2 to 5 s in turn, three rounds, with pauses and without, while a change is proposed every 150 ms at any control host; of a refused write the bytes are kept or lost, the voter is dropped, the process stops up to 1 s later and restarts once its disk accepts writes. Afterwards each control host must get a change accepted within 4 s, every node must act by it, and there must be five voters.

--- a/core/process/controller/simulation_test.go
+++ b/core/process/controller/simulation_test.go
@@ -171,6 +171,10 @@
 	extraVoter     bool
 	pausedUntil    time.Duration
 	deferredEvents []func()
+	// Until diskFullUntil all writes fail. diskFailed is set once one has, until the node
+	// has restarted.
+	diskFullUntil time.Duration
+	diskFailed    bool
 	// processor delays what the node sends, in simulations that count its work.
 	processor      *processor
 	hosts          *roster.Roster
@@ -214,7 +218,7 @@
 		return
 	}
 	node.incarnation++
-	node.up = true
+	node.up, node.diskFailed = true, false
 	node.view = view.Empty()
 	node.deferredEvents = nil
 	node.answerByTicket = map[controller.Ticket]func(any){}
@@ -296,6 +300,8 @@
 func (node *node) step(event controller.Event) {
 	if node.voter != nil {
 		node.execute(node.voter.Step(node.now(), event))
+	} else if node.diskFailed {
+		node.answerWithoutVoter(event)
 	}
 }
 
@@ -310,6 +316,10 @@
 		simulation.schedule(time.Duration(simulation.rand.Int64N(int64(4*time.Second))), node.start)
 		return
 	}
+	if !actions.DiskWrite.Empty() && node.diskRefuses() {
+		node.failDisk(actions.DiskWrite)
+		return
+	}
 	saveInMemory(&node.stored, actions.DiskWrite)
 	for _, message := range actions.Messages {
 		node.sendMessage(message)
