identity, node: founders know each other after a restart

What callers saw: nothing yet, as each deployment so far has more control hosts than founders. Where there are three control hosts and three are wanted, a restart of their processes ended control for good: no leader, no change accepted, no lease for any entry host.

Cause: only the first start is told that the system starts for the first time, and from that a founder derived the first voters. The log holds voters only once they change, which they do where a fourth host joins.

Whether the platform leaves the mark in the settings at a restart isn't known: its pages say that it is true only with empty disks.

Change: a founder stores the names of all founders with its own at its first start, in the file that it writes there anyhow, and they vote while the log holds no other voters. They are contacts only at a first start, as before. An identity that an earlier version stored takes them from a start that still has the mark.

--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -53,7 +53,10 @@
 	Self        id.Node
 	Incarnation id.Incarnation
 	Voters      []id.Node
-	Nodes       []id.Node
+	// Founders replace Voters, where these aren't set, as the voters while the log holds
+	// none. They aren't contacted on that account: later voters may have replaced them.
+	Founders []id.Node
+	Nodes    []id.Node
 	// Seeds are contacted to discover the voters when the settings don't list
 	// them.
 	Seeds []id.Node
@@ -94,6 +97,14 @@
 	return contacts
 }
 
+// firstVoters returns the voters while the log holds none.
+func (config *Config) firstVoters() []id.Node {
+	if len(config.Voters) == 0 {
+		return config.Founders
+	}
+	return config.Voters
+}
+
 // Control is the event loop of one node. Its exported methods are safe for
 // concurrent use.
 type Control struct {
@@ -151,7 +162,7 @@
 	seed := uint64(control.config.Incarnation)
 	control.voter, err = controller.New(now, controller.Config{
 		Self: control.config.Self, Incarnation: control.config.Incarnation,
-		Voters: control.config.Voters, Nodes: control.config.Nodes, Timing: control.config.Timing,
+		Voters: control.config.firstVoters(), Nodes: control.config.Nodes, Timing: control.config.Timing,
 		ModelSpecs: control.config.ModelSpecs, MaxLoadingGroups: control.config.MaxLoadingGroups, CompactEntries: controller.CompactEntries,
 		TargetVoters: control.config.TargetVoters, EngineStallTimeout: control.config.EngineStallTimeout, NodeLease: control.config.NodeLease,
 		Rand: rand.New(rand.NewPCG(seed, hashNode(control.config.Self))), //nolint:gosec // jitter of election timeouts, not security
--- a/caroblined/process/identity/identity.go
+++ b/caroblined/process/identity/identity.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	own, err := identity.Open(wal.OS(), folder, "10.0.0.4:7340", founder)
+//	own, err := identity.Open(wal.OS(), folder, "10.0.0.4:7340", founders)
 //	own.Node        // "10.0.0.4:7340~5f3a..."
 //	own.Incarnation // 1 at the first start
 package identity
@@ -39,6 +39,9 @@
 type Identity struct {
 	Node        id.Node        `json:"node"`
 	Incarnation id.Incarnation `json:"incarnation"`
+	// Founders are the first voters of the system, for a node that is one of them. They
+	// vote until the log holds other voters, and later starts may not be told of them.
+	Founders []id.Node `json:"founders,omitempty"`
 }
 
 // FounderName returns the name of the founding node at an address.
@@ -59,9 +62,9 @@
 
 // Open reads the identity stored in a data folder, or creates one if the folder
 // has none, and increments the incarnation. It returns once the identity is
-// synced. With founder set, a folder without an identity gets the founder's
-// name; a stored name is never replaced.
-func Open(disk wal.Disk, folder, address string, founder bool) (Identity, error) {
+// synced. With founders set, a folder without an identity gets the founder's name
+// and keeps the names of all founders; neither is replaced once it is stored.
+func Open(disk wal.Disk, folder, address string, founders []id.Node) (Identity, error) {
 	if err := os.MkdirAll(folder, folderPerm); err != nil {
 		return Identity{}, errors.Wrap(err, "make data folder")
 	}
@@ -72,10 +75,13 @@
 	}
 	if stored.Node == "" {
 		stored.Node = newName(address)
-		if founder {
+		if len(founders) > 0 {
 			stored.Node = FounderName(address)
 		}
 	}
+	if stored.Node == FounderName(address) && len(stored.Founders) == 0 {
+		stored.Founders = founders
+	}
 	stored.Incarnation++
 	return stored, write(disk, folder, stored)
 }
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	if err := node.identify(); err != nil {
+	if err := node.identify(seeds); err != nil {
 		return err
 	}
 	node.config.Log = node.config.Log.With().Str("node", string(node.self.Node)).Logger()
@@ -191,12 +191,16 @@
 
 // identify sets the node's identity: the stored one on a control host, a new one
 // on a node without a disk.
-func (node *Node) identify() error {
+func (node *Node) identify(seeds []string) error {
 	if node.config.Control == nil {
 		node.self = identity.NewDiskless(node.config.PeerAddress)
 		return nil
 	}
-	self, err := identity.Open(node.config.Disk, node.config.Control.DataFolder, node.config.PeerAddress, node.config.Control.Founder)
+	var founders []id.Node
+	if node.config.Control.Founder {
+		founders = founderNodes(seeds)
+	}
+	self, err := identity.Open(node.config.Disk, node.config.Control.DataFolder, node.config.PeerAddress, founders)
 	node.self = self
 	return err
 }
@@ -231,9 +235,9 @@
 		Log: node.config.Log, Now: node.clock.Now, SendOrder: node.sendOrder, CollectUsage: node.collectUsage, OnViewChange: node.viewChanged,
 	}
 	if controlConfig := node.config.Control; controlConfig != nil {
-		config.DataFolder = controlConfig.DataFolder
-		if controlConfig.Founder && node.self.Node == identity.FounderName(node.config.PeerAddress) {
-			config.Voters = founderNodes(seeds)
+		config.DataFolder, config.Founders = controlConfig.DataFolder, node.self.Founders
+		if controlConfig.Founder {
+			config.Voters = node.self.Founders
 		}
 	}
 	loop, err := control.New(config)
