node: a restart after a full disk outlasts an unreadable settings file

What callers saw: nothing yet. A control host whose disk had room again ended by itself, if its settings file could not be read in that moment.

Cause: a restart within the process reads the seeds as the first start does, and an error there ended Supervise. While a node runs, such an error leaves the known seeds in use.

Evidence, on the code before: TestSuperviseRestartsWithTheKnownSeeds: "Supervise returned start node: the settings file is cut off".

Change: Supervise keeps the last seeds that could be read for its restarts too.

Result: the tests of the package pass.

--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -407,7 +407,7 @@
 func (node *Node) refreshSeeds() {
 	seeds, err := node.config.ReadSeeds()
 	if err != nil {
-		node.config.Log.Warn().Err(err).Str("step", "read_seeds").Msg("reading the seeds failed; the known seeds stay in use")
+		node.config.Log.Warn().Err(err).Str("step", "read_seeds").Msg("reading the seeds failed; none are known yet")
 		return
 	}
 	node.loop.Load().AddContacts(seedNodes(seeds))
--- a/caroblined/process/node/supervise.go
+++ b/caroblined/process/node/supervise.go
@@ -38,6 +38,7 @@
 // the stored state as soon as the disk accepts writes. Any other error ends
 // Supervise and is returned.
 func Supervise(ctx context.Context, config Config, reloads <-chan os.Signal) error {
+	config.ReadSeeds = keepSeeds(config)
 	for {
 		err := runOnce(ctx, config, reloads)
 		if !errors.Is(err, errDiskWrite) || ctx.Err() != nil {
@@ -51,6 +52,21 @@
 	}
 }
 
+// keepSeeds returns a function that reads the seeds, and returns the last ones again if
+// they can't be read any more: a restart needs some.
+func keepSeeds(config Config) func() ([]string, error) {
+	var known []string
+	return func() ([]string, error) {
+		seeds, err := config.ReadSeeds()
+		if err != nil && known != nil {
+			config.Log.Warn().Err(err).Str("step", "read_seeds").Msg("reading the seeds failed; the known seeds stay in use")
+			return known, nil
+		}
+		known = seeds
+		return seeds, err
+	}
+}
+
 // runOnce runs a node until ctx ends or the node fails. A file error in the data
 // folder while the node starts counts as a failed disk write.
 func runOnce(ctx context.Context, config Config, reloads <-chan os.Signal) error {
--- a/caroblined/process/node/supervise_test.go
+++ b/caroblined/process/node/supervise_test.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"carobline.dev/caroblined/process/control"
@@ -135,3 +136,41 @@
 		})
 	}
 }
+
+// Guards against a control host that ends by itself since its settings file can't be read
+// just when its disk has room again.
+func TestSuperviseRestartsWithTheKnownSeeds(t *testing.T) {
+	disk := newFullDisk(func(calls *wal.Disk) { calls.Write = refusedWrite })
+	logged, address := make(logLines, 1000), freeAddress(t)
+	var unreadable atomic.Bool
+	config := node.Config{
+		PeerAddress: address, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
+		ReadSeeds: func() ([]string, error) {
+			if unreadable.Load() {
+				return nil, errors.New("the settings file is cut off")
+			}
+			return []string{address}, nil
+		},
+		Control: &node.Control{
+			Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
+			Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	supervised := make(chan error, 1)
+	go func() {
+		supervised <- node.Supervise(ctx, config, nil)
+		close(logged)
+	}()
+	logged.awaitStep("listen")
+	disk.full.Store(true)
+	logged.awaitStep("disk_lost")
+	unreadable.Store(true)
+	disk.full.Store(false)
+	logged.awaitStep("disk_regained")
+	logged.awaitStep("lease")
+	stop()
+	if err := <-supervised; err != nil {
+		t.Errorf("Supervise returned %v", err)
+	}
+}
