node: a test of a lost disk at the only seed

The same fault as that of nodes which lost their disk and know no voter, with real control hosts: three, of which one is the only seed. Its disk is lost while all are down. The test of founders shares its hosts, and waits until all three vote again.

--- a/caroblined/process/node/founders_test.go
+++ b/caroblined/process/node/founders_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -25,42 +26,106 @@
 	return len(line), nil
 }
 
-// Guards against control hosts that find no majority after a restart, where there are no
-// more of them than founders: only the first start is told who the founders are.
-func TestFoundersElectALeaderAfterARestart(t *testing.T) {
-	const hosts, patience = 3, 15 * time.Second
-	var addresses, folders []string
-	for range hosts {
-		addresses, folders = append(addresses, freeAddress(t)), append(folders, t.TempDir())
+// hosts are control hosts of one system, each with a folder of its own.
+type hosts struct {
+	t         *testing.T
+	seeds     []string
+	addresses []string
+	folders   []string
+	// loops holds the control loop of each host that runs.
+	loops chan *control.Control
+}
+
+func newHosts(t *testing.T, count, seeds int) *hosts {
+	t.Helper()
+	hosts := &hosts{t: t, loops: make(chan *control.Control, count)}
+	for range count {
+		hosts.addresses, hosts.folders = append(hosts.addresses, freeAddress(t)), append(hosts.folders, t.TempDir())
 	}
-	for _, first := range []bool{true, false} {
-		leases := make(leaseWriter, 100)
-		ctx, stop := context.WithCancel(context.Background())
-		var ended sync.WaitGroup
-		for index := range hosts {
-			config := node.Config{
-				PeerAddress: addresses[index], ReadSeeds: func() ([]string, error) { return addresses, nil }, TargetVoters: hosts, Disk: wal.OS(), Log: zerolog.New(leases),
-				Control: &node.Control{
-					Address: freeAddress(t), DataFolder: folders[index], Founder: first,
-					Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+	hosts.seeds = hosts.addresses[:seeds]
+	return hosts
+}
+
+// run starts all hosts, calls work with the control loop of one of them once each has a
+// lease, and stops them. first is set at the first start of the system.
+func (hosts *hosts) run(first bool, work func(loop *control.Control)) {
+	hosts.t.Helper()
+	const patience = 15 * time.Second
+	leases := make(leaseWriter, 100)
+	ctx, stop := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	for index, address := range hosts.addresses {
+		config := node.Config{
+			PeerAddress: address, ReadSeeds: func() ([]string, error) { return hosts.seeds, nil }, TargetVoters: len(hosts.addresses), Disk: wal.OS(), Log: zerolog.New(leases),
+			Control: &node.Control{
+				Address: freeAddress(hosts.t), DataFolder: hosts.folders[index], Founder: first && index < len(hosts.seeds),
+				Handler: func(loop *control.Control) http.Handler {
+					hosts.loops <- loop
+					return http.NotFoundHandler()
 				},
-			}
-			ended.Go(func() {
-				if err := node.Supervise(ctx, config, nil); err != nil {
-					t.Errorf("Supervise returned %v", err)
-				}
-			})
+			},
 		}
-		deadline := time.After(patience)
-		for held := 0; held < hosts; held++ {
-			select {
-			case <-leases:
-			case <-deadline:
-				t.Errorf("%d of %d control hosts hold a lease within %v, first start: %v", held, hosts, patience, first)
-				held = hosts
+		ended.Go(func() {
+			if err := node.Supervise(ctx, config, nil); err != nil {
+				hosts.t.Errorf("Supervise returned %v", err)
 			}
+		})
+	}
+	deadline, held := time.After(patience), 0
+	for ; held < len(hosts.addresses); held++ {
+		select {
+		case <-leases:
+			continue
+		case <-deadline:
 		}
-		stop()
-		ended.Wait()
+		hosts.t.Errorf("%d of %d control hosts hold a lease within %v, first start: %v", held, len(hosts.addresses), patience, first)
+		break
+	}
+	loop := <-hosts.loops
+	for range len(hosts.addresses) - 1 {
+		<-hosts.loops
+	}
+	if held == len(hosts.addresses) {
+		work(loop)
+	}
+	stop()
+	ended.Wait()
+}
+
+// awaitVoters waits until all hosts vote.
+func (hosts *hosts) awaitVoters(loop *control.Control) {
+	hosts.t.Helper()
+	const patience, pause = 10 * time.Second, 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		overview, err := loop.Overview(ctx)
+		if err != nil {
+			hosts.t.Fatalf("not all hosts vote within %v: %v", patience, err)
+		}
+		if len(overview.Quorum.Membership.Voters) == len(hosts.addresses) {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Guards against control hosts that find no majority after a restart, where there are no
+// more of them than founders: only the first start is told who the founders are.
+func TestFoundersElectALeaderAfterARestart(t *testing.T) {
+	hosts := newHosts(t, 3, 3)
+	for _, first := range []bool{true, false} {
+		hosts.run(first, hosts.awaitVoters)
+	}
+}
+
+// Guards against a host that has lost its disk and finds no voter, since it is the only
+// seed itself.
+func TestSeedWithoutItsDiskFindsTheVoters(t *testing.T) {
+	hosts := newHosts(t, 3, 1)
+	hosts.run(true, hosts.awaitVoters)
+	if err := os.RemoveAll(hosts.folders[0]); err != nil {
+		t.Fatal(err)
 	}
+	hosts.run(false, hosts.awaitVoters)
 }
