fleet, platform: an engine refuses orders older than the last one that it has carried out

Cause: the fencing token of an order was the leader's term, the same for all orders of a term. So a head that has carried out the order to leave still carries out an order to join its old group and one to open it that were sent before and come late or twice.

TestNoEngineJoinsAGroupWhileItsHeadServes runs the fleet with half of the orders late by 2 to 12 s, half carried out twice, a fifth of all messages lost and a fifth of the heartbeats late, with one leader and with new ones.

Change: each order has a number, the leader's term and then a count of its orders, which is the fencing token on the wire. Where fencing is required, an engine refuses a lower one than it has seen, so that whatever was sent before an order to leave is refused after it. An order to stage repeats the last number, for it and a join may change places without harm. A repair waits for nothing that it didn't wait for before.

Tests: the engines of the fleet's and the controller's tests refuse such orders, as the protocol says; the fleet's also refuse orders for groups that they aren't in. All checks stay.

--- a/core/id/id.go
+++ b/core/id/id.go
@@ -62,6 +62,10 @@
 // a smaller one.
 type FencingToken uint64
 
+// OrderNumber numbers the orders of all leaders to engines; an engine refuses an order
+// with a smaller number than it has seen.
+type OrderNumber uint64
+
 // Tokens counts model tokens.
 type Tokens int64
 
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -47,8 +47,9 @@
 	Peers []string `json:"peers,omitempty"`
 	// Members are the group's hosts by rank, for engines.
 	Members []id.Host `json:"members,omitempty"`
-	// Term is the leader's term in which an order to an engine was made.
-	Term id.Term `json:"term,omitempty"`
+	// Number is larger than that of any older order, by this leader or one before. Only
+	// orders to engines have one.
+	Number id.OrderNumber `json:"number,omitempty"`
 	// LifetimeMS is how many milliseconds after receipt the order may be carried
 	// out.
 	LifetimeMS int64 `json:"lifetime_ms"`
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -49,6 +49,7 @@
 	incarnation    id.Incarnation
 	sequence       uint64
 	highestFencing id.FencingToken
+	highestNumber  id.OrderNumber
 	stagedModel    id.Model
 	loadedModel    id.Model
 	loadCount      int
@@ -165,9 +166,10 @@
 }
 
 func (engine *engine) executeOrder(order action.Order) {
-	if !engine.up {
+	if !engine.up || order.Number < engine.highestNumber {
 		return
 	}
+	engine.highestNumber = order.Number
 	defer engine.announce()
 	switch order.Kind {
 	case action.OrderLoad:
@@ -292,7 +294,7 @@
 func (engine *engine) restart() {
 	engine.up, engine.unreachable = true, false
 	engine.incarnation++
-	engine.highestFencing, engine.loadedModel = 0, ""
+	engine.highestFencing, engine.highestNumber, engine.loadedModel = 0, 0, ""
 	engine.group, engine.fencing, engine.members, engine.state = "", 0, nil, ""
 }
 
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -79,6 +79,8 @@
 	idleSummaryAt time.Time
 	// preparedAt is when engines were last prepared for later groups.
 	preparedAt time.Time
+	// orderCount counts the orders of this term that have a number of their own.
+	orderCount id.OrderNumber
 	// lastOrderByHost holds the last order sent to each engine.
 	lastOrderByHost map[id.Host]sentOrder
 	// orderingUntil is when the orders sent so far would be over if each took
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -29,11 +29,19 @@
 	nodesAt id.Version
 	// mostOrders is the largest number of orders in one tick.
 	mostOrders int
+	// orders are all that were sent. highestNumberByHost and highestFencingByHost hold
+	// what each engine has seen in the orders that it has carried out.
+	orders               []action.Order
+	highestNumberByHost  map[id.Host]id.OrderNumber
+	highestFencingByHost map[id.Host]id.FencingToken
+	// beforeOrders, if set, runs before the orders of a tick are carried out.
+	beforeOrders func(orders []action.Order)
 }
 
 func newWorld(t *testing.T, domains, enginesPerDomain int, models ...routing.Model) *world {
 	t.Helper()
 	world := &world{t: t, now: time.Unix(0, 0), state: register.New(), hosts: roster.New(), engines: map[id.Host]*roster.Announcement{}}
+	world.highestNumberByHost, world.highestFencingByHost = map[id.Host]id.OrderNumber{}, map[id.Host]id.FencingToken{}
 	world.fleet = fleet.New(world.now, fleet.Config{Term: 1, EngineStallTimeout: 4 * time.Second})
 	world.apply(register.Command{Declare: &register.Declare{Declaration: routing.Declaration{
 		Revision: 1, Services: []routing.Service{{Name: "pool", Engine: &routing.Engine{Slots: 8, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1, Models: models}}},
@@ -75,20 +83,29 @@
 			world.apply(register.Command{ChangeGroups: &actions.Changes})
 		}
 		world.mostOrders = max(world.mostOrders, len(actions.Orders))
+		world.orders = append(world.orders, actions.Orders...)
+		if world.beforeOrders != nil {
+			world.beforeOrders(actions.Orders)
+		}
 		for _, order := range actions.Orders {
 			world.carryOut(order)
 		}
 	}
 }
 
+// carryOut carries out an order as an engine does: it refuses one with a number below the
+// highest that it has seen, a join with an older fencing token, and any other order for a
+// group that it isn't in.
 func (world *world) carryOut(order action.Order) {
 	engine := world.engines[order.Host]
-	if engine == nil {
+	if engine == nil || order.Number < world.highestNumberByHost[order.Host] || !world.fits(engine, order) {
 		return
 	}
+	world.highestNumberByHost[order.Host] = order.Number
 	switch order.Kind {
 	case action.OrderLoad:
 		world.checkJoin(engine, order)
+		world.highestFencingByHost[order.Host] = order.Fencing
 		engine.Serving = roster.Serving{Group: order.Group, Fencing: order.Fencing, Ready: true}
 		engine.Loaded, engine.Staged = []id.Model{order.Model}, []id.Model{order.Model}
 	case action.OrderStage:
@@ -102,6 +119,20 @@
 	}
 }
 
+// fits reports whether an order is one for the group that an engine is in, or doesn't
+// depend on it.
+func (world *world) fits(engine *roster.Announcement, order action.Order) bool {
+	sameGroup := order.Group == engine.Serving.Group && order.Fencing == engine.Serving.Fencing
+	switch order.Kind {
+	case action.OrderStage:
+		return true
+	case action.OrderLoad:
+		return !sameGroup && order.Fencing >= world.highestFencingByHost[order.Host]
+	default:
+		return sameGroup
+	}
+}
+
 // checkJoin reports an engine that joins a group while the head of another one, which the
 // engine hasn't left, is open.
 func (world *world) checkJoin(engine *roster.Announcement, order action.Order) {
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -22,6 +22,9 @@
 	// over a connection of its own, and heartbeats mustn't wait behind hundreds.
 	orderSpacing = 4 * time.Millisecond
 	orderBurst   = 100 * time.Millisecond
+	// orderNumberBits is how many bits of an order's number count the orders of one term.
+	// With up to two million terms a number fits into the integers of a JSON number.
+	orderNumberBits = 32
 )
 
 // advanceGroups orders the hosts of each group to join it, and its head to
@@ -151,9 +154,26 @@
 type sentOrder struct {
 	kind    action.OrderKind
 	fencing id.FencingToken
+	number  id.OrderNumber
 	sentAt  time.Time
 }
 
+// orderNumber returns the number of the next order to a host. An order to stage repeats
+// the last one, so that neither it nor the order before is refused if they change places.
+func (fleet *Fleet) orderNumber(host id.Host, kind action.OrderKind) id.OrderNumber {
+	if kind == action.OrderStage {
+		return max(fleet.termNumber(), fleet.lastOrderByHost[host].number)
+	}
+	fleet.orderCount++
+	return fleet.termNumber() + fleet.orderCount
+}
+
+// termNumber returns the number below those of all orders of this term. It is larger
+// than those of earlier terms.
+func (fleet *Fleet) termNumber() id.OrderNumber {
+	return id.OrderNumber(fleet.config.Term) << orderNumberBits
+}
+
 // orderedRecently reports whether the same order was sent to a host less than
 // orderRetryInterval ago, so that its effect may still be announced.
 func (fleet *Fleet) orderedRecently(now time.Time, host id.Host, kind action.OrderKind, fencing id.FencingToken) bool {
@@ -179,10 +199,11 @@
 	}
 	fleet.orderingUntil = fleet.orderingUntil.Add(orderSpacing)
 	actions.Decisions = append(actions.Decisions, action.Decision{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.SinceLastAnnouncement(now)})
-	fleet.lastOrderByHost[name] = sentOrder{kind: kind, fencing: group.Fencing, sentAt: now}
+	number := fleet.orderNumber(name, kind)
+	fleet.lastOrderByHost[name] = sentOrder{kind: kind, fencing: group.Fencing, number: number, sentAt: now}
 	actions.Orders = append(actions.Orders, action.Order{
 		Host: name, Address: host.Announcement.Address, Kind: kind, Group: group.Group, Model: group.Model,
 		Fencing: group.Fencing, Members: group.Hosts,
-		Term: fleet.config.Term,
+		Number: number,
 	})
 }
--- a/core/process/fleet/reopened_test.go
+++ b/core/process/fleet/reopened_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/roster"
 )
 
@@ -34,6 +36,46 @@
 	}
 }
 
+// Guards against a head that carries out late, or a second time, the orders to join and to
+// open a group that it has left since: the leader hears of it only after it has ordered
+// the group's other hosts into a new one.
+func TestAHeadThatLeftItsGroupRefusesOlderOrders(t *testing.T) {
+	world := newWorld(t, 1, 4, four)
+	world.nodesAt = math.MaxUint64 // no node lags
+	world.run(8 * time.Second)
+	first := world.openGroups("four")[0]
+	late := world.ordersTo(first.Hosts[0])
+	world.lose(first.Hosts[1])
+	world.run(6 * time.Second)
+	world.beforeOrders = func(orders []action.Order) {
+		joins := func(order action.Order) bool {
+			return order.Kind == action.OrderLoad && order.Group != first.Group && order.Host != first.Hosts[0]
+		}
+		index := slices.IndexFunc(orders, joins)
+		if index < 0 {
+			return
+		}
+		world.beforeOrders = nil
+		for _, order := range late {
+			world.carryOut(order)
+		}
+		world.carryOut(orders[index])
+	}
+	world.add("e00-10")
+	world.run(6 * time.Second)
+	if world.beforeOrders != nil {
+		t.Error("no host of the first group was ordered to join another")
+	}
+	if open := world.openGroups("four"); len(open) != 1 || open[0].Group == first.Group {
+		t.Errorf("open groups: %v, want one of the freed engines", open)
+	}
+}
+
+// ordersTo returns the orders that a host was sent.
+func (world *world) ordersTo(host id.Host) []action.Order {
+	return slices.DeleteFunc(slices.Clone(world.orders), func(order action.Order) bool { return order.Host != host })
+}
+
 // spareOf returns an engine that isn't among hosts.
 func (world *world) spareOf(hosts []id.Host) id.Host {
 	used := map[id.Host]bool{}
