fleet: a new leader frees no host by a word of its head from before its term

What callers saw: nothing; the rule TWO can be broken after a change of the leader.

Cause: a host of a retired group is freed once its head announces that it is outside that group. A leader that has just been elected may know only an announcement from before the head joined, whose lease lasts 4.8 s. When another host of the group isn't found at its address, the group is retired at once, and its hosts are freed while the head is open.

Evidence: TestNewLeaderFreesNoHostsByAnOldWordOfTheirHead failed before: e00-02 and e00-03 are to join g2-1 while g1-1, which they haven't left, is open at e00-00. It passes now.

Change: only an announcement of the present term shows that a head, or a host that is waited for in place of a lost head, is outside its group. Under a leader in office for more than one heartbeat of the engines, nothing waits for it; the tests of repair times pass unchanged. What remains: a heartbeat from before the join that arrives late, in the term of a leader that hasn't heard any newer one.

--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	hosts   *roster.Roster
 	fleet   *fleet.Fleet
 	engines map[id.Host]*roster.Announcement
+	// silent are the engines whose announcements don't come.
+	silent map[id.Host]bool
 	// nodesAt is the version that the slowest node has reached.
 	nodesAt id.Version
 	// mostOrders is the largest number of orders in one tick.
@@ -74,6 +77,9 @@
 	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(step) {
 		for _, engine := range world.engines {
 			engine.Sequence++
+			if world.silent[engine.Host] {
+				continue
+			}
 			world.hosts.Merge(world.now, *engine, world.now.Add(engine.Lease()))
 		}
 		actions := world.fleet.Tick(world.now, fleet.State{
@@ -214,6 +220,33 @@
 	}
 }
 
+// Guards against a new leader that lets hosts join other groups while the head of theirs
+// is open: it has last heard of the head from before the head joined.
+func TestNewLeaderFreesNoHostsByAnOldWordOfTheirHead(t *testing.T) {
+	world := newWorld(t, 1, 6, four)
+	world.nodesAt = math.MaxUint64 // no node lags
+	world.run(8 * time.Second)
+	first := world.openGroups("four")[0]
+	head, lost := first.Hosts[0], first.Hosts[1]
+	before := *world.engines[head]
+	before.Serving = roster.Serving{}
+	world.hosts = roster.New()
+	world.hosts.Merge(world.now, before, world.now.Add(before.Lease()))
+	world.hosts.Merge(world.now, *world.engines[lost], world.now.Add(before.Lease()))
+	world.now = world.now.Add(announceInterval)
+	world.fleet = fleet.New(world.now, fleet.Config{Term: 2, EngineStallTimeout: 4 * time.Second})
+	world.fleet.Step(world.now, fleet.CallReported{})
+	world.silent = map[id.Host]bool{head: true, lost: true}
+	world.run(announceInterval / 4)
+	delete(world.engines, lost)
+	world.fleet.Step(world.now, fleet.OrderUndelivered{Host: lost})
+	world.run(announceInterval)
+	world.silent = nil
+	if world.run(8 * time.Second); len(world.openGroups("four")) != 1 {
+		t.Error("no group is open, though the head has been heard again")
+	}
+}
+
 // Guards against a leader that is deposed since its heartbeats wait behind the orders of
 // a plan for 760 engines, which it sends all at once. The groups must be open soon.
 func TestOrdersOfALargePlanAreSpacedOut(t *testing.T) {
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -129,6 +129,12 @@
 	return min(host.SinceLastAnnouncement(now), now.Sub(fleet.startedAt))
 }
 
+// announcedInTerm reports whether a host's last announcement came in this leader's term. An
+// older one may be from before the host joined the group of which the leader decides.
+func (fleet *Fleet) announcedInTerm(now time.Time, host roster.Member) bool {
+	return host.SinceLastAnnouncement(now) <= now.Sub(fleet.startedAt)
+}
+
 // hostLost reports whether a host that takes no requests yet counts as lost: the
 // time since its last announcement (see sinceLastAnnouncement) exceeds its lease,
 // or an order has found no host at its address within that time.
@@ -170,7 +176,7 @@
 func (fleet *Fleet) mayFreeHost(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
 	head, known := fleet.state.Roster.Member(previousGroup.Hosts[0])
 	live := known && now.Before(head.Expiry)
-	if live && !inGroup(head, previousGroup) {
+	if live && !inGroup(head, previousGroup) && fleet.announcedInTerm(now, head) {
 		return true
 	}
 	if name == previousGroup.Hosts[0] {
@@ -198,6 +204,9 @@
 		fleet.sendOrder(now, actions, host, previousGroup, action.OrderUnload)
 		return false
 	}
+	if !fleet.announcedInTerm(now, host) {
+		return false
+	}
 	if fleet.leftGroupAtByHost[name].IsZero() {
 		fleet.leftGroupAtByHost[name] = now
 	}
