sse: Ready knows both line ends, by the same definition as CompleteLen

What callers saw: events of a stream with carriage returns were passed on one by one where several had come at once. No engine known sends such a stream.

Cause: Reader.Ready looked for two line feeds by itself, whereas the other functions use eventSeparators.

Evidence: TestReadyKnowsBothLineEnds failed before for carriage returns ("an event is ready: false, want true") and passes now.

Change: Ready asks CompleteLen.

--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -65,7 +65,7 @@
 // won't block.
 func (reader *Reader) Ready() bool {
 	buffered, err := reader.source.Peek(reader.source.Buffered())
-	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
+	return err == nil && CompleteLen(buffered) > 0
 }
 
 // Next reads one event. It returns io.EOF when the stream ends after an event,
--- a/core/connection/sse/sse_test.go
+++ b/core/connection/sse/sse_test.go
@@ -68,3 +68,20 @@
 		}
 	})
 }
+
+// Guards against a reader that knows one of the line ends alone, so that each event of a
+// stream with the other is passed on by itself.
+func TestReadyKnowsBothLineEnds(t *testing.T) {
+	for name, lineEnd := range map[string]string{"line feeds": "\n", "carriage returns": "\r\n"} {
+		event := "data: a" + lineEnd + lineEnd
+		reader := sse.NewReader(strings.NewReader(event+event+"data: b"), 8000)
+		for _, want := range []bool{true, false} {
+			if _, err := reader.Next(); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if got := reader.Ready(); got != want {
+				t.Errorf("%s: an event is ready: %v, want %v", name, got, want)
+			}
+		}
+	}
+}
