endpoint: no trace of connections where no id is compared

A request was traced for its connection also by a transport without IDHeader, which closes no connection for an answer's id. What compares the id is a function of its own now, and a transport without one skips it. No change of behaviour; the tests of the package pass unchanged.

--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -78,19 +78,10 @@
 // to another request. The connection of the latter is closed: the answer to this request
 // would come as that to the next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var connection net.Conn
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
-	})
-	response, err := transport.transport.RoundTrip(request.WithContext(traced))
+	response, err := transport.roundTripChecked(request)
 	if err != nil {
 		return nil, err
 	}
-	if transport.foreign(request, response) {
-		_ = response.Body.Close()
-		_ = connection.Close()
-		return nil, ErrForeignAnswer
-	}
 	if transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type")) {
 		return response, nil
 	}
@@ -102,12 +93,28 @@
 	return response, nil
 }
 
+// roundTripChecked sends a request and returns its answer, or ErrForeignAnswer for that to
+// another request, whose connection it closes. Without IDHeader it takes any answer.
+func (transport *Transport) roundTripChecked(request *http.Request) (*http.Response, error) {
+	if transport.idHeader == "" {
+		return transport.transport.RoundTrip(request)
+	}
+	var connection net.Conn
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+	})
+	response, err := transport.transport.RoundTrip(request.WithContext(traced))
+	if err != nil || !transport.foreign(request, response) {
+		return response, err
+	}
+	_ = response.Body.Close()
+	_ = connection.Close()
+	return nil, ErrForeignAnswer
+}
+
 // foreign reports whether an answer names another request. One that names none may still
 // be this request's.
 func (transport *Transport) foreign(request *http.Request, response *http.Response) bool {
-	if transport.idHeader == "" {
-		return false
-	}
 	answered := response.Header.Get(transport.idHeader)
 	return answered != "" && answered != request.Header.Get(transport.idHeader)
 }
