--- /dev/null
+++ b/core/process/controller/orders.go
@@ -0,0 +1,97 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/register"
+)
+
+const (
+	// orderRetryInterval is how long the effect of an order is awaited before the
+	// order is sent again.
+	orderRetryInterval = time.Second
+	// OrderLifetime is how long after receipt an order may be carried out.
+	OrderLifetime = 2 * time.Second
+)
+
+// sendOrders sends each host with a lease the order for the group that it should
+// serve in, or to unload, and repeats it until the host announces that state. A
+// group whose hosts don't hold its weights yet waits while MaxLoadingGroups older
+// groups aren't ready.
+func (controller *Controller) sendOrders(now time.Time, actions *Actions) {
+	loadingGroups := 0
+	groups := controller.register.Groups()
+	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
+	for _, group := range groups {
+		if group.Service != "" || group.Phase != register.PhaseServing || controller.groupReady(now, group) {
+			continue
+		}
+		if loadingGroups >= controller.config.MaxLoadingGroups && !controller.hostsHoldWeights(group) {
+			continue
+		}
+		loadingGroups++
+		controller.orderGroup(now, actions, group)
+	}
+	unfreed := controller.register.Unfreed()
+	for _, name := range sortedKeys(unfreed) {
+		if unfreed[name].PreviousGroup != nil {
+			continue
+		}
+		controller.sendOrder(now, actions, action.Order{Host: name, Kind: action.OrderUnload, Fencing: unfreed[name].Fencing})
+	}
+}
+
+// hostsHoldWeights reports whether all hosts of a group have its model loaded
+// already, so that ordering them puts no load on the weight store.
+func (controller *Controller) hostsHoldWeights(group register.GroupRecord) bool {
+	return !slices.ContainsFunc(group.Hosts, func(host id.Host) bool {
+		member, ok := controller.roster.Member(host)
+		return !ok || member.Announcement.Serving.Model != group.Model || !member.Announcement.Serving.Ready
+	})
+}
+
+// orderGroup sends each host of a group the order to load the group's model.
+func (controller *Controller) orderGroup(now time.Time, actions *Actions, group register.GroupRecord) {
+	peers := make([]string, len(group.Hosts))
+	for rank, host := range group.Hosts {
+		member, _ := controller.roster.Member(host)
+		peers[rank] = member.Announcement.Address
+	}
+	for rank, host := range group.Hosts {
+		controller.sendOrder(now, actions, action.Order{
+			Host: host, Kind: action.OrderLoad, Group: group.Group, Model: group.Model,
+			Fencing: group.Fencing, Rank: rank, Peers: peers,
+		})
+	}
+}
+
+// sendOrder sends an order to a host that has a lease and doesn't announce the
+// order's effect yet, and at most one order to a host in orderRetryInterval.
+func (controller *Controller) sendOrder(now time.Time, actions *Actions, order action.Order) {
+	member, ok := controller.roster.Member(order.Host)
+	if !ok || !now.Before(member.Expiry) || now.Before(controller.leadership.lastOrderAtByHost[order.Host].Add(orderRetryInterval)) {
+		return
+	}
+	serving := member.Announcement.Serving
+	if serving.Group == order.Group && serving.Fencing == order.Fencing {
+		return
+	}
+	controller.leadership.lastOrderAtByHost[order.Host] = now
+	order.Address = member.Announcement.Address
+	order.LifetimeMS = OrderLifetime.Milliseconds()
+	actions.Orders = append(actions.Orders, order)
+}
+
+// groupReady reports whether all hosts of a group have a lease and announce that
+// they are ready in it under its current fencing token.
+func (controller *Controller) groupReady(now time.Time, group register.GroupRecord) bool {
+	return !slices.ContainsFunc(group.Hosts, func(host id.Host) bool {
+		member, ok := controller.roster.Member(host)
+		serving := member.Announcement.Serving
+		return !ok || !now.Before(member.Expiry) || !serving.Ready || serving.Group != group.Group || serving.Fencing != group.Fencing
+	})
+}
