--- a/core/process/register/packed.go
+++ b/core/process/register/packed.go
@@ -1,14 +1,12 @@
 package register
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"sync"
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/compressed"
 	"carobline.dev/core/id"
 	"carobline.dev/core/step"
 )
@@ -50,15 +48,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "pack declaration")
 	}
-	var compressed bytes.Buffer
-	writer := gzip.NewWriter(&compressed)
-	if _, err := writer.Write(data); err != nil {
-		return nil, errors.Wrap(err, "pack declaration")
-	}
-	if err := writer.Close(); err != nil {
+	zipped, err := compressed.Pack(data)
+	if err != nil {
 		return nil, errors.Wrap(err, "pack declaration")
 	}
-	packed, err := json.Marshal(packedDocument{Version: record.Version, GZip: compressed.Bytes()})
+	packed, err := json.Marshal(packedDocument{Version: record.Version, GZip: zipped})
 	return packed, step.Wrap(err, "pack declaration")
 }
 
@@ -68,11 +62,7 @@
 	if err := json.Unmarshal(data, &document); err != nil {
 		return errors.Wrap(err, "unpack declaration")
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(document.GZip))
-	if err != nil {
-		return errors.Wrap(err, "unpack declaration")
-	}
-	plain, err := io.ReadAll(reader)
+	plain, err := compressed.Unpack(document.GZip)
 	if err != nil {
 		return errors.Wrap(err, "unpack declaration")
 	}
