--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -111,9 +111,7 @@
 	if open := large.leastOpenGroups(); open < 120 {
 		large.fail("%d groups are open at all entry hosts %v after the configuration, want 120 or more", open, formingBound)
 	}
-	if leader := large.leader(); leader == nil || leader.voter.Quorum().Term != term {
-		large.fail("the leader of term %d was deposed while groups were formed", term)
-	}
+	large.checkLeads(term, "while groups were formed")
 }
 
 // Guards against entry hosts that act by an old configuration, since the leader tells 300
@@ -148,9 +146,7 @@
 		node.startAfter(time.Second)
 	}
 	large.run(time.Second + spreadBound)
-	if leader := large.leader(); leader == nil || leader.voter.Quorum().Term != term {
-		large.fail("the leader of term %d was deposed by a herd of restarts", term)
-	}
+	large.checkLeads(term, "by a herd of restarts")
 	if open := large.leastOpenGroups(); open < 120 {
 		large.fail("%d groups are open at all entry hosts %v after a herd of restarts, want 120 or more", open, spreadBound)
 	}
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// checkLeads fails unless the leader of a term still leads.
+func (spread *spread) checkLeads(term id.Term, reason string) {
+	if leader := spread.leader(); leader == nil || leader.voter.Quorum().Term != term {
+		spread.fail("the leader of term %d was deposed %s", term, reason)
+	}
+}
+
 // Guards against entry hosts that act by an old configuration, since a large change
 // takes the leader longer than they wait for its answer.
 func TestLargeChangesAreInForceAtSeventyEntryHostsInTime(t *testing.T) {
@@ -222,9 +229,7 @@
 		spread.run(330 * time.Millisecond)
 	}
 	spread.run(spreadBound)
-	if leader := spread.leader(); leader == nil || leader.voter.Quorum().Term != term {
-		spread.fail("the leader of term %d was deposed by a storm of changes", term)
-	}
+	spread.checkLeads(term, "by a storm of changes")
 	spread.checkInForce(spread.revision)
 }
 
