entryapi: the log says what ended a stream and why it wasn't resumed

The line of a request whose stream was cut said "stream_broken_off" and an error text.

The line now has broken_by (the endpoint, the caller, the deadline or the limit's name), idle_ms and retry_refused (attempts, budget, or the refusal's reason); so has that of an answer that never began. No decision changes.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -237,6 +237,7 @@
 	// the last complete event of a stream.
 	framing         framing
 	unfinishedBytes int
+	breakage        breakage
 }
 
 func (api *API) serve(writer http.ResponseWriter, call *call) result {
@@ -439,6 +440,12 @@
 	if result.host == "" && result.limit > 0 {
 		event = event.Int("running", result.running).Int("limit", result.limit).Int("waiting", result.waiting)
 	}
+	if result.breakage.by != "" {
+		event = event.Str("broken_by", string(result.breakage.by)).Int64("idle_ms", result.breakage.idle.Milliseconds())
+	}
+	if result.breakage.retryRefusal != "" {
+		event = event.Str("retry_refused", result.breakage.retryRefusal)
+	}
 	if result.err != nil {
 		event = event.Str("error", result.err.Error())
 	}
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,13 +54,27 @@
 // newEntryHostOf starts an entry host that has an equal share with others.
 func newEntryHostOf(t *testing.T, entryHosts int, leaseUntil time.Time, routes []routing.Route, services ...*service) *httptest.Server {
 	t.Helper()
-	declaration := &routing.Declaration{
-		Revision: 1, Routes: routes, Services: []routing.Service{{Name: "desk"}},
-		ClientAccounts: []routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken(token)}}},
-	}
-	if err := declaration.Validate(); err != nil {
-		t.Fatal(err)
-	}
+	return entryHostOptions{entryHosts: entryHosts, leaseUntil: leaseUntil, savedRetries: savedRetries}.start(t, routes, services...).server
+}
+
+// entryHostOptions are what an entry host of a test is started with.
+type entryHostOptions struct {
+	entryHosts   int
+	leaseUntil   time.Time
+	savedRetries int
+	log          io.Writer
+}
+
+// entryHost is an entry host whose view a test may change.
+type entryHost struct {
+	server *httptest.Server
+	api    *entryapi.API
+	view   atomic.Pointer[view.View]
+}
+
+// start starts an entry host in front of fake services.
+func (options entryHostOptions) start(t *testing.T, routes []routing.Route, services ...*service) *entryHost {
+	t.Helper()
 	var endpoints []*view.Endpoint
 	endpointByName := map[feed.Endpoint]*view.Endpoint{}
 	for index, service := range services {
@@ -71,23 +86,51 @@
 		endpoints = append(endpoints, endpoint)
 		endpointByName[endpoint.Name] = endpoint
 	}
-	current := &view.View{
-		LeaseUntil: leaseUntil, Share: 1 / float64(entryHosts), Routing: routing.NewTable(declaration), Endpoints: endpointByName,
+	entryHost := &entryHost{}
+	entryHost.view.Store(&view.View{
+		LeaseUntil: options.leaseUntil, Share: 1 / float64(options.entryHosts), Routing: newTable(t, 1, routes), Endpoints: endpointByName,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
-	}
+	})
 	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IDHeader: dialect.RequestID})
-	api := entryapi.New(entryapi.Config{
-		Dialect: dialect, View: func() *view.View { return current }, Now: time.Now, Transport: transport,
-		Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
-		SavedRetries: savedRetries,
+	entryHost.api = entryapi.New(entryapi.Config{
+		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport,
+		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
+		SavedRetries: options.savedRetries,
 	})
-	api.Update(current)
-	server := httptest.NewServer(api)
+	entryHost.api.Update(entryHost.view.Load())
+	entryHost.server = httptest.NewServer(entryHost.api)
 	t.Cleanup(func() {
-		server.Close()
+		entryHost.server.Close()
 		transport.CloseIdleConnections()
 	})
-	return server
+	return entryHost
+}
+
+func (options entryHostOptions) logger() zerolog.Logger {
+	if options.log == nil {
+		return zerolog.Nop()
+	}
+	return zerolog.New(options.log)
+}
+
+// change puts a changed copy of the view in force.
+func (entryHost *entryHost) change(change func(*view.View)) {
+	changed := *entryHost.view.Load()
+	change(&changed)
+	entryHost.view.Store(&changed)
+	entryHost.api.Update(&changed)
+}
+
+func newTable(t *testing.T, revision id.Revision, routes []routing.Route) *routing.Table {
+	t.Helper()
+	declaration := &routing.Declaration{
+		Revision: revision, Routes: routes, Services: []routing.Service{{Name: "desk"}, {Name: "spare"}},
+		ClientAccounts: []routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken(token)}}},
+	}
+	if err := declaration.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	return routing.NewTable(declaration)
 }
 
 func route(repeat routing.Repeat) []routing.Route {
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -68,7 +68,8 @@
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 		lastResult = attempt.result(0, exchange.reason, "", exchange.err)
 		lastResult.framing = exchange.framing()
-		if !api.mayRetry(ctx, call, exchange) {
+		lastResult.breakage = exchange.breakage
+		if lastResult.breakage.retryRefusal = api.retryRefusal(ctx, call, exchange); lastResult.breakage.retryRefusal != "" {
 			return api.fail(ctx, writer, call, lastResult, exchange)
 		}
 	}
@@ -192,6 +193,8 @@
 	atCapacity bool
 	reason     string
 	err        error
+	// breakage is set when a limit ended the exchange.
+	breakage breakage
 }
 
 // usable reports whether there is an endpoint's answer to pass on.
@@ -219,7 +222,7 @@
 	call.tried = append(call.tried, attempt.endpoint.Name)
 	stop := api.limitAnswerStart(call, attempt, cancel)
 	response, err := api.config.Transport.RoundTrip(request)
-	stop()
+	exchange.breakage = stop()
 	if err != nil {
 		cancel()
 		exchange.err, exchange.reason = err, reasonOf(err)
@@ -256,32 +259,40 @@
 // limitAnswerStart cancels an exchange when its endpoint takes too long to
 // begin the answer, if the call may still be tried elsewhere. The limit is
 // shorter when the endpoint's other streams get no events either. The returned
-// function stops the timer.
-func (api *API) limitAnswerStart(call *call, attempt *attempt, cancel context.CancelFunc) func() {
+// function stops the timer, and says which limit has cancelled the exchange.
+func (api *API) limitAnswerStart(call *call, attempt *attempt, cancel context.CancelFunc) func() breakage {
 	if !call.route.Idempotent() || call.possibleRuns+1 >= call.route.Attempts {
-		return func() {}
+		return func() breakage { return breakage{} }
 	}
 	startedAt := api.config.Now()
 	var timer *time.Timer
+	var limited breakage
 	var mutex sync.Mutex
 	check := func() {
 		mutex.Lock()
 		defer mutex.Unlock()
 		now := api.config.Now()
 		limit := pauseTimeout(call)
-		if now.Sub(startedAt) >= answerStartTimeout(call) || api.sinceLastEvent(now, attempt.endpoint.Name) >= limit {
-			cancel()
+		limited = breakage{idle: now.Sub(startedAt)}
+		switch {
+		case limited.idle >= answerStartTimeout(call):
+			limited.by = breakerAnswerStart
+		case api.sinceLastEvent(now, attempt.endpoint.Name) >= limit:
+			limited.by = breakerPause
+		default:
+			timer.Reset(limit / 4)
 			return
 		}
-		timer.Reset(limit / 4)
+		cancel()
 	}
 	mutex.Lock()
 	timer = time.AfterFunc(pauseTimeout(call), check)
 	mutex.Unlock()
-	return func() {
+	return func() breakage {
 		mutex.Lock()
 		defer mutex.Unlock()
 		timer.Stop()
+		return limited
 	}
 }
 
@@ -339,16 +350,24 @@
 	}
 }
 
-// mayRetry reports whether a call may be sent to another endpoint.
-func (api *API) mayRetry(ctx context.Context, call *call, exchange *exchange) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if !exchange.notRun && (!call.route.Idempotent() || call.possibleRuns >= call.route.Attempts) {
-		return false
-	}
+// retryRefusal returns why a call may not be sent to another endpoint. It returns ""
+// when it may.
+func (api *API) retryRefusal(ctx context.Context, call *call, exchange *exchange) string {
 	const maxSends = 4
-	return len(call.tried) < maxSends && api.retryBudget.Spend()
+	switch {
+	case ctx.Err() != nil:
+		return errCallEnded.Error()
+	case !exchange.notRun && !call.route.Idempotent():
+		return refusalNotIdempotent
+	case !exchange.notRun && call.possibleRuns >= call.route.Attempts:
+		return refusalAttempts
+	case len(call.tried) >= maxSends:
+		return refusalSends
+	case !api.retryBudget.Spend():
+		return refusalBudget
+	default:
+		return ""
+	}
 }
 
 // writeAnswer passes on an answer that was read to its end.
@@ -399,6 +418,7 @@
 	if call.possibleRuns > 0 {
 		refused.outcome = "unknown"
 	}
+	refused.breakage = lastResult.breakage
 	refused.endpoint, refused.host, refused.err = lastResult.endpoint, lastResult.host, lastResult.err
 	return refused
 }
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -70,6 +70,8 @@
 	// followed the last complete event when it ended.
 	framing         framing
 	unfinishedBytes int
+	// breakage is what ended the latest endpoint's stream early.
+	breakage breakage
 }
 
 // recordWrite records the time at which events are passed on.
@@ -88,6 +90,9 @@
 // errNoEvent reports a connection that ended after the head of a stream.
 var errNoEvent = errors.New("the connection ended before the stream's first event")
 
+// errEventTooLarge reports an event of more than maxEventBytes.
+var errEventTooLarge = errors.New("read stream: an event exceeds the size limit")
+
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
@@ -119,6 +124,10 @@
 			ending = balancer.Abandoned
 		}
 		api.finishAttempt(call, attempt, ending)
+		if progress.breakage.by == "" {
+			progress.breakage.by = breakerOf(ctx, call, err)
+		}
+		result.breakage = progress.breakage
 		result.reason, result.outcome, result.abort = "stream_broken_off", "unknown", true
 		switch {
 		case call.request.Context().Err() != nil:
@@ -126,10 +135,10 @@
 		case ctx.Err() != nil:
 			result.reason = "time_over"
 		}
-		if ending == balancer.Abandoned || !call.route.Idempotent() {
+		if ending == balancer.Abandoned {
 			return result
 		}
-		attempt, exchange = api.resume(ctx, call, progress)
+		attempt, exchange, result.breakage.retryRefusal = api.resume(ctx, call, progress)
 		if exchange == nil {
 			return result
 		}
@@ -137,27 +146,38 @@
 }
 
 // resume sends a call to another endpoint, which continues the stream after the
-// last event that the caller got. It returns nil when no endpoint does.
-func (api *API) resume(ctx context.Context, call *call, progress progress) (*attempt, *exchange) {
+// last event that the caller got. When no endpoint does, it returns the reason.
+func (api *API) resume(ctx context.Context, call *call, progress progress) (*attempt, *exchange, string) {
+	if !call.route.Idempotent() {
+		return nil, nil, refusalNotIdempotent
+	}
 	if progress.lastEventID != "" {
 		call.request.Header.Set(api.config.Dialect.LastEventID, progress.lastEventID)
 	}
-	for ctx.Err() == nil && call.possibleRuns < call.route.Attempts && api.retryBudget.Spend() {
+	for {
+		switch {
+		case ctx.Err() != nil:
+			return nil, nil, errCallEnded.Error()
+		case call.possibleRuns >= call.route.Attempts:
+			return nil, nil, refusalAttempts
+		case !api.retryBudget.Spend():
+			return nil, nil, refusalBudget
+		}
 		attempt, refusal := api.acquire(ctx, call)
 		if refusal != nil {
-			return nil, nil
+			return nil, nil, refusal.reason
 		}
 		exchange := api.exchange(ctx, call, attempt)
 		if exchange.usable() && call.streams(exchange.response) {
 			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.lastEventID).
 				Str("framing", string(progress.framing)).Int("unfinished_bytes", progress.unfinishedBytes).
+				Str("broken_by", string(progress.breakage.by)).Int64("idle_ms", progress.breakage.idle.Milliseconds()).
 				Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("stream broke off; resumed at another endpoint after the last complete event")
-			return attempt, exchange
+			return attempt, exchange, ""
 		}
 		exchange.cancel()
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 	}
-	return nil, nil
 }
 
 // copyEvents copies complete events to the caller until the stream ends. It
@@ -166,7 +186,7 @@
 	watchdog := newWatchdog(api, call, attempt, exchange.cancel)
 	defer watchdog.stop()
 	controller := http.NewResponseController(writer)
-	progress.framing = exchange.framing()
+	progress.framing, progress.breakage = exchange.framing(), breakage{}
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		buffer = grow(buffer)
@@ -176,6 +196,7 @@
 		ended := errors.Is(err, io.EOF)
 		if err != nil {
 			progress.unfinishedBytes = len(buffer) - complete
+			progress.breakage.idle = watchdog.idle(api.config.Now())
 		}
 		truncated := ended && sse.Truncated(buffer)
 		if ended && !truncated {
@@ -201,11 +222,12 @@
 			progress.sendHeaders(writer, header)
 			return nil
 		case err != nil && watchdog.expired():
+			progress.breakage = watchdog.breakage
 			return errEndpointSilent
 		case err != nil:
 			return errors.Wrap(err, "read stream")
 		case len(buffer) > maxEventBytes:
-			return errors.New("read stream: an event exceeds the size limit")
+			return errEventTooLarge
 		}
 	}
 }
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -18,6 +18,8 @@
 	firstEventSeen bool
 	lastEventAt    time.Time
 	stopped        bool
+	// breakage is set once the exchange has been cancelled.
+	breakage breakage
 }
 
 func newWatchdog(api *API, call *call, attempt *attempt, cancel func()) *watchdog {
@@ -44,7 +46,7 @@
 // limit. Otherwise it runs again when the limit may be reached.
 func (watchdog *watchdog) check() {
 	now := watchdog.api.config.Now()
-	limit := watchdog.timeout(now)
+	limit, name := watchdog.timeout(now)
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
 	if watchdog.stopped {
@@ -55,24 +57,24 @@
 		watchdog.timer.Reset(max(limit-idle, time.Millisecond))
 		return
 	}
-	watchdog.stopped = true
+	watchdog.stopped, watchdog.breakage = true, breakage{by: name, idle: idle}
 	watchdog.cancel()
 }
 
-// timeout returns how long the stream may go without an event. It is longer
+// timeout returns how long the stream may go without an event, and the limit's name. It is longer
 // while other streams of the endpoint get events, since an engine may delay one
 // stream in favour of others.
-func (watchdog *watchdog) timeout(now time.Time) time.Duration {
+func (watchdog *watchdog) timeout(now time.Time) (time.Duration, breaker) {
 	watchdog.mutex.Lock()
 	firstEventSeen := watchdog.firstEventSeen
 	watchdog.mutex.Unlock()
 	if !firstEventSeen {
-		return answerStartTimeout(watchdog.call)
+		return answerStartTimeout(watchdog.call), breakerAnswerStart
 	}
 	if limit := pauseTimeout(watchdog.call); watchdog.api.sinceLastEvent(now, watchdog.attempt.endpoint.Name) >= limit {
-		return limit
+		return limit, breakerPause
 	}
-	return loneStreamPauseTimeout(watchdog.call)
+	return loneStreamPauseTimeout(watchdog.call), breakerLonePause
 }
 
 // expired reports whether the watchdog has cancelled the exchange.
@@ -82,6 +84,13 @@
 	return watchdog.stopped
 }
 
+// idle returns the time since the last event.
+func (watchdog *watchdog) idle(now time.Time) time.Duration {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	return now.Sub(watchdog.lastEventAt)
+}
+
 // stop ends the watchdog. If the stream has begun, it no longer counts as one of
 // its endpoint's streams.
 func (watchdog *watchdog) stop() {
