entryapi: an event of any size is passed on

A stream with an event of more than 256 KiB was cut, or went to another endpoint that sent the same event, although its engine was at work: the entry host held back each event whole, and gave up at that size.

Such an event is now passed on in pieces, so that no more than before is held back. While the caller has only a part of it no other endpoint can go on with the stream (retry_refused: within_event); once it is complete, one can, after its number, which is found wherever it stands in the event: pieces end before a line feed, and the rest of a line that was passed on in two pieces is no field. The end of an event is searched for in new bytes only, so that the time grows with the event's size and not with its square.

--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -23,7 +23,6 @@
 	breakerAnswerStart breaker = "answer_start"
 	breakerPause       breaker = "pause"
 	breakerLonePause   breaker = "lone_pause"
-	breakerEventSize   breaker = "event_size"
 	breakerAnswerSize  breaker = "answer_size"
 )
 
@@ -43,6 +42,7 @@
 	refusalAttempts      = "attempts"
 	refusalBudget        = "budget"
 	refusalSends         = "sends"
+	refusalWithinEvent   = "within_event"
 )
 
 // breakerOf returns what broke a stream off with err, when it wasn't the watchdog.
@@ -52,8 +52,6 @@
 		return breakerCaller
 	case ctx.Err() != nil:
 		return breakerDeadline
-	case errors.Is(err, errEventTooLarge):
-		return breakerEventSize
 	case errors.Is(err, endpoint.ErrTooLarge):
 		return breakerAnswerSize
 	default:
--- /dev/null
+++ b/caroblined/connection/entryapi/events.go
@@ -0,0 +1,124 @@
+package entryapi
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/sse"
+)
+
+const (
+	// readBufferBytes is the initial size of a stream's read buffer.
+	readBufferBytes = 4 << 10
+	// maxEventBytes is the most of one event that is held back until the event is
+	// complete. A larger one is passed on in pieces.
+	maxEventBytes = 256 << 10
+	// maxSeparatorBytes is the length of the longest end of an event: a line feed and an
+	// empty line.
+	maxSeparatorBytes = 3
+)
+
+// eventReader reads whole events from an endpoint's stream.
+type eventReader struct {
+	body   io.Reader
+	buffer []byte
+	// complete is how much of the buffer can be passed on, returned how much of it next
+	// has returned, and scanned how much has been searched for the end of an event.
+	complete, returned, scanned int
+	// hasEvent reports that an event, or a piece of one, is in what can be passed on.
+	hasEvent bool
+	// within reports that what can be passed on ends within an event.
+	within bool
+	err    error
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{body: body, buffer: make([]byte, 0, readBufferBytes)}
+}
+
+// next returns the next whole events, which are valid until it is called again. It returns
+// an error with the last of them, io.EOF if the endpoint ended the stream properly.
+func (reader *eventReader) next() ([]byte, error) {
+	if reader.returned > 0 {
+		reader.buffer = append(reader.buffer[:0], reader.buffer[reader.returned:]...)
+		reader.complete, reader.returned, reader.hasEvent = 0, 0, false
+		reader.scanned = len(reader.buffer)
+	}
+	if reader.complete == 0 && reader.err == nil {
+		reader.read()
+	}
+	reader.returned = reader.complete
+	return reader.buffer[:reader.complete], reader.err
+}
+
+// unfinishedBytes returns how much can't be passed on.
+func (reader *eventReader) unfinishedBytes() int { return len(reader.buffer) - reader.complete }
+
+// read takes what the endpoint has sent.
+func (reader *eventReader) read() {
+	reader.buffer = grow(reader.buffer)
+	count, err := reader.body.Read(reader.buffer[len(reader.buffer):cap(reader.buffer)])
+	reader.buffer = reader.buffer[:len(reader.buffer)+count]
+	began := reader.within
+	reader.scan()
+	reader.within = began && reader.complete == 0
+	switch {
+	case errors.Is(err, io.EOF):
+		reader.end()
+	case err != nil:
+		reader.err = errors.Wrap(err, "read stream")
+	case reader.complete == 0 && len(reader.buffer) > maxEventBytes:
+		reader.complete, reader.within = pieceLen(reader.buffer), true
+	}
+	complete := reader.buffer[:reader.complete]
+	reader.hasEvent = len(complete) > 0 && (began || reader.within || hasEvent(complete))
+}
+
+// scan searches what has been read for the end of an event.
+func (reader *eventReader) scan() {
+	from := max(0, reader.scanned-maxSeparatorBytes+1)
+	if length := sse.CompleteLen(reader.buffer[from:]); length > 0 {
+		reader.complete = from + length
+	}
+	reader.scanned = len(reader.buffer)
+}
+
+// end records the end of the stream, which is proper if it isn't within an event.
+func (reader *eventReader) end() {
+	if reader.within || sse.Truncated(reader.buffer) {
+		reader.err = sse.ErrTruncated
+		return
+	}
+	reader.complete, reader.err = len(reader.buffer), io.EOF
+}
+
+// pieceLen returns how much of an unfinished event is passed on at once: all but its last
+// line feed and what follows, so that the empty line after the event is seen as a whole.
+func pieceLen(event []byte) int {
+	if end := bytes.LastIndexByte(event, '\n'); end > 0 {
+		return end
+	}
+	return len(event)
+}
+
+// hasEvent reports whether some of the lines belong to an event. Lines that don't are
+// passed on, but they are no progress: an endpoint in trouble may send them for ever.
+func hasEvent(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		if bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("id:")) {
+			return true
+		}
+	}
+	return false
+}
+
+func grow(buffer []byte) []byte {
+	if len(buffer) < cap(buffer) {
+		return buffer
+	}
+	larger := make([]byte, len(buffer), 2*cap(buffer))
+	copy(larger, buffer)
+	return larger
+}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// readBufferBytes is the initial size of a stream's read buffer.
-	readBufferBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 256 << 10
 	// endpointPauseFactor times the route's longest pause is how long all
 	// streams of an endpoint may go without an event before they resume
 	// elsewhere. streamPauseFactor is the same for one stream while others of
@@ -59,9 +55,11 @@
 type progress struct {
 	headersSent bool
 	// begun reports that the caller has got an event.
-	begun       bool
-	lastEventID string
-	events      int
+	begun    bool
+	position position
+	events   int
+	// midLine reports that the caller has got a part of a line.
+	midLine bool
 	// firstEventAt and lastEventAt are the times of the first and the latest
 	// write of events. longestPause is the longest time between two writes.
 	firstEventAt, lastEventAt time.Time
@@ -87,12 +85,16 @@
 // errEndpointSilent reports an endpoint that has sent no event for too long.
 var errEndpointSilent = errors.New("the endpoint went silent")
 
+// position is the place in a stream at which another endpoint may go on with it.
+type position struct {
+	lastEventID string
+	// within reports that the caller has got a piece of the next event.
+	within bool
+}
+
 // errNoEvent reports a connection that ended after the head of a stream.
 var errNoEvent = errors.New("the connection ended before the stream's first event")
 
-// errEventTooLarge reports an event of more than maxEventBytes.
-var errEventTooLarge = errors.New("read stream: an event exceeds the size limit")
-
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
@@ -151,8 +153,11 @@
 	if !call.route.Idempotent() {
 		return nil, nil, refusalNotIdempotent
 	}
-	if progress.lastEventID != "" {
-		call.request.Header.Set(api.config.Dialect.LastEventID, progress.lastEventID)
+	if progress.position.within {
+		return nil, nil, refusalWithinEvent
+	}
+	if progress.position.lastEventID != "" {
+		call.request.Header.Set(api.config.Dialect.LastEventID, progress.position.lastEventID)
 	}
 	for {
 		switch {
@@ -169,7 +174,7 @@
 		}
 		exchange := api.exchange(ctx, call, attempt)
 		if exchange.usable() && call.streams(exchange.response) {
-			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.lastEventID).
+			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.position.lastEventID).
 				Str("framing", string(progress.framing)).Int("unfinished_bytes", progress.unfinishedBytes).
 				Str("broken_by", string(progress.breakage.by)).Int64("idle_ms", progress.breakage.idle.Milliseconds()).
 				Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("stream broke off; resumed at another endpoint after the last complete event")
@@ -187,47 +192,35 @@
 	defer watchdog.stop()
 	controller := http.NewResponseController(writer)
 	progress.framing, progress.breakage = exchange.framing(), breakage{}
-	buffer := make([]byte, 0, readBufferBytes)
+	events := newEventReader(exchange.response.Body)
 	for {
-		buffer = grow(buffer)
-		count, err := exchange.response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+count]
-		complete := sse.CompleteLen(buffer)
-		ended := errors.Is(err, io.EOF)
+		block, err := events.next()
 		if err != nil {
-			progress.unfinishedBytes = len(buffer) - complete
+			progress.unfinishedBytes = events.unfinishedBytes()
 			progress.breakage.idle = watchdog.idle(api.config.Now())
 		}
-		truncated := ended && sse.Truncated(buffer)
-		if ended && !truncated {
-			complete = len(buffer)
-		}
-		if complete > 0 {
-			if hasEvent(buffer[:complete]) {
+		if len(block) > 0 {
+			if events.hasEvent {
 				watchdog.recordEvent()
 				progress.begun = true
 			}
 			progress.recordWrite(api.config.Now())
-			if writeErr := progress.write(writer, controller, header, buffer[:complete]); writeErr != nil {
+			if writeErr := progress.write(writer, controller, header, block); writeErr != nil {
 				return writeErr
 			}
-			buffer = append(buffer[:0], buffer[complete:]...)
+			progress.position.within = events.within
 		}
 		switch {
-		case truncated:
-			return sse.ErrTruncated
-		case ended && api.endedBeforeFirstEvent(call, progress):
+		case errors.Is(err, io.EOF) && api.endedBeforeFirstEvent(call, progress):
 			return errNoEvent
-		case ended:
+		case errors.Is(err, io.EOF):
 			progress.sendHeaders(writer, header)
 			return nil
-		case err != nil && watchdog.expired():
+		case err != nil && watchdog.expired() && !errors.Is(err, sse.ErrTruncated):
 			progress.breakage = watchdog.breakage
 			return errEndpointSilent
 		case err != nil:
-			return errors.Wrap(err, "read stream")
-		case len(buffer) > maxEventBytes:
-			return errEventTooLarge
+			return err
 		}
 	}
 }
@@ -238,15 +231,6 @@
 	return progress.framing == framingConnection && !progress.begun && call.request.Header.Get(api.config.Dialect.LastEventID) == ""
 }
 
-func grow(buffer []byte) []byte {
-	if len(buffer) < cap(buffer) {
-		return buffer
-	}
-	larger := make([]byte, len(buffer), 2*cap(buffer))
-	copy(larger, buffer)
-	return larger
-}
-
 // sendHeaders sends the answer's headers, once.
 func (progress *progress) sendHeaders(writer http.ResponseWriter, header http.Header) {
 	if progress.headersSent {
@@ -272,22 +256,16 @@
 
 // recordEventIDs counts the events that have an id, and keeps the last id.
 func (progress *progress) recordEventIDs(events []byte) {
+	begunLine := progress.midLine
+	progress.midLine = !bytes.HasSuffix(events, []byte("\n"))
+	if begunLine {
+		_, events, _ = bytes.Cut(events, []byte("\n"))
+	}
 	for line := range bytes.Lines(events) {
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			progress.lastEventID = string(bytes.TrimSpace(value))
+			progress.position.lastEventID = string(bytes.TrimSpace(value))
 			progress.events++
 		}
 	}
 }
-
-// hasEvent reports whether some of the lines belong to an event. Lines that don't are
-// passed on, but they are no progress: an endpoint in trouble may send them for ever.
-func hasEvent(lines []byte) bool {
-	for line := range bytes.Lines(lines) {
-		if bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("id:")) {
-			return true
-		}
-	}
-	return false
-}
