endpoint: an answer whose headers don't end is given up by the transport

Slow headers that never end, and interim answers without end, were given up only by the entry host's limits on silence, which can't tell them from an engine that works and sends nothing. Before the first byte, and after an interim answer, an endpoint may work for as long as its caller waits.

--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,11 +31,22 @@
 	MaxAnswerBytes = 16 << 20
 	// maxHeaderBytes bounds the status line and the headers of an answer.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderTime is the longest time from the first byte of an answer to the end of its
+	// headers.
+	maxHeaderTime = 2 * time.Second
+	// maxInterimAnswers is the most interim answers (1xx) before the answer itself.
+	maxInterimAnswers = 16
 )
 
 // ErrForeignAnswer reports an answer that belongs to another request.
 var ErrForeignAnswer = errors.New("the endpoint answered another request")
 
+// ErrHeaderTimeout reports an answer whose headers don't end within maxHeaderTime.
+var ErrHeaderTimeout = errors.New("the answer's headers don't end")
+
+// errInterimAnswers reports more interim answers than maxInterimAnswers.
+var errInterimAnswers = errors.New("the interim answers don't end")
+
 // ErrTooLarge reports an answer whose body is larger than MaxAnswerBytes.
 var ErrTooLarge = errors.New("the answer is larger than 16 MiB")
 
@@ -74,14 +86,32 @@
 }
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
-// says that it is larger than MaxAnswerBytes, and ErrForeignAnswer for one that belongs
-// to another request. The connection of the latter is closed: the answer to this request
-// would come as that to the next one.
+// says that it is larger than MaxAnswerBytes, ErrHeaderTimeout for one whose headers don't
+// end, and ErrForeignAnswer for one that belongs to another request. The connection of the
+// latter is closed: the answer to this request would come as that to the next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := transport.roundTripChecked(request)
+	var connection net.Conn
+	var timer headerTimer
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn:              func(info httptrace.GotConnInfo) { connection = info.Conn },
+		GotFirstResponseByte: func() { timer.start(connection) },
+		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
+	})
+	response, err := transport.transport.RoundTrip(request.WithContext(traced))
+	if timer.stop() {
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return nil, ErrHeaderTimeout
+	}
 	if err != nil {
 		return nil, err
 	}
+	if transport.foreign(request, response) {
+		_ = response.Body.Close()
+		_ = connection.Close()
+		return nil, ErrForeignAnswer
+	}
 	if transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type")) {
 		return response, nil
 	}
@@ -93,28 +123,12 @@
 	return response, nil
 }
 
-// roundTripChecked sends a request and returns its answer, or ErrForeignAnswer for that to
-// another request, whose connection it closes. Without IDHeader it takes any answer.
-func (transport *Transport) roundTripChecked(request *http.Request) (*http.Response, error) {
-	if transport.idHeader == "" {
-		return transport.transport.RoundTrip(request)
-	}
-	var connection net.Conn
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
-	})
-	response, err := transport.transport.RoundTrip(request.WithContext(traced))
-	if err != nil || !transport.foreign(request, response) {
-		return response, err
-	}
-	_ = response.Body.Close()
-	_ = connection.Close()
-	return nil, ErrForeignAnswer
-}
-
 // foreign reports whether an answer names another request. One that names none may still
 // be this request's.
 func (transport *Transport) foreign(request *http.Request, response *http.Response) bool {
+	if transport.idHeader == "" {
+		return false
+	}
 	answered := response.Header.Get(transport.idHeader)
 	return answered != "" && answered != request.Header.Get(transport.idHeader)
 }
