--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"carobline.dev/core/connection/endpoint"
 )
@@ -17,13 +18,10 @@
 	breakerEndpoint breaker = "endpoint"
 	breakerCaller   breaker = "caller"
 	breakerDeadline breaker = "deadline"
-	// breakerAnswerStart is the limit on the time until an answer begins,
-	// breakerPause that on the silence of all streams of an endpoint, and
-	// breakerLonePause that on the silence of one stream.
-	breakerAnswerStart breaker = "answer_start"
-	breakerPause       breaker = "pause"
-	breakerLonePause   breaker = "lone_pause"
-	breakerAnswerSize  breaker = "answer_size"
+	// breakerSilence is that of an endpoint which another one has replaced meanwhile.
+	breakerSilence    breaker = "silence"
+	breakerAnswerSize breaker = "answer_size"
+	breakerTrickle    breaker = "trickle"
 )
 
 // breakage is what ended an endpoint's answer early. Its zero value stands for one that
@@ -42,19 +40,32 @@
 	refusalAttempts      = "attempts"
 	refusalBudget        = "budget"
 	refusalSends         = "sends"
-	refusalWithinEvent   = "within_event"
 )
 
-// breakerOf returns what broke a stream off with err, when it wasn't the watchdog.
+// breakerOf returns what broke a stream off with err, which isn't nil.
 func breakerOf(ctx context.Context, call *call, err error) breaker {
 	switch {
 	case call.request.Context().Err() != nil || errors.Is(err, errCallerWrite):
 		return breakerCaller
 	case ctx.Err() != nil:
 		return breakerDeadline
+	case errors.Is(err, errReplaced):
+		return breakerSilence
+	case errors.Is(err, errTrickle):
+		return breakerTrickle
 	case errors.Is(err, endpoint.ErrTooLarge):
 		return breakerAnswerSize
 	default:
 		return breakerEndpoint
 	}
 }
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (breakage breakage) MarshalZerologObject(event *zerolog.Event) {
+	if breakage.by != "" {
+		event.Str("broken_by", string(breakage.by)).Int64("idle_ms", breakage.idle.Milliseconds())
+	}
+	if breakage.retryRefusal != "" {
+		event.Str("retry_refused", breakage.retryRefusal)
+	}
+}
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -198,6 +198,8 @@
 	// those that may have run it.
 	tried        []feed.Endpoint
 	possibleRuns int
+	// stillRunning reports that an endpoint may still answer the call if it gets no other.
+	stillRunning bool
 }
 
 // ServeHTTP serves one request of a caller.
@@ -440,12 +442,7 @@
 	if result.host == "" && result.limit > 0 {
 		event = event.Int("running", result.running).Int("limit", result.limit).Int("waiting", result.waiting)
 	}
-	if result.breakage.by != "" {
-		event = event.Str("broken_by", string(result.breakage.by)).Int64("idle_ms", result.breakage.idle.Milliseconds())
-	}
-	if result.breakage.retryRefusal != "" {
-		event = event.Str("retry_refused", result.breakage.retryRefusal)
-	}
+	event = event.EmbedObject(result.breakage)
 	if result.err != nil {
 		event = event.Str("error", result.err.Error())
 	}
--- a/caroblined/connection/entryapi/events.go
+++ b/caroblined/connection/entryapi/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -18,11 +19,20 @@
 	// maxSeparatorBytes is the length of the longest end of an event: a line feed and an
 	// empty line.
 	maxSeparatorBytes = 3
+	// maxTrickleTime is the longest time for which bytes may come without an event, and
+	// maxTrickleGap the longest time between two reads of such bytes.
+	maxTrickleTime = 2 * time.Second
+	maxTrickleGap  = 400 * time.Millisecond
 )
 
+// errTrickle reports an endpoint that goes on sending bytes that are no event. An engine
+// that works sends nothing meanwhile, or comments.
+var errTrickle = errors.New("read stream: the bytes make no event")
+
 // eventReader reads whole events from an endpoint's stream.
 type eventReader struct {
 	body   io.Reader
+	now    func() time.Time
 	buffer []byte
 	// complete is how much of the buffer can be passed on, returned how much of it next
 	// has returned, and scanned how much has been searched for the end of an event.
@@ -32,10 +42,13 @@
 	// within reports that what can be passed on ends within an event.
 	within bool
 	err    error
+	// trickleSince and trickledAt are the times of the first and the latest read of
+	// bytes that are no event.
+	trickleSince, trickledAt time.Time
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, buffer: make([]byte, 0, readBufferBytes)}
+func newEventReader(body io.Reader, now func() time.Time) *eventReader {
+	return &eventReader{body: body, now: now, buffer: make([]byte, 0, readBufferBytes)}
 }
 
 // next returns the next whole events, which are valid until it is called again. It returns
@@ -53,6 +66,15 @@
 	return reader.buffer[:reader.complete], reader.err
 }
 
+// awaitEvent reads until next returns an event or the stream's end without blocking. It
+// reports whether the stream goes on or has ended properly.
+func (reader *eventReader) awaitEvent() bool {
+	for !reader.hasEvent && reader.err == nil && len(reader.buffer) <= maxEventBytes {
+		reader.read()
+	}
+	return reader.hasEvent || errors.Is(reader.err, io.EOF)
+}
+
 // unfinishedBytes returns how much can't be passed on.
 func (reader *eventReader) unfinishedBytes() int { return len(reader.buffer) - reader.complete }
 
@@ -74,6 +96,9 @@
 	}
 	complete := reader.buffer[:reader.complete]
 	reader.hasEvent = len(complete) > 0 && (began || reader.within || hasEvent(complete))
+	if reader.err == nil && !reader.hasEvent && !began && !onlyComments(complete) {
+		reader.recordTrickle(reader.now())
+	}
 }
 
 // scan searches what has been read for the end of an event.
@@ -94,6 +119,17 @@
 	reader.complete, reader.err = len(reader.buffer), io.EOF
 }
 
+// recordTrickle records a read of bytes that are no event.
+func (reader *eventReader) recordTrickle(now time.Time) {
+	if now.Sub(reader.trickledAt) > maxTrickleGap {
+		reader.trickleSince = now
+	}
+	reader.trickledAt = now
+	if now.Sub(reader.trickleSince) > maxTrickleTime {
+		reader.err = errTrickle
+	}
+}
+
 // pieceLen returns how much of an unfinished event is passed on at once: all but its last
 // line feed and what follows, so that the empty line after the event is seen as a whole.
 func pieceLen(event []byte) int {
@@ -114,6 +150,19 @@
 	return false
 }
 
+// onlyComments reports whether there are comments and nothing else but empty lines.
+func onlyComments(lines []byte) bool {
+	found := false
+	for line := range bytes.Lines(lines) {
+		comment := line[0] == ':'
+		if !comment && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+		found = found || comment
+	}
+	return found
+}
+
 func grow(buffer []byte) []byte {
 	if len(buffer) < cap(buffer) {
 		return buffer
--- /dev/null
+++ b/caroblined/connection/entryapi/failover.go
@@ -0,0 +1,253 @@
+package entryapi
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/request/balancer"
+)
+
+// The reasons for which a call doesn't go on at an endpoint that has answered, besides
+// those of the exchange.
+const (
+	refusalWithinEvent   = "within_event"
+	refusalEndpointError = "endpoint_error"
+	refusalNoStream      = "no_stream"
+	refusalNoEvent       = "no_event"
+)
+
+// errReplaced reports an exchange that was ended since another endpoint goes on with its
+// call.
+var errReplaced = errors.New("another endpoint goes on with the call")
+
+// replacedError returns why a replaced exchange ended with err: by itself, or since it was
+// cancelled for its replacement.
+func replacedError(err error) error {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return errReplaced
+	}
+	return err
+}
+
+// replacement is an endpoint that goes on with a call: it has begun to answer.
+type replacement struct {
+	call     *call
+	attempt  *attempt
+	exchange *exchange
+}
+
+// search is one try to find a replacement. The call is a copy, since the other one is in
+// use meanwhile.
+type search struct {
+	call   *call
+	cancel context.CancelFunc
+	// outdated is set when the replacement is no longer wanted.
+	outdated bool
+}
+
+// failover looks for a replacement of an endpoint that is silent, beside the exchange with
+// it. That exchange is cancelled only once the replacement has begun to answer. Whatever
+// the silent endpoint sends before ends the search.
+type failover struct {
+	api  *API
+	ctx  context.Context
+	call *call
+	// uncountedRuns are the runs at the silent endpoint that call.possibleRuns doesn't
+	// count yet.
+	uncountedRuns int
+	// streaming reports that only a stream can go on with the call.
+	streaming    bool
+	cancelSilent context.CancelFunc
+
+	mutex   sync.Mutex
+	search  *search
+	secured *replacement
+	// refusal is why the latest search has found no replacement.
+	refusal    string
+	closed     bool
+	goroutines sync.WaitGroup
+}
+
+// start begins a search, unless there is one. A stream is resumed after the event with the
+// given id. The caller holds the mutex.
+func (failover *failover) start(lastEventID string) {
+	if failover.closed || failover.search != nil || failover.secured != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(failover.ctx)
+	search := &search{call: failover.call.fork(), cancel: cancel}
+	search.call.possibleRuns += failover.uncountedRuns
+	if lastEventID != "" {
+		search.call.request.Header.Set(failover.api.config.Dialect.LastEventID, lastEventID)
+	}
+	failover.search = search
+	failover.goroutines.Go(func() { failover.run(ctx, search) })
+}
+
+// fork returns a copy of a call for a search.
+func (call *call) fork() *call {
+	fork := *call
+	fork.request = call.request.WithContext(call.request.Context())
+	fork.request.Header = call.request.Header.Clone()
+	fork.tried = slices.Clone(call.tried)
+	fork.stillRunning = true
+	return &fork
+}
+
+// run carries out a search.
+func (failover *failover) run(ctx context.Context, search *search) {
+	replacement, refusal := failover.api.seek(ctx, search.call, failover.streaming)
+	failover.mutex.Lock()
+	if refusal != "" && refusal != failover.refusal && !search.outdated {
+		failover.api.config.Log.Info().Str("step", "not_replaced").Str("request", string(search.call.id)).Str("retry_refused", refusal).
+			Msg("no other endpoint goes on with the call; the silent one is awaited")
+	}
+	failover.search, failover.refusal = nil, refusal
+	failover.call.tried = search.call.tried
+	failover.call.possibleRuns = search.call.possibleRuns - failover.uncountedRuns
+	if replacement != nil && !search.outdated {
+		failover.secured = replacement
+		replacement.exchange.onClose(search.cancel)
+		failover.cancelSilent()
+		failover.mutex.Unlock()
+		return
+	}
+	failover.mutex.Unlock()
+	if replacement != nil {
+		failover.api.release(replacement)
+	}
+	search.cancel()
+}
+
+// progressed ends a search, since the silent endpoint has gone on. It returns false when
+// the call has a replacement already. The caller holds the mutex.
+func (failover *failover) progressed() bool {
+	if failover.secured != nil {
+		return false
+	}
+	if failover.search != nil {
+		failover.search.outdated = true
+		failover.search.cancel()
+	}
+	return true
+}
+
+// close waits until no search runs and returns the replacement, if there is one. A search
+// that is under way ends first when it is awaited, and is cancelled otherwise.
+func (failover *failover) close(awaitSearch bool) *replacement {
+	failover.mutex.Lock()
+	failover.closed = true
+	if !awaitSearch {
+		failover.progressed()
+	}
+	failover.mutex.Unlock()
+	failover.goroutines.Wait()
+	return failover.secured
+}
+
+// seek sends a call to another endpoint and waits until that one has begun to answer, for a
+// stream with an event. It returns the reason when it doesn't.
+func (api *API) seek(ctx context.Context, call *call, streaming bool) (*replacement, string) {
+	attempt, refusal := api.reserve(ctx, call)
+	if refusal != "" {
+		return nil, refusal
+	}
+	attempt, exchange := api.send(ctx, call, attempt)
+	if refusal = exchange.unfit(streaming); refusal == "" {
+		return &replacement{call: call, attempt: attempt, exchange: exchange}, ""
+	}
+	exchange.close()
+	api.finishAttempt(call, attempt, exchange.ending(ctx))
+	return nil, refusal
+}
+
+// unfit returns why an answer can't go on with a call that another endpoint may still
+// answer. It returns "" when it can.
+func (exchange *exchange) unfit(streaming bool) string {
+	switch {
+	case !exchange.usable():
+		return exchange.reason
+	case exchange.response.StatusCode >= http.StatusInternalServerError:
+		return refusalEndpointError
+	case streaming && exchange.events == nil:
+		return refusalNoStream
+	case exchange.events != nil && !exchange.events.awaitEvent(),
+		exchange.events != nil && !exchange.events.hasEvent && exchange.framing() == framingConnection:
+		return refusalNoEvent
+	default:
+		return ""
+	}
+}
+
+// send sends a call to an endpoint, or to its replacement if that one is silent, and
+// returns the attempt that was answered last.
+func (api *API) send(ctx context.Context, call *call, attempt *attempt) (*attempt, *exchange) {
+	exchange := api.exchange(ctx, call, attempt)
+	if exchange.replacement == nil {
+		return attempt, exchange
+	}
+	api.finishAttempt(call, attempt, exchange.ending(ctx))
+	return call.adopt(exchange.replacement)
+}
+
+// reserve takes a retry from the budget and an endpoint for it. It returns the reason when
+// either isn't to be had.
+func (api *API) reserve(ctx context.Context, call *call) (*attempt, string) {
+	switch {
+	case ctx.Err() != nil:
+		return nil, errCallEnded.Error()
+	case !call.route.Idempotent():
+		return nil, refusalNotIdempotent
+	case call.possibleRuns >= call.route.Attempts:
+		return nil, refusalAttempts
+	case !api.retryBudget.Spend():
+		return nil, refusalBudget
+	}
+	attempt, refusal := api.acquire(ctx, call)
+	if refusal != nil {
+		api.retryBudget.Refund()
+		return nil, refusal.reason
+	}
+	return attempt, ""
+}
+
+// release ends a replacement that isn't wanted.
+func (api *API) release(replacement *replacement) {
+	replacement.exchange.close()
+	api.finishAttempt(replacement.call, replacement.attempt, balancer.Abandoned)
+}
+
+// adopt makes a call go on with its replacement.
+func (call *call) adopt(replacement *replacement) (*attempt, *exchange) {
+	tried, possibleRuns := call.tried, call.possibleRuns
+	*call = *replacement.call
+	call.tried, call.possibleRuns, call.stillRunning = tried, possibleRuns, false
+	return replacement.attempt, replacement.exchange
+}
+
+// silenceLimit names the limit that an endpoint's silence has reached, as written to the
+// log.
+type silenceLimit string
+
+const (
+	// limitAnswerStart is the limit on the time until an answer or its first event
+	// begins, limitPause that on the silence of all streams of an endpoint, and
+	// limitLonePause that on the silence of one stream.
+	limitAnswerStart silenceLimit = "answer_start"
+	limitPause       silenceLimit = "pause"
+	limitLonePause   silenceLimit = "lone_pause"
+)
+
+// reportSilence tells the balancer and the log that an endpoint is silent.
+func (api *API) reportSilence(now time.Time, call *call, attempt *attempt, ending balancer.Ending, limit silenceLimit, idle time.Duration) {
+	api.mutex.Lock()
+	api.balancer.Report(now, attempt.endpoint.Name, ending)
+	api.mutex.Unlock()
+	api.config.Log.Info().Str("step", "silent").Str("request", string(call.id)).Str("host", string(attempt.endpoint.Host)).
+		Str("limit", string(limit)).Int64("idle_ms", idle.Milliseconds()).Msg("another endpoint is looked for beside one that is silent")
+}
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,8 +21,12 @@
 // maxWholeAnswerBytes bounds an answer that is held whole before it is passed on.
 const maxWholeAnswerBytes = 4 << 20
 
-// reasonForeignAnswer is the reason of an exchange whose answer doesn't name its request.
-const reasonForeignAnswer = "answer_to_another_request"
+const (
+	// reasonForeignAnswer is the reason of an exchange whose answer doesn't name its request.
+	reasonForeignAnswer = "answer_to_another_request"
+	// reasonReplaced is that of one whose call goes on at another endpoint.
+	reasonReplaced = "replaced"
+)
 
 // errCallEnded reports that the caller has disconnected or its deadline has
 // passed.
@@ -55,9 +58,9 @@
 		if refusal != nil {
 			return api.failWithoutEndpoint(ctx, writer, call, lastResult, refusal)
 		}
-		exchange := api.exchange(ctx, call, attempt)
+		attempt, exchange := api.send(ctx, call, attempt)
 		if exchange.usable() {
-			if call.streams(exchange.response) {
+			if exchange.events != nil {
 				return api.stream(ctx, writer, call, attempt, exchange)
 			}
 			lastResult = api.writeAnswer(writer, attempt, exchange)
@@ -68,7 +71,6 @@
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 		lastResult = attempt.result(0, exchange.reason, "", exchange.err)
 		lastResult.framing = exchange.framing()
-		lastResult.breakage = exchange.breakage
 		if lastResult.breakage.retryRefusal = api.retryRefusal(ctx, call, exchange); lastResult.breakage.retryRefusal != "" {
 			return api.fail(ctx, writer, call, lastResult, exchange)
 		}
@@ -82,6 +84,7 @@
 	balancerCall := balancer.Call{
 		Number: balancer.Number(api.lastCallNumber.Add(1)), Pool: call.pool, Priority: call.priority,
 		Due: call.arrivedAt.Add(call.route.Target()), Tried: call.tried, Failover: len(call.tried) > 0, Late: call.late,
+		StillRunning: call.stillRunning,
 	}
 	if balancerCall.Failover {
 		balancerCall.Due = queuedAt.Add(call.route.Target())
@@ -185,28 +188,47 @@
 // exchange is the result of sending a call to one endpoint.
 type exchange struct {
 	response *http.Response
-	// body is the whole answer. It isn't set for a stream.
+	// body is the whole answer. It isn't set for a stream, of which events are read.
 	body   []byte
+	events *eventReader
 	cancel context.CancelFunc
+	// replacement is the endpoint that goes on with the call instead of this one.
+	replacement *replacement
 	// notRun reports that the endpoint has certainly not run the request.
 	notRun     bool
 	atCapacity bool
 	reason     string
 	err        error
-	// breakage is set when a limit ended the exchange.
-	breakage breakage
 }
 
 // usable reports whether there is an endpoint's answer to pass on.
 func (exchange *exchange) usable() bool { return exchange.response != nil && exchange.reason == "" }
 
+// close ends the exchange.
+func (exchange *exchange) close() {
+	exchange.cancel()
+	if exchange.response != nil {
+		// A body that was read to its end, or is given up, has nothing more to say.
+		_ = exchange.response.Body.Close()
+	}
+}
+
+// onClose has a function called when the exchange ends, besides what is done then.
+func (exchange *exchange) onClose(closed func()) {
+	cancel := exchange.cancel
+	exchange.cancel = func() {
+		cancel()
+		closed()
+	}
+}
+
 // ending returns what a failed exchange means for the balancer's view of the
 // endpoint.
 func (exchange *exchange) ending(ctx context.Context) balancer.Ending {
 	switch {
 	case exchange.atCapacity:
 		return balancer.Full
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(exchange.err, errReplaced):
 		return balancer.Abandoned
 	default:
 		return balancer.Failed
@@ -220,9 +242,17 @@
 	exchange := &exchange{cancel: cancel}
 	request := api.request(attemptCtx, call, attempt.endpoint)
 	call.tried = append(call.tried, attempt.endpoint.Name)
-	stop := api.limitAnswerStart(call, attempt, cancel)
+	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
 	response, err := api.config.Transport.RoundTrip(request)
-	exchange.breakage = stop()
+	if exchange.replacement = watch.stop(err != nil); exchange.replacement != nil {
+		call.possibleRuns++
+		exchange.err, exchange.reason = replacedError(err), reasonReplaced
+		cancel()
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return exchange
+	}
 	if err != nil {
 		cancel()
 		exchange.err, exchange.reason = err, reasonOf(err)
@@ -235,7 +265,11 @@
 	exchange.response = response
 	api.recordNotices(attempt, response)
 	api.checkHeaders(call, exchange)
-	if exchange.reason == "" && !call.streams(response) {
+	switch {
+	case exchange.reason != "":
+	case call.streams(response):
+		exchange.events = newEventReader(response.Body, api.config.Now)
+	default:
 		api.readResponseBody(exchange)
 	}
 	if !exchange.notRun {
@@ -256,46 +290,6 @@
 	return "no_answer"
 }
 
-// limitAnswerStart cancels an exchange when its endpoint takes too long to
-// begin the answer, if the call may still be tried elsewhere. The limit is
-// shorter when the endpoint's other streams get no events either. The returned
-// function stops the timer, and says which limit has cancelled the exchange.
-func (api *API) limitAnswerStart(call *call, attempt *attempt, cancel context.CancelFunc) func() breakage {
-	if !call.route.Idempotent() || call.possibleRuns+1 >= call.route.Attempts {
-		return func() breakage { return breakage{} }
-	}
-	startedAt := api.config.Now()
-	var timer *time.Timer
-	var limited breakage
-	var mutex sync.Mutex
-	check := func() {
-		mutex.Lock()
-		defer mutex.Unlock()
-		now := api.config.Now()
-		limit := pauseTimeout(call)
-		limited = breakage{idle: now.Sub(startedAt)}
-		switch {
-		case limited.idle >= answerStartTimeout(call):
-			limited.by = breakerAnswerStart
-		case api.sinceLastEvent(now, attempt.endpoint.Name) >= limit:
-			limited.by = breakerPause
-		default:
-			timer.Reset(limit / 4)
-			return
-		}
-		cancel()
-	}
-	mutex.Lock()
-	timer = time.AfterFunc(pauseTimeout(call), check)
-	mutex.Unlock()
-	return func() breakage {
-		mutex.Lock()
-		defer mutex.Unlock()
-		timer.Stop()
-		return limited
-	}
-}
-
 func (api *API) request(ctx context.Context, call *call, endpoint *view.Endpoint) *http.Request {
 	path, query, hasQuery := strings.Cut(call.request.RequestURI, "?")
 	target := &url.URL{Scheme: "http", Host: endpoint.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -53,6 +53,8 @@
 
 // progress records how much of a stream the caller has got.
 type progress struct {
+	// header is sent with the first event.
+	header      http.Header
 	headersSent bool
 	// begun reports that the caller has got an event.
 	begun    bool
@@ -82,143 +84,155 @@
 	progress.lastEventAt = now
 }
 
-// errEndpointSilent reports an endpoint that has sent no event for too long.
-var errEndpointSilent = errors.New("the endpoint went silent")
-
-// position is the place in a stream at which another endpoint may go on with it.
-type position struct {
-	lastEventID string
-	// within reports that the caller has got a piece of the next event.
-	within bool
-}
-
 // errNoEvent reports a connection that ended after the head of a stream.
 var errNoEvent = errors.New("the connection ended before the stream's first event")
 
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
-// stream passes a stream on event by event. When it breaks off, it resumes at
-// another endpoint after the last complete event. The caller sees one answer,
+// stream passes a stream on event by event. When it breaks off or is silent, it resumes
+// at another endpoint after the last complete event. The caller sees one answer,
 // with the first endpoint's headers.
-func (api *API) stream(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, first *exchange) result {
-	var progress progress
-	exchange := first
+func (api *API) stream(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
+	progress := progress{header: exchange.response.Header}
 	for {
-		err := api.copyEvents(call, attempt, writer, &progress, exchange, first.response.Header)
-		exchange.cancel()
-		_ = exchange.response.Body.Close()
-		result := attempt.result(http.StatusOK, "answered", "ran", err)
-		result.events, result.longestPause = progress.events, progress.longestPause
-		result.framing, result.unfinishedBytes = progress.framing, progress.unfinishedBytes
-		if !progress.firstEventAt.IsZero() {
-			result.timeToFirstEvent = progress.firstEventAt.Sub(call.arrivedAt)
-		}
+		replacement, err := api.passOn(ctx, writer, call, attempt, exchange, &progress)
+		exchange.close()
+		result := progress.result(call, attempt, err)
+		ending := endingOf(ctx, err)
+		api.finishAttempt(call, attempt, ending)
 		if err == nil {
-			api.finishAttempt(call, attempt, balancer.Served)
 			return result
 		}
-		ending := balancer.Failed
-		if errors.Is(err, errEndpointSilent) {
-			ending = balancer.Stalled
-		}
-		if ctx.Err() != nil || errors.Is(err, errCallerWrite) {
-			ending = balancer.Abandoned
-		}
-		api.finishAttempt(call, attempt, ending)
-		if progress.breakage.by == "" {
-			progress.breakage.by = breakerOf(ctx, call, err)
-		}
-		result.breakage = progress.breakage
-		result.reason, result.outcome, result.abort = "stream_broken_off", "unknown", true
-		switch {
-		case call.request.Context().Err() != nil:
-			result.reason = "caller_left"
-		case ctx.Err() != nil:
-			result.reason = "time_over"
+		if replacement == nil && ending == balancer.Abandoned {
+			return progress.brokenOff(ctx, call, result)
 		}
-		if ending == balancer.Abandoned {
-			return result
+		if replacement == nil {
+			replacement, progress.breakage.retryRefusal = api.resume(ctx, call, progress.position)
 		}
-		attempt, exchange, result.breakage.retryRefusal = api.resume(ctx, call, progress)
-		if exchange == nil {
-			return result
+		if replacement == nil {
+			return progress.brokenOff(ctx, call, result)
 		}
+		attempt, exchange = call.adopt(replacement)
+		api.logResume(call, attempt, &progress)
+	}
+}
+
+// endingOf returns what the end of a stream means for the balancer's view of the endpoint.
+func endingOf(ctx context.Context, err error) balancer.Ending {
+	switch {
+	case err == nil:
+		return balancer.Served
+	case ctx.Err() != nil || errors.Is(err, errCallerWrite) || errors.Is(err, errReplaced):
+		return balancer.Abandoned
+	default:
+		return balancer.Failed
+	}
+}
+
+// result returns the result of a call whose stream ended with err.
+func (progress *progress) result(call *call, attempt *attempt, err error) result {
+	result := attempt.result(http.StatusOK, "answered", "ran", err)
+	result.events, result.longestPause = progress.events, progress.longestPause
+	result.framing, result.unfinishedBytes = progress.framing, progress.unfinishedBytes
+	if !progress.firstEventAt.IsZero() {
+		result.timeToFirstEvent = progress.firstEventAt.Sub(call.arrivedAt)
 	}
+	return result
+}
+
+// brokenOff makes result that of a stream which broke off and doesn't go on.
+func (progress *progress) brokenOff(ctx context.Context, call *call, result result) result {
+	result.reason, result.outcome, result.abort = "stream_broken_off", "unknown", true
+	switch {
+	case call.request.Context().Err() != nil:
+		result.reason = "caller_left"
+	case ctx.Err() != nil:
+		result.reason = "time_over"
+	}
+	result.breakage = progress.breakage
+	return result
 }
 
 // resume sends a call to another endpoint, which continues the stream after the
 // last event that the caller got. When no endpoint does, it returns the reason.
-func (api *API) resume(ctx context.Context, call *call, progress progress) (*attempt, *exchange, string) {
-	if !call.route.Idempotent() {
-		return nil, nil, refusalNotIdempotent
+func (api *API) resume(ctx context.Context, call *call, position position) (*replacement, string) {
+	if position.within {
+		return nil, refusalWithinEvent
 	}
-	if progress.position.within {
-		return nil, nil, refusalWithinEvent
-	}
-	if progress.position.lastEventID != "" {
-		call.request.Header.Set(api.config.Dialect.LastEventID, progress.position.lastEventID)
+	if position.lastEventID != "" {
+		call.request.Header.Set(api.config.Dialect.LastEventID, position.lastEventID)
 	}
 	for {
-		switch {
-		case ctx.Err() != nil:
-			return nil, nil, errCallEnded.Error()
-		case call.possibleRuns >= call.route.Attempts:
-			return nil, nil, refusalAttempts
-		case !api.retryBudget.Spend():
-			return nil, nil, refusalBudget
+		attempt, refusal := api.reserve(ctx, call)
+		if refusal != "" {
+			return nil, refusal
 		}
-		attempt, refusal := api.acquire(ctx, call)
-		if refusal != nil {
-			return nil, nil, refusal.reason
+		attempt, exchange := api.send(ctx, call, attempt)
+		if exchange.usable() && exchange.events != nil {
+			return &replacement{call: call, attempt: attempt, exchange: exchange}, ""
 		}
-		exchange := api.exchange(ctx, call, attempt)
-		if exchange.usable() && call.streams(exchange.response) {
-			api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.position.lastEventID).
-				Str("framing", string(progress.framing)).Int("unfinished_bytes", progress.unfinishedBytes).
-				Str("broken_by", string(progress.breakage.by)).Int64("idle_ms", progress.breakage.idle.Milliseconds()).
-				Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("stream broke off; resumed at another endpoint after the last complete event")
-			return attempt, exchange, ""
-		}
-		exchange.cancel()
+		exchange.close()
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 	}
 }
 
-// copyEvents copies complete events to the caller until the stream ends. It
-// returns nil only when the endpoint ended the stream properly.
-func (api *API) copyEvents(call *call, attempt *attempt, writer http.ResponseWriter, progress *progress, exchange *exchange, header http.Header) error {
-	watchdog := newWatchdog(api, call, attempt, exchange.cancel)
-	defer watchdog.stop()
+func (api *API) logResume(call *call, attempt *attempt, progress *progress) {
+	api.config.Log.Info().Str("step", "resume").Str("request", string(call.id)).Str("after", progress.position.lastEventID).
+		Str("framing", string(progress.framing)).Int("unfinished_bytes", progress.unfinishedBytes).EmbedObject(progress.breakage).
+		Str("host", string(attempt.endpoint.Host)).Int("events", progress.events).Msg("resumed at another endpoint after the last complete event")
+}
+
+// passOn passes on the events of one endpoint until its stream ends or another endpoint
+// has taken over, which it returns. The error is nil only when the endpoint ended the
+// stream properly.
+func (api *API) passOn(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange, progress *progress) (*replacement, error) {
+	progress.framing, progress.breakage, progress.unfinishedBytes = exchange.framing(), breakage{}, 0
+	watchdog := newWatchdog(ctx, api, call, attempt, exchange, progress)
+	err := api.copyEvents(call, writer, watchdog, exchange.events, progress)
+	wanted := err != nil && !errors.Is(err, errCallerWrite)
+	idle := watchdog.idle(api.config.Now())
+	replacement := watchdog.stop(wanted)
+	if replacement != nil && !wanted {
+		api.release(replacement)
+		replacement = nil
+	}
+	if replacement != nil {
+		err = replacedError(err)
+	}
+	if err != nil {
+		progress.unfinishedBytes = exchange.events.unfinishedBytes()
+		progress.breakage = breakage{by: breakerOf(ctx, call, err), idle: idle}
+	}
+	return replacement, err
+}
+
+// copyEvents copies complete events to the caller until the stream ends.
+func (api *API) copyEvents(call *call, writer http.ResponseWriter, watchdog *watchdog, events *eventReader, progress *progress) error {
 	controller := http.NewResponseController(writer)
-	progress.framing, progress.breakage = exchange.framing(), breakage{}
-	events := newEventReader(exchange.response.Body)
 	for {
 		block, err := events.next()
-		if err != nil {
-			progress.unfinishedBytes = events.unfinishedBytes()
-			progress.breakage.idle = watchdog.idle(api.config.Now())
-		}
 		if len(block) > 0 {
-			if events.hasEvent {
-				watchdog.recordEvent()
-				progress.begun = true
+			now := api.config.Now()
+			if events.hasEvent && !watchdog.recordEvents(now) {
+				return errReplaced
 			}
-			progress.recordWrite(api.config.Now())
-			if writeErr := progress.write(writer, controller, header, block); writeErr != nil {
+			progress.begun = progress.begun || events.hasEvent
+			progress.recordWrite(now)
+			if writeErr := progress.write(writer, controller, block); writeErr != nil {
 				return writeErr
 			}
 			progress.position.within = events.within
+			if events.hasEvent {
+				watchdog.recordPassedOn(api.config.Now(), progress.position)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && api.endedBeforeFirstEvent(call, progress):
 			return errNoEvent
 		case errors.Is(err, io.EOF):
-			progress.sendHeaders(writer, header)
+			progress.sendHeaders(writer)
 			return nil
-		case err != nil && watchdog.expired() && !errors.Is(err, sse.ErrTruncated):
-			progress.breakage = watchdog.breakage
-			return errEndpointSilent
 		case err != nil:
 			return err
 		}
@@ -232,18 +246,18 @@
 }
 
 // sendHeaders sends the answer's headers, once.
-func (progress *progress) sendHeaders(writer http.ResponseWriter, header http.Header) {
+func (progress *progress) sendHeaders(writer http.ResponseWriter) {
 	if progress.headersSent {
 		return
 	}
 	progress.headersSent = true
-	copyHeaders(writer.Header(), header)
+	copyHeaders(writer.Header(), progress.header)
 	writer.Header().Del("Content-Length")
 	writer.WriteHeader(http.StatusOK)
 }
 
-func (progress *progress) write(writer http.ResponseWriter, controller *http.ResponseController, header http.Header, events []byte) error {
-	progress.sendHeaders(writer, header)
+func (progress *progress) write(writer http.ResponseWriter, controller *http.ResponseController, events []byte) error {
+	progress.sendHeaders(writer)
 	if _, err := writer.Write(events); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -1,105 +1,142 @@
 package entryapi
 
 import (
-	"sync"
+	"context"
 	"time"
+
+	"carobline.dev/core/request/balancer"
 )
 
-// watchdog cancels the exchange of a stream that has had no event for too long.
-// The limit depends on whether other streams of the endpoint get events.
+// watchdog looks for a replacement of an endpoint whose stream has had no event for too
+// long, and looks again while it stays silent. The limit depends on whether other streams
+// of the endpoint get events.
 type watchdog struct {
-	api     *API
-	call    *call
+	failover
 	attempt *attempt
-	cancel  func()
+	timer   *time.Timer
+	// answerStart, pause and lonePause are the limits. They are kept here since the call
+	// may move to another route.
+	answerStart, pause, lonePause time.Duration
 
-	mutex          sync.Mutex
-	timer          *time.Timer
+	// The mutex of failover guards the fields below.
 	firstEventSeen bool
-	lastEventAt    time.Time
-	stopped        bool
-	// breakage is set once the exchange has been cancelled.
-	breakage breakage
+	idleSince      time.Time
+	// writing reports that events are being passed on, so that nothing is read.
+	writing bool
+	// silent reports that the endpoint has been silent since the last event.
+	silent bool
+	// position is how far the caller has got.
+	position position
+}
+
+// position is the place in a stream at which another endpoint may go on with it.
+type position struct {
+	lastEventID string
+	// within reports that the caller has got a piece of the next event.
+	within bool
 }
 
-func newWatchdog(api *API, call *call, attempt *attempt, cancel func()) *watchdog {
-	watchdog := &watchdog{api: api, call: call, attempt: attempt, cancel: cancel, lastEventAt: api.config.Now()}
-	watchdog.timer = time.AfterFunc(answerStartTimeout(call), watchdog.check)
+func newWatchdog(ctx context.Context, api *API, call *call, attempt *attempt, exchange *exchange, progress *progress) *watchdog {
+	watchdog := &watchdog{
+		failover: failover{api: api, ctx: ctx, call: call, streaming: true, cancelSilent: exchange.cancel},
+		attempt:  attempt, idleSince: api.config.Now(), position: progress.position,
+		answerStart: answerStartTimeout(call), pause: pauseTimeout(call), lonePause: loneStreamPauseTimeout(call),
+	}
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	watchdog.timer = time.AfterFunc(watchdog.answerStart, watchdog.check)
 	return watchdog
 }
 
-// recordEvent records the arrival of one or more complete events.
-func (watchdog *watchdog) recordEvent() {
-	now := watchdog.api.config.Now()
+// recordEvents records the arrival of one or more events, which are passed on next. It
+// returns false when they are no longer wanted, since the call has a replacement.
+func (watchdog *watchdog) recordEvents(now time.Time) bool {
 	watchdog.mutex.Lock()
+	if !watchdog.progressed() {
+		watchdog.mutex.Unlock()
+		return false
+	}
 	first := !watchdog.firstEventSeen
-	watchdog.firstEventSeen, watchdog.lastEventAt = true, now
+	watchdog.firstEventSeen, watchdog.writing, watchdog.silent, watchdog.idleSince = true, true, false, now
 	watchdog.mutex.Unlock()
 	watchdog.api.recordEvent(now, watchdog.attempt.endpoint.Name, first)
 	if first {
 		watchdog.api.recordAnswerTime(watchdog.call, watchdog.attempt)
-		watchdog.timer.Reset(pauseTimeout(watchdog.call))
+		watchdog.timer.Reset(watchdog.pause)
 	}
+	return true
+}
+
+// recordPassedOn records that the caller has got the events.
+func (watchdog *watchdog) recordPassedOn(now time.Time, position position) {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	watchdog.writing, watchdog.idleSince, watchdog.position = false, now, position
 }
 
-// check cancels the exchange when the time without an event has reached the
-// limit. Otherwise it runs again when the limit may be reached.
+// check looks for a replacement when the time without an event has reached the limit. It
+// runs again when that may be so.
 func (watchdog *watchdog) check() {
 	now := watchdog.api.config.Now()
-	limit, name := watchdog.timeout(now)
+	sinceLastEvent := watchdog.api.sinceLastEvent(now, watchdog.attempt.endpoint.Name)
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	if watchdog.stopped {
+	if watchdog.closed {
 		return
 	}
-	idle := now.Sub(watchdog.lastEventAt)
-	if idle < limit {
+	limit, name := watchdog.limit(sinceLastEvent)
+	idle := now.Sub(watchdog.idleSince)
+	switch {
+	case watchdog.writing:
+		watchdog.timer.Reset(limit)
+	case idle < limit:
 		watchdog.timer.Reset(max(limit-idle, time.Millisecond))
-		return
+	default:
+		watchdog.failOver(now, name, idle)
+		watchdog.timer.Reset(watchdog.pause)
 	}
-	watchdog.stopped, watchdog.breakage = true, breakage{by: name, idle: idle}
-	watchdog.cancel()
 }
 
-// timeout returns how long the stream may go without an event, and the limit's name. It is longer
-// while other streams of the endpoint get events, since an engine may delay one
-// stream in favour of others.
-func (watchdog *watchdog) timeout(now time.Time) (time.Duration, breaker) {
-	watchdog.mutex.Lock()
-	firstEventSeen := watchdog.firstEventSeen
-	watchdog.mutex.Unlock()
-	if !firstEventSeen {
-		return answerStartTimeout(watchdog.call), breakerAnswerStart
+// failOver reports a silent endpoint to the balancer, once, and looks for a replacement.
+func (watchdog *watchdog) failOver(now time.Time, limit silenceLimit, idle time.Duration) {
+	if !watchdog.silent {
+		watchdog.silent = true
+		watchdog.api.reportSilence(now, watchdog.call, watchdog.attempt, balancer.Stalled, limit, idle)
 	}
-	if limit := pauseTimeout(watchdog.call); watchdog.api.sinceLastEvent(now, watchdog.attempt.endpoint.Name) >= limit {
-		return limit, breakerPause
+	if !watchdog.position.within {
+		watchdog.start(watchdog.position.lastEventID)
 	}
-	return loneStreamPauseTimeout(watchdog.call), breakerLonePause
 }
 
-// expired reports whether the watchdog has cancelled the exchange.
-func (watchdog *watchdog) expired() bool {
-	watchdog.mutex.Lock()
-	defer watchdog.mutex.Unlock()
-	return watchdog.stopped
+// limit returns how long the stream may go without an event, and the limit's name. It is
+// longer while other streams of the endpoint get events, since an engine may delay one
+// stream in favour of others.
+func (watchdog *watchdog) limit(sinceLastEvent time.Duration) (time.Duration, silenceLimit) {
+	switch {
+	case !watchdog.firstEventSeen:
+		return watchdog.answerStart, limitAnswerStart
+	case sinceLastEvent >= watchdog.pause:
+		return watchdog.pause, limitPause
+	default:
+		return watchdog.lonePause, limitLonePause
+	}
 }
 
 // idle returns the time since the last event.
 func (watchdog *watchdog) idle(now time.Time) time.Duration {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	return now.Sub(watchdog.lastEventAt)
+	return now.Sub(watchdog.idleSince)
 }
 
-// stop ends the watchdog. If the stream has begun, it no longer counts as one of
+// stop ends the watchdog and returns the replacement, if there is one; a search that is
+// under way is awaited or cancelled. If the stream has begun, it no longer counts as one of
 // its endpoint's streams.
-func (watchdog *watchdog) stop() {
-	watchdog.mutex.Lock()
-	firstEventSeen := watchdog.firstEventSeen
-	watchdog.stopped = true
-	watchdog.mutex.Unlock()
+func (watchdog *watchdog) stop(awaitSearch bool) *replacement {
+	replacement := watchdog.close(awaitSearch)
 	watchdog.timer.Stop()
-	if firstEventSeen {
+	if watchdog.firstEventSeen {
 		watchdog.api.streamEnded(watchdog.attempt.endpoint.Name)
 	}
+	return replacement
 }
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -81,6 +81,9 @@
 	// It goes before other calls and may go to an endpoint without free slots,
 	// since the work done for it would be lost.
 	Failover bool
+	// StillRunning marks a call that goes on at its endpoint if it is refused, so that no
+	// caller comes back for it.
+	StillRunning bool
 }
 
 // maxLoad returns the load below which an endpoint takes the call.
@@ -188,7 +191,7 @@
 		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
 	if !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }) {
-		return queue.refuse(now, Decision{Call: call.Number})
+		return queue.refuse(now, call, Decision{Call: call.Number})
 	}
 	ahead := balancer.queuedAhead(queue, call)
 	if ahead == 0 || call.Failover {
@@ -201,7 +204,7 @@
 	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
 	maxWait := queue.maxWait(now, call)
 	if wait > maxWait && ahead >= minQueueLength {
-		return queue.refuse(now, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
+		return queue.refuse(now, call, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
 	}
 	queue.waiting = append(queue.waiting, call)
 	slices.SortStableFunc(queue.waiting, compareCalls)
@@ -232,7 +235,7 @@
 	}
 	queue.waiting = slices.Delete(queue.waiting, index, index+1)
 	running, limit := balancer.poolLoad(balancer.available(now, call.Pool))
-	return queue.refuse(now, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
+	return queue.refuse(now, call, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
 }
 
 // Done records how a call ended at an endpoint and returns the decisions for
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -320,3 +320,25 @@
 		}
 	}
 }
+
+// Guards against callers that are told to come back late since calls that go on at their
+// endpoints have looked for another one again and again.
+func TestSearchesOfRunningCallsDontDelayRefusedCallers(t *testing.T) {
+	retryAfter := func(searches int) time.Duration {
+		pools := newBalancer(1, 1, 0)
+		only := pools.Submit(start, call(0, start)).Endpoint.Name
+		for number := range searches {
+			search := call(number+1, start)
+			search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{only}
+			if decision := pools.Submit(start, search); decision.Verdict != balancer.VerdictRefuse {
+				t.Fatalf("%+v, want a refusal", decision)
+			}
+		}
+		refused := call(100, start)
+		refused.Failover, refused.Tried = true, []feed.Endpoint{only}
+		return pools.Submit(start, refused).RetryAfter
+	}
+	if got, want := retryAfter(50), retryAfter(0); got != want {
+		t.Errorf("Retry-After of %v beside 50 searches, want %v", got, want)
+	}
+}
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Report records what an endpoint's behaviour towards a call means for the endpoint while
+// the call goes on there.
+func (balancer *Balancer) Report(now time.Time, endpoint feed.Endpoint, ending Ending) {
+	balancer.recordEnding(now, balancer.state(endpoint), ending)
+}
+
 // StreamBegan records the first event of a stream.
 func (balancer *Balancer) StreamBegan(now time.Time, endpoint feed.Endpoint) {
 	state := balancer.state(endpoint)
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -78,10 +78,12 @@
 // refuse turns decision into a refusal. Its RetryAfter is the time that the
 // pool needs to serve the waiting calls and those refused recently, whose callers
 // retry too, at the current departure rate.
-func (queue *queue) refuse(now time.Time, decision Decision) Decision {
+func (queue *queue) refuse(now time.Time, call Call, decision Decision) Decision {
 	rate := max(queue.departureRate(now), 1)
 	wait := time.Duration((float64(len(queue.waiting)+1) + queue.refusals) / rate * float64(time.Second))
-	queue.refusals++
+	if !call.StillRunning {
+		queue.refusals++
+	}
 	decision.Verdict, decision.Reason = VerdictRefuse, ReasonNoCapacity
 	decision.RetryAfter = min(maxRetryAfter, max(minRetryAfter, wait))
 	return decision
--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -6,6 +6,7 @@
 //	retries := budget.New(0.1, 10)
 //	retries.Earn()              // on each first attempt
 //	if retries.Spend() { ... }  // before each retry
+//	retries.Refund()            // for a retry that wasn't made after all
 package budget
 
 import "sync"
@@ -49,3 +50,10 @@
 	budget.balance--
 	return true
 }
+
+// Refund returns a retry that was taken and not made.
+func (budget *Budget) Refund() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.balance = min(budget.capacity, budget.balance+1)
+}
