entryapi: a stream of events without numbers isn't begun again

A stream whose events have no number, and that broke off or fell silent, was sent to another endpoint without a number to go on after. That one began with the first event, and the caller got events twice in an answer that looked whole: e1, e2, e1, e2, e3, e4.

There is no place in such a stream from which another endpoint could go on, so it isn't sent once the caller has got an event (retry_refused: no_event_id); a silent engine is awaited.

--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -40,6 +40,10 @@
 	refusalAttempts      = "attempts"
 	refusalBudget        = "budget"
 	refusalSends         = "sends"
+	// refusalWithinEvent and refusalNoEventID are those of a stream of which the caller
+	// has got a part of an event, or events without a number.
+	refusalWithinEvent = "within_event"
+	refusalNoEventID   = "no_event_id"
 )
 
 // breakerOf returns what broke a stream off with err, which isn't nil.
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -15,7 +15,6 @@
 // The reasons for which a call doesn't go on at an endpoint that has answered, besides
 // those of the exchange.
 const (
-	refusalWithinEvent   = "within_event"
 	refusalEndpointError = "endpoint_error"
 	refusalNoStream      = "no_stream"
 	refusalNoEvent       = "no_event"
@@ -67,7 +66,7 @@
 	mutex   sync.Mutex
 	search  *search
 	secured *replacement
-	// refusal is why the latest search has found no replacement.
+	// refusal is why there was no replacement last.
 	refusal    string
 	closed     bool
 	goroutines sync.WaitGroup
@@ -103,11 +102,10 @@
 func (failover *failover) run(ctx context.Context, search *search) {
 	replacement, refusal := failover.api.seek(ctx, search.call, failover.streaming)
 	failover.mutex.Lock()
-	if refusal != "" && refusal != failover.refusal && !search.outdated {
-		failover.api.config.Log.Info().Str("step", "not_replaced").Str("request", string(search.call.id)).Str("retry_refused", refusal).
-			Msg("no other endpoint goes on with the call; the silent one is awaited")
+	failover.search = nil
+	if refusal != "" && !search.outdated {
+		failover.recordRefusal(refusal)
 	}
-	failover.search, failover.refusal = nil, refusal
 	failover.call.tried = search.call.tried
 	failover.call.possibleRuns = search.call.possibleRuns - failover.uncountedRuns
 	if replacement != nil && !search.outdated {
@@ -124,6 +122,17 @@
 	search.cancel()
 }
 
+// recordRefusal logs why there is no replacement, unless that was the reason before. The
+// caller holds the mutex.
+func (failover *failover) recordRefusal(refusal string) {
+	if refusal == failover.refusal {
+		return
+	}
+	failover.refusal = refusal
+	failover.api.config.Log.Info().Str("step", "not_replaced").Str("request", string(failover.call.id)).Str("retry_refused", refusal).
+		Msg("no other endpoint goes on with the call; the silent one is awaited")
+}
+
 // progressed ends a search, since the silent endpoint has gone on. It returns false when
 // the call has a replacement already. The caller holds the mutex.
 func (failover *failover) progressed() bool {
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -157,8 +157,8 @@
 // resume sends a call to another endpoint, which continues the stream after the
 // last event that the caller got. When no endpoint does, it returns the reason.
 func (api *API) resume(ctx context.Context, call *call, position position) (*replacement, string) {
-	if position.within {
-		return nil, refusalWithinEvent
+	if position.refusal != "" {
+		return nil, position.refusal
 	}
 	if position.lastEventID != "" {
 		call.request.Header.Set(api.config.Dialect.LastEventID, position.lastEventID)
@@ -222,7 +222,7 @@
 			if writeErr := progress.write(writer, controller, block); writeErr != nil {
 				return writeErr
 			}
-			progress.position.within = events.within
+			progress.position.refusal = progress.resumeRefusal(events)
 			if events.hasEvent {
 				watchdog.recordPassedOn(api.config.Now(), progress.position)
 			}
@@ -239,6 +239,19 @@
 	}
 }
 
+// resumeRefusal returns why no other endpoint can go on after what the caller has got. It
+// returns "" when one can.
+func (progress *progress) resumeRefusal(events *eventReader) string {
+	switch {
+	case events.within:
+		return refusalWithinEvent
+	case progress.begun && progress.position.lastEventID == "":
+		return refusalNoEventID
+	default:
+		return ""
+	}
+}
+
 // endedBeforeFirstEvent reports whether a stream whose only end is that of its
 // connection has had no event, though it starts from the first one.
 func (api *API) endedBeforeFirstEvent(call *call, progress *progress) bool {
--- a/caroblined/connection/entryapi/stream_test.go
+++ b/caroblined/connection/entryapi/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -70,3 +71,35 @@
 		t.Errorf("sent %d times, want once", len(service.requests()))
 	}
 }
+
+// Guards against events that come twice since a stream of events without numbers was
+// begun again at another endpoint.
+func TestStreamOfEventsWithoutNumbersIsNotBegunAgain(t *testing.T) {
+	for name, first := range map[string]script{
+		"breaks off":          {breaksAfter: 2},
+		"silent, then broken": {pauses: map[int]time.Duration{1: longPause}, breaksAfter: 2},
+		"silent":              {pauses: map[int]time.Duration{2: longPause}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines := &engines{events: 4, text: func(number int) string { return fmt.Sprintf("data: e%d\n\n", number) }}
+			engines.script = func(number int, _ *http.Request) script {
+				if number == 1 {
+					return first
+				}
+				return script{}
+			}
+			server := newEntryHost(t, silentRoute(), engines.service(t), engines.service(t))
+			got, err := call(t, server, post("/a", "x"))
+			if first.breaksAfter == 0 {
+				engines.wantWhole(t, got, err)
+			}
+			if first.breaksAfter > 0 && (err == nil || got.body != "data: e1\n\ndata: e2\n\n") {
+				t.Errorf("error %v, body %q; want a broken answer of two events", err, got.body)
+			}
+			if runs := len(engines.allRuns()); runs != 1 {
+				t.Errorf("%d runs, want 1", runs)
+			}
+		})
+	}
+}
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -32,8 +32,8 @@
 // position is the place in a stream at which another endpoint may go on with it.
 type position struct {
 	lastEventID string
-	// within reports that the caller has got a piece of the next event.
-	within bool
+	// refusal is why none can.
+	refusal string
 }
 
 func newWatchdog(ctx context.Context, api *API, call *call, attempt *attempt, exchange *exchange, progress *progress) *watchdog {
@@ -103,9 +103,11 @@
 		watchdog.silent = true
 		watchdog.api.reportSilence(now, watchdog.call, watchdog.attempt, balancer.Stalled, limit, idle)
 	}
-	if !watchdog.position.within {
-		watchdog.start(watchdog.position.lastEventID)
+	if watchdog.position.refusal != "" {
+		watchdog.recordRefusal(watchdog.position.refusal)
+		return
 	}
+	watchdog.start(watchdog.position.lastEventID)
 }
 
 // limit returns how long the stream may go without an event, and the limit's name. It is
