--- /dev/null
+++ b/caroblined/connection/entryapi/acquire.go
@@ -0,0 +1,147 @@
+package entryapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/request/balancer"
+)
+
+// minTimeLeft is the least time before its deadline with which a request is still sent.
+const minTimeLeft = 20 * time.Millisecond
+
+// errCallEnded reports that the caller has disconnected or its deadline has
+// passed.
+var errCallEnded = errors.New("the caller has gone or the deadline has passed")
+
+// acquire waits for an endpoint. As the last step before the send it checks
+// that the request is still allowed.
+func (api *API) acquire(ctx context.Context, call *call) (*attempt, *refusal) {
+	queuedAt := api.config.Now()
+	balancerCall := balancer.Call{
+		Number: balancer.Number(api.lastCallNumber.Add(1)), Pool: call.pool, Priority: call.priority,
+		Due: call.arrivedAt.Add(call.route.Target()), Tried: call.tried, Failover: len(call.tried) > 0, Late: call.late,
+		StillRunning: call.stillRunning,
+	}
+	if balancerCall.Failover {
+		balancerCall.Due = queuedAt.Add(call.route.Target())
+	}
+	decision, err := api.awaitEndpoint(ctx, balancerCall)
+	if err != nil {
+		return nil, newRefusal(http.StatusServiceUnavailable, "gave_up_waiting", defaultRetryAfter)
+	}
+	if decision.Verdict == balancer.VerdictRefuse {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: string(decision.Reason), retryAfter: decision.RetryAfter, decision: decision}
+	}
+	now := api.config.Now()
+	attempt := &attempt{endpoint: decision.Endpoint, decision: decision, queueTime: now.Sub(queuedAt), sentAt: now}
+	if refusal := api.recheck(now, call); refusal != nil {
+		api.finishAttempt(call, attempt, balancer.Abandoned)
+		return nil, refusal
+	}
+	if call.deadline.Sub(now) < minTimeLeft || ctx.Err() != nil {
+		api.finishAttempt(call, attempt, balancer.Abandoned)
+		return nil, newRefusal(http.StatusServiceUnavailable, "no_time_left", defaultRetryAfter)
+	}
+	return attempt, nil
+}
+
+// awaitEndpoint submits a call to the balancer and waits for its decision.
+func (api *API) awaitEndpoint(ctx context.Context, balancerCall balancer.Call) (balancer.Decision, error) {
+	api.mutex.Lock()
+	now := api.config.Now()
+	decision := api.balancer.Submit(now, balancerCall)
+	if decision.Verdict != balancer.VerdictWait {
+		api.mutex.Unlock()
+		return decision, nil
+	}
+	decided := make(chan balancer.Decision, 1)
+	api.decisionByCall[balancerCall.Number] = decided
+	api.mutex.Unlock()
+	timer := time.NewTimer(decision.WaitUntil.Sub(now))
+	defer timer.Stop()
+	select {
+	case decision := <-decided:
+		return decision, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return api.cancelWait(ctx, balancerCall, decided)
+}
+
+// cancelWait removes a call from the queue. If the balancer has decided on it in
+// the meantime, it returns that decision.
+func (api *API) cancelWait(ctx context.Context, balancerCall balancer.Call, decided chan balancer.Decision) (balancer.Decision, error) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	decision, waited := api.balancer.Cancel(api.config.Now(), balancerCall)
+	if !waited {
+		return <-decided, nil
+	}
+	delete(api.decisionByCall, balancerCall.Number)
+	if ctx.Err() != nil {
+		return balancer.Decision{}, errCallEnded
+	}
+	return decision, nil
+}
+
+// recheck admits a request again when the view has changed while it waited. The
+// call keeps its pool if the new route still sends calls to that service.
+func (api *API) recheck(now time.Time, call *call) *refusal {
+	current := api.config.View()
+	if !current.AcceptsNewWork(now) {
+		return closingConnection(newRefusal(http.StatusServiceUnavailable, "state_out_of_force", defaultRetryAfter))
+	}
+	if current.Routing == call.table {
+		return nil
+	}
+	pool := call.pool
+	if refusal := api.admit(call); refusal != nil {
+		return refusal
+	}
+	for _, backend := range call.route.Backends {
+		if backend.Service == pool.Service && backend.Weight > 0 {
+			call.pool = pool
+			return nil
+		}
+	}
+	return newRefusal(http.StatusServiceUnavailable, "route_moved", defaultRetryAfter/10)
+}
+
+// recordAnswerTime reports to the balancer the time from the send to the first
+// event of a stream, or to the end of any other answer.
+func (api *API) recordAnswerTime(call *call, attempt *attempt) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
+}
+
+func (api *API) finishAttempt(call *call, attempt *attempt, ending balancer.Ending) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	api.deliver(api.balancer.Done(api.config.Now(), balancer.Call{Pool: call.pool}, attempt.endpoint.Name, ending))
+}
+
+// reserve takes a retry from the budget and an endpoint for it. It returns the reason when
+// either isn't to be had.
+func (api *API) reserve(ctx context.Context, call *call) (*attempt, string) {
+	switch {
+	case ctx.Err() != nil:
+		return nil, errCallEnded.Error()
+	case !call.route.Idempotent():
+		return nil, refusalNotIdempotent
+	case call.possibleRuns >= call.route.Attempts:
+		return nil, refusalAttempts
+	case !api.retryBudget.Spend():
+		return nil, refusalBudget
+	}
+	attempt, refusal := api.acquire(ctx, call)
+	if refusal != nil {
+		api.retryBudget.Refund()
+		return nil, refusal.reason
+	}
+	return attempt, ""
+}
--- /dev/null
+++ b/caroblined/connection/entryapi/admission.go
@@ -0,0 +1,171 @@
+package entryapi
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/request/balancer"
+	"carobline.dev/core/version/routing"
+	"carobline.dev/core/version/view"
+)
+
+const (
+	// defaultBodyBytes bounds a request body where the declaration sets no
+	// limit.
+	defaultBodyBytes = 4 << 20
+	// callerTimeoutSlack is the fraction of a route's timeout by which a
+	// caller's own timeout may be shorter. A caller with less time left than
+	// that has already waited in an earlier attempt.
+	callerTimeoutSlack = 0.15
+	// startupTime is within how long of its start an entry host gets a configuration in
+	// force when the whole system starts at once.
+	startupTime = 2 * time.Second
+)
+
+// call is the state of one request of a caller.
+type call struct {
+	request       *http.Request
+	id            id.Request
+	body          []byte
+	route         *routing.Route
+	table         *routing.Table
+	clientAccount id.ClientAccount
+	pool          balancer.Pool
+	priority      int
+	arrivedAt     time.Time
+	deadline      time.Time
+	// late reports that the caller has already waited past the route's target
+	// in an earlier attempt.
+	late              bool
+	connectionOptions map[string]bool
+	// tried lists the endpoints that the call was sent to. possibleRuns counts
+	// those that may have run it.
+	tried        []feed.Endpoint
+	possibleRuns int
+	// stillRunning reports that an endpoint may still answer the call if it gets no other.
+	stillRunning bool
+}
+
+// admit looks up the route and the client account of a request in the view in
+// force, and sets the call's deadline and pool.
+func (api *API) admit(call *call) *refusal {
+	now, current := api.config.Now(), api.config.View()
+	if current.Routing == nil || !current.AcceptsNewWork(now) {
+		return closingConnection(newRefusal(http.StatusServiceUnavailable, "no_state_in_force", api.stateRetryAfter(now, current)))
+	}
+	if call.id == "" {
+		return newRefusal(http.StatusBadRequest, "no_request_id", 0)
+	}
+	call.table = current.Routing
+	path, _, _ := strings.Cut(call.request.RequestURI, "?")
+	route, ok := current.Routing.Match(call.request.Host, path)
+	if !ok {
+		return newRefusal(http.StatusNotFound, "no_route", 0)
+	}
+	call.route, call.priority = route, route.Priority
+	if refusal := api.authenticate(call); refusal != nil {
+		return refusal
+	}
+	call.deadline = call.arrivedAt.Add(route.Timeout())
+	if timeLeft, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64); err == nil {
+		if callerDeadline := call.arrivedAt.Add(time.Duration(timeLeft * float64(time.Millisecond))); callerDeadline.Before(call.deadline) {
+			call.deadline = callerDeadline
+			call.late = waitedPastTarget(route, callerDeadline.Sub(call.arrivedAt))
+		}
+	}
+	call.pool = api.choosePool(call)
+	call.connectionOptions = parseConnectionOptions(call.request.Header)
+	return nil
+}
+
+// stateRetryAfter returns when a node without a configuration in force may have one. A
+// node that has had one is cut off, while others may serve; one that has just started
+// gets callers only if all others have too.
+func (api *API) stateRetryAfter(now time.Time, current *view.View) time.Duration {
+	if current.Routing != nil {
+		return defaultRetryAfter
+	}
+	return max(defaultRetryAfter, startupTime-now.Sub(api.startedAt))
+}
+
+// waitedPastTarget reports whether a caller with this much time left has
+// already waited past the route's target, as one that retries after a refusal
+// has.
+func waitedPastTarget(route *routing.Route, timeLeft time.Duration) bool {
+	slack := time.Duration(callerTimeoutSlack * float64(route.Timeout()))
+	return route.Timeout()-timeLeft > max(route.Target(), slack)
+}
+
+func (api *API) authenticate(call *call) *refusal {
+	if !call.table.RequiresToken() {
+		return nil
+	}
+	clientAccount, ok := call.table.Authenticate(api.config.Dialect.token(call.request))
+	if !ok {
+		if call.route.Anonymous {
+			return nil
+		}
+		return newRefusal(http.StatusUnauthorized, "unknown_token", 0)
+	}
+	call.clientAccount = clientAccount.Name
+	if clientAccount.Priority != nil {
+		call.priority = *clientAccount.Priority
+	}
+	return nil
+}
+
+// choosePool picks one of the route's services at random, by weight.
+func (api *API) choosePool(call *call) balancer.Pool {
+	random := 0.0
+	if len(call.route.Backends) > 1 {
+		api.mutex.Lock()
+		random = api.config.Rand.Float64()
+		api.mutex.Unlock()
+	}
+	pool := balancer.Pool{Service: call.route.Pick(random)}
+	service, ok := call.table.Declaration().Service(pool.Service)
+	if ok && service.Engine != nil {
+		pool.Model = id.Model(call.request.Header.Get(api.config.Dialect.Model))
+	}
+	return pool
+}
+
+// readBody reads the whole body into memory, so that a retry can send it again.
+func (api *API) readBody(writer http.ResponseWriter, call *call) *refusal {
+	limit := call.table.Declaration().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(writer, call.request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	}
+	if err != nil {
+		return newRefusal(http.StatusBadRequest, "body_unreadable", 0)
+	}
+	call.body = data
+	return nil
+}
+
+// parseConnectionOptions returns the names of the headers that the Connection
+// header declares as hop-by-hop.
+func parseConnectionOptions(header http.Header) map[string]bool {
+	var options map[string]bool
+	for _, value := range header["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			if options == nil {
+				options = map[string]bool{}
+			}
+			options[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return options
+}
--- a/caroblined/connection/entryapi/dialect.go
+++ b/caroblined/connection/entryapi/dialect.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"carobline.dev/core/id"
@@ -93,3 +95,9 @@
 func (dialect *Dialect) requestID(request *http.Request) id.Request {
 	return id.Request(request.Header.Get(dialect.RequestID))
 }
+
+func milliseconds(duration time.Duration) string {
+	return strconv.FormatInt(max(0, duration.Milliseconds()), 10)
+}
+
+func equalFold(a, b string) bool { return strings.EqualFold(a, b) }
--- /dev/null
+++ b/caroblined/connection/entryapi/exchange.go
@@ -0,0 +1,187 @@
+package entryapi
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/endpoint"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/sse"
+	"carobline.dev/core/request/balancer"
+	"carobline.dev/core/version/view"
+)
+
+// maxWholeAnswerBytes bounds an answer that is held whole before it is passed on.
+const maxWholeAnswerBytes = 4 << 20
+
+const (
+	// reasonForeignAnswer is the reason of an exchange whose answer doesn't name its request.
+	reasonForeignAnswer = "answer_to_another_request"
+	// reasonReplaced is that of one whose call goes on at another endpoint.
+	reasonReplaced = "replaced"
+)
+
+// exchange is the result of sending a call to one endpoint.
+type exchange struct {
+	response *http.Response
+	// body is the whole answer. It isn't set for a stream, of which events are read.
+	body   []byte
+	events *eventReader
+	cancel context.CancelFunc
+	// replacement is the endpoint that goes on with the call instead of this one.
+	replacement *replacement
+	// notRun reports that the endpoint has certainly not run the request.
+	notRun     bool
+	atCapacity bool
+	reason     string
+	err        error
+}
+
+// usable reports whether there is an endpoint's answer to pass on.
+func (exchange *exchange) usable() bool { return exchange.response != nil && exchange.reason == "" }
+
+// close ends the exchange.
+func (exchange *exchange) close() {
+	exchange.cancel()
+	if exchange.response != nil {
+		// A body that was read to its end, or is given up, has nothing more to say.
+		_ = exchange.response.Body.Close()
+	}
+}
+
+// onClose has a function called when the exchange ends, besides what is done then.
+func (exchange *exchange) onClose(closed func()) {
+	cancel := exchange.cancel
+	exchange.cancel = func() {
+		cancel()
+		closed()
+	}
+}
+
+// ending returns what a failed exchange means for the balancer's view of the
+// endpoint.
+func (exchange *exchange) ending(ctx context.Context) balancer.Ending {
+	switch {
+	case exchange.atCapacity:
+		return balancer.Full
+	case ctx.Err() != nil || errors.Is(exchange.err, errReplaced):
+		return balancer.Abandoned
+	default:
+		return balancer.Failed
+	}
+}
+
+// exchange sends a call to one endpoint and reads the answer: only the headers
+// of a stream, any other answer to its end.
+func (api *API) exchange(ctx context.Context, call *call, attempt *attempt) *exchange {
+	attemptCtx, cancel := context.WithCancel(ctx)
+	exchange := &exchange{cancel: cancel}
+	request := api.request(attemptCtx, call, attempt.endpoint)
+	call.tried = append(call.tried, attempt.endpoint.Name)
+	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
+	response, err := api.config.Transport.RoundTrip(request)
+	if exchange.replacement = watch.stop(err != nil); exchange.replacement != nil {
+		call.possibleRuns++
+		exchange.err, exchange.reason = replacedError(err), reasonReplaced
+		cancel()
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return exchange
+	}
+	if err != nil {
+		cancel()
+		exchange.err, exchange.reason = err, reasonOf(err)
+		exchange.notRun = rest.DialFailed(err)
+		if !exchange.notRun {
+			call.possibleRuns++
+		}
+		return exchange
+	}
+	exchange.response = response
+	api.recordNotices(attempt, response)
+	api.checkHeaders(call, exchange)
+	switch {
+	case exchange.reason != "":
+	case call.streams(response):
+		exchange.events = newEventReader(response.Body, api.config.Now)
+	default:
+		api.readResponseBody(exchange)
+	}
+	if !exchange.notRun {
+		call.possibleRuns++
+	}
+	if exchange.reason != "" {
+		cancel()
+		_ = response.Body.Close()
+	}
+	return exchange
+}
+
+// reasonOf returns the reason of an exchange that ended without an answer of its own.
+func reasonOf(err error) string {
+	if errors.Is(err, endpoint.ErrForeignAnswer) {
+		return reasonForeignAnswer
+	}
+	return "no_answer"
+}
+
+func (api *API) request(ctx context.Context, call *call, endpoint *view.Endpoint) *http.Request {
+	path, query, hasQuery := strings.Cut(call.request.RequestURI, "?")
+	target := &url.URL{Scheme: "http", Host: endpoint.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	timeLeft := call.deadline.Sub(api.config.Now())
+	request := &http.Request{
+		Method: call.request.Method, URL: target, Host: call.request.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: api.config.Dialect.requestHeaders(call, endpoint, timeLeft), ContentLength: int64(len(call.body)),
+	}
+	if len(call.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(call.body))
+	} else {
+		request.Body = http.NoBody
+	}
+	return request.WithContext(ctx)
+}
+
+// checkHeaders sets the exchange's reason when the headers show that the answer
+// can't be passed on.
+func (api *API) checkHeaders(call *call, exchange *exchange) {
+	dialect, response := &api.config.Dialect, exchange.response
+	switch {
+	case response.Header.Get(dialect.RequestID) != string(call.id):
+		exchange.reason = reasonForeignAnswer
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		exchange.notRun, exchange.reason = true, "misdirected"
+	case response.Header.Get(dialect.NotRun) != "":
+		exchange.notRun, exchange.reason = true, "not_taken"
+		exchange.atCapacity = response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	case response.Header.Get("Content-Encoding") != "":
+		exchange.reason = "encoded_answer"
+	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(dialect.EndpointMark) == "":
+		exchange.reason = "answer_without_mark"
+	case response.StatusCode >= http.StatusInternalServerError && call.route.Idempotent() && call.possibleRuns+1 < call.route.Attempts:
+		exchange.reason = "endpoint_error"
+	}
+}
+
+// readResponseBody reads an answer to its end. An answer that breaks off, or that is
+// larger than maxWholeAnswerBytes, is rejected.
+func (api *API) readResponseBody(exchange *exchange) {
+	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxWholeAnswerBytes+1))
+	_ = exchange.response.Body.Close()
+	switch {
+	case err != nil:
+		exchange.reason, exchange.err = "answer_broken_off", err
+	case len(body) > maxWholeAnswerBytes:
+		exchange.reason = "answer_too_large"
+	case sse.Matches(exchange.response.Header.Get("Content-Type")) && sse.Truncated(body):
+		exchange.reason, exchange.err = "answer_broken_off", sse.ErrTruncated
+	default:
+		exchange.body = body
+	}
+}
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -204,27 +204,6 @@
 	return call.adopt(exchange.replacement)
 }
 
-// reserve takes a retry from the budget and an endpoint for it. It returns the reason when
-// either isn't to be had.
-func (api *API) reserve(ctx context.Context, call *call) (*attempt, string) {
-	switch {
-	case ctx.Err() != nil:
-		return nil, errCallEnded.Error()
-	case !call.route.Idempotent():
-		return nil, refusalNotIdempotent
-	case call.possibleRuns >= call.route.Attempts:
-		return nil, refusalAttempts
-	case !api.retryBudget.Spend():
-		return nil, refusalBudget
-	}
-	attempt, refusal := api.acquire(ctx, call)
-	if refusal != nil {
-		api.retryBudget.Refund()
-		return nil, refusal.reason
-	}
-	return attempt, ""
-}
-
 // release ends a replacement that isn't wanted.
 func (api *API) release(replacement *replacement) {
 	replacement.exchange.close()
--- a/caroblined/connection/entryapi/framing.go
+++ b/caroblined/connection/entryapi/framing.go
@@ -1,9 +1,6 @@
 package entryapi
 
-import (
-	"net/http"
-	"slices"
-)
+import "slices"
 
 // framing is how an answer shows its end (RFC 9112, section 6.3).
 type framing string
@@ -14,9 +11,13 @@
 	framingConnection framing = "connection"
 )
 
-// framingOf returns the framing of an endpoint's answer.
-func framingOf(response *http.Response) framing {
+// framing returns the framing of the endpoint's answer, or an empty string when there
+// was none.
+func (exchange *exchange) framing() framing {
+	response := exchange.response
 	switch {
+	case response == nil:
+		return ""
 	case slices.Contains(response.TransferEncoding, "chunked"):
 		return framingChunked
 	case response.ContentLength >= 0:
@@ -25,12 +26,3 @@
 		return framingConnection
 	}
 }
-
-// framing returns the framing of the endpoint's answer, or an empty string when there
-// was none.
-func (exchange *exchange) framing() framing {
-	if exchange.response == nil {
-		return ""
-	}
-	return framingOf(exchange.response)
-}
