--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -18,6 +18,8 @@
 	breakerEndpoint breaker = "endpoint"
 	breakerCaller   breaker = "caller"
 	breakerDeadline breaker = "deadline"
+	// breakerStop is the stop of the entry host.
+	breakerStop breaker = "stop"
 	// breakerSilence is that of an endpoint which another one has replaced meanwhile.
 	breakerSilence    breaker = "silence"
 	breakerAnswerSize breaker = "answer_size"
@@ -51,8 +53,10 @@
 	switch {
 	case call.request.Context().Err() != nil || errors.Is(err, errCallerWrite):
 		return breakerCaller
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return breakerDeadline
+	case ctx.Err() != nil:
+		return breakerStop
 	case errors.Is(err, errReplaced):
 		return breakerSilence
 	case errors.Is(err, errTrickle):
