entryapi: a test of engines that go on at the same moment

A silent engine may send its next event just when its replacement has one. The test plays 120 streams around that moment.

--- a/caroblined/connection/entryapi/silent_stream_test.go
+++ b/caroblined/connection/entryapi/silent_stream_test.go
@@ -507,3 +507,29 @@
 	}
 	together(t, tests)
 }
+
+// Guards against events that come twice or are missing when a silent engine and the one
+// that is to replace it go on at the same moment.
+func TestEnginesThatGoOnAtTheSameMomentAreJoinedOnce(t *testing.T) {
+	const entryHosts, callsEach, spread = 40, 3, 25
+	const silence = 800 * time.Millisecond // after which another engine is asked
+	var running sync.WaitGroup
+	for host := range uint64(entryHosts) {
+		random := rand.New(rand.NewPCG(host, 1)) //nolint:gosec // a seeded test
+		engines := &engines{events: 6}
+		engines.script = func(_ int, request *http.Request) script {
+			if request.Header.Get("Last-Event-Id") != "" {
+				return script{}
+			}
+			return script{pauses: map[int]time.Duration{3: silence + time.Duration(random.IntN(spread))*time.Millisecond}}
+		}
+		server := newEntryHost(t, silentRoute(), engines.service(t), engines.service(t))
+		running.Go(func() {
+			for range callsEach {
+				got, err := call(t, server, post("/a", "x"))
+				engines.wantWhole(t, got, err)
+			}
+		})
+	}
+	running.Wait()
+}
