entryapi: a call that waits when the host begins to stop is sent only if it ends in time

Callers would see: a call that must not repeat, which waited for an endpoint when its entry host began to stop, is sent and cut at the end of the grace period.

Cause: the decision whether a call may be answered before the host stops was made before the call waited.

Evidence: TestWaitingCallThatMayOutlastTheHostIsRefused fails on the code before (0 of 9 refused, 9 sent).

Change: the last check before the send decides again, for a call that no endpoint may have run. It is refused as not run, and its connection closes.

Result: the tests of the package for stops pass.

--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -91,6 +91,9 @@
 // recheck admits a request again when the view has changed while it waited. The
 // call keeps its pool if the new route still sends calls to that service.
 func (api *API) recheck(now time.Time, call *call) *refusal {
+	if refusal := api.refuseBeforeStop(now, call); refusal != nil && call.possibleRuns == 0 {
+		return refusal
+	}
 	current := api.config.View()
 	if !current.AcceptsNewWork(now) {
 		return closingConnection(newRefusal(http.StatusServiceUnavailable, "state_out_of_force", defaultRetryAfter))
