--- a/caroblined/connection/entryapi/log_test.go
+++ b/caroblined/connection/entryapi/log_test.go
@@ -26,6 +26,13 @@
 	return log.bytes.Write(line)
 }
 
+// String returns all lines.
+func (log *logBuffer) String() string {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.bytes.String()
+}
+
 // line returns the fields of the latest line with the given step.
 func (log *logBuffer) line(t *testing.T, step string) map[string]any {
 	t.Helper()
--- a/caroblined/connection/entryapi/silent_stream_test.go
+++ b/caroblined/connection/entryapi/silent_stream_test.go
@@ -105,7 +105,8 @@
 	if hindrance.prepare != nil {
 		hindrance.prepare(&routes[0])
 	}
-	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}
+	log := &logBuffer{}
+	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
 	if hindrance.noBudget {
 		options.savedRetries = 1
 	}
@@ -117,6 +118,9 @@
 	engines.wantWhole(t, got, err)
 	entryHost.wantIdle(t)
 	wantOthersLeft(t, engines)
+	if t.Failed() {
+		t.Logf("runs %+v, log of the entry host:\n%s", engines.allRuns(), log)
+	}
 }
 
 // wantOthersLeft checks that no run goes on after the answer's end.
