measure: the admission model rejects, stalls and sends again as a large fleet does

Engines may now have a queue and reject what finds it full, as a send; a group that loses an engine stands still for 4 s, rejects from then on, and stays in the views of entry hosts for 4.5 s; calls without an event move within the budget for second sends; callers give up on silent streams and come back once after a refusal; each entry host exchanges counts with one leader every 0.6 s, in its own turn; clients are spread over entry hosts by chance. Each model of the large site is a scenario, with all or a third of the groups open. The two models are simulated apart, without network and processors; a caller that hears of a time beyond a third of what it has left doesn't come back.

--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -2,7 +2,9 @@
 // engines, and measures what callers get: by kind of call, and for the largest tenth of
 // each kind. The engines read prompts in chunks between the token steps of the calls that
 // they write, so that much reading makes all answers slow. Entry hosts know each other's
-// calls late, callers return once after a refusal, and groups are lost and come back.
+// calls late, callers return once after a refusal, and groups are lost and come back. Where
+// the scenario says so, engines reject calls that find their queue full, lost groups stall
+// before they do, and calls are sent again within a budget.
 //
 // # Usage
 //
@@ -32,27 +34,47 @@
 	// LateCredit is the credit of a call that is served, but not on time, as a part of
 	// the whole.
 	LateCredit float64
+	// Patience is how long a caller waits for an event; 0 is without limit.
+	Patience time.Duration
 }
 
-// Loss is a group that stops at a time and is replaced by an empty one later.
-type Loss struct{ At, BackAt time.Duration }
+// Loss is a group that stops at a time and is replaced by an empty one later. A group that
+// is lost before the start opens first at BackAt.
+type Loss struct {
+	Group      int
+	At, BackAt time.Duration
+}
 
 // Scenario is a load and its losses.
 type Scenario struct {
 	Length     time.Duration
 	EntryHosts int
-	Groups     int
-	Kinds      []Kind
+	// Clients is how many clients send the calls, each first to one entry host; 0 is
+	// without number.
+	Clients int
+	Groups  int
+	Kinds   []Kind
 	// Swing is by how much of its mean the rate rises and falls in each Period.
 	Swing  float64
 	Period time.Duration
 	Losses []Loss
 	Engine Engine
+	// Stall is how long a lost group makes no progress before it rejects its calls, and
+	// LossKnown how long entry hosts take to hear of it. Without them its calls move at
+	// once.
+	Stall, LossKnown time.Duration
+	// SavedRetries is how many calls all entry hosts together may save up to send again.
+	// Without it sends aren't limited.
+	SavedRetries float64
 }
 
 // Engine describes a group of engines.
 type Engine struct {
-	Slots                    int
+	Slots int
+	// Queue is how many calls wait for a slot before the engine rejects further ones; 0 is
+	// without limit. Pace multiplies all times; 0 leaves them.
+	Queue                    int
+	Pace                     float64
 	StepMS, StepPerRequestMS float64
 	PromptTokensPerMS        float64
 	StepsPerEvent, Chunk     int
@@ -64,11 +86,11 @@
 	return Scenario{
 		Length: 34 * time.Second, EntryHosts: 40, Groups: 7, Swing: 0.55, Period: 17 * time.Second,
 		Kinds: []Kind{
-			{"draft", 37.7, 1420, 1, 4030, 24.6, 1.5, 78, 300 * time.Millisecond, 300 * time.Millisecond, 8 * time.Second, 0.25},
-			{"triage", 25.2, 1960, 1.3, 5880, 3.2, 1.6, 36, 400 * time.Millisecond, 300 * time.Millisecond, 5 * time.Second, 0.25},
+			{"draft", 37.7, 1420, 1, 4030, 24.6, 1.5, 78, 300 * time.Millisecond, 300 * time.Millisecond, 8 * time.Second, 0.25, 0},
+			{"triage", 25.2, 1960, 1.3, 5880, 3.2, 1.6, 36, 400 * time.Millisecond, 300 * time.Millisecond, 5 * time.Second, 0.25, 0},
 		},
 		Losses: []Loss{
-			{seconds(3.4), seconds(6)}, {seconds(5.6), seconds(9)}, {seconds(14), seconds(23.7)}, {seconds(17.7), seconds(23)}, {seconds(18), seconds(25)},
+			{0, seconds(3.4), seconds(6)}, {1, seconds(5.6), seconds(9)}, {2, seconds(14), seconds(23.7)}, {3, seconds(17.7), seconds(23)}, {4, seconds(18), seconds(25)},
 		},
 		Engine: Engine{Slots: 30, StepMS: 5.95, StepPerRequestMS: 0.0445, PromptTokensPerMS: 50.7, StepsPerEvent: 7, Chunk: 2048},
 	}
@@ -80,12 +102,15 @@
 type Knowledge struct {
 	// ReportInterval is the time between two counts, and ReportLag how old they are.
 	ReportInterval, ReportLag time.Duration
+	// Leader is set where each entry host reports to a leader in its own time and hears
+	// what the others reported last.
+	Leader bool
 }
 
 // Late is what entry hosts know in a system, and Fresh what they would know if nothing
 // took any time.
 var (
-	Late  = Knowledge{300 * time.Millisecond, 300 * time.Millisecond}
+	Late  = Knowledge{ReportInterval: 300 * time.Millisecond, ReportLag: 300 * time.Millisecond}
 	Fresh = Knowledge{ReportInterval: 50 * time.Millisecond}
 )
 
@@ -97,10 +122,18 @@
 	// LargestServed is the served part of the largest tenth of the calls, and NextServed
 	// that of the fifth below it.
 	LargestServed, NextServed float64
+	// Refused calls got no answer but a refusal, RefusedAgain of them two. Failed calls
+	// ended without a whole answer or a refusal.
+	Refused, RefusedAgain, Failed float64
 }
 
 // Result is what callers got, by kind in the order of the scenario.
-type Result struct{ Kinds []KindResult }
+type Result struct {
+	Kinds []KindResult
+	// Rejected is the part of the calls sent to groups that these rejected, and Busiest
+	// what the busiest group got beside the mean of all.
+	Rejected, Busiest float64
+}
 
 // result sums up the calls of a simulation.
 func (simulation *simulation) result() Result {
@@ -119,6 +152,16 @@
 		}
 		credit, owed := 0.0, 0.0
 		for _, call := range calls {
+			switch {
+			case call.served:
+			case call.refused:
+				kind.Refused += 1 / float64(len(calls))
+				if call.tries >= maxTries {
+					kind.RefusedAgain += 1 / float64(len(calls))
+				}
+			default:
+				kind.Failed += 1 / float64(len(calls))
+			}
 			owed += float64(call.size)
 			switch {
 			case call.served && call.onTime():
@@ -131,9 +174,20 @@
 		kind.Credit = credit / owed
 		result.Kinds = append(result.Kinds, kind)
 	}
+	result.Rejected, result.Busiest = simulation.atGroups()
 	return result
 }
 
+// atGroups returns the part of the sent calls that groups rejected, and what the busiest
+// group got beside the mean.
+func (simulation *simulation) atGroups() (rejectedPart, busiest float64) {
+	arrived, rejected, most := 0, 0, 0
+	for _, group := range simulation.groups {
+		arrived, rejected, most = arrived+group.arrived, rejected+group.rejected, max(most, group.arrived)
+	}
+	return float64(rejected) / float64(max(1, arrived)), float64(most*len(simulation.groups)) / float64(max(1, arrived))
+}
+
 func servedPart(calls []*call) float64 {
 	served := 0
 	for _, call := range calls {
--- a/measure/process/admission/group.go
+++ b/measure/process/admission/group.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,14 +9,35 @@
 // group is a group of engines at work. It works in passes: it reads prompts, up to a
 // chunk in each token step, and gives each call that it writes one event.
 type group struct {
-	engine  Engine
-	lost    bool
-	calls   []*call
-	passEnd time.Duration
+	engine Engine
+	// lost groups make no progress. From brokenAt on they reject calls.
+	lost     bool
+	brokenAt time.Duration
+	calls    []*call
+	passEnd  time.Duration
+	// arrived and rejected count the calls sent to the group.
+	arrived, rejected int
 }
 
-// add takes a call, which is read after those that came before it.
-func (group *group) add(call *call) { group.calls = append(group.calls, call) }
+// add takes a call, which is read after those that came before it. It reports false for a
+// call that the group rejects.
+func (group *group) add(now time.Duration, call *call) bool {
+	group.arrived++
+	full := group.engine.Queue > 0 && len(group.calls) >= group.engine.Slots+group.engine.Queue
+	if full || (group.lost && now >= group.brokenAt) {
+		group.rejected++
+		return false
+	}
+	group.calls = append(group.calls, call)
+	return true
+}
+
+// remove takes a call out of the group.
+func (group *group) remove(call *call) {
+	if index := slices.Index(group.calls, call); index >= 0 {
+		group.calls = slices.Delete(group.calls, index, index+1)
+	}
+}
 
 // advance ends the present pass if it is over, and begins the next one. It returns the
 // calls that got an event, which are finished if none is left.
@@ -66,5 +88,5 @@
 	if writers > 0 {
 		milliseconds += float64(steps) * (group.engine.StepMS + float64(writers)*group.engine.StepPerRequestMS)
 	}
-	return max(time.Millisecond, time.Duration(milliseconds*float64(time.Millisecond)))
+	return max(time.Millisecond, time.Duration(milliseconds*cmp.Or(group.engine.Pace, 1)*float64(time.Millisecond)))
 }
