member: a new leader's counts aren't believed at once where they are lower

Cause, the same class as the herd on old counts: a leader keeps the nodes' calls for its term only. The next one hears of them one node after the other, so that the first of 295 entry hosts that it answers were told of no calls elsewhere and of a share of nearly all the demand, and filled every endpoint.

Change: for a second after the term has changed the larger count of the two leaders holds for each endpoint, and the smaller share.

Why it works: calls take about as long as that second, so that the last leader's counts are the better ones until the new one has heard of all.

--- /dev/null
+++ b/core/process/member/counts.go
@@ -0,0 +1,46 @@
+package member
+
+import (
+	"maps"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+)
+
+// countsSettleTime is how long a new leader takes to hear of the calls of all nodes.
+const countsSettleTime = time.Second
+
+// counts is what the leader says of the calls of other nodes. A new leader hears of them
+// one node after the other, and at first knows of hardly any; until it has heard of all,
+// the larger of its counts and the last leader's holds, and the smaller share.
+type counts struct {
+	// share is this node's part of the demand of all nodes.
+	share               float64
+	elsewhereByEndpoint map[feed.Endpoint]int
+
+	term id.Term
+	// The last leader's share and counts hold until settledAt.
+	settledAt               time.Time
+	lastShare               float64
+	lastElsewhereByEndpoint map[feed.Endpoint]int
+}
+
+// update takes over what the leader of a term says in a response.
+func (counts *counts) update(now time.Time, term id.Term, share float64, elsewhereByEndpoint map[feed.Endpoint]int) {
+	if term != counts.term {
+		counts.term, counts.settledAt = term, now.Add(countsSettleTime)
+		counts.lastShare, counts.lastElsewhereByEndpoint = counts.share, counts.elsewhereByEndpoint
+	}
+	counts.share, counts.elsewhereByEndpoint = share, elsewhereByEndpoint
+	if counts.lastShare <= 0 || !now.Before(counts.settledAt) {
+		return
+	}
+	counts.share = min(counts.share, counts.lastShare)
+	merged := make(map[feed.Endpoint]int, len(counts.lastElsewhereByEndpoint))
+	maps.Copy(merged, counts.lastElsewhereByEndpoint)
+	for endpoint, calls := range elsewhereByEndpoint {
+		merged[endpoint] = max(calls, merged[endpoint])
+	}
+	counts.elsewhereByEndpoint = merged
+}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -53,8 +53,8 @@
 	if response.Grant.Serial != member.grant.Serial {
 		member.sendAtOnce = true
 	}
-	member.grant, member.demandShare = response.Grant, response.Share
-	member.runningElsewhereByEndpoint = response.RunningByEndpoint.Elsewhere(request.runningByEndpoint)
+	member.grant = response.Grant
+	member.counts.update(now, response.Term, response.Share, response.RunningByEndpoint.Elsewhere(request.runningByEndpoint))
 	member.stalledEndpoints = response.StalledEndpoints
 	member.holdTime = time.Duration(response.HoldMS) * time.Millisecond
 	if len(response.Voters) > 0 {
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -86,12 +86,12 @@
 	routingTable *routing.Table
 	// routingDelay is how long after the leader's use of the declaration this node
 	// began to use it, at most.
-	routingDelay               time.Duration
-	runningElsewhereByEndpoint map[feed.Endpoint]int
-	stalledEndpoints           []feed.Endpoint
-	contractByClientAccount    map[id.ClientAccount]register.ContractRecord
-	stopByID                   map[id.Stop]register.StopRecord
-	groupByID                  map[id.Group]register.GroupRecord
+	routingDelay            time.Duration
+	counts                  counts
+	stalledEndpoints        []feed.Endpoint
+	contractByClientAccount map[id.ClientAccount]register.ContractRecord
+	stopByID                map[id.Stop]register.StopRecord
+	groupByID               map[id.Group]register.GroupRecord
 	// leaseRenewedAt is when the lease that ends at leaseUntil began.
 	leaseRenewedAt time.Time
 	leaseUntil     time.Time
@@ -99,9 +99,7 @@
 	grant granter.Grant
 	// holdTime is how long the leader holds requests back, as it last said.
 	holdTime time.Duration
-	// demandShare is this node's part of the demand of all nodes.
-	demandShare float64
-	usage       UsageReported
+	usage    UsageReported
 	// unacceptedByHost holds the announcements that the leader hasn't accepted
 	// yet.
 	unacceptedByHost map[id.Host]roster.Announcement
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -19,7 +19,7 @@
 		Version:                  member.version,
 		LeaseUntil:               member.leaseUntil,
 		LeaseRenewedAt:           member.leaseRenewedAt,
-		Share:                    member.demandShare,
+		Share:                    member.counts.share,
 		Routing:                  member.routingTable,
 		RoutingDelay:             member.routingDelay,
 		ClientAccounts:           map[id.ClientAccount]*view.ClientAccount{},
@@ -155,7 +155,7 @@
 		host, known := member.hosts.Member(name)
 		endpoint.Accepting = endpoint.Accepting && (!known || !host.Announcement.Leaving)
 	}
-	endpoint.RunningElsewhere = member.runningElsewhereByEndpoint[endpoint.Name]
+	endpoint.RunningElsewhere = member.counts.elsewhereByEndpoint[endpoint.Name]
 	endpoint.Stalled = slices.Contains(member.stalledEndpoints, endpoint.Name)
 	built.Endpoints[endpoint.Name] = endpoint
 }
@@ -179,7 +179,7 @@
 		DataCentre: announcement.DataCentre, Load: announcement.Load, AnnouncementSequence: announcement.Sequence,
 		Accepting: !stopping && !announcement.Leaving, ValidUntil: host.Expiry,
 	}
-	endpoint.RunningElsewhere = member.runningElsewhereByEndpoint[endpoint.Name]
+	endpoint.RunningElsewhere = member.counts.elsewhereByEndpoint[endpoint.Name]
 	endpoint.Stalled = slices.Contains(member.stalledEndpoints, endpoint.Name)
 	built.Endpoints[endpoint.Name] = endpoint
 }
