entryapi: a second send that isn't made doesn't use up its budget

Callers saw: after calls that got no second endpoint, a later call that an endpoint refused was refused too, though another one was free.

Cause: a second send is taken from the budget before an endpoint is looked for. When there was none, it wasn't given back; a search beside a silent endpoint does so.

Evidence: TestSecondSendThatIsNotMadeLeavesTheBudget fails on the code before: the second call is refused.

Change: forward gives the second send back when it gets no endpoint for it.

Result: the test passes.

--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -30,9 +30,12 @@
 // that can be passed on, or no further attempt is allowed.
 func (api *API) forward(ctx context.Context, writer http.ResponseWriter, call *call) result {
 	var lastResult result
-	for {
+	for sends := 0; ; sends++ {
 		attempt, refusal := api.acquire(ctx, call)
 		if refusal != nil {
+			if sends > 0 {
+				api.retryBudget.Refund()
+			}
 			return api.failWithoutEndpoint(ctx, writer, call, lastResult, refusal)
 		}
 		attempt, exchange := api.send(ctx, call, attempt)
