entryapi: a second send keeps to the route that is in force when it is made

Callers saw: a call whose route was changed, so that its calls must not be repeated or may run once only, was run a second time: beside a silent engine, after one that broke off, and as the rest of a stream.

Cause: whether the route allows a second run is decided before the call waits for an endpoint. The last check before the send admits the call by the new declaration, and didn't decide it again.

Change: the last check holds a call that an endpoint may have run to the new route's rules. What runs already isn't ended by it.

--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -88,8 +88,9 @@
 	return decision, nil
 }
 
-// recheck admits a request again when the view has changed while it waited. The
-// call keeps its pool if the new route still sends calls to that service.
+// recheck admits a request again when the view has changed while it waited. The call keeps
+// its pool if the new route still sends calls to that service. A call that may have run is
+// also held to whether, and how often, the new route's calls are repeated.
 func (api *API) recheck(now time.Time, call *call) *refusal {
 	if refusal := api.refuseBeforeStop(now, call); refusal != nil && call.possibleRuns == 0 {
 		return refusal
@@ -105,6 +106,9 @@
 	if refusal := api.admit(call); refusal != nil {
 		return refusal
 	}
+	if reason := call.repeatRefusal(); reason != "" {
+		return newRefusal(http.StatusServiceUnavailable, reason, 0)
+	}
 	for _, backend := range call.route.Backends {
 		if backend.Service == pool.Service && backend.Weight > 0 {
 			call.pool = pool
@@ -114,6 +118,21 @@
 	return newRefusal(http.StatusServiceUnavailable, "route_moved", defaultRetryAfter/10)
 }
 
+// repeatRefusal returns why the route doesn't allow a call to be sent once more, if an
+// endpoint may have run it. It returns "" when it does.
+func (call *call) repeatRefusal() string {
+	switch {
+	case call.possibleRuns == 0:
+		return ""
+	case !call.route.Idempotent():
+		return refusalNotIdempotent
+	case call.possibleRuns >= call.route.Attempts:
+		return refusalAttempts
+	default:
+		return ""
+	}
+}
+
 // recordAnswerTime reports to the balancer the time from the send to the first
 // event of a stream, or to the end of any other answer.
 func (api *API) recordAnswerTime(call *call, attempt *attempt) {
