entryapi: a late head or failure leaves the second engine at work

Callers saw: an engine was silent past the limit, a second one was sent the call and worked on it, and the first one then answered with what can't be passed on. The caller got a 500, a 502 or a closed connection, and the second engine was cut. When the first one sent only the head of a stream and fell silent again, the call hung until its deadline, as no attempt was left.

Cause: the search for a replacement was ended by whatever the first engine sent, before it was known whether that can be passed on.

Change: the watch on an answer's start goes on until a whole answer has been read, or until a stream is handed to its watchdog with the search that is under way. What can't be passed on waits for that search. A stream of which the caller has got nothing may also go on by a whole answer. An engine's own 500 is passed on, as before, when the second engine fails too (TestLateErrorIsPassedOnWhenTheSecondEngineFails).

It works since only what is passed on, an event or a whole answer, ends a search now.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -51,6 +51,9 @@
 	possibleRuns int
 	// stillRunning reports that an endpoint may still answer the call if it gets no other.
 	stillRunning bool
+	// streaming reports that the caller has got a part of a stream, so that only a stream
+	// can go on with the call.
+	streaming bool
 }
 
 // admit looks up the route and the client account of a request in the view in
--- a/caroblined/connection/entryapi/answerwatch.go
+++ b/caroblined/connection/entryapi/answerwatch.go
@@ -9,16 +9,18 @@
 
 // answerWatch looks for a replacement of an endpoint that takes too long to begin its
 // answer, and looks again while it does. The limit is shorter when the endpoint's other
-// streams get no events either.
+// streams get no events either. A stream has begun with its first event.
 type answerWatch struct {
-	failover
+	*failover
 	attempt            *attempt
 	timer              *time.Timer
 	startedAt          time.Time
 	answerStart, pause time.Duration
 
-	// The mutex of failover guards the field below.
+	// The mutex of failover guards the fields below.
 	silent bool
+	// begun reports that a whole answer is being read, so that no search starts.
+	begun bool
 }
 
 // watchAnswerStart begins to watch an exchange. It returns nil for a call that can't be
@@ -28,7 +30,7 @@
 		return nil
 	}
 	watch := &answerWatch{
-		failover: failover{api: api, ctx: ctx, call: call, uncountedRuns: 1, cancelSilent: cancel},
+		failover: &failover{api: api, ctx: ctx, call: call, uncountedRuns: 1, cancelSilent: cancel, streaming: call.streaming},
 		attempt:  attempt, startedAt: api.config.Now(), answerStart: answerStartTimeout(call), pause: pauseTimeout(call),
 	}
 	watch.mutex.Lock()
@@ -45,7 +47,7 @@
 	idle := now.Sub(watch.startedAt)
 	limit := limitAnswerStart
 	switch {
-	case watch.closed:
+	case watch.closed || watch.begun:
 		return
 	case idle >= watch.answerStart:
 	case sinceLastEvent >= watch.pause:
@@ -62,6 +64,43 @@
 	watch.timer.Reset(watch.pause)
 }
 
+// recordStreamHead records that a stream's head has come, and counts its run. It returns
+// false when the call has a replacement already.
+func (watch *answerWatch) recordStreamHead(now time.Time, call *call) bool {
+	if watch == nil {
+		call.possibleRuns++
+		return true
+	}
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if watch.secured != nil {
+		return false
+	}
+	call.possibleRuns++
+	watch.uncountedRuns, watch.streamHead, watch.startedAt = 0, true, now
+	return true
+}
+
+// recordAnswerHead records that the head of another answer has come. A search that is under way
+// goes on, since the answer may break off.
+func (watch *answerWatch) recordAnswerHead() {
+	if watch == nil {
+		return
+	}
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.begun = true
+}
+
+// handOver ends the watch, and returns its failover with a search that may be under way.
+func (watch *answerWatch) handOver() *failover {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.begun = true
+	watch.timer.Stop()
+	return watch.failover
+}
+
 // stop ends the watch and returns the replacement, if there is one. A search that is under
 // way is awaited or cancelled.
 func (watch *answerWatch) stop(awaitSearch bool) *replacement {
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -25,6 +25,8 @@
 	reasonForeignAnswer = "answer_to_another_request"
 	// reasonReplaced is that of one whose call goes on at another endpoint.
 	reasonReplaced = "replaced"
+	// reasonEndpointError is that of one whose endpoint failed, while another may not.
+	reasonEndpointError = "endpoint_error"
 )
 
 // exchange is the result of sending a call to one endpoint.
@@ -34,6 +36,9 @@
 	body   []byte
 	events *eventReader
 	cancel context.CancelFunc
+	// watch looks for a replacement until a stream's first event. It is nil for another
+	// answer, and for a call that can't be tried elsewhere.
+	watch *answerWatch
 	// replacement is the endpoint that goes on with the call instead of this one.
 	replacement *replacement
 	// notRun reports that the endpoint has certainly not run the request.
@@ -77,8 +82,9 @@
 	}
 }
 
-// exchange sends a call to one endpoint and reads the answer: only the headers
-// of a stream, any other answer to its end.
+// exchange sends a call to one endpoint and reads the answer: only the headers of a stream,
+// any other answer to its end. A search for a replacement that is under way is awaited
+// unless the answer can be passed on.
 func (api *API) exchange(ctx context.Context, call *call, attempt *attempt) *exchange {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	exchange := &exchange{cancel: cancel}
@@ -86,42 +92,61 @@
 	call.tried = append(call.tried, attempt.endpoint.Name)
 	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
 	response, err := api.config.Transport.RoundTrip(request)
-	if exchange.replacement = watch.stop(err != nil); exchange.replacement != nil {
+	api.recordHead(call, attempt, exchange, response, err)
+	if exchange.usable() && call.streams(exchange.response) && watch.recordStreamHead(api.config.Now(), call) {
+		exchange.events, exchange.watch = newEventReader(exchange.response.Body, api.config.Now), watch
+		return exchange
+	}
+	watch.recordAnswerHead()
+	failed := exchange.endpointFailed()
+	if exchange.usable() && !failed {
+		api.readResponseBody(exchange)
+	}
+	exchange.replacement = watch.stop(failed || !exchange.usable())
+	if !exchange.notRun {
 		call.possibleRuns++
-		exchange.err, exchange.reason = replacedError(err), reasonReplaced
+	}
+	switch {
+	case exchange.replacement != nil:
+		exchange.replaced()
+	case failed && exchange.usable() && call.repeatRefusal() == "":
+		exchange.reason = reasonEndpointError
+	case failed && exchange.usable():
+		api.readResponseBody(exchange)
+	}
+	if exchange.reason != "" {
 		cancel()
-		if err == nil {
+		if response != nil {
 			_ = response.Body.Close()
 		}
-		return exchange
 	}
+	return exchange
+}
+
+// recordHead records the head of an answer, or why there is none.
+func (api *API) recordHead(call *call, attempt *attempt, exchange *exchange, response *http.Response, err error) {
 	if err != nil {
-		cancel()
 		exchange.err, exchange.reason = err, reasonOf(err)
 		exchange.notRun = rest.DialFailed(err)
-		if !exchange.notRun {
-			call.possibleRuns++
-		}
-		return exchange
+		return
 	}
 	exchange.response = response
 	api.recordNotices(attempt, response)
 	api.checkHeaders(call, exchange)
-	switch {
-	case exchange.reason != "":
-	case call.streams(response):
-		exchange.events = newEventReader(response.Body, api.config.Now)
-	default:
-		api.readResponseBody(exchange)
-	}
-	if !exchange.notRun {
-		call.possibleRuns++
-	}
-	if exchange.reason != "" {
-		cancel()
-		_ = response.Body.Close()
+}
+
+// endpointFailed reports an answer by which the endpoint says that it has failed. It is
+// passed on only if no other endpoint goes on with the call.
+func (exchange *exchange) endpointFailed() bool {
+	return exchange.response != nil && exchange.response.StatusCode >= http.StatusInternalServerError
+}
+
+// replaced records that another endpoint goes on with the call.
+func (exchange *exchange) replaced() {
+	if exchange.usable() || exchange.err != nil {
+		exchange.err = replacedError(exchange.err)
 	}
-	return exchange
+	exchange.reason = reasonReplaced
 }
 
 // reasonOf returns the reason of an exchange that ended without an answer of its own.
@@ -164,8 +189,6 @@
 		exchange.reason = "encoded_answer"
 	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(dialect.EndpointMark) == "":
 		exchange.reason = "answer_without_mark"
-	case response.StatusCode >= http.StatusInternalServerError && call.route.Idempotent() && call.possibleRuns+1 < call.route.Attempts:
-		exchange.reason = "endpoint_error"
 	}
 }
 
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -15,9 +15,8 @@
 // The reasons for which a call doesn't go on at an endpoint that has answered, besides
 // those of the exchange.
 const (
-	refusalEndpointError = "endpoint_error"
-	refusalNoStream      = "no_stream"
-	refusalNoEvent       = "no_event"
+	refusalNoStream = "no_stream"
+	refusalNoEvent  = "no_event"
 )
 
 // errReplaced reports an exchange that was ended since another endpoint goes on with its
@@ -50,8 +49,8 @@
 }
 
 // failover looks for a replacement of an endpoint that is silent, beside the exchange with
-// it. That exchange is cancelled only once the replacement has begun to answer. Whatever
-// the silent endpoint sends before ends the search.
+// it. That exchange is cancelled only once the replacement has begun to answer. What the
+// silent endpoint sends before ends the search if it is passed on.
 type failover struct {
 	api  *API
 	ctx  context.Context
@@ -59,11 +58,13 @@
 	// uncountedRuns are the runs at the silent endpoint that call.possibleRuns doesn't
 	// count yet.
 	uncountedRuns int
-	// streaming reports that only a stream can go on with the call.
-	streaming    bool
-	cancelSilent context.CancelFunc
+	cancelSilent  context.CancelFunc
+
+	mutex sync.Mutex
+	// streamHead reports that the head of a stream has come, and streaming that the caller
+	// has got a part of a stream, so that only a stream can go on with the call.
+	streamHead, streaming bool
 
-	mutex   sync.Mutex
 	search  *search
 	secured *replacement
 	// refusal is why there was no replacement last.
@@ -81,6 +82,7 @@
 	ctx, cancel := context.WithCancel(failover.ctx)
 	search := &search{call: failover.call.fork(), cancel: cancel}
 	search.call.possibleRuns += failover.uncountedRuns
+	search.call.streaming = failover.streaming
 	if lastEventID != "" {
 		search.call.request.Header.Set(failover.api.config.Dialect.LastEventID, lastEventID)
 	}
@@ -100,7 +102,7 @@
 
 // run carries out a search.
 func (failover *failover) run(ctx context.Context, search *search) {
-	replacement, refusal := failover.api.seek(ctx, search.call, failover.streaming)
+	replacement, refusal := failover.api.seek(ctx, search.call)
 	failover.mutex.Lock()
 	failover.search = nil
 	if refusal != "" && !search.outdated {
@@ -108,7 +110,7 @@
 	}
 	failover.call.tried = search.call.tried
 	failover.call.possibleRuns = search.call.possibleRuns - failover.uncountedRuns
-	if replacement != nil && !search.outdated {
+	if replacement != nil && !search.outdated && failover.fits(replacement) {
 		failover.secured = replacement
 		replacement.exchange.onClose(search.cancel)
 		failover.cancelSilent()
@@ -122,6 +124,18 @@
 	search.cancel()
 }
 
+// fits reports whether a replacement can go on with the call, of which the silent endpoint
+// may have begun a stream meanwhile. The caller holds the mutex.
+func (failover *failover) fits(replacement *replacement) bool {
+	return !failover.streamHead || replacement.exchange.continues(failover.streaming)
+}
+
+// continues reports whether a usable answer can go on after the head of a stream, or after
+// a part of it that the caller has got.
+func (exchange *exchange) continues(streaming bool) bool {
+	return exchange.events != nil || (!streaming && exchange.response.StatusCode == http.StatusOK)
+}
+
 // recordRefusal logs why there is no replacement, unless that was the reason before. The
 // caller holds the mutex.
 func (failover *failover) recordRefusal(refusal string) {
@@ -161,13 +175,17 @@
 
 // seek sends a call to another endpoint and waits until that one has begun to answer, for a
 // stream with an event. It returns the reason when it doesn't.
-func (api *API) seek(ctx context.Context, call *call, streaming bool) (*replacement, string) {
+func (api *API) seek(ctx context.Context, call *call) (*replacement, string) {
 	attempt, refusal := api.reserve(ctx, call)
 	if refusal != "" {
 		return nil, refusal
 	}
 	attempt, exchange := api.send(ctx, call, attempt)
-	if refusal = exchange.unfit(streaming); refusal == "" {
+	if unwanted := exchange.watch.stop(false); unwanted != nil {
+		api.release(unwanted)
+	}
+	exchange.watch = nil
+	if refusal = exchange.unfit(call.streaming); refusal == "" {
 		return &replacement{call: call, attempt: attempt, exchange: exchange}, ""
 	}
 	exchange.close()
@@ -181,8 +199,8 @@
 	switch {
 	case !exchange.usable():
 		return exchange.reason
-	case exchange.response.StatusCode >= http.StatusInternalServerError:
-		return refusalEndpointError
+	case exchange.endpointFailed():
+		return reasonEndpointError
 	case streaming && exchange.events == nil:
 		return refusalNoStream
 	case exchange.events != nil && !exchange.events.awaitEvent(),
@@ -212,6 +230,9 @@
 
 // adopt makes a call go on with its replacement.
 func (call *call) adopt(replacement *replacement) (*attempt, *exchange) {
+	if replacement.call == call {
+		return replacement.attempt, replacement.exchange
+	}
 	tried, possibleRuns := call.tried, call.possibleRuns
 	*call = *replacement.call
 	call.tried, call.possibleRuns, call.stillRunning = tried, possibleRuns, false
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -43,10 +43,7 @@
 			if exchange.events != nil {
 				return api.stream(ctx, writer, call, attempt, exchange)
 			}
-			lastResult = api.writeAnswer(writer, attempt, exchange)
-			api.recordAnswerTime(call, attempt)
-			api.finishAttempt(call, attempt, balancer.Served)
-			return lastResult
+			return api.answer(writer, call, attempt, exchange)
 		}
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 		lastResult = attempt.result(0, exchange.reason, "", exchange.err)
@@ -77,6 +74,14 @@
 	}
 }
 
+// answer ends a call with an answer that was read to its end.
+func (api *API) answer(writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
+	result := api.writeAnswer(writer, attempt, exchange)
+	api.recordAnswerTime(call, attempt)
+	api.finishAttempt(call, attempt, balancer.Served)
+	return result
+}
+
 // writeAnswer passes on an answer that was read to its end.
 func (api *API) writeAnswer(writer http.ResponseWriter, attempt *attempt, exchange *exchange) result {
 	exchange.cancel()
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -107,6 +107,7 @@
 		if replacement == nil && ending == balancer.Abandoned {
 			return progress.brokenOff(ctx, call, result)
 		}
+		call.streaming = progress.headersSent
 		if replacement == nil {
 			replacement, progress.breakage.retryRefusal = api.resume(ctx, call, progress.position)
 		}
@@ -115,6 +116,9 @@
 		}
 		attempt, exchange = call.adopt(replacement)
 		api.logResume(call, attempt, &progress)
+		if exchange.events == nil {
+			return api.answer(writer, call, attempt, exchange)
+		}
 	}
 }
 
@@ -169,7 +173,7 @@
 			return nil, refusal
 		}
 		attempt, exchange := api.send(ctx, call, attempt)
-		if exchange.usable() && exchange.events != nil {
+		if exchange.usable() && exchange.continues(call.streaming) {
 			return &replacement{call: call, attempt: attempt, exchange: exchange}, ""
 		}
 		exchange.close()
@@ -214,7 +218,7 @@
 		block, err := events.next()
 		if len(block) > 0 {
 			now := api.config.Now()
-			if events.hasEvent && !watchdog.recordEvents(now) {
+			if !watchdog.recordBlock(now, events) {
 				return errReplaced
 			}
 			progress.begun = progress.begun || events.hasEvent
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -11,7 +11,7 @@
 // long, and looks again while it stays silent. The limit depends on whether other streams
 // of the endpoint get events.
 type watchdog struct {
-	failover
+	*failover
 	attempt *attempt
 	timer   *time.Timer
 	// answerStart, pause and lonePause are the limits. They are kept here since the call
@@ -38,7 +38,7 @@
 
 func newWatchdog(ctx context.Context, api *API, call *call, attempt *attempt, exchange *exchange, progress *progress) *watchdog {
 	watchdog := &watchdog{
-		failover: failover{api: api, ctx: ctx, call: call, streaming: true, cancelSilent: exchange.cancel},
+		failover: exchange.takeFailover(ctx, api, call),
 		attempt:  attempt, idleSince: api.config.Now(), position: progress.position,
 		answerStart: answerStartTimeout(call), pause: pauseTimeout(call), lonePause: loneStreamPauseTimeout(call),
 	}
@@ -48,8 +48,25 @@
 	return watchdog
 }
 
-// recordEvents records the arrival of one or more events, which are passed on next. It
-// returns false when they are no longer wanted, since the call has a replacement.
+// takeFailover returns the failover of an exchange's stream. A search that began before
+// the stream's head goes on.
+func (exchange *exchange) takeFailover(ctx context.Context, api *API, call *call) *failover {
+	if exchange.watch == nil {
+		return &failover{api: api, ctx: ctx, call: call, streamHead: true, streaming: true, cancelSilent: exchange.cancel}
+	}
+	return exchange.watch.handOver()
+}
+
+// recordBlock records the arrival of what is passed on next. It returns false when that is
+// no longer wanted, since the call has a replacement.
+func (watchdog *watchdog) recordBlock(now time.Time, events *eventReader) bool {
+	if events.hasEvent {
+		return watchdog.recordEvents(now)
+	}
+	return watchdog.recordOther()
+}
+
+// recordEvents records the arrival of one or more events.
 func (watchdog *watchdog) recordEvents(now time.Time) bool {
 	watchdog.mutex.Lock()
 	if !watchdog.progressed() {
@@ -57,6 +74,7 @@
 		return false
 	}
 	first := !watchdog.firstEventSeen
+	watchdog.streaming = true
 	watchdog.firstEventSeen, watchdog.writing, watchdog.silent, watchdog.idleSince = true, true, false, now
 	watchdog.mutex.Unlock()
 	watchdog.api.recordEvent(now, watchdog.attempt.endpoint.Name, first)
@@ -67,6 +85,17 @@
 	return true
 }
 
+// recordOther records the arrival of what is no event.
+func (watchdog *watchdog) recordOther() bool {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	if watchdog.secured != nil {
+		return false
+	}
+	watchdog.streaming = true
+	return true
+}
+
 // recordPassedOn records that the caller has got the events.
 func (watchdog *watchdog) recordPassedOn(now time.Time, position position) {
 	watchdog.mutex.Lock()
