entryapi: a replacement that sends only a head is replaced in turn

Callers saw: an engine was silent, the second one sent the head of a stream and then nothing, and the call hung until its deadline, though a third engine was free and the route allowed a third run.

Cause: a search that had got a head waited for its first event without a limit, and a call has only one search at a time.

Evidence: on the code before, TestReplacementThatSendsOnlyAHeadIsReplaced fails in 3 of 4 cases (the deadline at 8 s, 2 runs; the first engine that goes on and then breaks off passes), and TestEachOfThreeSilentEnginesMayGoOn in the 3 of its 6 cases with heads only: 2 runs, and no answer when only the third engine goes on.

Change: the watch on an answer's start goes on beside the candidate until its first event, with the same limits, and looks for a further one within the route's attempts and the budget.

Result: both tests pass. Nobody is left until one of them has an event, since each candidate's own failover cancels only the one beside which it was begun, and a first event cancels what was begun beside it.

--- a/caroblined/connection/entryapi/events.go
+++ b/caroblined/connection/entryapi/events.go
@@ -75,6 +75,14 @@
 	return reader.hasEvent || errors.Is(reader.err, io.EOF)
 }
 
+// failure returns why the stream broke off, if it did.
+func (reader *eventReader) failure() error {
+	if errors.Is(reader.err, io.EOF) {
+		return nil
+	}
+	return reader.err
+}
+
 // unfinishedBytes returns how much can't be passed on.
 func (reader *eventReader) unfinishedBytes() int { return len(reader.buffer) - reader.complete }
 
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -181,11 +181,8 @@
 		return nil, refusal
 	}
 	attempt, exchange := api.send(ctx, call, attempt)
-	if unwanted := exchange.watch.stop(false); unwanted != nil {
-		api.release(unwanted)
-	}
-	exchange.watch = nil
-	if refusal = exchange.unfit(call.streaming); refusal == "" {
+	attempt, exchange, refusal = api.awaitStart(ctx, call, attempt, exchange)
+	if refusal == "" {
 		return &replacement{call: call, attempt: attempt, exchange: exchange}, ""
 	}
 	exchange.close()
@@ -193,6 +190,22 @@
 	return nil, refusal
 }
 
+// awaitStart waits until an endpoint's answer can go on with a call, or that of another
+// one which is looked for beside it meanwhile. It returns the reason when neither does.
+func (api *API) awaitStart(ctx context.Context, call *call, attempt *attempt, exchange *exchange) (*attempt, *exchange, string) {
+	refusal := exchange.unfit(call.streaming)
+	replacement := exchange.watch.stop(refusal != "")
+	exchange.watch = nil
+	if replacement == nil {
+		return attempt, exchange, refusal
+	}
+	exchange.close()
+	exchange.err = replacedError(exchange.events.failure())
+	api.finishAttempt(call, attempt, exchange.ending(ctx))
+	attempt, exchange = call.adopt(replacement)
+	return attempt, exchange, ""
+}
+
 // unfit returns why an answer can't go on with a call that another endpoint may still
 // answer. It returns "" when it can.
 func (exchange *exchange) unfit(streaming bool) string {
