fleet: engines of each service are prepared for later groups, not of the first alone

Callers would see: in a system of two services of engines, a group of the second one that loses a host comes back only after a load from the weight store.

Cause: the time of the last preparation is kept once for the fleet, but it was checked and set for each service, so that the first service took every turn.

Evidence: TestEnginesOfEachServiceArePrepared fails on the code before: 10 orders to stage for the first service and none for the second, in 40 s.

Change: a tick decides once whether engines are prepared in it, for all services.

Both services take the same turn, so none is left out.

--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -163,9 +163,10 @@
 	if !actions.Changes.Empty() {
 		return actions
 	}
+	prepare := now.Sub(fleet.preparedAt) >= preparationInterval
 	for index := range declared.Declaration.Services {
 		if service := &declared.Declaration.Services[index]; service.Engine != nil {
-			fleet.formGroups(now, &actions, service)
+			fleet.formGroups(now, &actions, service, prepare)
 		}
 	}
 	return actions
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -37,8 +37,9 @@
 )
 
 // formGroups forms groups of the assignable engines of a service, stages weights on
-// those that are left, and retires a group when another model needs its hosts more.
-func (fleet *Fleet) formGroups(now time.Time, actions *Actions, service *routing.Service) {
+// those that are left, and retires a group when another model needs its hosts more. With
+// prepare it also prepares engines for later groups, if nothing changes now.
+func (fleet *Fleet) formGroups(now time.Time, actions *Actions, service *routing.Service, prepare bool) {
 	free, groups := fleet.assignableEngines(now, service), fleet.plannerGroups(service)
 	if fleet.discoveringEngines(now, service) {
 		return
@@ -62,10 +63,7 @@
 		fleet.orderStaging(now, actions, service, staging.Host, staging.Model)
 	}
 	fleet.dissolveGroups(now, actions, plan.Dissolve)
-	if !actions.Changes.Empty() {
-		return
-	}
-	if now.Sub(fleet.preparedAt) >= preparationInterval {
+	if prepare && actions.Changes.Empty() {
 		fleet.preparedAt = now
 		fleet.stageFurtherModels(now, actions, service)
 		fleet.warmSpares(now, actions, service, free, groups)
