callerapi: an answer goes on until its successor has an event, not a head alone

Callers would see: a stream that its engine works on breaks without its end mark, when the call is demoted or moved and the next engine sends a head and then no event of use.

Cause: the attempt was ended once an engine had answered the successor with a 200 head.

Evidence: TestAnswerGoesOnWhileItsSuccessorHasNoEvent fails on the code before: the stream breaks after the successor's head.

Change: the successor's events are read up to the first that can be passed on, and the attempt ends then. A successor that sends none within the inactivity timeout, or ends or sends something else before, is given up and the attempt goes on. A demotion waits for the event for at most a second: at a full engine the successor waits for the slot that the answer itself holds.

What remains: a demoted answer whose successor stays open for that second and fails later goes on by the retry budget, as after any failed attempt.

--- a/caroblined/connection/callerapi/handover.go
+++ b/caroblined/connection/callerapi/handover.go
@@ -18,6 +18,11 @@
 	maxHandoverInterval = 5 * time.Second
 )
 
+// demotionGrace is how long a demoted answer goes on beside a successor that an engine has
+// accepted and that has had no event. A full engine sends none to the successor before the
+// answer has left its slot.
+const demotionGrace = time.Second
+
 // errEndpointSlow is the reason to move an answer away from an endpoint that has been
 // ejected as slow.
 var errEndpointSlow = errors.New("the endpoint has turned slow")
@@ -35,7 +40,7 @@
 var errDemoted = errors.New("the call was demoted to a lower priority level")
 
 // handover looks for a successor to an attempt that is demoted, or whose endpoint is slow,
-// stalled, silent or lost. The attempt goes on until an engine has accepted the successor,
+// stalled, silent or lost. The attempt goes on until the successor has an event to pass on,
 // since its own engine may be at work all the same.
 type handover struct {
 	relay   *relay
@@ -49,7 +54,7 @@
 	discard context.CancelFunc
 	done    chan struct{}
 
-	// reservation and successor are set once an engine has accepted the successor. They
+	// reservation and successor are set once the successor can go on with the answer. They
 	// belong to the search until done is closed.
 	reservation *traffic.Reservation
 	successor   *attempt
@@ -145,7 +150,7 @@
 		}
 		handover.dropReason()
 		if now := relay.api.config.Now(); handover.reason != nil && !now.Before(handover.nextTryAt) {
-			if handover.try(successors) {
+			if handover.try(search, successors) {
 				handover.current.cancel(errHandedOver)
 				return
 			}
@@ -185,8 +190,8 @@
 	return config.View().Valid(config.Now(), endpoint.Name, endpoint.Fencing)
 }
 
-// try sends a successor. It returns true once an engine has accepted it.
-func (handover *handover) try(ctx context.Context) bool {
+// try sends a successor. It returns true once the successor can go on with the answer.
+func (handover *handover) try(search, ctx context.Context) bool {
 	relay, reason := handover.relay, handover.reason
 	level, demoted := handover.current.level, errors.Is(reason, errDemoted)
 	if demoted {
@@ -204,7 +209,7 @@
 		return false
 	}
 	log := relay.call.log.With().Str("step", "handover").Str("endpoint", endpointName(reservation.Endpoint())).AnErr("reason", reason).Logger()
-	successor, err := relay.sendSuccessor(ctx, reservation)
+	successor, err := handover.sendSuccessor(search, ctx, reservation)
 	if err != nil {
 		log.Warn().Err(err).Msg("no engine has accepted the rest of the answer; it goes on where it is")
 		reservation.Release(ctx.Err() == nil && atFault(err))
@@ -227,9 +232,10 @@
 // atFault reports whether the error of an attempt speaks against its endpoint.
 func atFault(err error) bool { return mayGoOn(err) && !errors.Is(err, errNotWhole) }
 
-// sendSuccessor sends an attempt to a reserved endpoint and waits until an engine has
-// accepted it.
-func (relay *relay) sendSuccessor(ctx context.Context, reservation *traffic.Reservation) (*attempt, error) {
+// sendSuccessor sends an attempt to a reserved endpoint and waits until it can go on with
+// the answer.
+func (handover *handover) sendSuccessor(search, ctx context.Context, reservation *traffic.Reservation) (*attempt, error) {
+	relay := handover.relay
 	started, cancel, ok := reservation.Attempt(ctx)
 	if !ok {
 		return nil, errNotWhole
@@ -237,9 +243,36 @@
 	successor := &attempt{endpoint: reservation.Endpoint(), level: reservation.Level(), ctx: started, cancel: cancel}
 	timer := time.AfterFunc(relay.api.config.InactivityTimeout, func() { cancel(errEndpointSilent) })
 	defer timer.Stop()
-	if err := relay.send(successor); err != nil {
+	err := relay.send(successor)
+	if err == nil {
+		timer.Reset(relay.api.config.InactivityTimeout)
+		err = handover.awaitEvent(search, successor)
+	}
+	if err != nil {
 		successor.end()
 		return nil, err
 	}
 	return successor, nil
 }
+
+// awaitEvent waits until an accepted successor has an event to pass on. It waits no longer
+// once the attempt has ended, nor in a demotion after demotionGrace.
+func (handover *handover) awaitEvent(search context.Context, successor *attempt) error {
+	var graceEnded <-chan time.Time
+	if errors.Is(handover.reason, errDemoted) {
+		timer := time.NewTimer(demotionGrace)
+		defer timer.Stop()
+		graceEnded = timer.C
+	}
+	successor.events.open(handover.relay.delivered)
+	select {
+	case opening := <-successor.events.opened:
+		if opening.err != nil {
+			return errors.Wrapf(causeOf(successor.ctx, opening.err), "first event of engine at %s", successor.endpoint.Address)
+		}
+		successor.events.setOpening(opening)
+	case <-graceEnded:
+	case <-search.Done():
+	}
+	return nil
+}
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -61,6 +61,9 @@
 // errNotWhole reports that the node may not start work at an endpoint any more.
 var errNotWhole = errors.New("the endpoint is no longer whole")
 
+// errNotJSON reports an event of an engine that can't be passed on.
+var errNotJSON = errors.New("the engine sent an event that isn't JSON")
+
 // run makes attempts until the answer is complete or can't be completed. A successor
 // of a handover doesn't count as an attempt.
 func (relay *relay) run(ctx context.Context) error {
@@ -134,6 +137,7 @@
 	cancel   context.CancelCauseFunc
 	// response is nil until the engine's headers have come.
 	response *http.Response
+	events   eventSource
 	// release, if set, releases what ctx is derived from.
 	release context.CancelFunc
 }
@@ -212,7 +216,7 @@
 	if err != nil {
 		return errors.Wrapf(causeOf(attempt.ctx, err), "call engine at %s", address)
 	}
-	attempt.response = response
+	attempt.response, attempt.events.reader = response, sse.NewReader(response.Body, maxEventBytes)
 	return relay.checkResponse(response)
 }
 
@@ -270,10 +274,9 @@
 
 // copy passes events to the sink as they arrive, up to the end mark.
 func (relay *relay) copy(current *attempt, handover *handover) error {
-	body := current.response.Body
-	reader := sse.NewReader(body, maxEventBytes)
+	body, events := current.response.Body, &current.events
 	for unnumbered, repeated := 0, id.Tokens(0); ; {
-		event, err := reader.Next()
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return errors.New("the stream ended without its end mark")
 		}
@@ -302,7 +305,7 @@
 		if event.HasID && event.ID != int64(relay.delivered())+1 {
 			return errors.Errorf("the stream left out tokens after %d", relay.delivered())
 		}
-		slow, err := relay.deliver(&event, reader.Ready())
+		slow, err := relay.deliver(&event, events.ready())
 		if err != nil {
 			return err
 		}
@@ -330,7 +333,7 @@
 // been ejected as slow.
 func (relay *relay) deliver(event *sse.Event, more bool) (slow bool, err error) {
 	if !json.Valid(event.Data) {
-		return false, errors.New("the engine sent an event that isn't JSON")
+		return false, errNotJSON
 	}
 	if err := relay.sink.event(event, more); err != nil {
 		return false, err
--- a/caroblined/process/daemon/handover_test.go
+++ b/caroblined/process/daemon/handover_test.go
@@ -50,6 +50,37 @@
 	}
 }
 
+// Guards against a running answer that is cut, while its engine works on it, for a successor
+// that an engine accepts and for which it then has no event.
+func TestAnswerGoesOnWhileItsSuccessorHasNoEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, func(config *engine.Config) { config.Pace = 10 * time.Millisecond })
+		defer system.close()
+		go system.setFaultsOnceBusy(engine.Faults{Garbage: true})
+		const prompt = "x tokens=400"
+		checkStream(t, system.stream(0, prompt), prompt, true)
+	})
+}
+
+// Guards against a long answer that keeps a full engine from short ones, since the rest of
+// it, at a lower priority level, has no event while it waits for the same slot.
+func TestLongAnswerLeavesTheSlotOfAFullEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, func(config *engine.Config) { config.Slots, config.Pace = 1, 10*time.Millisecond })
+		defer system.close()
+		const longPrompt, shortPrompt = "long, tokens=2000", "short, tokens=20"
+		long := make(chan reply, 1)
+		go func() { long <- system.stream(0, longPrompt) }()
+		time.Sleep(500 * time.Millisecond)
+		startedAt := time.Now()
+		checkStream(t, system.stream(0, shortPrompt), shortPrompt, true)
+		if took := time.Since(startedAt); took > 5*time.Second {
+			t.Errorf("the short answer took %v beside the long one", took)
+		}
+		checkStream(t, <-long, longPrompt, true)
+	})
+}
+
 // Guards against an answer that is taken from a slow endpoint, and then cut, while all
 // others are full.
 func TestSlowAnswerGoesOnWhileOthersAreFull(t *testing.T) {
