entryapi: net/http sends no call twice that must not repeat

Callers would see: a call of a route that must not repeat runs twice. No report of it exists.

Cause: net/http sends a request without a body again by itself when its kept connection breaks before the answer, if its method is GET, HEAD, OPTIONS or TRACE or it carries an Idempotency-Key or X-Idempotency-Key.

Change: such calls of a route that isn't idempotent have a connection of their own. Others keep using kept connections, also a POST with a body.

What remains: such a call costs a connection, which hasn't been measured.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -55,9 +55,12 @@
 	Now     func() time.Time
 	// Transport sends requests to endpoints.
 	Transport http.RoundTripper
-	Log       zerolog.Logger
-	Metrics   metrics.Registry
-	Rand      *rand.Rand
+	// SingleSendTransport opens a new connection for each request. It sends those that
+	// must not repeat and that net/http might send again over a kept connection.
+	SingleSendTransport http.RoundTripper
+	Log                 zerolog.Logger
+	Metrics             metrics.Registry
+	Rand                *rand.Rand
 	// SavedRetries is the number of retries that all entry hosts together may save
 	// up. Zero leaves it at maxSavedRetries for each.
 	SavedRetries int
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -92,8 +92,9 @@
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	})
 	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IDHeader: dialect.RequestID})
+	singleSendTransport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, IDHeader: dialect.RequestID})
 	entryHost.api = entryapi.New(entryapi.Config{
-		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport,
+		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
 		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
 		SavedRetries: options.savedRetries,
 	})
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -91,7 +91,7 @@
 	request := api.request(attemptCtx, call, attempt.endpoint)
 	call.tried = append(call.tried, attempt.endpoint.Name)
 	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
-	response, err := api.config.Transport.RoundTrip(request)
+	response, err := api.transport(call, request).RoundTrip(request)
 	api.recordHead(call, attempt, exchange, response, err)
 	if exchange.usable() && call.streams(exchange.response) && watch.recordStreamHead(api.config.Now(), call) {
 		exchange.events, exchange.watch = newEventReader(exchange.response.Body, api.config.Now), watch
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -132,10 +132,11 @@
 	draining atomic.Bool
 	// loggedRevision and loggedLeaseHeld are the last logged values. Only the event
 	// loop uses the first, only Run the second.
-	loggedRevision    id.Revision
-	loggedLeaseHeld   bool
-	endpointTransport *endpoint.Transport
-	listeners         []*listener
+	loggedRevision      id.Revision
+	loggedLeaseHeld     bool
+	endpointTransport   *endpoint.Transport
+	singleSendTransport *endpoint.Transport
+	listeners           []*listener
 	// callerListeners are those of the entry, which stop accepting first.
 	callerListeners  []*listener
 	serverGoroutines sync.WaitGroup
@@ -153,6 +154,7 @@
 		transportConfig.IDHeader = config.Entry.Dialect.RequestID
 	}
 	node.endpointTransport = endpoint.New(transportConfig)
+	node.singleSendTransport = endpoint.New(endpoint.Config{Dial: dial, SingleUse: true, IDHeader: transportConfig.IDHeader})
 	if err := node.start(); err != nil {
 		if closeErr := node.close(); closeErr != nil {
 			config.Log.Error().Err(closeErr).Str("step", "stop").Msg("closing the node after a failed start failed as well")
@@ -211,7 +213,7 @@
 func (node *Node) startEntry() {
 	node.entry = entryapi.New(entryapi.Config{
 		Dialect: node.config.Entry.Dialect, View: node.view, Now: node.clock.Now, Transport: node.endpointTransport,
-		Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
+		SingleSendTransport: node.singleSendTransport, Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
 	})
 }
 
