docs, comments: what a first reader found wrong or unclear

Pages and comments that described the code before its last changes: when a successor takes over, what a limit on silence does, which calls have a connection of their own, which orders have a number of their own. No statement of the code changes.

--- a/caroblined/connection/callerapi/handover.go
+++ b/caroblined/connection/callerapi/handover.go
@@ -12,7 +12,8 @@
 )
 
 // minHandoverInterval is the pause between two tries to hand an answer over. It doubles
-// with each one that no engine accepts, up to maxHandoverInterval.
+// after each attempt that was sent and didn't go on with the answer, up to
+// maxHandoverInterval.
 const (
 	minHandoverInterval = 200 * time.Millisecond
 	maxHandoverInterval = 5 * time.Second
@@ -28,8 +29,9 @@
 var errEndpointSlow = errors.New("the endpoint has turned slow")
 
 // errEndpointSilent is the reason to move an answer away from an endpoint that has sent
-// nothing for the inactivity timeout. It ends an attempt only at an endpoint that the
-// view no longer holds.
+// nothing for the inactivity timeout. It ends a running stream only where the view no
+// longer holds the endpoint; it also ends a successor that sends nothing, and a silent call
+// of a plain service.
 var errEndpointSilent = errors.New("the endpoint was silent for too long")
 
 // errHandedOver ends an attempt whose successor has begun.
@@ -41,7 +43,8 @@
 
 // handover looks for a successor to an attempt that is demoted, or whose endpoint is slow,
 // stalled, silent or lost. The attempt goes on until the successor has an event to pass on,
-// since its own engine may be at work all the same.
+// in a demotion at most demotionGrace after an engine accepted it; its own engine may be at
+// work all the same.
 type handover struct {
 	relay   *relay
 	current *attempt
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -16,16 +16,16 @@
 
 const (
 	// endpointPauseFactor times the route's longest pause is how long all
-	// streams of an endpoint may go without an event before they resume
-	// elsewhere. streamPauseFactor is the same for one stream while others of
-	// the endpoint get events.
+	// streams of an endpoint may go without an event before a replacement is
+	// looked for beside it. streamPauseFactor is the same for one stream while
+	// others get events.
 	endpointPauseFactor = 2
 	streamPauseFactor   = 5
 	// minInactivityTimeout is the lower bound of answerStartTimeout and of
 	// loneStreamPauseTimeout. The lower bound of pauseTimeout is half of it.
 	minInactivityTimeout = 800 * time.Millisecond
 	// answerStartTargetFactor times the route's target is how long an endpoint
-	// may take to begin its answer.
+	// may take to begin its answer before a replacement is looked for.
 	answerStartTargetFactor = 2
 )
 
@@ -34,19 +34,19 @@
 	return call.route.Repeat == routing.RepeatStream && response.StatusCode == http.StatusOK && sse.Matches(response.Header.Get("Content-Type"))
 }
 
-// answerStartTimeout returns how long an endpoint may take to begin its answer.
+// answerStartTimeout returns how long an endpoint may take to begin its answer before a
+// replacement is looked for.
 func answerStartTimeout(call *call) time.Duration {
 	return max(minInactivityTimeout, answerStartTargetFactor*call.route.Target())
 }
 
-// pauseTimeout returns how long a stream may go without an event before it
-// resumes elsewhere, when the endpoint's other streams get no events either.
+// pauseTimeout returns how long a stream may go without an event before a replacement is
+// looked for, when the endpoint's other streams get no events either.
 func pauseTimeout(call *call) time.Duration {
 	return max(minInactivityTimeout/2, time.Duration(endpointPauseFactor*call.route.PauseMS)*time.Millisecond)
 }
 
-// loneStreamPauseTimeout returns how long a stream may go without an event
-// while other streams of the endpoint get events.
+// loneStreamPauseTimeout returns the same while other streams of the endpoint get events.
 func loneStreamPauseTimeout(call *call) time.Duration {
 	return max(minInactivityTimeout, time.Duration(streamPauseFactor*call.route.PauseMS)*time.Millisecond)
 }
@@ -90,8 +90,8 @@
 // errCallerWrite reports a failed write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
-// stream passes a stream on event by event. When it breaks off or is silent, it resumes
-// at another endpoint after the last complete event. The caller sees one answer,
+// stream passes a stream on event by event. When it breaks off, or another endpoint has
+// taken over from a silent one, it goes on there after the last complete event. The caller sees one answer,
 // with the first endpoint's headers.
 func (api *API) stream(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
 	progress := progress{header: exchange.response.Header}
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -53,8 +53,8 @@
 	Self        id.Node
 	Incarnation id.Incarnation
 	Voters      []id.Node
-	// Founders replace Voters, where these aren't set, as the voters while the log holds
-	// none. They aren't contacted on that account: later voters may have replaced them.
+	// Founders are the voters while the log holds none, if Voters isn't set. Unlike Voters
+	// they aren't contacted: later voters may have replaced them.
 	Founders []id.Node
 	Nodes    []id.Node
 	// Seeds are contacted to discover the voters when the settings don't list
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -331,7 +331,8 @@
 }
 
 // awaitAnswers closes the callers' listener and waits until the answers of calls that
-// have ended are written. A caller that doesn't read bounds it as it bounds one write.
+// have ended are written. The timeout of a write to a caller bounds the wait, for callers
+// that don't read.
 func (daemon *Daemon) awaitAnswers() {
 	ctx, cancel := context.WithTimeout(context.Background(), daemon.callerWriteTimeout())
 	defer cancel()
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -63,7 +63,7 @@
 type FencingToken uint64
 
 // OrderNumber numbers the orders of all leaders to engines; an engine refuses an order
-// with a smaller number than it has seen.
+// with a smaller number than the last that it has carried out.
 type OrderNumber uint64
 
 // Tokens counts model tokens.
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -47,8 +47,8 @@
 	Peers []string `json:"peers,omitempty"`
 	// Members are the group's hosts by rank, for engines.
 	Members []id.Host `json:"members,omitempty"`
-	// Number is larger than that of any older order, by this leader or one before. Only
-	// orders to engines have one.
+	// Number is no smaller than that of any older order to this host, by this leader or one
+	// before; an order to stage repeats the last. Only orders of package fleet have one.
 	Number id.OrderNumber `json:"number,omitempty"`
 	// LifetimeMS is how many milliseconds after receipt the order may be carried
 	// out.
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -28,8 +28,8 @@
 // still relayed, so that nodes which missed its departure hear of it.
 const departureRelayTime = time.Minute
 
-// maxChangesPerHost bounds the changes that are kept, those that have been replaced with
-// them, so that dropping these costs little for each change.
+// maxChangesPerHost times the number of hosts bounds Roster.changes, replaced entries
+// included. They are dropped together when it is exceeded, so that each change pays little.
 const maxChangesPerHost = 4
 
 // prefixUpdateInterval is the shortest time between two updates of a host's cached
@@ -208,8 +208,8 @@
 	return ok && member.Live(now)
 }
 
-// Members returns the entries of all known hosts, sorted by host. They are read-only and
-// don't change.
+// Members returns the entries of all known hosts, sorted by host. They are
+// read-only.
 func (roster *Roster) Members() []*Member { return slices.Clone(roster.sorted) }
 
 // Cursor returns the number of changes so far.
--- a/measure/process/admission/simulation.go
+++ b/measure/process/admission/simulation.go
@@ -30,7 +30,8 @@
 	savedPart          = 0.9
 	rejectedRetryAfter = 500 * time.Millisecond
 	// minStartTimeout and minPauseTimeout are the least times without an event after
-	// which an entry host moves a call.
+	// which the model takes a call from its group. Entry hosts keep it there until another
+	// has gone on with it.
 	minStartTimeout = 800 * time.Millisecond
 	minPauseTimeout = 400 * time.Millisecond
 	// lateSlack is the part of its deadline that a caller may have used up without being
