balancer: a silence of an endpoint ends with its next progress, and counts once

What callers saw: after servers had fallen silent for about a second and gone on, they got no calls for up to 4 s more, while the few others took all calls or refused them.

Cause: each call that was silent at an endpoint was recorded as a failure of its own, so that one silence of 17 calls doubled the pause to its 4 s maximum, and neither an event nor an answer of that endpoint ended the pause. An endpoint that another entry host had reported as stalled was avoided even while streams of this one went on there.

Evidence (silence_test.go, on the code before): after a pause of 1 s of one, two or three of four endpoints, the ones that had been silent got 0 of 80 calls once they had gone on; an endpoint that answered was still avoided and counted as stalled; it was avoided for 4 s after 17 reports and for 0.5 s after one; 112 calls in 20 s went to an endpoint that made no progress, since all calls went there whenever the pause was over.

Change: reports of silence are kept as a state of the endpoint, apart from calls that broke off. It ends with the next event or answer of any call there. The reports of one silence set the pause once; it doubles only when a call that was sent there afterwards is reported too. While the silence lasts, one call at a time tries the endpoint after each pause. If its streams go on and only an answer doesn't begin, the beginning of another ends it. Own progress within maxEventGap goes before what other entry hosts report.

Result: in these tests the endpoints take calls with their first event after the pause, the pause is 0.5 s after one report and after 17, and at most 10 calls in 20 s go to an endpoint that makes no progress. The tests that stalled and failing endpoints are avoided and reported pass unchanged. entryapi's tests pass.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -175,7 +175,7 @@
 func (balancer *Balancer) Update(now time.Time, current *view.View) []Decision {
 	balancer.view = current
 	for endpoint, state := range balancer.stateByEndpoint {
-		if state.running == 0 && current.Endpoints[endpoint] == nil && !now.Before(state.avoidUntil) {
+		if state.running == 0 && current.Endpoints[endpoint] == nil && !now.Before(state.avoidUntil) && !now.Before(state.silence.avoidUntil) {
 			delete(balancer.stateByEndpoint, endpoint)
 		}
 	}
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -15,6 +15,8 @@
 	maxFailurePause = 4 * time.Second
 	// stallPause is how long an endpoint gets no calls after a stall.
 	stallPause = 2 * time.Second
+	// maxPauseDoublings bounds the doublings, before maxFailurePause is applied.
+	maxPauseDoublings = 4
 	// maxEventGap is how long all streams of an endpoint may go without an
 	// event before the endpoint gets no further calls.
 	maxEventGap = 500 * time.Millisecond
@@ -37,8 +39,11 @@
 	// lastEventAt is the time of the last event of any of them.
 	openStreams int
 	lastEventAt time.Time
-	// stalledUntil is until when the endpoint counts as stalled.
+	// progressAt is the time of the last event or answer of any call.
+	progressAt time.Time
+	// stalledUntil is until when the endpoint counts as stalled after failures.
 	stalledUntil time.Time
+	silence      silence
 }
 
 // recordEnding sets for how long the endpoint is avoided after a call ended.
@@ -46,26 +51,26 @@
 	switch ending {
 	case Served:
 		state.failures = 0
+		state.recordProgress(now, true)
 	case Full:
 		state.avoidUntil = now.Add(fullPause)
 	case Failed:
-		state.avoidUntil = now.Add(min(maxFailurePause, failurePause<<min(state.failures, 4)))
+		state.avoidUntil = now.Add(min(maxFailurePause, failurePause<<min(state.failures, maxPauseDoublings)))
 		state.failures++
 		if state.failures >= failuresToStall {
 			state.stalledUntil = state.avoidUntil
 		}
 	case Stalled:
-		state.avoidUntil = now.Add(stallPause)
-		state.stalledUntil = state.avoidUntil
-		state.failures++
+		state.recordSilence(now, ending)
 	case Abandoned:
 	}
 }
 
-// Report records what an endpoint's behaviour towards a call means for the endpoint while
-// the call goes on there.
+// Report records that an endpoint makes no progress with a call that goes on there: Failed
+// for one whose answer hasn't begun, Stalled for a stream. It holds until the endpoint makes
+// progress with any of its calls.
 func (balancer *Balancer) Report(now time.Time, endpoint feed.Endpoint, ending Ending) {
-	balancer.recordEnding(now, balancer.state(endpoint), ending)
+	balancer.state(endpoint).recordSilence(now, ending)
 }
 
 // StreamBegan records the first event of a stream.
@@ -73,6 +78,7 @@
 	state := balancer.state(endpoint)
 	state.openStreams++
 	state.lastEventAt = now
+	state.recordProgress(now, true)
 }
 
 // StreamEvent records a further event of a stream. The endpoint no longer
@@ -80,7 +86,7 @@
 func (balancer *Balancer) StreamEvent(now time.Time, endpoint feed.Endpoint) {
 	state := balancer.state(endpoint)
 	state.lastEventAt = now
-	state.stalledUntil = time.Time{}
+	state.recordProgress(now, false)
 }
 
 // StreamEnded records the end of a stream that StreamBegan was called for.
@@ -103,7 +109,7 @@
 func (balancer *Balancer) StalledEndpoints(now time.Time) []feed.Endpoint {
 	var stalled []feed.Endpoint
 	for endpoint, state := range balancer.stateByEndpoint {
-		if now.Before(state.stalledUntil) {
+		if now.Before(state.stalledUntil) || (state.silence.stalled && now.Before(state.silence.avoidUntil)) {
 			stalled = append(stalled, endpoint)
 		}
 	}
@@ -111,8 +117,36 @@
 	return stalled
 }
 
-// suspect reports whether the endpoint is avoided after a call ended there, or
-// has open streams of which none had an event within maxEventGap.
+// recordProgress records an event or an answer of a call; begins is false for a further
+// event of a stream.
+func (state *endpointState) recordProgress(now time.Time, begins bool) {
+	state.progressAt = now
+	state.stalledUntil = time.Time{}
+	if begins || !state.silence.startsOnly {
+		state.silence = silence{}
+	}
+}
+
+// recordSilence records a call that makes no progress.
+func (state *endpointState) recordSilence(now time.Time, ending Ending) {
+	pause := failurePause
+	if ending == Stalled {
+		pause = stallPause
+	}
+	state.silence.record(now, pause)
+	if ending == Stalled || state.silence.calls >= failuresToStall {
+		state.silence.stalled = true
+	}
+	state.silence.startsOnly = ending == Failed && state.openStreams > 0 && now.Sub(state.lastEventAt) < maxEventGap/2
+}
+
+// suspect reports whether the endpoint is avoided after a call ended there or made no
+// progress, or has open streams of which none had an event within maxEventGap.
 func (state *endpointState) suspect(now time.Time) bool {
-	return now.Before(state.avoidUntil) || (state.openStreams > 0 && now.Sub(state.lastEventAt) > maxEventGap)
+	return now.Before(state.avoidUntil) || now.Before(state.silence.avoidUntil) || (state.openStreams > 0 && now.Sub(state.lastEventAt) > maxEventGap)
+}
+
+// goesOn reports whether a call has made progress there within maxEventGap.
+func (state *endpointState) goesOn(now time.Time) bool {
+	return !state.progressAt.IsZero() && now.Sub(state.progressAt) <= maxEventGap
 }
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -20,7 +20,9 @@
 	chosen := pickWeighted(rooms, balancer.rand.Float64()*total)
 	endpoint := endpoints[chosen]
 	running, limit := balancer.runningAt(endpoint), slotsOf(endpoint)
-	balancer.state(endpoint.Name).running++
+	state := balancer.state(endpoint.Name)
+	state.running++
+	state.silence.try(now)
 	return Decision{Call: call.Number, Verdict: VerdictGo, Endpoint: endpoint, Running: running, Limit: limit}, true
 }
 
@@ -31,8 +33,7 @@
 	allSuspect := balancer.allSuspect(now, call, endpoints)
 	rooms = make([]float64, len(endpoints))
 	for index, endpoint := range endpoints {
-		state := balancer.stateByEndpoint[endpoint.Name]
-		if slices.Contains(call.Tried, endpoint.Name) || (!allSuspect && (endpoint.Stalled || (state != nil && state.suspect(now)))) {
+		if slices.Contains(call.Tried, endpoint.Name) || (!allSuspect && balancer.suspect(now, endpoint)) {
 			continue
 		}
 		load := balancer.loadOf(endpoint)
@@ -90,11 +91,20 @@
 // used all the same: more likely the network path is at fault.
 func (balancer *Balancer) allSuspect(now time.Time, call Call, endpoints []*view.Endpoint) bool {
 	return !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool {
-		state := balancer.stateByEndpoint[endpoint.Name]
-		return !slices.Contains(call.Tried, endpoint.Name) && !endpoint.Stalled && (state == nil || !state.suspect(now))
+		return !slices.Contains(call.Tried, endpoint.Name) && !balancer.suspect(now, endpoint)
 	})
 }
 
+// suspect reports whether an endpoint is avoided for what this entry host has seen there, or
+// else for what another one has reported, unless calls of this one go on there.
+func (balancer *Balancer) suspect(now time.Time, endpoint *view.Endpoint) bool {
+	state := balancer.stateByEndpoint[endpoint.Name]
+	if state == nil {
+		return endpoint.Stalled
+	}
+	return state.suspect(now) || (endpoint.Stalled && !state.goesOn(now))
+}
+
 // runningAt returns the known calls in progress of all entry hosts.
 func (balancer *Balancer) runningAt(endpoint *view.Endpoint) int {
 	running := endpoint.RunningElsewhere
--- /dev/null
+++ b/core/request/balancer/silence.go
@@ -0,0 +1,44 @@
+package balancer
+
+import "time"
+
+// silence is the time in which calls at an endpoint are reported for lack of progress, from
+// the first report to the next progress of any call there. All reports until the endpoint is
+// tried again count as one. It is zero while none is reported.
+type silence struct {
+	// calls counts the reports.
+	calls int
+	// pause is how long the endpoint gets no calls. It doubles with each try that is
+	// reported too.
+	pause      time.Duration
+	avoidUntil time.Time
+	// trying reports that a call has been sent there since the last report.
+	trying bool
+	// stalled reports that the endpoint counts as stalled until avoidUntil.
+	stalled bool
+	// startsOnly reports that streams went on while an answer didn't begin, so that only
+	// the beginning of another ends the silence.
+	startsOnly bool
+}
+
+// record adds a report, after which the endpoint gets no calls for at least minPause.
+func (silence *silence) record(now time.Time, minPause time.Duration) {
+	if silence.trying {
+		silence.pause = min(maxFailurePause, 2*silence.pause)
+	}
+	silence.calls++
+	silence.trying = false
+	silence.pause = max(silence.pause, minPause)
+	if until := now.Add(silence.pause); until.After(silence.avoidUntil) {
+		silence.avoidUntil = until
+	}
+}
+
+// try records that a call is sent to the endpoint. The next one is sent there only after
+// another pause, or when the endpoint makes progress.
+func (silence *silence) try(now time.Time) {
+	if silence.calls == 0 || now.Before(silence.avoidUntil) {
+		return
+	}
+	silence.trying, silence.avoidUntil = true, now.Add(silence.pause)
+}
--- /dev/null
+++ b/core/request/balancer/silence_test.go
@@ -0,0 +1,229 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/request/balancer"
+)
+
+const (
+	silentSlots   = 20
+	silentStreams = 10
+	// silenceLimit is how long a stream is silent before its endpoint is reported.
+	silenceLimit = 400 * time.Millisecond
+)
+
+// streamingPool is a pool of endpoints with streams that run at one entry host.
+type streamingPool struct {
+	*balancer.Balancer
+	hosts  []id.Host
+	number int
+	// resent counts the calls that another endpoint was assigned to while they ran.
+	resent int
+}
+
+func newStreamingPool(hosts ...id.Host) *streamingPool {
+	pools := &streamingPool{Balancer: newBalancer(1, silentSlots, make([]int, len(hosts))...), hosts: hosts}
+	for range silentStreams * len(hosts) {
+		pools.Submit(start, pools.call(start))
+	}
+	for _, host := range hosts {
+		for range silentStreams {
+			pools.StreamBegan(start, feed.Endpoint{Host: host})
+		}
+	}
+	return pools
+}
+
+func (pools *streamingPool) call(now time.Time) balancer.Call {
+	pools.number++
+	return call(pools.number, now)
+}
+
+// reportSilence reports each stream of an endpoint, as the streams reach their limits one
+// after the other, and looks for another endpoint for each.
+func (pools *streamingPool) reportSilence(now time.Time, host id.Host) {
+	silent := feed.Endpoint{Host: host}
+	for range silentStreams {
+		pools.Report(now, silent, balancer.Stalled)
+		search := pools.call(now)
+		search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{silent}
+		decision := pools.Submit(now, search)
+		switch decision.Verdict {
+		case balancer.VerdictGo:
+			pools.resent++
+			pools.Done(now, search, decision.Endpoint.Name, balancer.Abandoned)
+		case balancer.VerdictWait:
+			pools.Cancel(now, search)
+		case balancer.VerdictRefuse:
+		}
+		now = now.Add(5 * time.Millisecond)
+	}
+}
+
+func (pools *streamingPool) goOn(now time.Time, host id.Host) {
+	for range silentStreams {
+		pools.StreamEvent(now, feed.Endpoint{Host: host})
+	}
+}
+
+// taken submits calls that end at once and counts them by endpoint.
+func (pools *streamingPool) taken(now time.Time) map[id.Host]int {
+	taken := map[id.Host]int{}
+	for range 20 * len(pools.hosts) {
+		next := pools.call(now)
+		if decision := pools.Submit(now, next); decision.Verdict == balancer.VerdictGo {
+			taken[decision.Endpoint.Host]++
+			pools.Done(now, next, decision.Endpoint.Name, balancer.Abandoned)
+		}
+	}
+	return taken
+}
+
+// Guards against endpoints that get no calls for seconds after a pause in which each of
+// their calls was silent, though they have gone on.
+func TestEndpointsTakeCallsOnceTheyGoOn(t *testing.T) {
+	hosts := []id.Host{"h00", "h01", "h02", "h03"}
+	for name, silent := range map[string][]id.Host{"one": hosts[:1], "two": hosts[:2], "all but one": hosts[:3], "all": hosts} {
+		pools := newStreamingPool(hosts...)
+		for _, host := range silent {
+			pools.reportSilence(start.Add(silenceLimit), host)
+		}
+		now := start.Add(time.Second)
+		for _, host := range hosts {
+			pools.goOn(now, host)
+			now = now.Add(10 * time.Millisecond)
+		}
+		if taken := pools.taken(now); len(taken) != len(hosts) {
+			t.Errorf("%s silent: calls go to %v, want all four endpoints", name, taken)
+		}
+		if stalled := pools.StalledEndpoints(now); len(stalled) != 0 {
+			t.Errorf("%s silent: %v count as stalled", name, stalled)
+		}
+	}
+}
+
+// Guards against an endpoint that gets no calls after it was silent, though it has answered
+// a call since, for a service without streams.
+func TestAnswerEndsSilence(t *testing.T) {
+	pools := newBalancer(1, 8, 0, 0)
+	silent := feed.Endpoint{Host: "h00"}
+	for range 5 {
+		pools.Report(start, silent, balancer.Failed)
+	}
+	if stalled := pools.StalledEndpoints(start); len(stalled) != 1 {
+		t.Errorf("stalled endpoints %v, want the silent one", stalled)
+	}
+	now := start.Add(100 * time.Millisecond)
+	pools.Done(now, call(0, now), silent, balancer.Served)
+	pools.Done(now, call(0, now), feed.Endpoint{Host: "h01"}, balancer.Failed)
+	if decision := pools.Submit(now, call(1, now)); decision.Endpoint == nil || decision.Endpoint.Name != silent {
+		t.Errorf("%+v, want the endpoint that has answered", decision)
+	}
+	if stalled := pools.StalledEndpoints(now); len(stalled) != 0 {
+		t.Errorf("%v count as stalled", stalled)
+	}
+}
+
+// Guards against an endpoint that is avoided for longer, the more calls were silent in one
+// and the same silence, when nothing at this entry host shows that it has gone on.
+func TestOneSilenceCountsOnce(t *testing.T) {
+	avoidedFor := func(reports int) time.Duration {
+		pools := newBalancer(1, 8, 0, 0)
+		for range reports {
+			pools.Report(start, feed.Endpoint{Host: "h00"}, balancer.Failed)
+		}
+		for now := start; ; now = now.Add(10 * time.Millisecond) {
+			for number := range 20 {
+				decision := pools.Submit(now, call(number, now))
+				pools.Done(now, call(number, now), decision.Endpoint.Name, balancer.Abandoned)
+				if decision.Endpoint.Host == "h00" {
+					return now.Sub(start)
+				}
+			}
+		}
+	}
+	if one, many := avoidedFor(1), avoidedFor(17); many != one {
+		t.Errorf("avoided for %v after 17 silent calls, for %v after one", many, one)
+	}
+}
+
+// Guards against entry hosts that send call after call to an endpoint that is lost. While it
+// makes no progress, it counts as stalled, and single calls try it.
+func TestEndpointThatStaysSilentGetsFewCalls(t *testing.T) {
+	pools := newBalancer(1, 100, 0, 0)
+	silent := feed.Endpoint{Host: "h00"}
+	for range 17 {
+		pools.Report(start, silent, balancer.Failed)
+	}
+	if stalled := pools.StalledEndpoints(start); len(stalled) != 1 {
+		t.Errorf("stalled endpoints %v, want the silent one", stalled)
+	}
+	const step, length, maxCalls = 10 * time.Millisecond, 20 * time.Second, 10
+	var sentAt []time.Time
+	sent := 0
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		for len(sentAt) > 0 && now.Sub(sentAt[0]) >= 2*silenceLimit {
+			sentAt = sentAt[1:]
+			pools.Report(now, silent, balancer.Failed)
+			pools.Done(now, call(0, now), silent, balancer.Abandoned)
+		}
+		decision := pools.Submit(now, call(1, now))
+		if decision.Endpoint.Name == silent {
+			sent++
+			sentAt = append(sentAt, now)
+			continue
+		}
+		pools.Done(now, call(1, now), decision.Endpoint.Name, balancer.Served)
+	}
+	if sent > maxCalls {
+		t.Errorf("%d calls in %v went to an endpoint that makes no progress, want at most %d", sent, length, maxCalls)
+	}
+}
+
+// Guards against an endpoint that is avoided since another entry host reported it as stalled,
+// though calls of this one go on there.
+func TestOwnProgressOverrulesReportsOfOthers(t *testing.T) {
+	pools := newBalancer(1, 8, 0, 0)
+	current := newView(8, 0, 0)
+	current.Services["s"].Endpoints[0].Stalled = true
+	pools.Update(start, current)
+	goesTo := func(now time.Time) id.Host {
+		pools.Done(now, call(0, now), feed.Endpoint{Host: "h01"}, balancer.Failed)
+		decision := pools.Submit(now, call(1, now))
+		pools.Done(now, call(1, now), decision.Endpoint.Name, balancer.Abandoned)
+		return decision.Endpoint.Host
+	}
+	pools.StreamBegan(start, feed.Endpoint{Host: "h00"})
+	if got := goesTo(start.Add(100 * time.Millisecond)); got != "h00" {
+		t.Errorf("the call went to %s, want h00, which goes on", got)
+	}
+	pools.StreamEnded(feed.Endpoint{Host: "h00"})
+	stalledFor := start.Add(10 * time.Second)
+	for number := range 20 {
+		decision := pools.Submit(stalledFor, call(2+number, stalledFor))
+		if decision.Endpoint.Host != "h01" {
+			t.Errorf("the call went to %s, want h01, since h00 counts as stalled", decision.Endpoint.Host)
+		}
+		pools.Done(stalledFor, call(2, stalledFor), decision.Endpoint.Name, balancer.Abandoned)
+	}
+}
+
+// Guards against an endpoint whose streams go on but that begins no further answers: it isn't
+// taken for sound by its streams.
+func TestStreamsThatGoOnDontHideAnswersThatDontBegin(t *testing.T) {
+	pools := newBalancer(1, 8, 0, 0)
+	slow := feed.Endpoint{Host: "h00"}
+	pools.StreamBegan(start, slow)
+	pools.Report(start.Add(100*time.Millisecond), slow, balancer.Failed)
+	now := start.Add(200 * time.Millisecond)
+	pools.StreamEvent(now, slow)
+	for number := range 8 {
+		if decision := pools.Submit(now, call(number, now)); decision.Endpoint.Name == slow {
+			t.Fatalf("call %d went to the endpoint that begins no answers", number)
+		}
+	}
+}
