balancer: a call that still runs goes only to an endpoint that goes on

What callers saw: when all servers fell silent at once, many running calls were sent a second time to endpoints that were silent too. The retry budget was empty and the servers had more work when they went on.

Cause: when all endpoints were suspect they were used all the same, also for a call that goes on at its own endpoint; an endpoint counted as sound until its own first report. Besides, a waiting call that had been to the only endpoint with free slots held up other calls of its kind that could have gone there.

Evidence (silence_test.go, on the code before): in a pause of all of four endpoints, 40 of 40 running calls were assigned a second endpoint; a waiting call that had not been to the free endpoint stayed behind one that had.

Change: a call that still runs is assigned an endpoint only if that one isn't suspect and, where calls run there, has made progress within half of the time for which its own endpoint has been silent; there is no such bound while its own endpoint goes on with others. When no endpoint fits it is refused at once, which returns its retry, and its watch looks again. Calls that run nowhere are assigned as before. A waiting call that has been to some endpoint no longer holds up others.

Result: 0 of 40 calls are sent a second time in that pause, and all 10 calls of one silent endpoint still move when the others go on. The tests of balancer and entryapi pass. An endpoint at which this entry host runs no calls still counts as sound, since nothing is known of it.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -82,7 +82,8 @@
 	// since the work done for it would be lost.
 	Failover bool
 	// StillRunning marks a call that goes on at its endpoint if it is refused, so that no
-	// caller comes back for it.
+	// caller comes back for it. It is sent only to endpoints that go on while its own is
+	// silent.
 	StillRunning bool
 }
 
@@ -190,7 +191,7 @@
 	if len(endpoints) == 0 {
 		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
-	if !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }) {
+	if !balancer.anyFits(now, call, endpoints) {
 		return queue.refuse(now, call, Decision{Call: call.Number})
 	}
 	ahead := balancer.queuedAhead(queue, call)
@@ -260,8 +261,8 @@
 }
 
 // dispatchWaiting assigns endpoints to waiting calls, in order, while there is
-// capacity. Once no endpoint takes a call, other calls of the same maximum load
-// are skipped, but those of another one are still tried.
+// capacity. Once no endpoint takes a call that may go to any, other calls of the same
+// maximum load are skipped, but those of another one are still tried.
 func (balancer *Balancer) dispatchWaiting(now time.Time) []Decision {
 	var decisions []Decision
 	for _, pool := range balancer.poolsWithWaiting() {
@@ -273,9 +274,11 @@
 				return false
 			}
 			decision, ok := balancer.assign(now, call, endpoints)
-			fullByMaxLoad[call.maxLoad()] = !ok
-			if ok {
+			switch {
+			case ok:
 				decisions = append(decisions, decision)
+			case len(call.Tried) == 0:
+				fullByMaxLoad[call.maxLoad()] = true
 			}
 			return ok
 		})
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -30,8 +30,10 @@
 
 // endpointState is what this entry host has recorded about one endpoint.
 type endpointState struct {
-	// running counts this entry host's calls in progress.
-	running int
+	// running counts this entry host's calls in progress, of which there have been some
+	// since busySince.
+	running   int
+	busySince time.Time
 	// failures counts consecutive failures.
 	failures   int
 	avoidUntil time.Time
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	endpoint := endpoints[chosen]
 	running, limit := balancer.runningAt(endpoint), slotsOf(endpoint)
 	state := balancer.state(endpoint.Name)
+	if state.running == 0 {
+		state.busySince = now
+	}
 	state.running++
 	state.silence.try(now)
 	return Decision{Call: call.Number, Verdict: VerdictGo, Endpoint: endpoint, Running: running, Limit: limit}, true
@@ -29,11 +33,10 @@
 // rooms returns for each endpoint how many more calls it takes with the call's maximum
 // load, and the sum. It is 0 for one that the call can't be sent to.
 func (balancer *Balancer) rooms(now time.Time, call Call, endpoints []*view.Endpoint) (rooms []float64, total float64) {
-	maxLoad := call.maxLoad()
-	allSuspect := balancer.allSuspect(now, call, endpoints)
+	maxLoad, fits := call.maxLoad(), balancer.fits(now, call, endpoints)
 	rooms = make([]float64, len(endpoints))
 	for index, endpoint := range endpoints {
-		if slices.Contains(call.Tried, endpoint.Name) || (!allSuspect && balancer.suspect(now, endpoint)) {
+		if !fits(endpoint) {
 			continue
 		}
 		load := balancer.loadOf(endpoint)
@@ -87,12 +90,52 @@
 	return float64(hash.Sum32()) / hashRange
 }
 
-// allSuspect reports whether every endpoint has failed recently. They are then
-// used all the same: more likely the network path is at fault.
-func (balancer *Balancer) allSuspect(now time.Time, call Call, endpoints []*view.Endpoint) bool {
-	return !slices.ContainsFunc(endpoints, func(endpoint *view.Endpoint) bool {
-		return !slices.Contains(call.Tried, endpoint.Name) && !balancer.suspect(now, endpoint)
-	})
+// fits returns which endpoints a call may be sent to, whatever their load. When every
+// endpoint is suspect they are used all the same: more likely the network path is at fault.
+// A call that still runs waits for its own endpoint then.
+func (balancer *Balancer) fits(now time.Time, call Call, endpoints []*view.Endpoint) func(*view.Endpoint) bool {
+	untried := func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }
+	trusted := func(endpoint *view.Endpoint) bool { return untried(endpoint) && !balancer.suspect(now, endpoint) }
+	switch {
+	case call.StillRunning:
+		maxQuiet := balancer.maxQuiet(now, call)
+		return func(endpoint *view.Endpoint) bool {
+			return trusted(endpoint) && balancer.quiet(now, endpoint.Name) <= maxQuiet
+		}
+	case slices.ContainsFunc(endpoints, trusted):
+		return trusted
+	default:
+		return untried
+	}
+}
+
+// anyFits reports whether there is an endpoint that a call may be sent to, whatever its load.
+func (balancer *Balancer) anyFits(now time.Time, call Call, endpoints []*view.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, balancer.fits(now, call, endpoints))
+}
+
+// maxQuiet returns for how long calls may have made no progress at an endpoint that goes on
+// with a running call: half as long as at the call's own endpoint. Where that one goes on
+// with other calls, there is no limit.
+func (balancer *Balancer) maxQuiet(now time.Time, call Call) time.Duration {
+	own := time.Duration(0)
+	for _, tried := range call.Tried {
+		own = max(own, balancer.quiet(now, tried))
+	}
+	if own < maxEventGap/2 {
+		return math.MaxInt64
+	}
+	return own / 2
+}
+
+// quiet returns for how long none of the calls at an endpoint has made progress. It is zero
+// while none runs there.
+func (balancer *Balancer) quiet(now time.Time, endpoint feed.Endpoint) time.Duration {
+	state := balancer.stateByEndpoint[endpoint]
+	if state == nil || state.running == 0 {
+		return 0
+	}
+	return min(now.Sub(state.busySince), now.Sub(state.progressAt))
 }
 
 // suspect reports whether an endpoint is avoided for what this entry host has seen there, or
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -227,3 +227,68 @@
 		}
 	}
 }
+
+// Guards against calls that are sent a second time, while they run, to endpoints that are
+// silent like their own.
+func TestRunningCallsStayWhenAllEndpointsAreSilent(t *testing.T) {
+	pools := newStreamingPool("h00", "h01", "h02", "h03")
+	for index, host := range pools.hosts {
+		pools.goOn(start.Add(time.Duration(index)*30*time.Millisecond), host)
+	}
+	for index, host := range pools.hosts {
+		pools.reportSilence(start.Add(time.Duration(index)*30*time.Millisecond+silenceLimit), host)
+	}
+	if pools.resent != 0 {
+		t.Errorf("%d of %d running calls were sent a second time, want none", pools.resent, silentStreams*len(pools.hosts))
+	}
+}
+
+// Guards against calls that stay at a silent endpoint while others go on.
+func TestRunningCallsMoveToEndpointsThatGoOn(t *testing.T) {
+	pools := newStreamingPool("h00", "h01", "h02", "h03")
+	now := start.Add(silenceLimit)
+	for _, host := range pools.hosts[1:] {
+		pools.goOn(now, host)
+	}
+	pools.reportSilence(now, "h00")
+	if pools.resent != silentStreams {
+		t.Errorf("%d of %d running calls were sent to another endpoint, want all", pools.resent, silentStreams)
+	}
+}
+
+// Guards against calls that wait for an endpoint in vain, with a retry taken from the
+// budget, while they run at one and all others are silent too.
+func TestRunningCallsAreRefusedAtOnceWhenAllEndpointsAreSilent(t *testing.T) {
+	pools := newStreamingPool("h00", "h01")
+	now := start.Add(silenceLimit)
+	pools.Report(now, feed.Endpoint{Host: "h00"}, balancer.Stalled)
+	pools.Report(now, feed.Endpoint{Host: "h01"}, balancer.Stalled)
+	search := pools.call(now)
+	search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{{Host: "h00"}}
+	if decision := pools.Submit(now, search); decision.Verdict != balancer.VerdictRefuse {
+		t.Errorf("%+v, want a refusal", decision)
+	}
+	lost := pools.call(now)
+	lost.Failover, lost.Tried = true, []feed.Endpoint{{Host: "h00"}}
+	if decision := pools.Submit(now, lost); decision.Verdict != balancer.VerdictGo {
+		t.Errorf("%+v, want a call that runs nowhere to go all the same", decision)
+	}
+}
+
+// Guards against a waiting call that has been to the only endpoint with free slots and holds
+// up another one behind it.
+func TestWaitingCallThatTriedTheFreeEndpointBlocksNobody(t *testing.T) {
+	pools := newBalancer(1, 2, 3, 3)
+	first, second := call(1, start), call(2, start.Add(time.Millisecond))
+	first.Failover, first.Tried = true, []feed.Endpoint{{Host: "h00"}}
+	second.Failover, second.Tried = true, []feed.Endpoint{{Host: "h01"}}
+	for _, waiting := range []balancer.Call{first, second} {
+		if decision := pools.Submit(start, waiting); decision.Verdict != balancer.VerdictWait {
+			t.Fatalf("%+v, want to wait", decision)
+		}
+	}
+	decisions := pools.Update(start, newView(2, 2, 3))
+	if len(decisions) != 1 || decisions[0].Call != second.Number {
+		t.Errorf("%+v, want call %d to go", decisions, second.Number)
+	}
+}
