admission: groups that pause and go on, with searches beside silent calls

A group of the model may make no progress for a time and then go on. A silent call may stay at its group, as at an entry host, until another group has begun to go on with it; the search is reported and submitted to the balancer as the entry host does. The result may be limited to the calls that arrive in a time span. Other scenarios are unchanged.

--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -45,6 +45,13 @@
 	At, BackAt time.Duration
 }
 
+// Pause is a time in which a group makes no progress, after which it goes on.
+type Pause struct {
+	Group  int
+	At     time.Duration
+	Length time.Duration
+}
+
 // Scenario is a load and its losses.
 type Scenario struct {
 	Length     time.Duration
@@ -58,6 +65,7 @@
 	Swing  float64
 	Period time.Duration
 	Losses []Loss
+	Pauses []Pause
 	Engine Engine
 	// Stall is how long a lost group makes no progress before it rejects its calls, and
 	// LossKnown how long entry hosts take to hear of it. Without them its calls move at
@@ -66,6 +74,17 @@
 	// SavedRetries is how many calls all entry hosts together may save up to send again.
 	// Without it sends aren't limited.
 	SavedRetries float64
+	// Beside is set where a silent call stays at its group until another one has begun to
+	// go on with it. Otherwise it is taken from its group at once.
+	Beside bool
+	// CountedFrom and CountedUntil bound the arrivals that count in the result. Without
+	// CountedUntil all count.
+	CountedFrom, CountedUntil time.Duration
+}
+
+// counts reports whether a call that arrives at a time counts in the result.
+func (scenario *Scenario) counts(at time.Duration) bool {
+	return scenario.CountedUntil == 0 || (at >= scenario.CountedFrom && at < scenario.CountedUntil)
 }
 
 // Engine describes a group of engines.
@@ -133,6 +152,8 @@
 	// Rejected is the part of the calls sent to groups that these rejected, and Busiest
 	// what the busiest group got beside the mean of all.
 	Rejected, Busiest float64
+	// SentTwice counts the calls that were sent to a group while they ran at another.
+	SentTwice int
 }
 
 // result sums up the calls of a simulation.
@@ -141,7 +162,7 @@
 	for index := range simulation.scenario.Kinds {
 		var calls []*call
 		for _, call := range simulation.calls {
-			if call.kind == index {
+			if call.kind == index && simulation.scenario.counts(call.arrivedAt) {
 				calls = append(calls, call)
 			}
 		}
@@ -175,6 +196,7 @@
 		result.Kinds = append(result.Kinds, kind)
 	}
 	result.Rejected, result.Busiest = simulation.atGroups()
+	result.SentTwice = simulation.sentTwice
 	return result
 }
 
--- a/measure/process/admission/admission_test.go
+++ b/measure/process/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"carobline.dev/measure/process/admission"
 )
@@ -64,3 +65,19 @@
 		})
 	}
 }
+
+// Guards against groups that get no calls once they go on after a pause of all of them, calls
+// that are sent a second time meanwhile, and callers that are refused. It must cost those
+// who come after the pause little.
+func TestPauseOfAllGroupsCostsLittleAfterIt(t *testing.T) {
+	knowledge := admission.Knowledge{ReportInterval: 300 * time.Millisecond, Leader: true}
+	const maxCost = 0.03
+	scenario := admission.EvenLoad(0.5)
+	steady, paused := average(admission.PausingGroups(scenario, 0), knowledge), average(admission.PausingGroups(scenario, scenario.Groups), knowledge)
+	for index, kind := range scenario.Kinds {
+		t.Logf("%s: paused %.3f, steady %.3f", kind.Name, paused[index], steady[index])
+		if paused[index].Credit < steady[index].Credit-maxCost {
+			t.Errorf("%s: credit %.3f after a pause, %.3f without", kind.Name, paused[index].Credit, steady[index].Credit)
+		}
+	}
+}
--- a/measure/process/admission/group.go
+++ b/measure/process/admission/group.go
@@ -13,8 +13,10 @@
 	// lost groups make no progress. From brokenAt on they reject calls.
 	lost     bool
 	brokenAt time.Duration
-	calls    []*call
-	passEnd  time.Duration
+	// pausedUntil is until when it makes no progress but takes calls.
+	pausedUntil time.Duration
+	calls       []*call
+	passEnd     time.Duration
 	// arrived and rejected count the calls sent to the group.
 	arrived, rejected int
 }
@@ -42,7 +44,7 @@
 // advance ends the present pass if it is over, and begins the next one. It returns the
 // calls that got an event, which are finished if none is left.
 func (group *group) advance(now time.Duration) []*call {
-	if group.lost || now < group.passEnd {
+	if group.lost || now < group.passEnd || now < group.pausedUntil {
 		return nil
 	}
 	var progressed []*call
--- a/measure/process/admission/simulation.go
+++ b/measure/process/admission/simulation.go
@@ -70,7 +70,11 @@
 	firstAt, lastAt    time.Duration
 	longestPause       time.Duration
 	served             bool
-	kindOf             *Kind
+	// replacement is the search for another group beside a silent one, and original the
+	// call that a search is for. reportedAt is when the silence was reported last.
+	replacement, original  *call
+	reportedAt, searchedAt time.Duration
+	kindOf                 *Kind
 }
 
 func (call *call) onTime() bool {
@@ -110,6 +114,8 @@
 	// stalled are the groups that entry hosts lately reported as stalled, by entry host.
 	stalled [][]feed.Endpoint
 	started time.Time
+	// sentTwice counts the calls that were sent while they ran elsewhere.
+	sentTwice int
 }
 
 type returning struct {
@@ -153,6 +159,7 @@
 
 func (simulation *simulation) step() {
 	simulation.applyLosses()
+	simulation.applyPauses()
 	switch {
 	case simulation.knowledge.Leader:
 		simulation.reportToLeader()
@@ -229,7 +236,7 @@
 	late := simulation.now-call.arrivedAt > max(call.kindOf.Target, simulation.lateAfter(call))
 	due := simulation.clock().Add(call.kindOf.Target)
 	decision := call.host.balancer.Submit(simulation.clock(), balancer.Call{
-		Number: call.number, Pool: pool, Due: due, Late: late && !failover, Tried: call.tried, Failover: failover,
+		Number: call.number, Pool: pool, Due: due, Late: late && !failover, Tried: call.tried, Failover: failover, StillRunning: call.original != nil,
 	})
 	if decision.Verdict == balancer.VerdictWait {
 		call.waitUntil = simulation.now + decision.WaitUntil.Sub(simulation.clock())
@@ -250,6 +257,10 @@
 // decide carries out a decision that isn't to wait.
 func (simulation *simulation) decide(call *call, decision balancer.Decision) {
 	delete(call.host.waiting, call.number)
+	if call.original != nil {
+		simulation.decideSearch(call, decision)
+		return
+	}
 	if decision.Verdict == balancer.VerdictRefuse {
 		simulation.refuse(call, decision.RetryAfter)
 		return
@@ -304,6 +315,10 @@
 
 // progress passes an event of a call on to its caller.
 func (simulation *simulation) progress(call *call, group int) {
+	if call.original != nil {
+		call = simulation.takeOver(call)
+	}
+	simulation.cancelSearch(call)
 	if call.firstAt == 0 {
 		call.firstAt = simulation.now
 		call.host.balancer.ObserveTimeToFirstEvent(pool, simulation.now-call.sentAt)
@@ -364,6 +379,7 @@
 		return late
 	})
 	for _, call := range overdue {
+		simulation.cancelSearch(call)
 		simulation.done(call, index, balancer.Abandoned)
 	}
 }
@@ -380,20 +396,36 @@
 			limit = max(minPauseTimeout, 2*call.kindOf.Pause)
 		}
 		switch {
+		case call.original != nil:
 		case simulation.now-max(call.askedAt, call.lastAt) > call.kindOf.Patience:
 			group.remove(call)
+			simulation.cancelSearch(call)
 			simulation.done(call, index, balancer.Abandoned)
+		case simulation.scenario.Beside && !broken:
+			if silent > limit {
+				simulation.search(index, call)
+			}
 		case broken || (silent > limit && (begun || call.runs < maxRuns)):
 			group.remove(call)
 			if broken && !begun {
 				call.runs--
 			}
+			simulation.cancelSearch(call)
 			simulation.done(call, index, balancer.Failed)
 			simulation.sendAgain(call, rejectedRetryAfter)
 		}
 	}
 }
 
+// applyPauses begins the pauses whose time has come.
+func (simulation *simulation) applyPauses() {
+	for _, pause := range simulation.scenario.Pauses {
+		if simulation.now >= pause.At && simulation.now < pause.At+tick {
+			simulation.groups[pause.Group].pausedUntil = pause.At + pause.Length
+		}
+	}
+}
+
 // applyLosses stops groups, whose calls go on elsewhere, and brings them back.
 func (simulation *simulation) applyLosses() {
 	for _, loss := range simulation.scenario.Losses {
