entryapi: an endpoint's failure is passed on when no other endpoint answers

Callers of a safe call whose endpoint answered 500 got a 502 of the entry host when no second send was left: the endpoint's answer was thrown away as soon as the route allowed another attempt, before it was known whether one would be made or would be answered.

A 5xx answer with the endpoint's mark is now read to its end and held with the call. The caller gets the latest one, unchanged, where the call would otherwise end with a failure of the entry host: no budget, endpoint, room, lease, route, time or send left, or another send that failed too. A stream that broke off before the caller got a part of it counts as such. A 503 isn't held, since callers take it to say that the call hasn't run; nor is an answer without the mark, of another request, encoded, or broken off.

While the body of a 5xx pauses, another endpoint is looked for as for any other silence: the search isn't ended by the head of a failure.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -54,6 +54,9 @@
 	// streaming reports that the caller has got a part of a stream, so that only a stream
 	// can go on with the call.
 	streaming bool
+	// failure is the latest answer by which an endpoint said that it has failed. The caller
+	// gets it if no other endpoint answers.
+	failure *failureAnswer
 }
 
 // admit looks up the route and the client account of a request in the view in
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -97,22 +97,24 @@
 		exchange.events, exchange.watch = newEventReader(exchange.response.Body, api.config.Now), watch
 		return exchange
 	}
-	watch.recordAnswerHead()
 	failed := exchange.endpointFailed()
-	if exchange.usable() && !failed {
+	if !failed {
+		watch.recordAnswerHead()
+	}
+	if exchange.usable() {
 		api.readResponseBody(exchange)
 	}
+	failure := api.failureAnswer(attempt, exchange)
 	exchange.replacement = watch.stop(failed || !exchange.usable())
 	if !exchange.notRun {
 		call.possibleRuns++
 	}
+	call.hold(failure)
 	switch {
 	case exchange.replacement != nil:
 		exchange.replaced()
-	case failed && exchange.usable() && call.repeatRefusal() == "":
+	case failed && exchange.usable() && (call.repeatRefusal() == "" || call.failure != nil && call.failure != failure):
 		exchange.reason = reasonEndpointError
-	case failed && exchange.usable():
-		api.readResponseBody(exchange)
 	}
 	if exchange.reason != "" {
 		cancel()
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -110,6 +110,7 @@
 	}
 	failover.call.tried = search.call.tried
 	failover.call.possibleRuns = search.call.possibleRuns - failover.uncountedRuns
+	failover.call.hold(search.call.failure)
 	if replacement != nil && !search.outdated && failover.fits(replacement) {
 		failover.secured = replacement
 		replacement.exchange.onClose(search.cancel)
@@ -246,9 +247,10 @@
 	if replacement.call == call {
 		return replacement.attempt, replacement.exchange
 	}
-	tried, possibleRuns := call.tried, call.possibleRuns
+	tried, possibleRuns, failure := call.tried, call.possibleRuns, call.failure
 	*call = *replacement.call
 	call.tried, call.possibleRuns, call.stillRunning = tried, possibleRuns, false
+	call.hold(failure)
 	return replacement.attempt, replacement.exchange
 }
 
--- /dev/null
+++ b/caroblined/connection/entryapi/failure.go
@@ -0,0 +1,43 @@
+package entryapi
+
+import (
+	"net/http"
+	"time"
+)
+
+// failureAnswer is an answer by which an endpoint says that it has failed, read to its end.
+type failureAnswer struct {
+	attempt  *attempt
+	exchange *exchange
+	readAt   time.Time
+}
+
+// failureAnswer returns an exchange's answer if it is one that may be held until it is
+// known that no other endpoint answers. A 503 isn't held, nor is one without the endpoint's
+// mark: callers take a 503 to say that the call hasn't run.
+func (api *API) failureAnswer(attempt *attempt, exchange *exchange) *failureAnswer {
+	switch {
+	case !exchange.usable() || !exchange.endpointFailed():
+		return nil
+	case exchange.response.StatusCode == http.StatusServiceUnavailable:
+		return nil
+	case exchange.response.Header.Get(api.config.Dialect.EndpointMark) == "":
+		return nil
+	default:
+		return &failureAnswer{attempt: attempt, exchange: exchange, readAt: api.config.Now()}
+	}
+}
+
+// hold keeps an endpoint's failure, which may be nil, unless a later one is held.
+func (call *call) hold(failure *failureAnswer) {
+	if failure != nil && (call.failure == nil || !failure.readAt.Before(call.failure.readAt)) {
+		call.failure = failure
+	}
+}
+
+// answerFailure ends a call with the failure of an endpoint, since no other one has answered.
+func (api *API) answerFailure(writer http.ResponseWriter, failure *failureAnswer, breakage breakage) result {
+	result := api.writeAnswer(writer, failure.attempt, failure.exchange)
+	result.breakage = breakage
+	return result
+}
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -100,6 +100,8 @@
 	case call.request.Context().Err() != nil:
 		lastResult.status, lastResult.outcome, lastResult.abort = statusClientClosedRequest, outcome, true
 		return lastResult
+	case call.failure != nil:
+		return api.answerFailure(writer, call.failure, lastResult.breakage)
 	case call.possibleRuns == 0 && exchange.notRun:
 		status, outcome = http.StatusServiceUnavailable, "not_run"
 	case ctx.Err() != nil:
@@ -120,6 +122,9 @@
 	if call.request.Context().Err() != nil {
 		return result{status: statusClientClosedRequest, reason: refusal.reason, outcome: "not_run", abort: true}
 	}
+	if call.failure != nil {
+		return api.answerFailure(writer, call.failure, breakage{retryRefusal: refusal.reason})
+	}
 	if call.possibleRuns > 0 {
 		refusal.status, refusal.retryAfter = http.StatusBadGateway, 0
 		if ctx.Err() != nil {
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -105,14 +105,14 @@
 			return result
 		}
 		if replacement == nil && ending == balancer.Abandoned {
-			return progress.brokenOff(ctx, call, result)
+			return api.endBrokenOff(ctx, writer, call, &progress, result)
 		}
 		call.streaming = progress.headersSent
 		if replacement == nil {
 			replacement, progress.breakage.retryRefusal = api.resume(ctx, call, progress.position)
 		}
 		if replacement == nil {
-			return progress.brokenOff(ctx, call, result)
+			return api.endBrokenOff(ctx, writer, call, &progress, result)
 		}
 		attempt, exchange = call.adopt(replacement)
 		api.logResume(call, attempt, &progress)
@@ -145,6 +145,15 @@
 	return result
 }
 
+// endBrokenOff ends a call whose stream broke off and doesn't go on. A caller that has got
+// nothing of it gets the failed answer of another endpoint, if there was one.
+func (api *API) endBrokenOff(ctx context.Context, writer http.ResponseWriter, call *call, progress *progress, result result) result {
+	if call.failure != nil && !progress.headersSent && call.request.Context().Err() == nil {
+		return api.answerFailure(writer, call.failure, progress.breakage)
+	}
+	return progress.brokenOff(ctx, call, result)
+}
+
 // brokenOff makes result that of a stream which broke off and doesn't go on.
 func (progress *progress) brokenOff(ctx context.Context, call *call, result result) result {
 	result.reason, result.outcome, result.abort = "stream_broken_off", "unknown", true
