tests: addresses that no connection and no other process can take

A run of script/test failed once: TestReloadCutsNoCall could not start its node, "listen at 127.0.0.1:39855: bind: address already in use".

The port is one of those that the kernel gives to outgoing connections and to listeners at port 0, and it is free until the node has read its disk and listens. Any connection or test of the machine could take it meanwhile, and two calls could return the same port. platform's freePort and measure's loopback.FreeAddress did the same; the first also used 127.0.0.1, .2 and .11 to .15, which all runs share.

Package loopback, so far measure's, is core's now and serves the tests of the node, of the platform and of measure. A range is a second octet 127.x that one process claims. Its addresses have four fixed ports below the ports that the kernel chooses itself, and while a range is claimed a listener at each port of its first IP keeps other processes from listening on that port at all IPs. So nothing is chosen, closed and opened again. Its tests check that the ports are below the kernel's range, that a listener at all IPs is refused, and that ranges claimed at the same time differ. No check of any test changed.

--- a/caroblined/process/node/founders_test.go
+++ b/caroblined/process/node/founders_test.go
@@ -28,10 +28,12 @@
 
 // hosts are control hosts of one system, each with a folder of its own.
 type hosts struct {
-	t         *testing.T
-	seeds     []string
-	addresses []string
-	folders   []string
+	t     *testing.T
+	seeds []string
+	// addresses are those for other nodes, controlAddresses those for operators.
+	addresses        []string
+	controlAddresses []string
+	folders          []string
 	// loops holds the control loop of each host that runs.
 	loops chan *control.Control
 }
@@ -39,8 +41,11 @@
 func newHosts(t *testing.T, count, seeds int) *hosts {
 	t.Helper()
 	hosts := &hosts{t: t, loops: make(chan *control.Control, count)}
-	for range count {
-		hosts.addresses, hosts.folders = append(hosts.addresses, freeAddress(t)), append(hosts.folders, t.TempDir())
+	claimed := claimAddresses(t)
+	for number := range count {
+		hosts.addresses = append(hosts.addresses, claimed.Address(number, 0))
+		hosts.controlAddresses = append(hosts.controlAddresses, claimed.Address(number, 1))
+		hosts.folders = append(hosts.folders, t.TempDir())
 	}
 	hosts.seeds = hosts.addresses[:seeds]
 	return hosts
@@ -58,7 +63,7 @@
 		config := node.Config{
 			PeerAddress: address, ReadSeeds: func() ([]string, error) { return hosts.seeds, nil }, TargetVoters: len(hosts.addresses), Disk: wal.OS(), Log: zerolog.New(leases),
 			Control: &node.Control{
-				Address: freeAddress(hosts.t), DataFolder: hosts.folders[index], Founder: first && index < len(hosts.seeds),
+				Address: hosts.controlAddresses[index], DataFolder: hosts.folders[index], Founder: first && index < len(hosts.seeds),
 				Handler: func(loop *control.Control) http.Handler {
 					hosts.loops <- loop
 					return http.NotFoundHandler()
--- a/caroblined/process/node/supervise_test.go
+++ b/caroblined/process/node/supervise_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/wal"
 )
 
@@ -35,14 +35,15 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+// claimAddresses claims addresses of its own for a test.
+func claimAddresses(t *testing.T) *loopback.Range {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := loopback.Claim()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = socket.Close() }()
-	return socket.Addr().String()
+	t.Cleanup(func() { _ = addresses.Close() })
+	return addresses
 }
 
 // fullDisk is a disk that refuses some of the operations while it is full.
@@ -106,11 +107,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			disk := newFullDisk(test.refuse)
-			logged, address := make(logLines, 1000), freeAddress(t)
+			logged, addresses := make(logLines, 1000), claimAddresses(t)
+			address := addresses.Address(0, 0)
 			config := node.Config{
 				PeerAddress: address, ReadSeeds: func() ([]string, error) { return []string{address}, nil }, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
 				Control: &node.Control{
-					Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
+					Address: addresses.Address(0, 1), DataFolder: t.TempDir(), Founder: true,
 					Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
 				},
 			}
@@ -141,7 +143,8 @@
 // just when its disk has room again.
 func TestSuperviseRestartsWithTheKnownSeeds(t *testing.T) {
 	disk := newFullDisk(func(calls *wal.Disk) { calls.Write = refusedWrite })
-	logged, address := make(logLines, 1000), freeAddress(t)
+	logged, addresses := make(logLines, 1000), claimAddresses(t)
+	address := addresses.Address(0, 0)
 	var unreadable atomic.Bool
 	config := node.Config{
 		PeerAddress: address, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
@@ -152,7 +155,7 @@
 			return []string{address}, nil
 		},
 		Control: &node.Control{
-			Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
+			Address: addresses.Address(0, 1), DataFolder: t.TempDir(), Founder: true,
 			Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
 		},
 	}
--- a/caroblined/process/node/system_test.go
+++ b/caroblined/process/node/system_test.go
@@ -53,23 +53,24 @@
 // newSystem starts a node and waits until it serves.
 func newSystem(t *testing.T, disk wal.Disk) *system {
 	t.Helper()
+	addresses := claimAddresses(t)
 	ctx, stop := context.WithCancel(context.Background())
 	system := &system{
-		t: t, address: freeAddress(t), stop: stop, reloads: make(chan os.Signal, 1), stopped: make(chan error, 1), received: map[string]int{},
+		t: t, address: addresses.Address(0, 0), stop: stop, reloads: make(chan os.Signal, 1), stopped: make(chan error, 1), received: map[string]int{},
 	}
-	peerAddress, loops := freeAddress(t), make(chan *control.Control, 1)
+	peerAddress, loops := addresses.Address(0, 1), make(chan *control.Control, 1)
 	config := node.Config{
 		PeerAddress: peerAddress, ReadSeeds: func() ([]string, error) { return []string{peerAddress}, nil }, TargetVoters: 1, Disk: disk,
 		GracePeriod: gracePeriod, Log: zerolog.Nop(),
 		Entry: &node.Entry{
-			Address: system.address, ReadyAddress: freeAddress(t), ReadyPath: "/ready",
+			Address: system.address, ReadyAddress: addresses.Address(0, 2), ReadyPath: "/ready",
 			Dialect: entryapi.Dialect{
 				RequestID: "Call-Id", TimeLeftMS: "Left-Ms", ExpectedHost: "For-Host", ClientAccount: "Customer", Model: "Model",
 				NotRun: "Not-Run", Leaving: "Leaving", EndpointMark: "Mark", LastEventID: "Last-Event-Id", TokenScheme: "Token",
 			},
 		},
 		Control: &node.Control{
-			Address: freeAddress(t), DataFolder: t.TempDir(), Founder: true,
+			Address: addresses.Address(0, 3), DataFolder: t.TempDir(), Founder: true,
 			Handler: func(loop *control.Control) http.Handler {
 				loops <- loop
 				return http.NotFoundHandler()
--- a/measure/process/controlhost/controlhost_test.go
+++ b/measure/process/controlhost/controlhost_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/measure/process/controlhost"
-	"carobline.dev/measure/process/loopback"
 )
 
 // TestControlHostEndsWithItsInput guards against control hosts that stay when the process
@@ -19,13 +19,12 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = addresses.Close() }()
-	peerAddress, peerErr := addresses.FreeAddress(0)
-	controlAddress, controlErr := addresses.FreeAddress(1)
+	peerAddress, controlAddress := addresses.Address(0, 0), addresses.Address(0, 1)
 	data, err := json.Marshal(controlhost.Settings{
 		PeerAddress: peerAddress, ControlAddress: controlAddress, Seeds: []string{peerAddress}, DataFolder: t.TempDir(),
 	})
-	if peerErr != nil || controlErr != nil || err != nil {
-		t.Fatal(peerErr, controlErr, err)
+	if err != nil {
+		t.Fatal(err)
 	}
 	path := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, data, 0o600); err != nil {
--- a/measure/process/controlload/controlload.go
+++ b/measure/process/controlload/controlload.go
@@ -23,10 +23,10 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/electorate"
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/version/view"
 	"carobline.dev/measure/process/controlhost"
 	"carobline.dev/measure/process/engines"
-	"carobline.dev/measure/process/loopback"
 	"carobline.dev/measure/process/nodes"
 )
 
--- a/measure/process/controlload/host.go
+++ b/measure/process/controlload/host.go
@@ -10,10 +10,10 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/step"
 	"carobline.dev/measure/process/child"
 	"carobline.dev/measure/process/controlhost"
-	"carobline.dev/measure/process/loopback"
 )
 
 // environment limits a control host to one processor, and sets the garbage collector as
@@ -44,14 +44,7 @@
 	hosts := make([]*host, count)
 	var seeds []string
 	for number := range hosts {
-		peerAddress, err := addresses.FreeAddress(number)
-		if err != nil {
-			return nil, err
-		}
-		controlAddress, err := addresses.FreeAddress(count + number) // another IP, so never the same port
-		if err != nil {
-			return nil, err
-		}
+		peerAddress, controlAddress := addresses.Address(number, 0), addresses.Address(number, 1)
 		if number < seedCount {
 			seeds = append(seeds, peerAddress)
 		}
