carobline: one function connects a command, one finds a contract

Every constructor ended with the same six lines that make the client and the printer, three checked in the same way that there is one name, and contract show and contract retire each searched the list of contracts and reported a missing one.

Flags.Connect, Flags.ParseName and show.Find do this once. Options, New and Run stay in each command's folder, and the order of the checks is unchanged: the command line first, the configuration of the client after it.

What is still alike, one declaration of options and one constructor for each command, is what the house style wants to see in each folder. A constructor that is generic over the client would hide them.

--- a/carobline/command/contract/apply/apply.go
+++ b/carobline/command/contract/apply/apply.go
@@ -45,19 +45,15 @@
 	flags := shared.Flags("carobline contract apply")
 	flags.StringVar(&options.Path, "f", "", "`FILE` of one contract, or folder of .json files")
 	flags.BoolVar(&options.DryRun, "dry-run", false, "print the changes without making them")
-	if err := flags.Parse(arguments); err != nil {
+	err := flags.Parse(arguments)
+	if err != nil {
 		return nil, err
 	}
 	if options.Path == "" || flags.NArg() > 0 {
 		return nil, factory.UsageErrorf("give the contracts with -f FILE or -f FOLDER, and no other arguments")
 	}
-	client, err := shared.NewClient()
-	if err != nil {
-		return nil, err
-	}
-	options.Client = client
-	options.Printer = printer.New(shared.Out, flags.JSON)
-	return options, nil
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 // Command parses its arguments with New and runs them with Run.
--- a/carobline/command/contract/list/list.go
+++ b/carobline/command/contract/list/list.go
@@ -26,15 +26,12 @@
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{}
 	flags := shared.Flags("carobline contract list")
-	if err := flags.Parse(arguments); err != nil {
-		return nil, err
-	}
-	client, err := shared.NewClient()
+	err := flags.Parse(arguments)
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
-	return options, nil
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 // Command parses its arguments with New and runs them with Run.
--- a/carobline/command/contract/show/show.go
+++ b/carobline/command/contract/show/show.go
@@ -15,34 +15,33 @@
 	"carobline.dev/carobline/process/factory"
 	"carobline.dev/core/connection/operator"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/register"
 )
 
+// Client reads all contracts.
+type Client interface {
+	Contracts(ctx context.Context) (operator.ContractList, error)
+}
+
 // Options are the parsed arguments and the dependencies of the command.
 type Options struct {
 	ClientAccount id.ClientAccount
-	Client        interface {
-		Contracts(ctx context.Context) (operator.ContractList, error)
-	}
-	Printer *printer.Printer
+	Client        Client
+	Printer       *printer.Printer
 }
 
 // New parses the arguments into options.
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{}
 	flags := shared.Flags("carobline contract show CUSTOMER")
-	if err := flags.Parse(arguments); err != nil {
-		return nil, err
-	}
-	if flags.NArg() != 1 {
-		return nil, factory.UsageErrorf("give the name of one customer; carobline contract list lists them")
-	}
-	options.ClientAccount = id.ClientAccount(flags.Arg(0))
-	client, err := shared.NewClient()
+	name, err := flags.ParseName(arguments, "give the name of one customer; carobline contract list lists them")
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, true)
-	return options, nil
+	options.ClientAccount = id.ClientAccount(name)
+	flags.JSON = true // the form of a contract file
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 // Command parses its arguments with New and runs them with Run.
@@ -51,14 +50,23 @@
 // Run prints the record of one contract as JSON; its contract field has the form
 // of a contract file.
 func Run(ctx context.Context, options *Options) error {
-	list, err := options.Client.Contracts(ctx)
+	record, err := Find(ctx, options.Client, options.ClientAccount)
 	if err != nil {
 		return err
 	}
+	return options.Printer.Show(record, nil, nil)
+}
+
+// Find returns the record of the contract of a client account.
+func Find(ctx context.Context, client Client, clientAccount id.ClientAccount) (register.ContractRecord, error) {
+	list, err := client.Contracts(ctx)
+	if err != nil {
+		return register.ContractRecord{}, err
+	}
 	for _, record := range list.Contracts {
-		if record.Contract.ClientAccount == options.ClientAccount {
-			return options.Printer.Show(record, nil, nil)
+		if record.Contract.ClientAccount == clientAccount {
+			return record, nil
 		}
 	}
-	return errors.Errorf("customer %s has no contract; carobline contract list lists all contracts", options.ClientAccount)
+	return register.ContractRecord{}, errors.Errorf("customer %s has no contract; carobline contract list lists all contracts", clientAccount)
 }
--- a/carobline/command/stop/create/create.go
+++ b/carobline/command/stop/create/create.go
@@ -42,7 +42,8 @@
 	flags.StringVar(&options.Request.Target, "target", "", "`NAME` of the target; carobline status lists the names")
 	flags.StringVar((*string)(&options.Request.Stop), "name", "stop-"+string(change), "`NAME` of the new stop")
 	flags.BoolVar(&options.Request.AcceptLoss, "accept-loss", false, "stop even if this loses the quorum or all serving groups of a model")
-	if err := flags.Parse(arguments); err != nil {
+	err := flags.Parse(arguments)
+	if err != nil {
 		return nil, err
 	}
 	if !slices.Contains(targetKinds, string(options.Request.Kind)) {
@@ -51,12 +52,8 @@
 	if options.Request.Target == "" {
 		return nil, factory.UsageErrorf("--target is required; carobline status lists the names")
 	}
-	client, err := shared.NewClient()
-	if err != nil {
-		return nil, err
-	}
-	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
-	return options, nil
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 // Command parses its arguments with New and runs them with Run.
--- a/carobline/command/stop/show/show.go
+++ b/carobline/command/stop/show/show.go
@@ -40,19 +40,13 @@
 	options := &Options{Wait: wait}
 	flags := shared.Flags("carobline stop show STOP")
 	flags.BoolVar(&options.Follow, "follow", false, "wait until the stop is done")
-	if err := flags.Parse(arguments); err != nil {
-		return nil, err
-	}
-	if flags.NArg() != 1 {
-		return nil, factory.UsageErrorf("give the name of one stop; carobline stop list lists them")
-	}
-	options.Stop = id.Stop(flags.Arg(0))
-	client, err := shared.NewClient()
+	name, err := flags.ParseName(arguments, "give the name of one stop; carobline stop list lists them")
 	if err != nil {
 		return nil, err
 	}
-	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
-	return options, nil
+	options.Stop = id.Stop(name)
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 func wait(ctx context.Context, interval time.Duration) bool {
--- a/carobline/command/voter/set/set.go
+++ b/carobline/command/voter/set/set.go
@@ -30,7 +30,8 @@
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
 	options := &Options{}
 	flags := shared.Flags("carobline voter set NODE...")
-	if err := flags.Parse(arguments); err != nil {
+	err := flags.Parse(arguments)
+	if err != nil {
 		return nil, err
 	}
 	for _, name := range flags.Args() {
@@ -39,12 +40,8 @@
 	if len(options.Voters) == 0 {
 		return nil, factory.UsageErrorf("give the names of all voters of the new set; carobline status --json lists the current ones")
 	}
-	client, err := shared.NewClient()
-	if err != nil {
-		return nil, err
-	}
-	options.Client, options.Printer = client, printer.New(shared.Out, flags.JSON)
-	return options, nil
+	options.Client, options.Printer, err = flags.Connect()
+	return options, err
 }
 
 // Command parses its arguments with New and runs them with Run.
--- a/carobline/process/factory/factory.go
+++ b/carobline/process/factory/factory.go
@@ -5,7 +5,9 @@
 // # Usage
 //
 //	shared := factory.New(os.Stdin, os.Stdout, os.Stderr, os.Getenv)
-//	client, err := shared.NewClient()
+//	flags := shared.Flags("carobline status")
+//	err := flags.Parse(arguments)
+//	client, printer, err := flags.Connect()
 package factory
 
 import (
@@ -22,6 +24,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/carobline/connection/printer"
 	"carobline.dev/core/connection/operator"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
@@ -93,6 +96,7 @@
 // Flags is the flag set of one command.
 type Flags struct {
 	*flag.FlagSet
+	factory *Factory
 	// JSON selects JSON output instead of a table.
 	JSON bool
 }
@@ -106,6 +110,25 @@
 	return nil
 }
 
+// ParseName parses the arguments of a command that takes one name besides its flags. An
+// Error with ExitUsage and the given text is returned if there isn't exactly one.
+func (flags *Flags) ParseName(arguments []string, usage string) (string, error) {
+	if err := flags.Parse(arguments); err != nil {
+		return "", err
+	}
+	if flags.NArg() != 1 {
+		return "", &Error{ExitUsage, errors.New(usage)}
+	}
+	return flags.Arg(0), nil
+}
+
+// Connect returns the client and the printer that the parsed flags select. It fails as
+// NewClient does.
+func (flags *Flags) Connect() (*operator.Client, *printer.Printer, error) {
+	client, err := flags.factory.NewClient()
+	return client, printer.New(flags.factory.Out, flags.JSON), err
+}
+
 // NewCommand returns a command that parses its arguments into options and then
 // runs with them.
 func NewCommand[Options any](parse func(*Factory, []string) (*Options, error), run func(context.Context, *Options) error) func(context.Context, *Factory, []string) error {
@@ -120,7 +143,7 @@
 
 // Flags returns a new flag set that holds the flags that all commands share.
 func (factory *Factory) Flags(name string) *Flags {
-	flags := &Flags{FlagSet: flag.NewFlagSet(name, flag.ContinueOnError)}
+	flags := &Flags{FlagSet: flag.NewFlagSet(name, flag.ContinueOnError), factory: factory}
 	flags.SetOutput(factory.Err)
 	flags.BoolVar(&flags.JSON, "json", false, "print JSON")
 	flags.StringVar(&factory.entryURLs, "entries", factory.entryURLs, "comma-separated base `URLS` of the operator interfaces of entry hosts (or CAROBLINE_ENTRIES)")
