fleet: a silent host that can be reached isn't taken for lost at once

What callers saw: a sound engine that was silent for 0.5 to 2 s lost its group. The leader took a host of a stalled group for lost 1.25 announcement intervals (1.5 s) after its last announcement. The last announcement of a sound engine is up to an interval older than its silence, so a pause of 0.5 s was enough. The group was retired, its head was ordered to leave at once, which cuts its answers, its other hosts were ordered out, and new groups were formed of them. The same happened to a group that was closing while its head was silent: its hosts were ordered out and its answers were cut.

Cause: the silence of a lost engine and of one that goes on look the same, and a report of a stall was taken as proof of a loss.

Change: a host of a stalled or retired group whose announcement is late is probed: the leader opens a new connection to it, once a second at most, and sends nothing. If that fails, the host counts as lost after 1.25 intervals, as before. If it succeeds, it counts as lost only once its silence has lasted longer than a sound host's may (2 s more). A retired group whose calls are stalled is closed, not left at once, unless a host is lost.

A host that can be connected to and is stuck for good is given up up to 2 s later than before, or by its group's head.

Tests: an order to an engine that is gone was dropped without a word in the fixture of fleet_test.go; it is now reported undelivered, as control does when a dial fails and the fixture of late_orders_test.go and the controller's simulation did before. Their checks are unchanged.

--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -215,6 +215,9 @@
 		DataFolder: nodeSettings.DataFolder, Disk: wal.OS(), ModelSpecs: nodeSettings.Models, MaxLoadingGroups: nodeSettings.MaxLoadingGroups,
 		Timing: quorum.DefaultTiming(), Peers: daemon.peers, Log: daemon.log, Now: daemon.now,
 		SendOrder: func(ctx context.Context, order action.Order) error {
+			if order.Kind == action.OrderProbe {
+				return rest.Reach(ctx, daemon.network.Dial, order.Address)
+			}
 			return hostapi.SendOrder(ctx, engines, order)
 		},
 		CollectUsage: daemon.traffic.Report,
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -113,7 +113,7 @@
 	NodeLease time.Duration
 	// GracePeriod bounds the time from the stop request to the end of the process.
 	GracePeriod time.Duration
-	// SendOrder delivers an order to its host.
+	// SendOrder delivers an order, other than a probe, to its host.
 	SendOrder func(ctx context.Context, client *http.Client, order action.Order) error
 	// Disk stores the write-ahead log and the identity of a control host.
 	Disk wal.Disk
@@ -267,6 +267,9 @@
 }
 
 func (node *Node) sendOrder(ctx context.Context, order action.Order) error {
+	if order.Kind == action.OrderProbe {
+		return rest.Reach(ctx, dial, order.Address)
+	}
 	client := &http.Client{Transport: node.endpointTransport}
 	return node.config.SendOrder(ctx, client, order)
 }
--- a/core/connection/rest/client.go
+++ b/core/connection/rest/client.go
@@ -32,6 +32,19 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
+// Reach opens a connection to an address and closes it, without a byte sent. DialFailed
+// recognises its error.
+func Reach(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) error {
+	connection, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "open a connection")
+	}
+	if err := connection.Close(); err != nil {
+		return errors.Wrap(err, "close a connection")
+	}
+	return nil
+}
+
 // Get decodes the resource at a path of a peer into answer.
 func (client *Client) Get(ctx context.Context, peer, path string, answer any) error {
 	return client.do(ctx, client.base.New().Get(peer+path), peer, "get "+path, answer)
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -29,6 +29,9 @@
 	// OrderStage makes an engine's host fetch a model's weights without loading
 	// them.
 	OrderStage OrderKind = "stage"
+	// OrderProbe only opens a new connection to a silent host. It is undelivered if the host
+	// can't be reached.
+	OrderProbe OrderKind = "probe"
 )
 
 // Order is an instruction to a host: which group to serve in or leave, or which
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -91,6 +91,8 @@
 	stallReportedAtByGroup map[id.Group]time.Time
 	// undeliveredAtByHost is when an order last found no host at its address.
 	undeliveredAtByHost map[id.Host]time.Time
+	// probedAtByHost is when a probe was last sent to a host.
+	probedAtByHost map[id.Host]time.Time
 	// stagingByHost holds the orders to stage weights that are in progress.
 	stagingByHost map[id.Host]staging
 	// lastDissolvedAtByDomain is when groups of a domain were last retired in favour of
@@ -114,7 +116,7 @@
 		formedAtByGroup: map[id.Group]id.Version{}, retiredAtByHost: map[id.Host]id.Version{},
 		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
 		lastOrderByHost: map[id.Host]sentOrder{}, stallReportedAtByGroup: map[id.Group]time.Time{},
-		undeliveredAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
+		undeliveredAtByHost: map[id.Host]time.Time{}, probedAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
 		lastDissolvedAtByDomain: map[id.Domain]time.Time{},
 	}
 }
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -101,10 +101,14 @@
 
 // carryOut carries out an order as an engine does: it refuses one with a number below the
 // highest that it has seen, a join with an older fencing token, and any other order for a
-// group that it isn't in.
+// group that it isn't in. An order for an engine that is gone finds no host.
 func (world *world) carryOut(order action.Order) {
 	engine := world.engines[order.Host]
-	if engine == nil || order.Number < world.highestNumberByHost[order.Host] || !world.fits(engine, order) {
+	if engine == nil {
+		world.fleet.Step(world.now, fleet.OrderUndelivered{Host: order.Host})
+		return
+	}
+	if order.Number < world.highestNumberByHost[order.Host] || !world.fits(engine, order) {
 		return
 	}
 	world.highestNumberByHost[order.Host] = order.Number
--- a/core/process/fleet/late_orders_test.go
+++ b/core/process/fleet/late_orders_test.go
@@ -44,11 +44,14 @@
 // announcement holds its true state.
 type lateEngine struct {
 	roster.Announcement
-	up             bool
-	cutOffUntil    time.Time
-	members        []id.Host
-	highestNumber  id.OrderNumber
-	highestFencing id.FencingToken
+	up          bool
+	cutOffUntil time.Time
+	// The engine stands still from silentSince until silentUntil: it announces nothing and carries
+	// out no order, and goes on afterwards.
+	silentSince, silentUntil time.Time
+	members                  []id.Host
+	highestNumber            id.OrderNumber
+	highestFencing           id.FencingToken
 	// readyAt and closedAt are when the engine is ready and has closed, and incompleteSince
 	// is when one of its hosts was first missing from its open group.
 	readyAt, closedAt, incompleteSince, announceAt time.Time
@@ -77,6 +80,8 @@
 	engines     map[id.Host]*lateEngine
 	engineCount int
 	events      []delayedEvent
+	// orders are all that were sent.
+	orders []action.Order
 	// history says what happened, for a seed that fails.
 	history []string
 }
@@ -141,13 +146,7 @@
 func (world *lateWorld) run(duration time.Duration) {
 	faultAt := world.now.Add(8 * time.Second)
 	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(lateWorldStep) {
-		world.runEvents()
-		for _, host := range world.hosts() {
-			if engine := world.engines[host]; engine.up {
-				world.advance(engine)
-			}
-		}
-		world.tick()
+		world.step()
 		if !world.now.Before(faultAt) {
 			faultAt = world.now.Add(200*time.Millisecond + world.upTo(3*time.Second))
 			world.fault()
@@ -155,6 +154,17 @@
 	}
 }
 
+// step lets what is due happen, and the leader decide.
+func (world *lateWorld) step() {
+	world.runEvents()
+	for _, host := range world.hosts() {
+		if engine := world.engines[host]; engine.up && !world.now.Before(engine.silentUntil) {
+			world.advance(engine)
+		}
+	}
+	world.tick()
+}
+
 // runEvents runs the events that are due, in any order.
 func (world *lateWorld) runEvents() {
 	events := world.events
@@ -181,6 +191,7 @@
 	if !actions.Changes.Empty() {
 		world.apply(register.Command{ChangeGroups: &actions.Changes})
 	}
+	world.orders = append(world.orders, actions.Orders...)
 	for _, order := range actions.Orders {
 		world.send(order)
 	}
@@ -258,19 +269,26 @@
 	}
 	incarnation := engine.Incarnation
 	for _, delay := range delays {
-		world.after(delay, func() {
-			if engine.up && engine.Incarnation == incarnation && order.Number >= engine.highestNumber {
-				engine.highestNumber = order.Number
-				world.carryOut(engine, order)
-			}
-		})
+		world.after(delay, func() { world.deliver(engine, incarnation, order) })
+	}
+}
+
+// deliver hands an order to an engine, once it goes on if it is silent.
+func (world *lateWorld) deliver(engine *lateEngine, incarnation id.Incarnation, order action.Order) {
+	switch {
+	case !engine.up || engine.Incarnation != incarnation:
+	case world.now.Before(engine.silentUntil):
+		world.after(engine.silentUntil.Sub(world.now), func() { world.deliver(engine, incarnation, order) })
+	case order.Number >= engine.highestNumber:
+		engine.highestNumber = order.Number
+		world.carryOut(engine, order)
 	}
 }
 
 func (world *lateWorld) carryOut(engine *lateEngine, order action.Order) {
 	inGroup := order.Group == engine.Serving.Group && order.Fencing == engine.Serving.Fencing
 	join := order.Kind == action.OrderLoad
-	if order.Kind == action.OrderStage || join && (inGroup || order.Fencing < engine.highestFencing) || !join && !inGroup {
+	if order.Kind == action.OrderStage || order.Kind == action.OrderProbe || join && (inGroup || order.Fencing < engine.highestFencing) || !join && !inGroup {
 		return
 	}
 	world.record("%s carries out %s of %s", engine.Host, order.Kind, order.Group)
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -186,6 +186,25 @@
 	return !fleet.orderingUntil.After(now.Add(orderBurst))
 }
 
+// countOrder counts an order that is sent now against orderBurst.
+func (fleet *Fleet) countOrder(now time.Time) {
+	if fleet.orderingUntil.Before(now) {
+		fleet.orderingUntil = now
+	}
+	fleet.orderingUntil = fleet.orderingUntil.Add(orderSpacing)
+}
+
+// sendProbe sends a probe to a silent host, once in orderRetryInterval.
+func (fleet *Fleet) sendProbe(now time.Time, actions *Actions, host roster.Member) {
+	name := host.Announcement.Host
+	if !fleet.mayOrder(now) || now.Before(fleet.probedAtByHost[name].Add(orderRetryInterval)) {
+		return
+	}
+	fleet.countOrder(now)
+	fleet.probedAtByHost[name] = now
+	actions.Orders = append(actions.Orders, action.Order{Host: name, Address: host.Announcement.Address, Kind: action.OrderProbe})
+}
+
 // sendOrder sends an order to a host with a lease, and the same order again
 // only after orderRetryInterval. An order beyond orderBurst isn't sent: the caller
 // tries again at the next tick.
@@ -194,10 +213,7 @@
 	if !now.Before(host.Expiry) || !fleet.mayOrder(now) || fleet.orderedRecently(now, name, kind, group.Fencing) {
 		return
 	}
-	if fleet.orderingUntil.Before(now) {
-		fleet.orderingUntil = now
-	}
-	fleet.orderingUntil = fleet.orderingUntil.Add(orderSpacing)
+	fleet.countOrder(now)
 	actions.Decisions = append(actions.Decisions, action.Decision{Step: "order", Group: group.Group, Host: name, Reason: string(kind), Age: host.SinceLastAnnouncement(now)})
 	number := fleet.orderNumber(name, kind)
 	fleet.lastOrderByHost[name] = sentOrder{kind: kind, fencing: group.Fencing, number: number, sentAt: now}
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -22,9 +22,14 @@
 	// groupStallReportLifetime is how long a node's report that a group is stalled
 	// counts for retiring it.
 	groupStallReportLifetime = 3 * time.Second
-	// stalledGroupIntervals is the time without an announcement, in announcement
-	// intervals, after which a host of a stalled group is taken for the lost one.
-	stalledGroupIntervals = 1.25
+	// silentIntervals is the time without an announcement, in announcement intervals,
+	// after which a host counts as silent, and probeIntervals that after which a probe shows
+	// whether it can be reached.
+	silentIntervals = 1.25
+	probeIntervals  = 1
+	// longestSilence is how long a sound host may be silent and go on afterwards. A host
+	// that can be reached isn't taken for lost before.
+	longestSilence = 2 * time.Second
 )
 
 // groups lists the groups of engines that aren't retired, oldest first. It is read-only.
@@ -62,7 +67,7 @@
 // retireBrokenGroups retires each group that can't serve any more.
 func (fleet *Fleet) retireBrokenGroups(now time.Time, actions *Actions) {
 	for _, group := range fleet.groups() {
-		reason, host := fleet.retireReason(now, group)
+		reason, host := fleet.retireReason(now, actions, group)
 		if reason == "" {
 			continue
 		}
@@ -89,7 +94,7 @@
 // if there is one: a host is unknown, lost, leaving or no longer in the group, the
 // engine gave the group up, or the group wasn't open in time. It returns "" for a
 // group that can go on.
-func (fleet *Fleet) retireReason(now time.Time, group register.GroupRecord) (string, id.Host) {
+func (fleet *Fleet) retireReason(now time.Time, actions *Actions, group register.GroupRecord) (string, id.Host) {
 	head, _ := fleet.state.Roster.Member(group.Hosts[0])
 	open := inGroup(head, group) && head.Announcement.Serving.Open
 	stalled := open && fleet.stallReportedRecently(now, group)
@@ -104,7 +109,7 @@
 			return hostGaveUp, name
 		case open && !inGroup(host, group):
 			return hostAbsent, name
-		case stalled && fleet.sinceLastAnnouncement(now, host) > announcementIntervals(host, stalledGroupIntervals):
+		case stalled && fleet.silentHostLost(now, actions, host):
 			return groupStalled, name
 		case !open && fleet.hostLost(now, host):
 			return hostSilent, name
@@ -144,6 +149,22 @@
 	return elapsed > host.Announcement.Lease() || undeliveredAt.After(now.Add(-elapsed))
 }
 
+// silentHostLost reports whether a host that should announce itself counts as lost: it is
+// silent, and can't be reached or has been silent for longer than longestSilence. A sound
+// host may be silent for that long; a probe shows whether this one can be reached.
+func (fleet *Fleet) silentHostLost(now time.Time, actions *Actions, host roster.Member) bool {
+	elapsed := fleet.sinceLastAnnouncement(now, host)
+	silence := elapsed - announcementIntervals(host, silentIntervals)
+	undelivered := fleet.undeliveredAtByHost[host.Announcement.Host].After(now.Add(-elapsed))
+	if silence > longestSilence || silence > 0 && undelivered {
+		return true
+	}
+	if elapsed > announcementIntervals(host, probeIntervals) && !undelivered {
+		fleet.sendProbe(now, actions, host)
+	}
+	return false
+}
+
 // stallReportedRecently reports whether a node has reported within
 // groupStallReportLifetime that its calls to a group are stalled.
 func (fleet *Fleet) stallReportedRecently(now time.Time, group register.GroupRecord) bool {
@@ -171,8 +192,8 @@
 // mayFreeHost reports whether a host of a retired group may join another one, and
 // sends the orders that lead there. No engine may join another group while the
 // head of its old one is open. So the head must have left the group, or, when
-// the head doesn't announce itself, it must have been without one of its hosts
-// for so long that it has given the group up.
+// the head is lost, it must have been without one of its hosts for so long that it has
+// given the group up.
 func (fleet *Fleet) mayFreeHost(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
 	head, known := fleet.state.Roster.Member(previousGroup.Hosts[0])
 	live := known && now.Before(head.Expiry)
@@ -185,13 +206,13 @@
 		}
 		return false
 	}
-	if live && fleet.sinceLastAnnouncement(now, head) <= announcementIntervals(head, stalledGroupIntervals) {
+	if live && !fleet.silentHostLost(now, actions, head) {
 		return false
 	}
 	return fleet.leftLostHead(now, actions, name, previousGroup)
 }
 
-// leftLostHead orders a host to leave a group whose head doesn't announce itself.
+// leftLostHead orders a host to leave a group whose head is lost.
 // It reports whether the host has been outside the group for longer than the head
 // waits for it (Config.EngineStallTimeout and stallMargin).
 func (fleet *Fleet) leftLostHead(now time.Time, actions *Actions, name id.Host, previousGroup register.GroupRecord) bool {
@@ -214,12 +235,13 @@
 }
 
 // orderHeadToLeave orders the head of a retired group to leave it. While all its
-// hosts are in the group and its requests make progress, the head is first ordered to
-// finish them.
+// hosts are in the group, and none is lost, the head is first ordered to finish its
+// requests. That these are stalled doesn't show a loss: a host may be silent and go on.
 func (fleet *Fleet) orderHeadToLeave(now time.Time, actions *Actions, head roster.Member, previousGroup register.GroupRecord) {
-	serves := !fleet.stallReportedRecently(now, previousGroup) && !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
+	stalled := fleet.stallReportedRecently(now, previousGroup)
+	serves := !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
 		host, ok := fleet.state.Roster.Member(name)
-		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup)
+		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup) || stalled && fleet.silentHostLost(now, actions, host)
 	})
 	switch serving := head.Announcement.Serving; {
 	case serves && serving.Closing:
--- /dev/null
+++ b/core/process/fleet/silence_test.go
@@ -0,0 +1,144 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/fleet"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/version/routing"
+)
+
+// stallNoticed is how long the calls to a silent engine make no progress until a node
+// reports it.
+const stallNoticed = 400 * time.Millisecond
+
+// pass passes time without faults. Nodes report the groups of silent engines as stalled.
+func (world *lateWorld) pass(duration time.Duration) {
+	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(lateWorldStep) {
+		world.step()
+		for _, group := range world.servingGroups() {
+			if slices.ContainsFunc(group.Hosts, world.stalls) {
+				world.fleet.Step(world.now, fleet.StallReported{Group: group.Group})
+			}
+		}
+	}
+}
+
+// stalls reports whether an engine has been silent for stallNoticed.
+func (world *lateWorld) stalls(host id.Host) bool {
+	engine := world.engines[host]
+	return engine == nil || world.now.Before(engine.silentUntil) && !world.now.Before(engine.silentSince.Add(stallNoticed))
+}
+
+// silence lets an engine stand still for a time.
+func (world *lateWorld) silence(host id.Host, pause time.Duration) {
+	engine := world.engines[host]
+	engine.silentSince, engine.silentUntil = world.now, world.now.Add(pause)
+}
+
+func (world *lateWorld) servingGroups() []register.GroupRecord {
+	return slices.DeleteFunc(world.state.Groups(), func(group register.GroupRecord) bool { return group.Phase != register.PhaseServing })
+}
+
+// ordersSince returns the orders from one on that aren't probes.
+func (world *lateWorld) ordersSince(first int) []action.Order {
+	return slices.DeleteFunc(slices.Clone(world.orders[first:]), func(order action.Order) bool { return order.Kind == action.OrderProbe })
+}
+
+// Guards against a group that is retired, with its answers cut and its hosts sent elsewhere,
+// since one or all of its sound engines were silent for a second or two and went on.
+func TestSilentEnginesThatGoOnStayInTheirGroups(t *testing.T) {
+	beside := map[string]func(*lateWorld){
+		"nothing": func(*lateWorld) {},
+		"a new declaration": func(world *lateWorld) {
+			world.apply(register.Command{Declare: &register.Declare{Declaration: routing.Declaration{
+				Revision: 2, Services: []routing.Service{{Name: "pool", Engine: &routing.Engine{Slots: 9, LoadsAtOnce: 7, LoadsPerSecond: 5, StagedModels: 1, Models: []routing.Model{four, two}}}},
+			}}})
+		},
+		"a new leader": (*lateWorld).changeLeader,
+	}
+	for name, change := range beside {
+		for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second} {
+			for _, inTurn := range []bool{false, true} {
+				for seed := range uint64(5) {
+					t.Run(fmt.Sprintf("%v beside %s, in turn=%t, seed=%d", pause, name, inTurn, seed), func(t *testing.T) {
+						t.Parallel()
+						checkSilence(t, seed, pause, inTurn, change)
+					})
+				}
+			}
+		}
+	}
+}
+
+// checkSilence lets all engines be silent for a pause, together or one after the other,
+// beside a change. It fails if a group changes or any order goes out.
+func checkSilence(t *testing.T, seed uint64, pause time.Duration, inTurn bool, change func(*lateWorld)) {
+	t.Helper()
+	world := newLateWorld(t, seed, lateRates{})
+	world.pass(10*time.Second + world.upTo(announceInterval))
+	before, orders := world.servingGroups(), len(world.orders)
+	if len(before) == 0 {
+		t.Fatal("no group is formed")
+	}
+	for index, host := range world.hosts() {
+		world.silence(host, pause)
+		if inTurn {
+			world.pass(pause / 2)
+		}
+		if index == lateWorldEngines/2 {
+			change(world)
+		}
+		if inTurn {
+			world.pass(pause)
+		}
+	}
+	world.pass(pause + 3*announceInterval)
+	if after := world.servingGroups(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("groups are %v, want %v as before", after, before)
+	}
+	for _, order := range world.ordersSince(orders) {
+		t.Errorf("%s is ordered to %s %s", order.Host, order.Kind, order.Group)
+	}
+	if t.Failed() {
+		for _, line := range world.history {
+			t.Log(line)
+		}
+	}
+}
+
+// Guards against answers that are cut while their group finishes them: its head was silent
+// for a time and goes on.
+func TestClosingGroupOfASilentHeadFinishesItsAnswers(t *testing.T) {
+	const pause, closing = 2 * time.Second, 6 * time.Second
+	for seed := range uint64(10) {
+		world := newLateWorld(t, seed, lateRates{})
+		world.pass(10 * time.Second)
+		group := world.servingGroups()[0]
+		head, member := world.engines[group.Hosts[0]], world.engines[group.Hosts[1]]
+		member.Leaving = true
+		world.announce(member)
+		for world.now.Before(time.Unix(20, 0)) && !head.Serving.Closing {
+			world.pass(lateWorldStep)
+		}
+		head.closedAt = world.now.Add(closing)
+		world.pass(10 * lateWorldStep)
+		orders := len(world.orders)
+		world.silence(head.Host, pause)
+		world.fleet.Step(world.now.Add(stallNoticed), fleet.StallReported{Group: group.Group})
+		world.pass(closing - 20*lateWorldStep)
+		if !head.Serving.Closing {
+			t.Errorf("seed %d: the head was closing and is %+v", seed, head.Serving)
+		}
+		for _, order := range world.ordersSince(orders) {
+			if order.Group == group.Group {
+				t.Errorf("seed %d: %s is ordered to %s the closing group", seed, order.Host, order.Kind)
+			}
+		}
+	}
+}
