balancer: in a pause of all endpoints, running calls aren't sent to those without calls

Cause: such an endpoint counted as sound, since nothing was known of it. With many entry hosts that holds for most endpoints.

The new test refuses none on the code before.

Change: while calls of this entry host run at other endpoints and none of them has made progress within half of the silence, endpoints without calls are taken to be silent as well, until the call's own endpoint has been silent for 1 s (half of the time after which the first callers give up). One endpoint that goes on is enough to use them.

The tests of balancer and entryapi pass.

--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -98,9 +98,9 @@
 	trusted := func(endpoint *view.Endpoint) bool { return untried(endpoint) && !balancer.suspect(now, endpoint) }
 	switch {
 	case call.StillRunning:
-		maxQuiet := balancer.maxQuiet(now, call)
+		maxQuiet, commonPause := balancer.maxQuiet(now, call), balancer.commonPause(now, call, endpoints)
 		return func(endpoint *view.Endpoint) bool {
-			return trusted(endpoint) && balancer.quiet(now, endpoint.Name) <= maxQuiet
+			return trusted(endpoint) && !commonPause && balancer.quiet(now, endpoint.Name) <= maxQuiet
 		}
 	case slices.ContainsFunc(endpoints, trusted):
 		return trusted
@@ -128,6 +128,28 @@
 	return own / 2
 }
 
+// commonPause reports whether a running call's endpoint seems to be silent together with all
+// others: calls of this entry host run at some of them, and none makes progress. What holds
+// for those is expected of endpoints without calls, but not for longer than maxCommonPause.
+func (balancer *Balancer) commonPause(now time.Time, call Call, endpoints []*view.Endpoint) bool {
+	maxQuiet := balancer.maxQuiet(now, call)
+	if maxQuiet > maxCommonPause/2 {
+		return false
+	}
+	silent := false
+	for _, endpoint := range endpoints {
+		state := balancer.stateByEndpoint[endpoint.Name]
+		switch {
+		case state == nil || state.running == 0 || slices.Contains(call.Tried, endpoint.Name):
+		case now.Sub(state.progressAt) <= maxQuiet:
+			return false
+		default:
+			silent = silent || balancer.quiet(now, endpoint.Name) > maxQuiet
+		}
+	}
+	return silent
+}
+
 // quiet returns for how long none of the calls at an endpoint has made progress. It is zero
 // while none runs there.
 func (balancer *Balancer) quiet(now time.Time, endpoint feed.Endpoint) time.Duration {
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -292,3 +292,61 @@
 		t.Errorf("%+v, want call %d to go", decisions, second.Number)
 	}
 }
+
+// Guards against running calls that are sent a second time to endpoints at which no calls of
+// this entry host run, in a pause of all endpoints at which some do. When any of those goes
+// on, or the silence lasts, endpoints without calls are used.
+func TestEndpointsWithoutCallsAreUsedUnlessAllOthersAreSilent(t *testing.T) {
+	for name, test := range map[string]struct {
+		searchAfter time.Duration
+		goesOn      bool
+		want        balancer.Verdict
+	}{
+		"all silent":               {silenceLimit, false, balancer.VerdictRefuse},
+		"another goes on":          {silenceLimit, true, balancer.VerdictGo},
+		"all silent for 1 s":       {time.Second, false, balancer.VerdictRefuse},
+		"all silent for over that": {time.Second + time.Millisecond, false, balancer.VerdictGo},
+	} {
+		pools := newBalancer(1, silentSlots, 0, 0, 0, 0)
+		silent := map[feed.Endpoint]bool{}
+		for number := 0; len(silent) < 2; number++ {
+			running := pools.Submit(start, call(number, start)).Endpoint.Name
+			pools.StreamBegan(start, running)
+			silent[running] = true
+		}
+		now := start.Add(test.searchAfter)
+		search := call(100, now)
+		search.Failover, search.StillRunning = true, true
+		for endpoint := range silent {
+			if len(search.Tried) == 0 {
+				search.Tried = []feed.Endpoint{endpoint}
+				pools.Report(now, endpoint, balancer.Stalled)
+			} else if test.goesOn {
+				pools.StreamEvent(now, endpoint)
+			}
+		}
+		if decision := pools.Submit(now, search); decision.Verdict != test.want {
+			t.Errorf("%s: %+v, want %s", name, decision, test.want)
+		}
+	}
+}
+
+// Guards against callers that wait or are refused after a pause of most endpoints while
+// half of all slots are free, since endpoints that have gone on are still avoided.
+func TestFreeSlotsAreUsedOnceEndpointsGoOn(t *testing.T) {
+	pools := newStreamingPool("h00", "h01", "h02", "h03")
+	now := start.Add(silenceLimit)
+	for _, host := range pools.hosts[1:] {
+		pools.reportSilence(now, host)
+	}
+	now = start.Add(time.Second)
+	for _, host := range pools.hosts {
+		pools.goOn(now, host)
+		now = now.Add(10 * time.Millisecond)
+	}
+	for number := range (silentSlots - silentStreams) * len(pools.hosts) {
+		if decision := pools.Submit(now, pools.call(now)); decision.Verdict != balancer.VerdictGo {
+			t.Fatalf("call %d after the pause: %+v, want to go", number, decision)
+		}
+	}
+}
