entryapi: tests of engines that stand still and go on, and of changes beside a running stream

These tests look for its cause as if the earlier answer were wrong: one engine or all of them stand still for 0.5 to 2 s before the head, before the first event or after an event, also while the declaration changes; the declaration, the lease or the endpoints change beside a stream that runs; a silent engine goes on within 15 ms of its replacement's first event, before, at and after it.

The test of engines that go on together checks that either one is left in some trials.

--- a/caroblined/connection/entryapi/engine_test.go
+++ b/caroblined/connection/entryapi/engine_test.go
@@ -34,6 +34,8 @@
 	comments bool
 	// onPause is called when a pause begins.
 	onPause func()
+	// goOn ends a pause when it is closed. It is nil if nothing does.
+	goOn <-chan struct{}
 	// breaksAfter is the event after which the run breaks off, or beforeHead; 0 stands for
 	// none.
 	breaksAfter int
@@ -115,6 +117,8 @@
 				return false
 			case <-over:
 				return true
+			case <-script.goOn:
+				return true
 			case <-time.After(commentInterval):
 				if script.comments {
 					_, _ = io.WriteString(connection, chunk(": working\n\n"))
--- /dev/null
+++ b/caroblined/connection/entryapi/paused_engines_test.go
@@ -0,0 +1,194 @@
+package entryapi_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/version/routing"
+	"carobline.dev/core/version/view"
+)
+
+// unrelatedChangeInterval is the time between two changes of a route without traffic.
+const unrelatedChangeInterval = 40 * time.Millisecond
+
+// freeze is a time in which engines stand still. It begins with the first run at one of them.
+type freeze struct {
+	place  int
+	pause  time.Duration
+	frozen func(engine string) bool
+	mutex  sync.Mutex
+	endsAt time.Time
+}
+
+// script returns what a run does: the first one stands still at the freeze's place, and one that
+// comes later before its head.
+func (freeze *freeze) script(request *http.Request) script {
+	if !freeze.frozen(request.Header.Get("For-Host")) {
+		return script{}
+	}
+	freeze.mutex.Lock()
+	defer freeze.mutex.Unlock()
+	if freeze.endsAt.IsZero() {
+		freeze.endsAt = time.Now().Add(freeze.pause)
+		return script{pauses: map[int]time.Duration{freeze.place: freeze.pause}}
+	}
+	return script{pauses: map[int]time.Duration{beforeHead: time.Until(freeze.endsAt)}}
+}
+
+// changeUnrelatedRoute puts declarations in force that differ in a route without traffic,
+// until stop is closed.
+func (entryHost *entryHost) changeUnrelatedRoute(t *testing.T, routes []routing.Route, stop <-chan struct{}) {
+	for revision := id.Revision(2); ; revision++ {
+		idle := routes[0]
+		idle.Name, idle.Host, idle.TimeoutMS = "idle", "idle.example", idle.TimeoutMS+int64(revision)
+		table := newTable(t, revision, append([]routing.Route{idle}, routes...))
+		entryHost.change(func(view *view.View) { view.Routing = table })
+		select {
+		case <-stop:
+			return
+		case <-time.After(unrelatedChangeInterval):
+		}
+	}
+}
+
+// Guards against an answer that isn't whole since its engine, or every engine, stands still for a
+// time and goes on, also while the declaration changes (issue 33).
+func TestPauseOfEnginesLeavesAnswersWhole(t *testing.T) {
+	const calls = 3
+	tests := map[string]func(t *testing.T){}
+	for engines, frozen := range map[string]func(engine string) bool{
+		"one engine": func(engine string) bool { return engine == "h0" }, "all engines": func(string) bool { return true },
+	} {
+		for place, at := range silentPlaces() {
+			for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+				for change, changes := range map[string]bool{"unchanged": false, "changes meanwhile": true} {
+					name := fmt.Sprintf("%s, %s, %v, %s", engines, place, pause, change)
+					freeze := &freeze{place: at, pause: pause, frozen: frozen}
+					tests[name] = func(t *testing.T) { freeze.play(t, calls, changes) }
+				}
+			}
+		}
+	}
+	together(t, tests)
+}
+
+// play makes calls while engines stand still, and checks that all get whole answers.
+func (freeze *freeze) play(t *testing.T, calls int, changes bool) {
+	engines := &engines{events: 6, script: func(_ int, request *http.Request) script { return freeze.script(request) }}
+	log := &logBuffer{}
+	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
+	entryHost := options.start(t, silentRoute(), engines.service(t), engines.service(t), engines.service(t))
+	var callers, changer sync.WaitGroup
+	stop := make(chan struct{})
+	if changes {
+		changer.Go(func() { entryHost.changeUnrelatedRoute(t, silentRoute(), stop) })
+	}
+	for range calls {
+		callers.Go(func() {
+			got, err := call(t, entryHost.server, post("/a", "x"))
+			engines.wantWhole(t, got, err)
+		})
+	}
+	callers.Wait()
+	close(stop)
+	changer.Wait()
+	entryHost.wantIdle(t)
+	wantOthersLeft(t, engines)
+	if t.Failed() {
+		t.Logf("runs %+v, log of the entry host:\n%s", engines.allRuns(), log)
+	}
+}
+
+// Guards against a stream that a change of the declaration or of the view ends, or moves to
+// another engine.
+func TestChangeOfTheDeclarationLeavesARunningStream(t *testing.T) {
+	const changedAfter = 10
+	changed, moved, gone := silentRoute(), silentRoute(), silentRoute()
+	changed[0].TargetMS, changed[0].PauseMS, changed[0].Attempts, changed[0].Resumable = 1, 1, 1, false
+	moved[0].Backends[0].Service = "spare"
+	gone[0].PathPrefix = "/gone/"
+	idle := append(silentRoute(), silentRoute()...)
+	idle[1].Name, idle[1].Host = "idle", "idle.example"
+	tests := map[string]func(t *testing.T){}
+	for name, change := range map[string]func(t *testing.T, view *view.View){
+		"another route comes": func(t *testing.T, view *view.View) { view.Routing = newTable(t, 2, idle) },
+		"route changes":       func(t *testing.T, view *view.View) { view.Routing = newTable(t, 2, changed) },
+		"route moves":         func(t *testing.T, view *view.View) { view.Routing = newTable(t, 2, moved) },
+		"route goes":          func(t *testing.T, view *view.View) { view.Routing = newTable(t, 2, gone) },
+		"endpoints leave":     func(_ *testing.T, view *view.View) { view.Services, view.Endpoints = nil, nil },
+		"lease ends":          func(_ *testing.T, view *view.View) { view.LeaseUntil = time.Now().Add(-time.Second) },
+	} {
+		tests[name] = func(t *testing.T) {
+			var entryHost *entryHost
+			engines := &engines{events: 60}
+			engines.script = func(int, *http.Request) script {
+				return script{pauses: map[int]time.Duration{changedAfter: eventInterval}, onPause: func() {
+					entryHost.change(func(view *view.View) { change(t, view) })
+				}}
+			}
+			entryHost = startEntryHost(t, silentRoute(), engines.service(t), engines.service(t))
+			got, err := call(t, entryHost.server, post("/a", "x"))
+			engines.wantWhole(t, got, err)
+			if runs := len(engines.allRuns()); runs != 1 {
+				t.Errorf("%d runs, want 1", runs)
+			}
+		}
+	}
+	together(t, tests)
+}
+
+// Guards against an answer that is lost, or joined wrongly, when a silent engine goes on within
+// some milliseconds of its replacement's first event.
+func TestSilentEngineThatGoesOnAsItsReplacementBegins(t *testing.T) {
+	const trials, most = 40, 3 * eventInterval
+	tests := map[string]func(t *testing.T){}
+	for place, at := range silentPlaces() {
+		tests[place] = func(t *testing.T) {
+			var running sync.WaitGroup
+			var mutex sync.Mutex
+			runsLeft := map[string]int{}
+			for trial := range trials {
+				goesOnAfter := most * time.Duration(trial) / (trials - 1)
+				running.Go(func() {
+					left := goOnTogether(t, at, goesOnAfter)
+					mutex.Lock()
+					defer mutex.Unlock()
+					runsLeft[left]++
+				})
+			}
+			running.Wait()
+			if runsLeft["first"] == 0 || runsLeft["second"] == 0 {
+				t.Errorf("engines that were left: %v; want some of either", runsLeft)
+			}
+		}
+	}
+	together(t, tests)
+}
+
+// goOnTogether plays a call whose engine is silent at a place and goes on some time after its
+// replacement's head, which is followed by events. It returns which of the two was left.
+func goOnTogether(t *testing.T, place int, goesOnAfter time.Duration) string {
+	goOn := make(chan struct{})
+	engines := &engines{events: 6}
+	engines.script = func(number int, _ *http.Request) script {
+		if number == 1 {
+			return script{pauses: map[int]time.Duration{place: forEver}, goOn: goOn}
+		}
+		return script{pauses: map[int]time.Duration{beforeEvents: eventInterval}, onPause: func() {
+			time.AfterFunc(goesOnAfter, func() { close(goOn) })
+		}}
+	}
+	entryHost := startEntryHost(t, silentRoute(), engines.service(t), engines.service(t))
+	got, err := call(t, entryHost.server, post("/a", "x"))
+	engines.wantWhole(t, got, err)
+	entryHost.wantIdle(t)
+	wantOthersLeft(t, engines)
+	if runs := engines.allRuns(); !runs[0].leftAt.IsZero() {
+		return "first"
+	}
+	return "second"
+}
