grouper: one function for the served ratio

The ratio of a model's groups to its target stood in servedRatio, servedRatioWithout and nextToAdd. servedRatio takes the number of further groups, which is negative for fewer. Behaviour is unchanged; the tests of grouper, controller and fleet pass.

--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -147,9 +147,10 @@
 // minTarget stands for the target of a model without a share of the work.
 const minTarget = 1e-9
 
-// servedRatio returns the number of groups of a model, divided by its target.
-func (grouper *Grouper) servedRatio(model id.Model) float64 {
-	return float64(grouper.groupCountByModel[model]) / max(grouper.targetGroupsByModel[model], minTarget)
+// servedRatio returns the number of groups of a model, with a number of further ones or,
+// if that is negative, with fewer, divided by its target.
+func (grouper *Grouper) servedRatio(model id.Model, further int) float64 {
+	return float64(grouper.groupCountByModel[model]+further) / max(grouper.targetGroupsByModel[model], minTarget)
 }
 
 // Plan computes the changes to make now. It forms groups for the most
@@ -185,7 +186,7 @@
 	var best Spec
 	found := false
 	for _, spec := range grouper.specs {
-		if skipped[spec.Model] || (found && grouper.servedRatio(spec.Model) >= grouper.servedRatio(best.Model)) {
+		if skipped[spec.Model] || (found && grouper.servedRatio(spec.Model, 0) >= grouper.servedRatio(best.Model, 0)) {
 			continue
 		}
 		best, found = spec, true
--- a/core/process/grouper/partition.go
+++ b/core/process/grouper/partition.go
@@ -56,7 +56,7 @@
 	var best Spec
 	lowest, found := 0.0, false
 	for _, spec := range specs {
-		ratio := float64(grouper.groupCountByModel[spec.Model]+added[spec.Model]) / max(grouper.targetGroupsByModel[spec.Model], minTarget)
+		ratio := grouper.servedRatio(spec.Model, added[spec.Model])
 		if !full[spec.Model] && (!found || ratio < lowest || ratio == 0) {
 			best, lowest, found = spec, ratio, true
 		}
--- a/core/process/grouper/reserve.go
+++ b/core/process/grouper/reserve.go
@@ -51,7 +51,7 @@
 		if missing <= 0 {
 			break
 		}
-		if grouper.servedRatioWithout(group.Model, chosenByModel[group.Model]+1) < grouper.servedRatio(spec.Model)+minDissolveGain {
+		if grouper.servedRatio(group.Model, -chosenByModel[group.Model]-1) < grouper.servedRatio(spec.Model, 0)+minDissolveGain {
 			continue
 		}
 		chosenByModel[group.Model]++
@@ -63,11 +63,6 @@
 	return chosen
 }
 
-// servedRatioWithout returns the served ratio of a model with fewer groups.
-func (grouper *Grouper) servedRatioWithout(model id.Model, groups int) float64 {
-	return float64(grouper.groupCountByModel[model]-groups) / max(grouper.targetGroupsByModel[model], minTarget)
-}
-
 // dissolve plans to retire groups of one domain. It plans none while hosts of the
 // domain are still draining, nor for two models in one domain.
 func (grouper *Grouper) dissolve(groups []Group, spec Spec) {
