member: an announcement that is on its way isn't sent again beside an older one

A node doesn't repeat an announcement that a request in flight takes to the leader. When the announcement of a new incarnation and one of an earlier incarnation with a higher sequence were in flight together, the node took the one whose sequence or incarnation was higher, whichever it came upon last in a map's random order, for the latest: about every other time it sent the new one once more. The leader merged it without effect, at the cost of its time.

The requests in flight are now asked for the announcement itself, so nothing is ordered at all, and the order of announcements stands in package roster only.

Test: TestAnnouncementOfANewIncarnationIsSentOnce, "sent 2 times, want once" before.

--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -356,25 +356,27 @@
 	return &Send{To: member.leader, Request: request}
 }
 
-// sentAnnouncement identifies an announcement of a host.
-type sentAnnouncement struct {
+// announcementKey identifies an announcement.
+type announcementKey struct {
+	host        id.Host
 	incarnation id.Incarnation
 	sequence    uint64
 }
 
+func keyOf(announcement roster.Announcement) announcementKey {
+	return announcementKey{announcement.Host, announcement.Incarnation, announcement.Sequence}
+}
+
 // announcementsInFlight returns what requests that aren't overdue take to the present
-// leader, by host.
-func (member *Member) announcementsInFlight() map[id.Host]sentAnnouncement {
-	sent := map[id.Host]sentAnnouncement{}
+// leader.
+func (member *Member) announcementsInFlight() map[announcementKey]bool {
+	sent := map[announcementKey]bool{}
 	for _, request := range member.inFlightByNumber {
 		if request.overdue || request.to != member.leader {
 			continue
 		}
 		for _, relayed := range request.announcements {
-			latest := sentAnnouncement{relayed.Announcement.Incarnation, relayed.Announcement.Sequence}
-			if known, ok := sent[relayed.Announcement.Host]; !ok || known.incarnation < latest.incarnation || known.sequence < latest.sequence {
-				sent[relayed.Announcement.Host] = latest
-			}
+			sent[keyOf(relayed.Announcement)] = true
 		}
 	}
 	return sent
@@ -396,7 +398,7 @@
 	sent := member.announcementsInFlight()
 	for _, host := range slices.Sorted(maps.Keys(member.unacceptedByHost)) {
 		known, ok := member.hosts.Member(host)
-		if !ok || (sent[host] == sentAnnouncement{known.Announcement.Incarnation, known.Announcement.Sequence} && !known.Announcement.Leaving) {
+		if !ok || (sent[keyOf(known.Announcement)] && !known.Announcement.Leaving) {
 			continue
 		}
 		remaining := max(0, known.Expiry.Sub(now))
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -208,6 +208,33 @@
 	}
 }
 
+// Guards against an announcement that is sent again since an earlier incarnation of its
+// host, whose sequence was higher, is on its way to the leader as well.
+func TestAnnouncementOfANewIncarnationIsSentOnce(t *testing.T) {
+	for range 20 { // requests in flight are looked through in any order
+		now := start
+		node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"leader"}, HasDisk: true}, roster.New())
+		var sent []roster.RelayedAnnouncement
+		for _, heard := range []roster.Announcement{announcement(1, 9), announcement(2, 1), {Host: "other", Incarnation: 1, Sequence: 1, Service: "s", LeaseMS: 5000}} {
+			actions := node.Step(now, member.AnnouncedWithoutEcho{Announcement: heard})
+			if actions.Send == nil {
+				t.Fatal("the node doesn't send what it has heard")
+			}
+			sent = append(sent, actions.Send.Request.Announcements...)
+			now = now.Add(30 * time.Millisecond)
+		}
+		times := 0
+		for _, relayed := range sent {
+			if relayed.Announcement.Host == "h" && relayed.Announcement.Incarnation == 2 {
+				times++
+			}
+		}
+		if times != 1 {
+			t.Fatalf("the new incarnation is sent %d times, want once", times)
+		}
+	}
+}
+
 // Guards against announcements that get lost with the request that took them.
 func TestAnnouncementsOfALostRequestAreSentAgain(t *testing.T) {
 	lose := map[string]func(number uint64) member.Event{
