entryapi: a test of calls for which several silent engines are asked

It guards the joins of answers where up to three engines are at work for a call, each silent near one of the limits, and go on at about the same time.

--- a/caroblined/connection/entryapi/paused_engines_test.go
+++ b/caroblined/connection/entryapi/paused_engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -192,3 +193,43 @@
 	}
 	return "second"
 }
+
+// Guards against an answer that is lost while several engines, each silent near one of the limits,
+// are asked one after another and go on at about the same time.
+func TestAnswersOfSeveralSilentEnginesAreWhole(t *testing.T) {
+	const seeds, calls, spread = 4, 60, 40
+	nearLimits := []int{0, 400, 800, 830, 1220, 1630} // milliseconds
+	tests := map[string]func(t *testing.T){}
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 7)) //nolint:gosec // a seeded test
+		tests[fmt.Sprintf("seed %d", seed)] = func(t *testing.T) {
+			engines := &engines{events: 8}
+			engines.script = func(int, *http.Request) script {
+				if random.IntN(6) == 0 {
+					return script{refuses: true}
+				}
+				place := random.IntN(engines.events+2) + beforeHead
+				silence := nearLimits[random.IntN(len(nearLimits))] + random.IntN(spread)
+				return script{pauses: map[int]time.Duration{place: time.Duration(silence) * time.Millisecond}}
+			}
+			routes := silentRoute()
+			routes[0].Attempts = 3
+			entryHost := startEntryHost(t, routes, engines.service(t), engines.service(t), engines.service(t), engines.service(t))
+			var running sync.WaitGroup
+			for range calls {
+				time.Sleep(3 * eventInterval)
+				running.Go(func() {
+					got, err := call(t, entryHost.server, post("/a", "x"))
+					if got.status == http.StatusServiceUnavailable {
+						return // no endpoint took it
+					}
+					engines.wantWhole(t, got, err)
+				})
+			}
+			running.Wait()
+			entryHost.wantIdle(t)
+			wantOthersLeft(t, engines)
+		}
+	}
+	together(t, tests)
+}
