balancer: reports of a pause that is over don't crowd endpoints

What callers saw: in a large fleet, late answers for seconds after a common pause: each entry host sent its calls to the one or two endpoints where it had calls itself.

Cause: reports of stalled endpoints reach other entry hosts with two polls and hold for a time. After a common pause every endpoint was still reported, and only those at which calls of the entry host itself had gone on counted as sound.

Evidence: the new test on the code before sends 40 of 40 calls to one of four endpoints.

Change: when at least half of the endpoints are reported, and calls of this entry host go on at one that is reported, new calls aren't kept from others by reports; what the entry host has seen itself still counts. Reports hold as before while none goes on, so endpoints that are lost are avoided however many they are, and for calls that still run.

The tests of balancer and entryapi pass.

--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -95,7 +95,10 @@
 // A call that still runs waits for its own endpoint then.
 func (balancer *Balancer) fits(now time.Time, call Call, endpoints []*view.Endpoint) func(*view.Endpoint) bool {
 	untried := func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }
-	trusted := func(endpoint *view.Endpoint) bool { return untried(endpoint) && !balancer.suspect(now, endpoint) }
+	useReports := call.StillRunning || !balancer.reportsOutdated(now, endpoints)
+	trusted := func(endpoint *view.Endpoint) bool {
+		return untried(endpoint) && !balancer.suspect(now, endpoint, useReports)
+	}
 	switch {
 	case call.StillRunning:
 		maxQuiet, commonPause := balancer.maxQuiet(now, call), balancer.commonPause(now, call, endpoints)
@@ -161,13 +164,32 @@
 }
 
 // suspect reports whether an endpoint is avoided for what this entry host has seen there, or
-// else for what another one has reported, unless calls of this one go on there.
-func (balancer *Balancer) suspect(now time.Time, endpoint *view.Endpoint) bool {
+// else, with useReports, for what another one has reported, unless calls of this one go on
+// there.
+func (balancer *Balancer) suspect(now time.Time, endpoint *view.Endpoint, useReports bool) bool {
 	state := balancer.stateByEndpoint[endpoint.Name]
+	reported := useReports && endpoint.Stalled
 	if state == nil {
-		return endpoint.Stalled
+		return reported
+	}
+	return state.suspect(now) || (reported && !state.goesOn(now))
+}
+
+// reportsOutdated reports whether other entry hosts have reported at least half of the
+// endpoints as stalled, while calls of this one go on at some of those: a common pause is
+// over, which their reports don't show yet. Endpoints without calls of this entry host then
+// take calls like those with some.
+func (balancer *Balancer) reportsOutdated(now time.Time, endpoints []*view.Endpoint) bool {
+	reported, goOn := 0, false
+	for _, endpoint := range endpoints {
+		if !endpoint.Stalled {
+			continue
+		}
+		reported++
+		state := balancer.stateByEndpoint[endpoint.Name]
+		goOn = goOn || (state != nil && state.goesOn(now))
 	}
-	return state.suspect(now) || (endpoint.Stalled && !state.goesOn(now))
+	return goOn && 2*reported >= len(endpoints)
 }
 
 // runningAt returns the known calls in progress of all entry hosts.
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -350,3 +350,40 @@
 		}
 	}
 }
+
+// Guards against entry hosts that send all calls where their own calls go on, after a pause of
+// all endpoints that others still report as stalled. While no call goes on at any of those, or
+// few are reported, reports hold.
+func TestReportsOfAPauseThatIsOverDontCrowdOneEndpoint(t *testing.T) {
+	const endpoints = 4
+	for name, test := range map[string]struct {
+		reported int
+		goesOnAt id.Host
+		want     int
+	}{
+		"all reported, one goes on":             {4, "h00", 4},
+		"half reported, one of them goes on":    {2, "h00", 4},
+		"half reported, another goes on":        {2, "h03", 2},
+		"one of four reported, another goes on": {1, "h03", 3},
+		"all but one reported, that one is new": {3, "", 1},
+	} {
+		pools := newBalancer(1, 100, make([]int, endpoints)...)
+		current := newView(100, make([]int, endpoints)...)
+		for _, endpoint := range current.Services["s"].Endpoints[:test.reported] {
+			endpoint.Stalled = true
+		}
+		pools.Update(start, current)
+		if test.goesOnAt != "" {
+			pools.StreamBegan(start, feed.Endpoint{Host: test.goesOnAt})
+		}
+		taken := map[id.Host]int{}
+		for number := range 40 {
+			if decision := pools.Submit(start, call(number, start)); decision.Verdict == balancer.VerdictGo {
+				taken[decision.Endpoint.Host]++
+			}
+		}
+		if len(taken) != test.want {
+			t.Errorf("%s: calls go to %v, want %d endpoints", name, taken, test.want)
+		}
+	}
+}
