chooser: one pause of an endpoint doesn't eject it as slow

What callers saw: an endpoint that fell silent for a second and went on got no calls for 5 s more; in a common pause that held for a third of all endpoints.

Cause: a single time of 1 s between tokens moved the average pace over the bound, since a sample counted whatever its size; besides, each stream of an endpoint recorded the same pause once more, as did the search for stalled calls.

Change: a slow sample counts at most four times the median, so that one after usual samples doesn't eject and the next one does; slow samples of times that overlap count as one. A slow sample on probation ejects again as before.

--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -45,6 +45,9 @@
 	// slowFactor is how many times the median pace of its peers an endpoint's
 	// pace must exceed to be ejected.
 	slowFactor = 2
+	// maxSampleFactor times that median is the most that a sample counts. One
+	// sample after usual ones doesn't eject an endpoint, the next slow one does.
+	maxSampleFactor = 4
 	// minPeers is the number of endpoints with known paces, and minSamples the
 	// number of samples of each, that are needed before any is ejected as slow.
 	minPeers   = 3
@@ -106,8 +109,10 @@
 
 	// pace is the moving average of the time between tokens, or of whole calls
 	// of a service, in seconds.
-	pace         float64
-	samples      int
+	pace    float64
+	samples int
+	// slowUntil is the end of the time that the last slow sample is of.
+	slowUntil    time.Time
 	ejectedUntil time.Time
 	ejections    int
 	// failures counts consecutive failed calls.
--- a/core/request/chooser/eject.go
+++ b/core/request/chooser/eject.go
@@ -12,10 +12,17 @@
 
 // Pace records the time between two tokens, or of a whole call of a service, at
 // an endpoint. An endpoint that is slow compared with its peers is ejected; one
-// on probation is ejected again by a single slow sample.
+// on probation is ejected again by a single slow sample. Slow samples of times
+// that overlap count as one, since all calls wait in one pause of the endpoint.
 func (chooser *Chooser) Pace(now time.Time, name feed.Endpoint, gap time.Duration) {
 	state := chooser.state(name)
 	sample := gap.Seconds()
+	if median := chooser.MedianPace(name); median > 0 && sample > slowFactor*median {
+		if now.Add(-gap).Before(state.slowUntil) {
+			return
+		}
+		state.slowUntil, sample = now, min(sample, maxSampleFactor*median)
+	}
 	if state.samples == 0 {
 		state.pace = sample
 	}
