fleet: the simulation of late orders has engines that fall silent and go on

An engine may be silent for up to 2 s and go on: it then carries out the orders that came meanwhile, and the head of a group notices only afterwards that a host is missing. The simulation of TestNoEngineJoinsAGroupWhileItsHeadServes had no such pauses, which might have been another way to an engine that joins a group while the head of its last one is open.

--- a/core/process/fleet/late_orders_test.go
+++ b/core/process/fleet/late_orders_test.go
@@ -29,15 +29,18 @@
 	// other messages take up to messageDelay, a late heartbeat up to lateHeartbeatDelay.
 	lateOrderDelay, lateOrderSpread  = 2 * time.Second, 10 * time.Second
 	messageDelay, lateHeartbeatDelay = 60 * time.Millisecond, 4 * time.Second
+	// longestPause is how long an engine is silent at most and goes on afterwards.
+	longestPause = 2 * time.Second
 	// An engine is ready after residentJoinTime if its memory holds the weights, and after
 	// stagedJoinTime otherwise. A group closes within closeTime.
 	residentJoinTime, stagedJoinTime, closeTime = 200 * time.Millisecond, time.Second, time.Second
 )
 
 // lateRates are the probabilities with which an order is late or comes twice, a message is
-// lost, a heartbeat late, and a fault is a change of the leader.
+// lost, a heartbeat late, a fault is a change of the leader, and an engine is silent beside
+// a fault.
 type lateRates struct {
-	lateOrder, secondOrder, loss, lateHeartbeat, leaderChange float64
+	lateOrder, secondOrder, loss, lateHeartbeat, leaderChange, silence float64
 }
 
 // lateEngine is an engine that carries out orders late, twice and out of order. Its
@@ -204,6 +207,13 @@
 		world.changeLeader()
 	}
 	hosts := world.hosts()
+	if world.rates.silence > 0 {
+		for _, host := range hosts {
+			if world.chance(world.rates.silence) {
+				world.silence(host, world.upTo(longestPause))
+			}
+		}
+	}
 	engine := world.engines[hosts[world.rand.IntN(len(hosts))]]
 	switch world.rand.IntN(3) {
 	case 0:
@@ -223,7 +233,7 @@
 
 func (engine *lateEngine) restart() {
 	engine.Incarnation++
-	engine.up, engine.members, engine.highestNumber, engine.highestFencing = true, nil, 0, 0
+	engine.up, engine.members, engine.highestNumber, engine.highestFencing, engine.silentUntil = true, nil, 0, 0, time.Time{}
 	engine.Serving, engine.Loaded, engine.readyAt = roster.Serving{}, nil, time.Time{}
 }
 
@@ -370,8 +380,10 @@
 // serves: a head may carry out late what it was ordered before it left.
 func TestNoEngineJoinsAGroupWhileItsHeadServes(t *testing.T) {
 	for name, rates := range map[string]lateRates{
-		"one leader":  {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2},
-		"new leaders": {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2, leaderChange: 0.2},
+		"one leader":                  {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2},
+		"new leaders":                 {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2, leaderChange: 0.2},
+		"silent engines":              {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2, silence: 0.3},
+		"silent engines, new leaders": {lateOrder: 0.5, secondOrder: 0.5, loss: 0.2, lateHeartbeat: 0.2, leaderChange: 0.2, silence: 0.3},
 	} {
 		for offset := range *lateSeeds {
 			seed := firstLateSeed + offset
