node: settings, listeners and the stop have files of their own

Code is moved, not changed: the sorted lines of the files before and after differ in package clauses, imports and parentheses only. The package's tests pass.

--- a/caroblined/process/node/listener.go
+++ b/caroblined/process/node/listener.go
@@ -10,8 +10,15 @@
 	"github.com/go-faster/errors"
 )
 
-// busyPollInterval is the pause between two checks whether a connection is busy.
-const busyPollInterval = 20 * time.Millisecond
+const (
+	// callerHeaderTimeout bounds the reading of one request's header,
+	// callerIdleTimeout the time between two requests on one connection. They
+	// apply to all listeners.
+	callerHeaderTimeout = 10 * time.Second
+	callerIdleTimeout   = 60 * time.Second
+	// busyPollInterval is the pause between two checks whether a connection is busy.
+	busyPollInterval = 20 * time.Millisecond
+)
 
 // listener serves HTTP at one address.
 type listener struct {
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -20,11 +20,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"carobline.dev/caroblined/connection/entryapi"
-	"carobline.dev/caroblined/connection/metricsapi"
-	"carobline.dev/caroblined/connection/peerapi"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/identity"
 	"carobline.dev/caroblined/process/peers"
@@ -36,7 +33,6 @@
 	"carobline.dev/core/process/electorate"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/quorum"
-	"carobline.dev/core/process/wal"
 	"carobline.dev/core/version/view"
 )
 
@@ -47,79 +43,13 @@
 	// kept.
 	peerIdleTimeout     = time.Minute
 	endpointIdleTimeout = 4 * time.Second
-	// callerHeaderTimeout bounds the reading of one request's header,
-	// callerIdleTimeout the time between two requests on one connection. They
-	// apply to all listeners.
-	callerHeaderTimeout = 10 * time.Second
-	callerIdleTimeout   = 60 * time.Second
 	// maxIdlePerEndpoint bounds the unused connections kept to one endpoint.
 	maxIdlePerEndpoint = 32
-	// transferPollInterval is the pause between two checks whether leadership has
-	// been transferred.
-	transferPollInterval = 20 * time.Millisecond
-	// minDrainTime is how long a draining entry host keeps its listeners open:
-	// callers arrive until the balancer has noticed that the host isn't ready.
-	minDrainTime = 3500 * time.Millisecond
-	// shutdownReserve is the part of the grace period that is kept for closing the
-	// node once it stops waiting for running calls.
-	shutdownReserve = 700 * time.Millisecond
 	// checkInterval is the interval between checks of the lease and of the voter's
 	// disk. Without a lease the seeds are read again at each check.
 	checkInterval = time.Second
-	// closeTimeout bounds the shutdown of the listeners.
-	closeTimeout = 300 * time.Millisecond
 )
 
-// Entry configures an entry host, which forwards callers' requests.
-type Entry struct {
-	Address string
-	Dialect entryapi.Dialect
-	// ReadyAddress and ReadyPath serve the balancer's readiness check: status 200
-	// while the node accepts new connections, else 503.
-	ReadyAddress string
-	ReadyPath    string
-	// SavedRetries is passed on to entryapi.Config.
-	SavedRetries int
-}
-
-// Control configures a control host, which serves endpoints and operators.
-type Control struct {
-	Address string
-	// Handler returns the handler for requests of endpoints and operators.
-	Handler func(loop *control.Control) http.Handler
-	// DataFolder holds the write-ahead log and the node's identity.
-	DataFolder string
-	// Founder makes the node one of the first voters, together with the seeds, at
-	// the first start of the system.
-	Founder bool
-}
-
-// Config is fixed for the life of a process.
-type Config struct {
-	// PeerAddress is the host and port on which other nodes reach this one.
-	PeerAddress string
-	// ReadSeeds returns the peer addresses of some control hosts. It is called
-	// again on a reload and while the node holds no lease.
-	ReadSeeds func() ([]string, error)
-	Entry     *Entry
-	Control   *Control
-	// TargetVoters is the number of control hosts that should vote.
-	TargetVoters int
-	// EngineStallTimeout is how long a group waits for an engine that it has lost
-	// before it is dissolved.
-	EngineStallTimeout time.Duration
-	// NodeLease is how long a node may act on the leader's last response: at most
-	// feed.Lease, which zero stands for.
-	NodeLease time.Duration
-	// GracePeriod bounds the time from the stop request to the end of the process.
-	GracePeriod time.Duration
-	// SendOrder delivers an order, other than a probe, to its host.
-	SendOrder func(ctx context.Context, client *http.Client, order action.Order) error
-	// Disk stores the write-ahead log and the identity of a control host.
-	Disk wal.Disk
-	Log  zerolog.Logger
-}
-
 // Node is one running process.
 type Node struct {
 	config   Config
@@ -291,77 +221,6 @@
 	}
 }
 
-func (node *Node) openListeners() error {
-	loop := node.loop.Load()
-	internalMux := http.NewServeMux()
-	internalMux.Handle("/peer/", peerapi.New(loop, nil).UnauthenticatedHandler())
-	internalMux.Handle("GET /metrics", metricsapi.New(node.metrics))
-	handlerByAddress := map[string]http.Handler{node.config.PeerAddress: internalMux}
-	if controlConfig := node.config.Control; controlConfig != nil {
-		handlerByAddress[controlConfig.Address] = controlConfig.Handler(loop)
-	}
-	callerHandlerByAddress := map[string]http.Handler{}
-	if entryConfig := node.config.Entry; entryConfig != nil {
-		callerHandlerByAddress[entryConfig.Address] = node.entry
-		callerHandlerByAddress[entryConfig.ReadyAddress] = node.readinessHandler(entryConfig.ReadyPath)
-	}
-	for address, handler := range handlerByAddress {
-		if _, err := node.openListener(address, handler); err != nil {
-			return err
-		}
-	}
-	for address, handler := range callerHandlerByAddress {
-		listener, err := node.openListener(address, handler)
-		if err != nil {
-			return err
-		}
-		node.callerListeners = append(node.callerListeners, listener)
-	}
-	return nil
-}
-
-func (node *Node) openListener(address string, handler http.Handler) (*listener, error) {
-	listener, err := listen(address, handler)
-	if err != nil {
-		return nil, err
-	}
-	node.listeners = append(node.listeners, listener)
-	node.serverGoroutines.Go(func() {
-		if err := listener.serve(); err != nil {
-			node.reportServeError(err)
-		}
-	})
-	node.config.Log.Info().Str("step", "listen").Str("address", address).Msg("listening")
-	return listener, nil
-}
-
-func (node *Node) reportServeError(err error) {
-	select {
-	case node.serveErrors <- err:
-	default:
-	}
-}
-
-// Ready reports whether the node accepts new connections: it isn't draining, has
-// a routing table, and its lease was renewed recently.
-func (node *Node) Ready() bool {
-	current := node.view()
-	return !node.draining.Load() && current.Routing != nil && current.LeaseIsFresh(node.clock.Now())
-}
-
-func (node *Node) readinessHandler(path string) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		switch {
-		case request.URL.Path != path:
-			writer.WriteHeader(http.StatusNotFound)
-		case node.Ready():
-			writer.WriteHeader(http.StatusOK)
-		default:
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-}
-
 // Run serves until ctx ends or a listener or the voter's disk fails, then drains and
 // closes the node; it returns the error of a failure. A signal on reloads reads the
 // seeds again and breaks off no call.
@@ -389,12 +248,6 @@
 	}
 }
 
-// stop drains and closes the node.
-func (node *Node) stop() error {
-	node.drain(node.clock.Now())
-	return node.close()
-}
-
 // checkLease logs when the configuration lease is acquired or lost, and reads the
 // seeds again while it isn't held, since all known control hosts may be gone.
 func (node *Node) checkLease() {
@@ -417,63 +270,3 @@
 	}
 	node.loop.Load().AddContacts(seedNodes(seeds))
 }
-
-// drain transfers leadership on a node without an entry, and else waits for
-// running calls to end. Callers arrive until the balancer has noticed that the
-// node isn't ready, so the listeners stay open for minDrainTime. Meanwhile each
-// answer is the last on its connection, and calls that may outlast the node are
-// refused.
-func (node *Node) drain(now time.Time) {
-	node.draining.Store(true)
-	node.config.Log.Info().Str("step", "drain").Msg("draining")
-	if node.entry == nil {
-		node.transferLeadership()
-		return
-	}
-	stopsAt := now.Add(node.config.GracePeriod - shutdownReserve)
-	closesAt := now.Add(min(minDrainTime, node.config.GracePeriod-shutdownReserve))
-	node.entry.Drain(closesAt, stopsAt)
-	time.Sleep(closesAt.Sub(node.clock.Now()))
-	ctx, cancel := context.WithTimeout(context.Background(), stopsAt.Sub(node.clock.Now()))
-	defer cancel()
-	for _, listener := range node.callerListeners {
-		if err := listener.stopAccepting(); err != nil {
-			node.config.Log.Warn().Err(err).Str("step", "drain").Msg("closing a listener failed")
-		}
-	}
-	var draining sync.WaitGroup
-	for _, listener := range node.callerListeners {
-		draining.Go(func() { listener.drain(ctx) })
-	}
-	draining.Wait()
-	node.entry.Stop()
-}
-
-func (node *Node) transferLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	for node.loop.Load().TransferLeadership(ctx) && ctx.Err() == nil {
-		time.Sleep(transferPollInterval)
-	}
-}
-
-func (node *Node) close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	var closing sync.WaitGroup
-	for _, listener := range node.listeners {
-		closing.Go(func() { listener.close(ctx) })
-	}
-	closing.Wait()
-	node.serverGoroutines.Wait()
-	var err error
-	if loop := node.loop.Load(); loop != nil {
-		err = loop.Close()
-	}
-	if node.peers != nil {
-		node.peers.Close()
-	}
-	node.endpointTransport.CloseIdleConnections()
-	node.config.Log.Info().Str("step", "stop").Msg("stopped")
-	return err
-}
