action: one constant for the time between two sends of an order

orderRetryInterval stood in controller and in fleet with the same value and comment. Both send action.Orders, so action.OrderRetryInterval serves both.

--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -34,6 +34,10 @@
 	OrderProbe OrderKind = "probe"
 )
 
+// OrderRetryInterval is how long the effect of an order is awaited before the order is
+// sent again.
+const OrderRetryInterval = time.Second
+
 // Order is an instruction to a host: which group to serve in or leave, or which
 // weights to stage. A host that checks fencing tokens refuses an order with a
 // smaller token than it has seen.
--- a/core/process/controller/orders.go
+++ b/core/process/controller/orders.go
@@ -10,13 +10,8 @@
 	"carobline.dev/core/process/register"
 )
 
-const (
-	// orderRetryInterval is how long the effect of an order is awaited before the
-	// order is sent again.
-	orderRetryInterval = time.Second
-	// OrderLifetime is how long after receipt an order may be carried out.
-	OrderLifetime = 2 * time.Second
-)
+// OrderLifetime is how long after receipt an order may be carried out.
+const OrderLifetime = 2 * time.Second
 
 // sendOrders sends each host with a lease the order for the group that it should
 // serve in, or to unload, and repeats it until the host announces that state. A
@@ -70,10 +65,10 @@
 }
 
 // sendOrder sends an order to a host that has a lease and doesn't announce the
-// order's effect yet, and at most one order to a host in orderRetryInterval.
+// order's effect yet, and at most one order to a host in action.OrderRetryInterval.
 func (controller *Controller) sendOrder(now time.Time, actions *Actions, order action.Order) {
 	member, ok := controller.roster.Member(order.Host)
-	if !ok || !now.Before(member.Expiry) || now.Before(controller.leadership.lastOrderAtByHost[order.Host].Add(orderRetryInterval)) {
+	if !ok || !now.Before(member.Expiry) || now.Before(controller.leadership.lastOrderAtByHost[order.Host].Add(action.OrderRetryInterval)) {
 		return
 	}
 	serving := member.Announcement.Serving
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -14,9 +14,6 @@
 const (
 	// loadWindow is the sliding window of the limit on starts of loads.
 	loadWindow = time.Second
-	// orderRetryInterval is how long the effect of an order is awaited before the
-	// order is sent again.
-	orderRetryInterval = time.Second
 	// orderSpacing is the mean time between two orders, and orderBurst bounds the orders
 	// sent at once, as the time that they take at orderSpacing. Each order is a request
 	// over a connection of its own, and heartbeats mustn't wait behind hundreds.
@@ -175,10 +172,10 @@
 }
 
 // orderedRecently reports whether the same order was sent to a host less than
-// orderRetryInterval ago, so that its effect may still be announced.
+// action.OrderRetryInterval ago, so that its effect may still be announced.
 func (fleet *Fleet) orderedRecently(now time.Time, host id.Host, kind action.OrderKind, fencing id.FencingToken) bool {
 	last := fleet.lastOrderByHost[host]
-	return last.kind == kind && last.fencing == fencing && now.Before(last.sentAt.Add(orderRetryInterval))
+	return last.kind == kind && last.fencing == fencing && now.Before(last.sentAt.Add(action.OrderRetryInterval))
 }
 
 // mayOrder reports whether a further order is within orderBurst.
@@ -206,7 +203,7 @@
 }
 
 // sendOrder sends an order to a host with a lease, and the same order again
-// only after orderRetryInterval. An order beyond orderBurst isn't sent: the caller
+// only after action.OrderRetryInterval. An order beyond orderBurst isn't sent: the caller
 // tries again at the next tick.
 func (fleet *Fleet) sendOrder(now time.Time, actions *Actions, host roster.Member, group register.GroupRecord, kind action.OrderKind) {
 	name := host.Announcement.Host
