node: calls that may outlast a stopping host aren't taken once callers have other hosts

What callers saw: a streamed answer of an entry host that stopped as planned was cut in its middle.

Cause: until the listeners close, 3.5 s after the signal, calls that may be repeated were taken if answers of their route usually end in time. This one took longer than usual, and its caller no longer had to come here: the balancer has noticed a stop after two checks, a second apart.

Evidence: the new case of TestPlannedStopCutsNoCall, a call 2.8 s after the signal that takes 4 s, was taken and cut (504 after one arrival) on the code before; another new case, one that ends by its deadline, is served before and after.

Change: usual times count only until the balancer has noticed the stop (2.5 s). Later calls are taken if their deadline proves that they end in time, and refused as not run otherwise, at once, so that their callers go to another host. The listeners stay open as before.

Result: TestPlannedStopCutsNoCall and the tests of node and of draining pass. What is taken in the first 2.5 s and takes much longer than usual is still cut at the end of the grace period.

--- a/caroblined/connection/entryapi/drain.go
+++ b/caroblined/connection/entryapi/drain.go
@@ -20,22 +20,22 @@
 
 // drain is the planned stop of the entry host.
 type drain struct {
-	// closesAt is when the host closes its listeners. The balancer sends callers to
-	// other hosts by then.
-	closesAt time.Time
+	// noticedAt is when the balancer has noticed the stop and sends callers to other
+	// hosts.
+	noticedAt time.Time
 	// stopsAt is when the host ends the calls that still run.
 	stopsAt time.Time
 }
 
 // answersInTime reports whether a call is answered to its end before the host
 // stops. For a call that must not repeat only its deadline is proof of that. A call
-// that may be repeated is also taken while callers can't help coming here, if the
+// that may be repeated is also taken until the balancer has noticed the stop, if the
 // answers of its route usually end in time.
 func (drain *drain) answersInTime(now time.Time, call *call, answerTime estimate.Estimate) bool {
 	if !call.deadline.After(drain.stopsAt) {
 		return true
 	}
-	if !call.route.Idempotent() || !now.Before(drain.closesAt) || !answerTime.Known() {
+	if !call.route.Idempotent() || !now.Before(drain.noticedAt) || !answerTime.Known() {
 		return false
 	}
 	return !now.Add(answerTime.UpperBound(answerTimeDeviations)).After(drain.stopsAt)
@@ -43,9 +43,9 @@
 
 // Drain prepares for the stop of the host: every answer from now on closes its
 // connection, and a call whose answer may not end before stopsAt is refused as not
-// run. The listeners close at closesAt.
-func (api *API) Drain(closesAt, stopsAt time.Time) {
-	api.drain.Store(&drain{closesAt: closesAt, stopsAt: stopsAt})
+// run. The balancer has noticed the stop at noticedAt.
+func (api *API) Drain(noticedAt, stopsAt time.Time) {
+	api.drain.Store(&drain{noticedAt: noticedAt, stopsAt: stopsAt})
 }
 
 // Stop ends all calls. Callers whose answer hasn't begun are told so.
--- a/caroblined/connection/entryapi/drain_test.go
+++ b/caroblined/connection/entryapi/drain_test.go
@@ -13,7 +13,7 @@
 func TestStoppingHostTakesWhatItCanAnswer(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
-	drain := &drain{closesAt: at(3), stopsAt: at(7)}
+	drain := &drain{noticedAt: at(3), stopsAt: at(7)}
 	const usually = 2 * time.Second
 	tests := []struct {
 		name          string
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -8,7 +8,7 @@
 //
 //	entry := entryapi.New(entryapi.Config{Dialect: dialect, View: loop.View, ...})
 //	server := &http.Server{Handler: entry}
-//	entry.Drain(closesAt, stopsAt)
+//	entry.Drain(noticedAt, stopsAt)
 //	entry.Stop()
 package entryapi
 
--- a/caroblined/process/node/drain_test.go
+++ b/caroblined/process/node/drain_test.go
@@ -16,7 +16,7 @@
 
 // drainCase is one caller of an entry host that stops. Times are counted from the
 // request to stop; negative ones are before it. The host closes its listeners after
-// 3.5 s and ends what still runs after 5.3 s.
+// 3.5 s and ends what still runs after 5.3 s. Callers have other hosts after 2.5 s.
 type drainCase struct {
 	name string
 	path string
@@ -31,7 +31,7 @@
 // endpoint, and are cut without an answer when the grace period ends.
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	const before, early, opened = -100 * time.Millisecond, 200 * time.Millisecond, 2500 * time.Millisecond
-	const late, closed = 3200 * time.Millisecond, 3800 * time.Millisecond
+	const noticed, late, closed = 2800 * time.Millisecond, 3200 * time.Millisecond, 3800 * time.Millisecond
 	const long = 20 * time.Second
 	tests := []drainCase{
 		{"runs and ends", "/once/x", before, before, before, long, 4 * time.Second, 200, 1},
@@ -39,6 +39,8 @@
 		{"came early, usually ends in time", "/safe/x", early, early, early, long, time.Second, 200, 1},
 		{"came early, must not repeat, may outlast the host", "/once/x", early, early, early, long, 7 * time.Second, 503, 0},
 		{"came early, must not repeat, ends in time", "/once/x", early, early, early, 4 * time.Second, 2 * time.Second, 200, 1},
+		{"came once callers have other hosts, takes longer than usual", "/safe/x", noticed, noticed, noticed, long, 4 * time.Second, 503, 0},
+		{"came once callers have other hosts, ends by its deadline", "/safe/x", noticed, noticed, noticed, 2 * time.Second, time.Second, 200, 1},
 		{"came late, must not repeat, may outlast the host", "/once/x", late, late, late, 8 * time.Second, 3 * time.Second, 503, 0},
 		{"came late, must not repeat, ends in time", "/once/x", late, late, late, 1500 * time.Millisecond, 500 * time.Millisecond, 200, 1},
 		{"first request of a connection opened long before, may outlast the host", "/safe/x", opened, closed, closed, 8 * time.Second, 3 * time.Second, 503, 0},
--- a/caroblined/process/node/stop.go
+++ b/caroblined/process/node/stop.go
@@ -10,8 +10,11 @@
 	// transferPollInterval is the pause between two checks whether leadership has
 	// been transferred.
 	transferPollInterval = 20 * time.Millisecond
-	// minDrainTime is how long a draining entry host keeps its listeners open:
-	// callers arrive until the balancer has noticed that the host isn't ready.
+	// balancerNoticeTime is within how long the balancer notices that a draining entry
+	// host isn't ready: two of its checks, a second apart.
+	balancerNoticeTime = 2500 * time.Millisecond
+	// minDrainTime is how long a draining entry host keeps its listeners open. Single
+	// callers arrive after balancerNoticeTime, on connections that they had opened.
 	minDrainTime = 3500 * time.Millisecond
 	// shutdownReserve is the part of the grace period that is kept for closing the
 	// node once it stops waiting for running calls.
@@ -28,9 +31,9 @@
 
 // drain transfers leadership on a node without an entry, and else waits for
 // running calls to end. Callers arrive until the balancer has noticed that the
-// node isn't ready, so the listeners stay open for minDrainTime. Meanwhile each
-// answer is the last on its connection, and calls that may outlast the node are
-// refused.
+// node isn't ready, and some later, so the listeners stay open for minDrainTime.
+// Meanwhile each answer is the last on its connection, and calls that may outlast the
+// node are refused.
 func (node *Node) drain(now time.Time) {
 	node.draining.Store(true)
 	node.config.Log.Info().Str("step", "drain").Msg("draining")
@@ -40,7 +43,7 @@
 	}
 	stopsAt := now.Add(node.config.GracePeriod - shutdownReserve)
 	closesAt := now.Add(min(minDrainTime, node.config.GracePeriod-shutdownReserve))
-	node.entry.Drain(closesAt, stopsAt)
+	node.entry.Drain(now.Add(balancerNoticeTime), stopsAt)
 	time.Sleep(closesAt.Sub(node.clock.Now()))
 	ctx, cancel := context.WithTimeout(context.Background(), stopsAt.Sub(node.clock.Now()))
 	defer cancel()
