fleet: state of engines that are gone is dropped within a term

The leader kept the last order, and other state, of each engine that it ever ordered about, and the last report of a stall of each group, until its term ended. In a long term with engines that come and go its memory grew without a bound.

--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -105,6 +105,8 @@
 	// loadStartTimes are the starts of loads from the weight store within the
 	// last loadWindow.
 	loadStartTimes []time.Time
+	// hostStateDroppedAt is when the state of unknown hosts was last dropped.
+	hostStateDroppedAt time.Time
 	// callsSeen is set once a node has reported a call in this term.
 	callsSeen bool
 }
@@ -159,6 +161,7 @@
 		return actions
 	}
 	fleet.dropRetiredGroupState()
+	fleet.dropUnknownHostState(now)
 	fleet.retireBrokenGroups(now, &actions)
 	fleet.freeRetiredHosts(now, &actions)
 	fleet.advanceGroups(now, &actions)
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -30,6 +30,9 @@
 	// longestSilence is how long a sound host may be silent and go on afterwards. A host
 	// that can be reached isn't taken for lost before.
 	longestSilence = 2 * time.Second
+	// hostStateInterval is the time between two looks for state of hosts that aren't known
+	// any more.
+	hostStateInterval = time.Minute
 )
 
 // groups lists the groups of engines that aren't retired, oldest first. It is read-only.
@@ -57,6 +60,24 @@
 	maps.DeleteFunc(fleet.openedGroups, func(group id.Group, _ bool) bool { return outOfUse(group) })
 }
 
+// dropUnknownHostState deletes, once in hostStateInterval, the leader's volatile state of
+// hosts that the roster doesn't know any more, and the reports of stalls that don't count.
+func (fleet *Fleet) dropUnknownHostState(now time.Time) {
+	if now.Before(fleet.hostStateDroppedAt.Add(hostStateInterval)) {
+		return
+	}
+	fleet.hostStateDroppedAt = now
+	unknown := func(host id.Host) bool {
+		_, known := fleet.state.Roster.Member(host)
+		return !known
+	}
+	maps.DeleteFunc(fleet.lastOrderByHost, func(host id.Host, _ sentOrder) bool { return unknown(host) })
+	maps.DeleteFunc(fleet.undeliveredAtByHost, func(host id.Host, _ time.Time) bool { return unknown(host) })
+	maps.DeleteFunc(fleet.probedAtByHost, func(host id.Host, _ time.Time) bool { return unknown(host) })
+	maps.DeleteFunc(fleet.retiredAtByHost, func(host id.Host, _ id.Version) bool { return unknown(host) })
+	maps.DeleteFunc(fleet.stallReportedAtByGroup, func(_ id.Group, reportedAt time.Time) bool { return now.Sub(reportedAt) >= groupStallReportLifetime })
+}
+
 // inGroup reports whether a host announces that it is in a group under the
 // group's committed fencing token.
 func inGroup(host roster.Member, group register.GroupRecord) bool {
--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -142,3 +142,25 @@
 		}
 	}
 }
+
+// Guards against a leader whose memory grows with each engine and group that ever was.
+func TestStateOfEnginesThatAreGoneIsDropped(t *testing.T) {
+	world := newLateWorld(t, 1, lateRates{})
+	world.pass(10 * time.Second)
+	group := world.servingGroups()[0]
+	world.engines[group.Hosts[1]].up = false
+	world.pass(10 * time.Second)
+	before := world.fleet.StateSize()
+	if before < lateWorldEngines {
+		t.Fatalf("%d entries are kept, want one or more for each of %d engines", before, lateWorldEngines)
+	}
+	world.engines = map[id.Host]*lateEngine{}
+	world.now = world.now.Add(48 * time.Hour)
+	for _, hosts := range world.rosters {
+		hosts.Tick(world.now)
+	}
+	world.tick()
+	if after := world.fleet.StateSize(); after != 0 {
+		t.Errorf("%d of %d entries are kept for engines that are gone", after, before)
+	}
+}
