callerapi: a service call that was sent once isn't reported as not run

Callers of an idempotent service call got a 503 with the outcome not_run when the first attempt had been sent and a later one couldn't be made: the error was made of the last attempt only. The outcome is now unknown if any attempt may have run the call.

Evidence: TestCallThatWasSentOnceIsNotReportedAsNotRun, with two hosts of a service of which the first takes the call and ends the connection and the second refuses connections, failed before (503, not_run) and passes now (502, unknown). Calls that must not repeat aren't concerned: after a send they are never sent again.

--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -131,12 +131,14 @@
 	}
 	api.config.RetryBudget.Earn()
 	serviceCall.mayMove = repeatable(serviceCall.method)
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		answer, sent, err := api.exchange(ctx, admission, serviceCall, attempt, api.config.EngineTransport)
 		if err == nil {
 			admission.Finish(0, false)
 			return answer, nil
 		}
+		mayHaveRun = mayHaveRun || sent
 		serviceCall.call.log.Warn().Err(err).Str("step", "service").Int("attempt", attempt).Bool("sent", sent).Msg("service attempt failed")
 		if reservation := serviceCall.reservation; reservation != nil {
 			serviceCall.reservation = nil
@@ -148,12 +150,14 @@
 			continue
 		}
 		admission.Finish(0, true)
-		return nil, serviceError(err, sent)
+		return nil, serviceError(err, mayHaveRun)
 	}
 }
 
-func serviceError(err error, sent bool) *rest.Error {
-	if !sent {
+// serviceError returns the error of a call that got no answer. mayHaveRun reports whether
+// any of its attempts may have run it.
+func serviceError(err error, mayHaveRun bool) *rest.Error {
+	if !mayHaveRun {
 		return rest.NotRun(http.StatusServiceUnavailable, "service_unreachable", "the service could not be reached: "+err.Error())
 	}
 	return rest.Unknown(http.StatusBadGateway, "service_failed", "the service gave no whole answer: "+err.Error())
--- a/caroblined/process/daemon/network_test.go
+++ b/caroblined/process/daemon/network_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -17,6 +19,10 @@
 	listenerByAddress map[string]*pipeListener
 	// unreachable holds the addresses to which connections are refused.
 	unreachable map[string]bool
+	// lost holds the addresses of loseConnections, and sentToLost whether one of them has
+	// got something.
+	lost       []string
+	sentToLost atomic.Bool
 	// useTCP makes connections over loopback TCP instead, for benchmarks;
 	// tcpAddressByAddress then maps an address to that of its TCP listener.
 	useTCP              bool
@@ -53,6 +59,9 @@
 	if tcpAddress != "" && !unreachable {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", tcpAddress)
 	}
+	if slices.Contains(network.lostAddresses(), address) {
+		return network.dialLost()
+	}
 	if listener == nil || unreachable {
 		return nil, errors.Errorf("connection to %s refused", address)
 	}
@@ -73,6 +82,34 @@
 	network.unreachable[address] = unreachable
 }
 
+// loseConnections makes the first connection to one of the addresses take what is sent and
+// end without an answer. Further ones are refused. The returned function reports whether
+// something has been sent.
+func (network *pipeNetwork) loseConnections(addresses ...string) (sent func() bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.lost = addresses
+	return network.sentToLost.Load
+}
+
+func (network *pipeNetwork) lostAddresses() []string {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return network.lost
+}
+
+func (network *pipeNetwork) dialLost() (net.Conn, error) {
+	if network.sentToLost.Swap(true) {
+		return nil, errors.New("connection refused")
+	}
+	dialled, accepted := net.Pipe()
+	go func() {
+		_, _ = accepted.Read(make([]byte, 1<<10))
+		_ = accepted.Close()
+	}()
+	return dialled, nil
+}
+
 // pipeListener accepts one end of each dialled pipe.
 type pipeListener struct {
 	network  *pipeNetwork
--- a/caroblined/process/daemon/once_test.go
+++ b/caroblined/process/daemon/once_test.go
@@ -143,6 +143,25 @@
 	})
 }
 
+// Guards against a caller that is told that its call hasn't run, since the second host of
+// the service can't be reached, though the first one has got the call.
+func TestCallThatWasSentOnceIsNotReportedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		second := engine.Config{Host: "orders-2", Address: "127.0.0.1:61", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second}
+		system.startEngine(ctx, second)
+		time.Sleep(2 * time.Second) // until every node knows the second host
+		sent := system.network.loseConnections("127.0.0.1:60", "127.0.0.1:61")
+		got := system.call(context.Background(), 0, http.MethodGet, "/services/orders/stock?item=7", "acme-token", nil, "")
+		if outcome := got.header.Get(rest.HeaderOutcome); !sent() || got.status != http.StatusBadGateway || outcome != "unknown" {
+			t.Errorf("sent %v, status %d, outcome %q: %s; want a 502 with the outcome unknown", sent(), got.status, outcome, got.body)
+		}
+	})
+}
+
 // Guards against a service's answer that was cut within an event and reaches its caller as
 // complete.
 func TestServiceAnswerCutWithinAnEventIsNotPassedOn(t *testing.T) {
--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -85,7 +85,7 @@
 		}
 		system.engines = append(system.engines, system.startEngine(ctx, config))
 	}
-	system.service = system.startEngine(ctx, engine.Config{Host: "orders-1", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second})
+	system.service = system.startEngine(ctx, engine.Config{Host: "orders-1", Address: "127.0.0.1:60", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second})
 	system.applyUntilInForce(testContract("acme", "acme-token"))
 	system.waitUntil("all groups serve", func() bool {
 		overview, err := system.operator().Status(context.Background())
@@ -169,9 +169,8 @@
 
 func (system *system) startEngine(ctx context.Context, config engine.Config) *engine.Engine {
 	system.t.Helper()
-	config.Address = "127.0.0.1:5" + fmt.Sprint(len(system.engines))
-	if config.Service != "" {
-		config.Address = "127.0.0.1:60"
+	if config.Address == "" {
+		config.Address = "127.0.0.1:5" + fmt.Sprint(len(system.engines))
 	}
 	host := engine.New(config, time.Now)
 	listener, err := system.network.listen(config.Address)
