--- a/caroblined/process/control/announcements.go
+++ b/caroblined/process/control/announcements.go
@@ -68,7 +68,7 @@
 }
 
 // Depart marks a host as leaving. It returns once the leader has the change. It fails
-// with ErrUnknownHost for an incarnation that the node hasn't heard of.
+// with ErrUnknownHost for an incarnation that the node hasn't learnt of.
 func (control *Control) Depart(ctx context.Context, host id.Host, incarnation id.Incarnation) error {
 	return control.stepMember(ctx, "depart", func(now time.Time, done chan<- error) {
 		if !control.member.Knows(host, incarnation) {
--- a/caroblined/process/daemon/calls_test.go
+++ b/caroblined/process/daemon/calls_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// Guards against a caller that is told that its call hasn't run on the word of a refusal
+// Guards against a caller that is told that its call hasn't run because of a refusal
 // that may be another request's.
 func TestRefusalWithoutAnIDProvesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/caroblined/process/node/founders_test.go
+++ b/caroblined/process/node/founders_test.go
@@ -55,7 +55,7 @@
 // lease, and stops them. first is set at the first start of the system.
 func (hosts *hosts) run(first bool, work func(loop *control.Control)) {
 	hosts.t.Helper()
-	const patience = 15 * time.Second
+	const timeout = 15 * time.Second
 	leases := make(leaseWriter, 100)
 	ctx, stop := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
@@ -76,14 +76,14 @@
 			}
 		})
 	}
-	deadline, held := time.After(patience), 0
+	deadline, held := time.After(timeout), 0
 	for ; held < len(hosts.addresses); held++ {
 		select {
 		case <-leases:
 			continue
 		case <-deadline:
 		}
-		hosts.t.Errorf("%d of %d control hosts hold a lease within %v, first start: %v", held, len(hosts.addresses), patience, first)
+		hosts.t.Errorf("%d of %d control hosts hold a lease within %v, first start: %v", held, len(hosts.addresses), timeout, first)
 		break
 	}
 	loop := <-hosts.loops
@@ -100,13 +100,13 @@
 // awaitVoters waits until all hosts vote.
 func (hosts *hosts) awaitVoters(loop *control.Control) {
 	hosts.t.Helper()
-	const patience, pause = 10 * time.Second, 50 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	const timeout, pause = 10 * time.Second, 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for {
 		overview, err := loop.Overview(ctx)
 		if err != nil {
-			hosts.t.Fatalf("not all hosts vote within %v: %v", patience, err)
+			hosts.t.Fatalf("not all hosts vote within %v: %v", timeout, err)
 		}
 		if len(overview.Quorum.Membership.Voters) == len(hosts.addresses) {
 			return
--- a/caroblined/request/traffic/admission.go
+++ b/caroblined/request/traffic/admission.go
@@ -52,7 +52,7 @@
 
 // Attempt starts an attempt at the endpoint. It returns false when the node may no
 // longer start work at the endpoint, which is checked here as the last step before the
-// write. Nothing but the caller of Attempt ends the attempt: what speaks for a move is
+// write. Nothing but the caller of Attempt ends the attempt: a reason to move is
 // sent to Moves.
 func (admission *Admission) Attempt(ctx context.Context) (context.Context, context.CancelCauseFunc, bool) {
 	traffic := admission.traffic
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -1,5 +1,5 @@
-// Package endpoint is the HTTP transport to the hosts of engines and services. A host
-// in trouble may send bytes that are no answer and never end, so heads and bodies are
+// Package endpoint is the HTTP transport to the hosts of engines and services. A
+// faulty host may send bytes that are no answer and never end, so heads and bodies are
 // bounded, and an answer to another request isn't taken for that to this one. Either costs
 // the connection, which isn't used again.
 //
--- a/core/process/controller/bootstrap_test.go
+++ b/core/process/controller/bootstrap_test.go
@@ -269,7 +269,7 @@
 // TestElectorateNeverLosesItsMajority checks that a membership change adds or
 // removes at most one voter, and that it never removes a voter when the rest has
 // no majority of reachable voters. A voter that has lost its disk comes back
-// under a new name (~b), so that a vote which it has forgotten is never counted.
+// under a new name (~b), so that a vote whose record it has lost is never counted.
 func TestElectorateNeverLosesItsMajority(t *testing.T) {
 	for seed := range uint64(2000) {
 		random := rand.New(rand.NewPCG(seed, 3))
--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -119,7 +119,7 @@
 func TestLargeChangesAreInForceInTimeAtThreeHundredEntryHosts(t *testing.T) {
 	t.Parallel()
 	large := newSpread(t, 11, largeEntryNodes)
-	large.storm(4, 900*time.Millisecond)
+	large.declareRepeatedly(4, 900*time.Millisecond)
 	large.run(spreadBound)
 }
 
@@ -152,7 +152,7 @@
 	}
 }
 
-// Guards against a leader whose work in a calm system grows with entry hosts times
+// Guards against a leader whose work in a system without changes grows with entry hosts times
 // engines. It must stay below a quarter of what its processor encodes.
 func TestLeadersWorkIsBoundedAtThreeHundredEntryHosts(t *testing.T) {
 	t.Parallel()
--- a/core/process/controller/odd_engine_test.go
+++ b/core/process/controller/odd_engine_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// Guards against one odd entry among those of the engines that costs more than itself: a
+// Guards against one malformed entry among those of the engines that affects others: a
 // node that ends or follows no longer, a leader that changes, or a group of sound engines.
 func TestOddEngineCostsNoGroupOfSoundOnes(t *testing.T) {
 	for seed := range uint64(*seedsFlag) / 4 {
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -170,9 +170,9 @@
 	}
 }
 
-// storm proposes changes at an interval, and checks spreadBound after each that all
+// declareRepeatedly proposes changes at an interval, and checks spreadBound after each that all
 // entry hosts act by it.
-func (spread *spread) storm(changes int, interval time.Duration) {
+func (spread *spread) declareRepeatedly(changes int, interval time.Duration) {
 	for range changes {
 		spread.change()
 		revision := spread.revision
@@ -205,7 +205,7 @@
 func TestLargeChangesAreInForceAtSeventyEntryHostsInTime(t *testing.T) {
 	t.Parallel()
 	spread := newSpread(t, 1, spreadEntryNodes)
-	spread.storm(8, 700*time.Millisecond)
+	spread.declareRepeatedly(8, 700*time.Millisecond)
 	spread.run(spreadBound)
 }
 
@@ -229,7 +229,7 @@
 		spread.run(330 * time.Millisecond)
 	}
 	spread.run(spreadBound)
-	spread.checkLeads(term, "by a storm of changes")
+	spread.checkLeads(term, "by repeated changes")
 	spread.checkInForce(spread.revision)
 }
 
@@ -264,7 +264,7 @@
 	}
 }
 
-// Guards against a departure that a leader acknowledges while nobody else hears it.
+// Guards against a departure that a leader acknowledges though no other voter receives it.
 func TestDepartureIsNotAcknowledgedByALeaderThatReachesNoMajority(t *testing.T) {
 	t.Parallel()
 	spread := newSpread(t, 110, entryNodeCount)
@@ -297,7 +297,7 @@
 	entry.runMember(entry.member.Step(entry.now(), member.AnnouncedWithoutEcho{Announcement: announcement}))
 }
 
-// Guards against a leader that drowns in its own answers, since each change at a host
+// Guards against a leader that is overloaded by its own answers, since each change at a host
 // is answered to all nodes at once.
 func TestLeaderGivesABoundedNumberOfResponsesHoweverManyNodesAndChanges(t *testing.T) {
 	t.Parallel()
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -134,7 +134,7 @@
 	Epoch         Epoch  `json:"epoch"`
 	Cursor        uint64 `json:"cursor"`
 	// MajorityCursor is the cursor that a majority of the voters has reached. What
-	// the roster holds up to it outlives the leader.
+	// the roster holds up to it survives the loss of the leader.
 	MajorityCursor uint64 `json:"majority_cursor"`
 	// Roster holds the announcements that changed after the request's cursor in more
 	// than their lease and load.
--- a/core/process/member/counts.go
+++ b/core/process/member/counts.go
@@ -8,11 +8,11 @@
 	"carobline.dev/core/process/feed"
 )
 
-// countsSettleTime is how long a new leader takes to hear of the calls of all nodes.
+// countsSettleTime is how long a new leader takes to learn of the calls of all nodes.
 const countsSettleTime = time.Second
 
-// counts is what the leader says of the calls of other nodes. A new leader hears of them
-// one node after the other, and at first knows of hardly any; until it has heard of all,
+// counts is what the leader says of the calls of other nodes. A new leader learns of them
+// one node after the other, and at first knows of hardly any; until it has learnt of all,
 // the larger of its counts and the last leader's holds, and the smaller share.
 type counts struct {
 	// share is this node's part of the demand of all nodes.
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -269,7 +269,7 @@
 	member.queueDeparture(event.Host)
 }
 
-// queueDeparture queues a departure for the leader also where this node had heard of it
+// queueDeparture queues a departure for the leader also where this node had learnt of it
 // before, as a majority of the voters may not have.
 func (member *Member) queueDeparture(host id.Host) {
 	known, ok := member.hosts.Member(host)
@@ -280,7 +280,7 @@
 	member.sendAtOnce = true
 }
 
-// Knows reports whether the node has heard of an incarnation of a host, or of a later
+// Knows reports whether the node has learnt of an incarnation of a host, or of a later
 // one. Incarnation 0 stands for any.
 func (member *Member) Knows(host id.Host, incarnation id.Incarnation) bool {
 	known, ok := member.hosts.Member(host)
@@ -288,7 +288,7 @@
 }
 
 // Accepted reports whether the leader has all that a host announced to this node, and
-// whether a departure outlives the leader.
+// whether a departure survives the loss of the leader.
 func (member *Member) Accepted(host id.Host) bool {
 	_, unaccepted := member.unacceptedByHost[host]
 	_, awaited := member.awaitedCursorByHost[host]
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -123,7 +123,7 @@
 }
 
 // Guards against hosts that stay with a node which has restarted while it is cut off: the
-// leader never hears of them there.
+// leader never learns of them there.
 func TestRestartedNodeWithoutALeaderSendsHostsElsewhere(t *testing.T) {
 	const startup, silence = 3 * time.Second, time.Second
 	node := member.New(start, member.Config{Self: "n", Voters: []id.Node{"m"}}, roster.New())
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster decides which hosts are alive, from their announcements. An
 // announcement starts a lease only if it is newer than all before it, by
 // incarnation and sequence, so that delayed, repeated or relayed old announcements
-// revive no host. A host that has announced that it is leaving stays so for the
+// make no host live again. A host that has announced that it is leaving stays so for the
 // rest of that incarnation.
 //
 // # Usage
@@ -25,7 +25,7 @@
 const deadHostRetention = 24 * time.Hour
 
 // departureRelayTime is how long after the end of its lease a host that has left is
-// still relayed, so that nodes which missed its departure hear of it.
+// still relayed, so that nodes which missed its departure learn of it.
 const departureRelayTime = time.Minute
 
 // maxChangesPerHost times the number of hosts bounds Roster.changes, replaced entries
--- a/measure/main.go
+++ b/measure/main.go
@@ -2,9 +2,9 @@
 // root of the repository. It exits with 1 if a target is missed.
 //
 //	measure traffic         dispatch policies on simulated engines; SEED=n changes the arrivals
-//	measure admission       calls of a model with few large groups, at the crest of a wave
+//	measure admission       calls of a model with few large groups, at the peak of the load
 //	measure formation       forming groups while engines are lost, added and replaced
-//	measure control         cores of real control hosts, with engines that go dark and a leader that is killed; see measure control -h
+//	measure control         cores of real control hosts, with engines that fail and a leader that is killed; see measure control -h
 //	measure capacity        cost of the control plane at several sizes, with fitted lines
 //	measure capacity-page   the same, and writes docs/capacity/slopes.json and the table in docs/CAPACITY.md
 //	measure capacity-table  writes the table in docs/CAPACITY.md from the committed slopes
--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	result := admission.Simulate(admission.HeavyWave(), admission.Late, seed)
+//	result := admission.Simulate(admission.HeavyLoad(), admission.Late, seed)
 //	fmt.Println(result.Kinds[0].Credit, result.Kinds[0].LargestServed)
 package admission
 
@@ -68,7 +68,7 @@
 	Pauses []Pause
 	Engine Engine
 	// Stall is how long a lost group makes no progress before it rejects its calls, and
-	// LossKnown how long entry hosts take to hear of it. Without them its calls move at
+	// LossKnown how long entry hosts take to learn of it. Without them its calls move at
 	// once.
 	Stall, LossKnown time.Duration
 	// SavedRetries is how many calls all entry hosts together may save up to send again.
@@ -99,9 +99,9 @@
 	StepsPerEvent, Chunk     int
 }
 
-// HeavyWave returns the load of a model with few large groups: the crest of a wave asks
+// HeavyLoad returns the load of a model with few large groups: its peak asks
 // for more than they can serve, while one group after the other is lost for seconds.
-func HeavyWave() Scenario {
+func HeavyLoad() Scenario {
 	return Scenario{
 		Length: 34 * time.Second, EntryHosts: 40, Groups: 7, Swing: 0.55, Period: 17 * time.Second,
 		Kinds: []Kind{
--- a/measure/process/admission/admission_test.go
+++ b/measure/process/admission/admission_test.go
@@ -25,9 +25,9 @@
 	return sums
 }
 
-// manyEntryHosts is the heavy wave before twice as many groups and a hundred entry hosts.
+// manyEntryHosts is HeavyLoad with twice as many groups and a hundred entry hosts.
 func manyEntryHosts() admission.Scenario {
-	scenario := admission.HeavyWave()
+	scenario := admission.HeavyLoad()
 	scenario.EntryHosts, scenario.Groups = 100, 2*scenario.Groups
 	for index := range scenario.Kinds {
 		scenario.Kinds[index].CallsPerSecond *= 2
@@ -36,7 +36,7 @@
 }
 
 func fewEntryHosts() admission.Scenario {
-	scenario := admission.HeavyWave()
+	scenario := admission.HeavyLoad()
 	scenario.EntryHosts = 9
 	return scenario
 }
@@ -47,7 +47,7 @@
 // for it.
 func TestLateCountsCostFewCallsTheirTarget(t *testing.T) {
 	for name, scenario := range map[string]admission.Scenario{
-		"heavy wave, groups lost": admission.HeavyWave(), "few entry hosts": fewEntryHosts(), "many entry hosts": manyEntryHosts(),
+		"heavy load, groups lost": admission.HeavyLoad(), "few entry hosts": fewEntryHosts(), "many entry hosts": manyEntryHosts(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/measure/process/admission/large.go
+++ b/measure/process/admission/large.go
@@ -3,7 +3,7 @@
 import "time"
 
 // largeStall is how long a group with a lost engine takes calls before it rejects them, and
-// largeLossKnown when entry hosts hear of it.
+// largeLossKnown when entry hosts learn of it.
 const (
 	largeStall     = 4 * time.Second
 	largeLossKnown = 4500 * time.Millisecond
--- a/measure/process/admission/measure.go
+++ b/measure/process/admission/measure.go
@@ -6,7 +6,7 @@
 	"carobline.dev/measure/process/report"
 )
 
-// Measure reports what callers get at the crest of the heavy wave, with late counts and
+// Measure reports what callers get at the peak of the load, with late counts and
 // with fresh ones, and what they get of 300 entry hosts, by how much they ask for.
 func Measure(seed uint64, report *report.Report) {
 	const (
@@ -18,8 +18,8 @@
 		scenario  Scenario
 		knowledge Knowledge
 	}{
-		{"late", HeavyWave(), Late},
-		{"fresh", HeavyWave(), Fresh},
+		{"late", HeavyLoad(), Late},
+		{"fresh", HeavyLoad(), Fresh},
 		{"large_mean", LargeGroups(1, 1, 0), LateAtLarge},
 		{"large_double", LargeGroups(2, 1, 0), LateAtLarge},
 		{"large_opening", LargeGroups(1, 0.3, opening), LateAtLarge},
--- a/measure/process/controlload/config.go
+++ b/measure/process/controlload/config.go
@@ -16,7 +16,7 @@
 	Length time.Duration
 	// DeclareAt is when a configuration is declared first.
 	DeclareAt time.Duration
-	// From FirstWaveAt on WaveEngines engines go dark at a time, Waves times.
+	// From FirstWaveAt on WaveEngines engines fail at a time, Waves times.
 	Waves, WaveEngines        int
 	FirstWaveAt, WaveInterval time.Duration
 	// KillLeaderAt is when the leader is killed; 0 stands for never. It is started again
--- a/measure/process/controlload/controlload.go
+++ b/measure/process/controlload/controlload.go
@@ -1,6 +1,6 @@
 // Package controlload measures whole control hosts under load: real ones as child
 // processes with one processor each, with many nodes without a disk and stand-ins for
-// engines, all on loopback. Engines go dark in waves, and the leader is killed.
+// engines, all on loopback. Some engines fail at a time, several times, and the leader is killed.
 //
 // # Usage
 //
@@ -246,7 +246,7 @@
 	return second, nil
 }
 
-// act profiles the leader, makes engines go dark, kills the leader and starts it again, each
+// act profiles the leader, makes engines fail, kills the leader and starts it again, each
 // when it is due, and adds what it did to the second.
 func (run *run) act(now time.Time, second *Second) error {
 	elapsed := now.Sub(run.startedAt)
@@ -256,7 +256,7 @@
 	if run.wavesDone < run.config.Waves && elapsed >= run.config.FirstWaveAt+time.Duration(run.wavesDone)*run.config.WaveInterval {
 		run.wavesDone++
 		second.Disturbed = true
-		second.Events = append(second.Events, fmt.Sprintf("%d engines go dark", run.fleet.Lose(now, run.config.WaveEngines)))
+		second.Events = append(second.Events, fmt.Sprintf("%d engines fail", run.fleet.Lose(now, run.config.WaveEngines)))
 	}
 	if run.killDue(elapsed) && second.Leader != NoLeader {
 		run.hosts[second.Leader].kill()
--- a/measure/process/controlload/controlload_test.go
+++ b/measure/process/controlload/controlload_test.go
@@ -69,10 +69,10 @@
 	return second.Nodes.WithoutLease == 0 && second.Nodes.LeastEndpoints >= domains && second.Engines.OpenGroups >= domains
 }
 
-// TestLossOfTheLeaderIsOutlived guards against a load that doesn't come to life or doesn't
+// TestRunGoesOnAfterTheLossOfTheLeader guards against a load that doesn't start or doesn't
 // end: groups open and all nodes see them, the same is so under another leader once the
 // first is killed, the killed host comes back, and nothing is left at the end.
-func TestLossOfTheLeaderIsOutlived(t *testing.T) {
+func TestRunGoesOnAfterTheLossOfTheLeader(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
 	config := smallLoad(t)
 	servedBefore, servedAfter, killed := false, false, controlload.NoLeader
--- a/measure/process/controlload/result.go
+++ b/measure/process/controlload/result.go
@@ -10,7 +10,7 @@
 }
 
 // Report reports the cores of the leader and of the other control hosts: while groups
-// open, which is until as many are open as ever before the first engines go dark, and in
+// open, which is until as many are open as ever before the first engines fail, and in
 // calm seconds, in which the same groups are open and the same host leads as before.
 func (result *Result) Report(report *report.Report) {
 	allOpen := result.firstWithAllGroups()
--- a/measure/process/controlload/second.go
+++ b/measure/process/controlload/second.go
@@ -29,7 +29,7 @@
 	Nodes   nodes.Sample
 	Engines engines.Sample
 	// Events says what was done at the end of the second, and Disturbed is true if engines
-	// went dark or the leader was killed then.
+	// failed or the leader was killed then.
 	Events    []string
 	Disturbed bool
 }
--- a/measure/process/engines/engine.go
+++ b/measure/process/engines/engine.go
@@ -50,7 +50,7 @@
 	time time.Duration
 }
 
-// engine is the state machine of one engine. An engine that is dark answers nothing and
+// engine is the state machine of one engine. An engine that has failed answers nothing and
 // announces nothing.
 type engine struct {
 	host        id.Host
@@ -72,13 +72,13 @@
 	stagedAt                time.Time
 	// breaksAt is when the head of a group that has lost a member says so.
 	breaksAt   time.Time
-	dark       bool
+	failed     bool
 	announceAt time.Time
 }
 
-// obey carries out an order. Orders for another host, as well as those with an older
+// carryOut carries out an order. Orders for another host, as well as those with an older
 // fencing token than the engine's group has, change nothing.
-func (engine *engine) obey(now time.Time, order action.Order) {
+func (engine *engine) carryOut(now time.Time, order action.Order) {
 	if order.Host != engine.host {
 		return
 	}
--- a/measure/process/engines/engine_test.go
+++ b/measure/process/engines/engine_test.go
@@ -27,7 +27,7 @@
 		{action.OrderClose, closeTime, stateClosing, stateReady},
 		{action.OrderUnload, 0, stateFree, stateFree},
 	} {
-		engine.obey(now, order(step.kind))
+		engine.carryOut(now, order(step.kind))
 		engine.advance(now.Add(step.time - 1))
 		if engine.state != step.before {
 			t.Errorf("after the order to %s the state is %d, want %d", step.kind, engine.state, step.before)
@@ -45,11 +45,11 @@
 func TestEngineRefusesOldOrdersAndThoseOfOthers(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	engine := newEngine()
-	engine.obey(now, order(action.OrderLoad))
+	engine.carryOut(now, order(action.OrderLoad))
 	old, foreign := order(action.OrderLoad), order(action.OrderUnload)
 	old.Group, old.Fencing, foreign.Host = "group-0", 6, "engine-2"
-	engine.obey(now, old)
-	engine.obey(now, foreign)
+	engine.carryOut(now, old)
+	engine.carryOut(now, foreign)
 	if !engine.inGroup("group-1", 7) {
 		t.Errorf("the engine is in state %d by %+v", engine.state, engine.order)
 	}
@@ -60,7 +60,7 @@
 func TestHeadThatLosesAMemberBreaksItsGroup(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	engine := newEngine()
-	engine.obey(now, order(action.OrderLoad))
+	engine.carryOut(now, order(action.OrderLoad))
 	engine.advance(now.Add(loadTime))
 	engine.memberLost(now.Add(loadTime))
 	engine.advance(now.Add(loadTime + memberLossTimeout - 1))
--- a/measure/process/engines/engines.go
+++ b/measure/process/engines/engines.go
@@ -1,5 +1,5 @@
 // Package engines runs stand-ins for the engines of a fleet: they announce themselves to
-// the control hosts, carry out orders after the time that each takes, and go dark. All
+// the control hosts, carry out orders after the time that each takes, and fail. All
 // share one listener, and each has a loopback address of its own.
 //
 // # Usage
@@ -178,7 +178,7 @@
 		fleet.replacements = fleet.replacements[1:]
 	}
 	for _, engine := range fleet.engines {
-		if engine.dark {
+		if engine.failed {
 			continue
 		}
 		engine.advance(now)
@@ -216,7 +216,7 @@
 	}
 }
 
-// answerAsEngine answers nothing as long as the addressed engine is dark, and breaks off
+// answerAsEngine answers nothing as long as the addressed engine has failed, and breaks off
 // what is addressed to no engine.
 func (fleet *Fleet) answerAsEngine(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -250,7 +250,7 @@
 func (fleet *Fleet) isDark(engine *engine) bool {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	return engine.dark
+	return engine.failed
 }
 
 // empty is an answer without content.
@@ -260,6 +260,6 @@
 	engine := fleet.addressedEngine(ctx)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	engine.obey(time.Now(), order)
+	engine.carryOut(time.Now(), order)
 	return empty{}, nil
 }
--- a/measure/process/engines/loss.go
+++ b/measure/process/engines/loss.go
@@ -7,14 +7,14 @@
 	"carobline.dev/core/id"
 )
 
-// Lose makes up to count engines that are in a group go dark for good, and returns how many
+// Lose makes up to count engines that are in a group fail for good, and returns how many
 // did.
 func (fleet *Fleet) Lose(now time.Time, count int) int {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	lost := 0
 	for _, index := range rand.Perm(len(fleet.engines)) {
-		if engine := fleet.engines[index]; lost < count && !engine.dark && engine.state != stateFree {
+		if engine := fleet.engines[index]; lost < count && !engine.failed && engine.state != stateFree {
 			fleet.lose(now, engine)
 			lost++
 		}
@@ -22,17 +22,17 @@
 	return lost
 }
 
-// lose makes one engine go dark. The head of its group learns of it, and a new engine
+// lose makes one engine fail. The head of its group learns of it, and a new engine
 // takes its place later.
 func (fleet *Fleet) lose(now time.Time, lost *engine) {
-	lost.dark = true
+	lost.failed = true
 	fleet.replacements = append(fleet.replacements, replacement{at: now.Add(replaceTime), domain: lost.domain})
 	broken := assignment{lost.order.Group, lost.order.Fencing}
 	if _, known := fleet.memberLostAt[broken]; !known {
 		fleet.memberLostAt[broken] = now
 	}
 	for _, engine := range fleet.engines {
-		if !engine.dark && engine.head() && engine.inGroup(broken.group, broken.fencing) {
+		if !engine.failed && engine.head() && engine.inGroup(broken.group, broken.fencing) {
 			engine.memberLost(now)
 		}
 	}
@@ -54,7 +54,7 @@
 	fleet.sample = Sample{}
 	for _, engine := range fleet.engines {
 		_, memberLost := fleet.memberLostAt[assignment{engine.order.Group, engine.order.Fencing}]
-		if engine.head() && engine.state == stateOpen && !engine.dark && !memberLost {
+		if engine.head() && engine.state == stateOpen && !engine.failed && !memberLost {
 			sample.OpenGroups++
 		}
 	}
