--- a/measure/process/admission/pause.go
+++ b/measure/process/admission/pause.go
@@ -10,10 +10,10 @@
 	pauseAfter  = 4 * time.Second
 )
 
-// EvenLoad returns a load without crests or losses that a model's groups can serve, before
+// EvenLoad returns a load without peaks or losses that a model's groups can serve, before
 // nine entry hosts.
 func EvenLoad(factor float64) Scenario {
-	scenario := HeavyWave()
+	scenario := HeavyLoad()
 	scenario.Length, scenario.EntryHosts, scenario.Swing, scenario.Losses = pauseAt+pauseLength+pauseAfter, 9, 0, nil
 	scenario.Engine.Queue, scenario.SavedRetries = 2*scenario.Engine.Slots, 12*float64(scenario.EntryHosts)
 	for index := range scenario.Kinds {
