balancer: a silence of all endpoints isn't taken for a low rate of departures

What callers saw: during and after a pause of all servers some were told to come back so late that they didn't, and others to come back while the servers were still silent, where they were refused for the second time.

Cause: the rate of departures fell through the pause, and Retry-After is what the pool needs at that rate for those who wait and those who were refused; early in the pause that is next to nothing.

Evidence (silence_test.go, on the code before): at 100 departures a second, the last of 100 callers refused in a pause of 1 s was told 1.5 s; after a silence of 0.8 s with few refusals callers were told 200 ms.

Change: departures don't decay while no call at any endpoint of the pool has made progress for 0.5 s and for twice the usual time to an answer, up to 2 s, after which they do. In such a silence Retry-After is at least as long as the silence has lasted. As before it grows with the refusals, so that the callers return one after the other, the first refused first.

Result: at most 1.3 s in the first test, 0.8 s in the second. The tests of balancer and entryapi pass.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -192,7 +192,7 @@
 		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
 	if !balancer.anyFits(now, call, endpoints) {
-		return queue.refuse(now, call, Decision{Call: call.Number})
+		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number})
 	}
 	ahead := balancer.queuedAhead(queue, call)
 	if ahead == 0 || call.Failover {
@@ -201,11 +201,11 @@
 		}
 	}
 	running, limit := balancer.poolLoad(endpoints)
-	rate := queue.departureRate(now)
+	rate := queue.departureRate(now, balancer.poolQuiet(now, endpoints))
 	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
 	maxWait := queue.maxWait(now, call)
 	if wait > maxWait && ahead >= minQueueLength {
-		return queue.refuse(now, call, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
+		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
 	}
 	queue.waiting = append(queue.waiting, call)
 	slices.SortStableFunc(queue.waiting, compareCalls)
@@ -235,17 +235,18 @@
 		return Decision{}, false
 	}
 	queue.waiting = slices.Delete(queue.waiting, index, index+1)
-	running, limit := balancer.poolLoad(balancer.available(now, call.Pool))
-	return queue.refuse(now, call, Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
+	endpoints := balancer.available(now, call.Pool)
+	running, limit := balancer.poolLoad(endpoints)
+	return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
 }
 
 // Done records how a call ended at an endpoint and returns the decisions for
 // waiting calls that may go now.
 func (balancer *Balancer) Done(now time.Time, call Call, endpoint feed.Endpoint, ending Ending) []Decision {
+	balancer.queue(call.Pool).recordDeparture(now, balancer.poolQuiet(now, balancer.endpoints(call.Pool)))
 	state := balancer.state(endpoint)
 	state.running = max(0, state.running-1)
 	balancer.recordEnding(now, state, ending)
-	balancer.queue(call.Pool).recordDeparture(now)
 	return balancer.dispatchWaiting(now)
 }
 
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -55,15 +55,16 @@
 	return 0
 }
 
-// recordDeparture counts a finished call.
-func (queue *queue) recordDeparture(now time.Time) {
-	queue.decay(now)
+// recordDeparture counts a finished call, before which the pool was quiet.
+func (queue *queue) recordDeparture(now time.Time, quiet time.Duration) {
+	queue.decay(now, quiet)
 	queue.departures++
 }
 
 // decay reduces both counts in proportion to the part of rateWindow that has
-// passed since the last call.
-func (queue *queue) decay(now time.Time) {
+// passed since the last call. Departures don't decay in a silence, which says nothing of
+// the rate after it, unless it lasts.
+func (queue *queue) decay(now time.Time, quiet time.Duration) {
 	elapsed := now.Sub(queue.decayedAt)
 	queue.decayedAt = now
 	if elapsed >= rateWindow {
@@ -71,16 +72,28 @@
 		return
 	}
 	remaining := 1 - float64(elapsed)/float64(rateWindow)
-	queue.departures *= remaining
 	queue.refusals *= remaining
+	if !queue.silent(quiet) || quiet > rateWindow {
+		queue.departures *= remaining
+	}
+}
+
+// silent reports whether a pool without progress for the time quiet is silent, rather than
+// at work on its calls.
+func (queue *queue) silent(quiet time.Duration) bool {
+	return quiet > max(maxEventGap, 2*queue.timeToFirstEvent)
 }
 
 // refuse turns decision into a refusal. Its RetryAfter is the time that the
 // pool needs to serve the waiting calls and those refused recently, whose callers
-// retry too, at the current departure rate.
-func (queue *queue) refuse(now time.Time, call Call, decision Decision) Decision {
-	rate := max(queue.departureRate(now), 1)
+// retry too, at the current departure rate. When its endpoints have all been silent
+// for the time quiet, it is at least as long.
+func (queue *queue) refuse(now time.Time, call Call, quiet time.Duration, decision Decision) Decision {
+	rate := max(queue.departureRate(now, quiet), 1)
 	wait := time.Duration((float64(len(queue.waiting)+1) + queue.refusals) / rate * float64(time.Second))
+	if queue.silent(quiet) {
+		wait = max(wait, quiet)
+	}
 	if !call.StillRunning {
 		queue.refusals++
 	}
@@ -90,7 +103,7 @@
 }
 
 // departureRate returns the finished calls per second.
-func (queue *queue) departureRate(now time.Time) float64 {
-	queue.decay(now)
+func (queue *queue) departureRate(now time.Time, quiet time.Duration) float64 {
+	queue.decay(now, quiet)
 	return queue.departures / rateWindow.Seconds()
 }
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -131,6 +131,21 @@
 	return own / 2
 }
 
+// poolQuiet returns for how long no call at any of the endpoints has made progress. It is
+// zero while none runs.
+func (balancer *Balancer) poolQuiet(now time.Time, endpoints []*view.Endpoint) time.Duration {
+	least, busy := time.Duration(math.MaxInt64), false
+	for _, endpoint := range endpoints {
+		if state := balancer.stateByEndpoint[endpoint.Name]; state != nil && state.running > 0 {
+			least, busy = min(least, balancer.quiet(now, endpoint.Name)), true
+		}
+	}
+	if !busy {
+		return 0
+	}
+	return least
+}
+
 // commonPause reports whether a running call's endpoint seems to be silent together with all
 // others: calls of this entry host run at some of them, and none makes progress. What holds
 // for those is expected of endpoints without calls, but not for longer than maxCommonPause.
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -14,6 +14,8 @@
 	silentStreams = 10
 	// silenceLimit is how long a stream is silent before its endpoint is reported.
 	silenceLimit = 400 * time.Millisecond
+	// usualTime is that of an answer of a plain service.
+	usualTime = 20 * time.Millisecond
 )
 
 // streamingPool is a pool of endpoints with streams that run at one entry host.
@@ -387,3 +389,65 @@
 		}
 	}
 }
+
+// Guards against callers that are told to come back at once while all endpoints are silent, and
+// are refused for the second time in the same silence.
+func TestRefusedCallersDontComeBackInTheSameSilence(t *testing.T) {
+	const silence = 800 * time.Millisecond
+	pools := newBalancer(1, 1, 0, 0)
+	now := start
+	for number := range 200 {
+		now = now.Add(usualTime)
+		pools.ObserveTimeToFirstEvent(pool, usualTime)
+		decision := pools.Submit(now, call(number, now))
+		pools.Done(now, call(number, now), decision.Endpoint.Name, balancer.Served)
+	}
+	for number := range 2 {
+		pools.Submit(now, call(number, now))
+	}
+	refused := func(now time.Time) time.Duration {
+		waiting := call(1000, now)
+		pools.Submit(now, waiting)
+		decision, _ := pools.Cancel(now, waiting)
+		return decision.RetryAfter
+	}
+	now = now.Add(silence)
+	if got := refused(now); got < silence {
+		t.Errorf("Retry-After of %v after a silence of %v, want as much", got, silence)
+	}
+	pools.StreamBegan(now, feed.Endpoint{Host: "h00"})
+	if got := refused(now); got >= silence {
+		t.Errorf("Retry-After of %v once an endpoint goes on, want less than %v", got, silence)
+	}
+}
+
+// Guards against a rate of departures that falls while all endpoints are silent, so that
+// callers are told to come back later than the pool needs for them.
+func TestSilenceDoesntLowerTheRateOfDepartures(t *testing.T) {
+	const slots, silence, maxRetryAfter = 10, time.Second, 1300 * time.Millisecond
+	pools := newBalancer(1, slots, 0)
+	now := start
+	endpoint := feed.Endpoint{Host: "h00"}
+	for number := range slots {
+		pools.Submit(now, call(number, now))
+	}
+	for number := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		pools.ObserveTimeToFirstEvent(pool, 100*time.Millisecond)
+		pools.Done(now, call(number, now), endpoint, balancer.Served)
+		pools.Submit(now, call(number, now))
+	}
+	var last time.Duration
+	for end := now.Add(silence); now.Before(end); {
+		now = now.Add(10 * time.Millisecond)
+		refused := call(1000, now)
+		decision := pools.Submit(now, refused)
+		if decision.Verdict == balancer.VerdictWait {
+			decision, _ = pools.Cancel(now, refused)
+		}
+		last = decision.RetryAfter
+	}
+	if last > maxRetryAfter {
+		t.Errorf("Retry-After of %v after a silence of %v in which 100 calls were refused, at 100 departures a second before; want at most %v", last, silence, maxRetryAfter)
+	}
+}
