endpoint: an endpoint may be silent for two seconds within its headers

A call whose endpoint fell silent for two seconds after the first byte of its answer, and then went on, was cut as if the headers didn't end: callers of calls that must not repeat got a 502 though the endpoint was at work.

maxHeaderTime was as long as a sound endpoint may be silent.

--- a/core/connection/endpoint/header_test.go
+++ b/core/connection/endpoint/header_test.go
@@ -90,3 +90,21 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a call that is cut while its endpoint is at work, since that fell silent
+// for two seconds within the headers of its answer, or within its body.
+func TestEndpointMayPauseWithinItsAnswer(t *testing.T) {
+	const limit, pause = 12 * time.Second, 2200 * time.Millisecond
+	for name, parts := range map[string][]string{
+		"status line": {"HTTP/1.1 20", "0 OK\r\nContent-Length: 4\r\n\r\ndone", ""},
+		"headers":     {"HTTP/1.1 200 OK\r\nContent-", "Length: 4\r\n\r\ndone", ""},
+		"body":        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo", "ne", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if err := answer(t, limit, pause, func(number int) string { return parts[number] }); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
