daemon: a test that a demoted answer outlasts a silent successor

A demoted answer is moved a second after an engine has accepted its successor, though that has had no event. The test makes all engines silent for 2 s before each event from shortly before the demotion on: the caller gets each token once and the end mark. It passes without a change.

--- a/caroblined/process/daemon/handover_test.go
+++ b/caroblined/process/daemon/handover_test.go
@@ -62,6 +62,24 @@
 	})
 }
 
+// Guards against a demoted answer that ends incomplete, or loses or repeats a token, since
+// it was moved beside a successor that was silent for longer than the grace and then went on.
+func TestDemotedAnswerOutlastsASilentSuccessor(t *testing.T) {
+	const pace, untilDemotion, silence = 10 * time.Millisecond, 2400 * time.Millisecond, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 4, func(config *engine.Config) { config.Pace = pace })
+		defer system.close()
+		go func() {
+			time.Sleep(untilDemotion)
+			for _, host := range system.engines {
+				host.SetFaults(engine.Faults{Slow: int(silence / pace)})
+			}
+		}()
+		const prompt = "x tokens=260"
+		checkStream(t, system.stream(0, prompt), prompt, true)
+	})
+}
+
 // Guards against a long answer that keeps a full engine from short ones, since the rest of
 // it, at a lower priority level, has no event while it waits for the same slot.
 func TestLongAnswerLeavesTheSlotOfAFullEngine(t *testing.T) {
