--- a/caroblined/process/node/founders_test.go
+++ b/caroblined/process/node/founders_test.go
@@ -13,6 +13,7 @@
 
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/wal"
 )
 
@@ -41,7 +42,7 @@
 func newHosts(t *testing.T, count, seeds int) *hosts {
 	t.Helper()
 	hosts := &hosts{t: t, loops: make(chan *control.Control, count)}
-	claimed := claimAddresses(t)
+	claimed := loopback.ClaimFor(t)
 	for number := range count {
 		hosts.addresses = append(hosts.addresses, claimed.Address(number, 0))
 		hosts.controlAddresses = append(hosts.controlAddresses, claimed.Address(number, 1))
--- a/caroblined/process/node/supervise_test.go
+++ b/caroblined/process/node/supervise_test.go
@@ -35,17 +35,6 @@
 	}
 }
 
-// claimAddresses claims addresses of its own for a test.
-func claimAddresses(t *testing.T) *loopback.Range {
-	t.Helper()
-	addresses, err := loopback.Claim()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = addresses.Close() })
-	return addresses
-}
-
 // fullDisk is a disk that refuses some of the operations while it is full.
 type fullDisk struct {
 	full  atomic.Bool
@@ -107,7 +96,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			disk := newFullDisk(test.refuse)
-			logged, addresses := make(logLines, 1000), claimAddresses(t)
+			logged, addresses := make(logLines, 1000), loopback.ClaimFor(t)
 			address := addresses.Address(0, 0)
 			config := node.Config{
 				PeerAddress: address, ReadSeeds: func() ([]string, error) { return []string{address}, nil }, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
@@ -143,7 +132,7 @@
 // just when its disk has room again.
 func TestSuperviseRestartsWithTheKnownSeeds(t *testing.T) {
 	disk := newFullDisk(func(calls *wal.Disk) { calls.Write = refusedWrite })
-	logged, addresses := make(logLines, 1000), claimAddresses(t)
+	logged, addresses := make(logLines, 1000), loopback.ClaimFor(t)
 	address := addresses.Address(0, 0)
 	var unreadable atomic.Bool
 	config := node.Config{
--- a/caroblined/process/node/system_test.go
+++ b/caroblined/process/node/system_test.go
@@ -19,6 +19,7 @@
 	"carobline.dev/caroblined/process/node"
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/process/wal"
@@ -53,7 +54,7 @@
 // newSystem starts a node and waits until it serves.
 func newSystem(t *testing.T, disk wal.Disk) *system {
 	t.Helper()
-	addresses := claimAddresses(t)
+	addresses := loopback.ClaimFor(t)
 	ctx, stop := context.WithCancel(context.Background())
 	system := &system{
 		t: t, address: addresses.Address(0, 0), stop: stop, reloads: make(chan os.Signal, 1), stopped: make(chan error, 1), received: map[string]int{},
--- a/core/process/loopback/loopback.go
+++ b/core/process/loopback/loopback.go
@@ -58,6 +58,29 @@
 	return nil, errors.Wrap(lastErr, "claim a range of loopback addresses")
 }
 
+// Test is what ClaimFor uses of a testing.TB.
+type Test interface {
+	Helper()
+	Fatal(arguments ...any)
+	Error(arguments ...any)
+	Cleanup(function func())
+}
+
+// ClaimFor claims a range for a test until its end.
+func ClaimFor(test Test) *Range {
+	test.Helper()
+	addresses, err := Claim()
+	if err != nil {
+		test.Fatal(err)
+	}
+	test.Cleanup(func() {
+		if err := addresses.Close(); err != nil {
+			test.Error(err)
+		}
+	})
+	return addresses
+}
+
 // claim listens on all ports at the first IP of the range.
 func (addresses *Range) claim() error {
 	for port := range PortCount {
--- a/core/process/loopback/loopback_test.go
+++ b/core/process/loopback/loopback_test.go
@@ -9,25 +9,11 @@
 	"carobline.dev/core/process/loopback"
 )
 
-func claim(t *testing.T) *loopback.Range {
-	t.Helper()
-	addresses, err := loopback.Claim()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := addresses.Close(); err != nil {
-			t.Error(err)
-		}
-	})
-	return addresses
-}
-
 // TestRunsAtTheSameTimeHaveOtherAddresses guards against two runs that disturb each other.
 func TestRunsAtTheSameTimeHaveOtherAddresses(t *testing.T) {
 	seen := map[string]bool{}
 	for range 20 {
-		addresses := claim(t)
+		addresses := loopback.ClaimFor(t)
 		for _, number := range []int{0, 249, 250, 63_499} {
 			ip := addresses.IP(number)
 			if seen[ip] {
@@ -48,7 +34,7 @@
 	if _, err := fmt.Sscan(string(text), &lowest); err != nil {
 		t.Fatal(err)
 	}
-	addresses := claim(t)
+	addresses := loopback.ClaimFor(t)
 	for port := range loopback.PortCount {
 		address, err := net.ResolveTCPAddr("tcp", addresses.Address(0, port))
 		if err != nil {
@@ -62,7 +48,7 @@
 
 // Guards against a listener at all IPs of the machine that takes a port of a claimed range.
 func TestNothingListensOnThePortsAtAllIPs(t *testing.T) {
-	addresses := claim(t)
+	addresses := loopback.ClaimFor(t)
 	for port := range loopback.PortCount {
 		_, number, err := net.SplitHostPort(addresses.Address(0, port))
 		if err != nil {
--- a/measure/process/controlhost/controlhost_test.go
+++ b/measure/process/controlhost/controlhost_test.go
@@ -14,11 +14,7 @@
 // TestControlHostEndsWithItsInput guards against control hosts that stay when the process
 // that started them was killed.
 func TestControlHostEndsWithItsInput(t *testing.T) {
-	addresses, err := loopback.Claim()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = addresses.Close() }()
+	addresses := loopback.ClaimFor(t)
 	peerAddress, controlAddress := addresses.Address(0, 0), addresses.Address(0, 1)
 	data, err := json.Marshal(controlhost.Settings{
 		PeerAddress: peerAddress, ControlAddress: controlAddress, Seeds: []string{peerAddress}, DataFolder: t.TempDir(),
