fleet: no group is dissolved in place of a spare that is silent

What callers saw: when an engine was lost while the only spare was silent for a second or two, a sound group of another model was closed to complete the lost one's group, and formed again of other engines once the spare went on.

Cause: an engine without a group that hasn't announced itself for 1.2 intervals is left out of the plan altogether, as if it were lost. The plan then lacks an engine.

Change: silent engines in no group that aren't taken for lost count as hosts that will be free soon, as those of retired groups do, also while these are silent. The plan waits for them: it dissolves no group in their domain, and loads no weights that they hold. They are probed as hosts of stalled groups are, so that one that can't be reached is left out at once.

--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -45,7 +45,7 @@
 		return
 	}
 	fleet.dropFinishedStagings(now)
-	constraints := fleet.planConstraints(now, service.Engine)
+	constraints := fleet.planConstraints(now, actions, service)
 	plan := grouper.New(free, groups, engineSpecs(service.Engine), constraints).Plan()
 	fleet.recordIdleEngines(now, actions, service, free, constraints)
 	for _, assignment := range plan.Form {
@@ -167,21 +167,47 @@
 	return groups
 }
 
-// planConstraints returns the constraints of a plan now: the loads that the
-// weight store takes, and the hosts of retired groups that will soon be free.
-// Loads aren't limited until a node has reported a call in this term.
-func (fleet *Fleet) planConstraints(now time.Time, engine *routing.Engine) grouper.Constraints {
-	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen}
+// planConstraints returns the constraints of a plan now: the loads that the weight store
+// takes, and the hosts that will soon be free. Loads aren't limited until a node has
+// reported a call in this term.
+func (fleet *Fleet) planConstraints(now time.Time, actions *Actions, service *routing.Service) grouper.Constraints {
+	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen, DrainingHosts: fleet.silentEngines(now, actions, service)}
 	for _, name := range slices.Sorted(maps.Keys(fleet.state.Register.Unfreed())) {
 		host, ok := fleet.state.Roster.Member(name)
-		if ok && host.Live(now) && host.SinceLastAnnouncement(now) <= announcementIntervals(host, recentlySeenIntervals) {
+		if ok && host.Live(now) && (recentlySeen(now, host) || !fleet.silentHostLost(now, actions, host)) {
 			constraints.DrainingHosts = append(constraints.DrainingHosts, fleet.plannerHost(host))
 		}
 	}
-	constraints.MaxLoads = fleet.availableLoads(engine)
+	constraints.MaxLoads = fleet.availableLoads(service.Engine)
 	return constraints
 }
 
+// silentEngines lists the engines of a service in no group that are silent, but aren't
+// taken for lost. No group is dissolved, and nothing loaded, in place of them.
+func (fleet *Fleet) silentEngines(now time.Time, actions *Actions, service *routing.Service) []grouper.Host {
+	unfreed := fleet.state.Register.Unfreed()
+	var silent []grouper.Host
+	for _, host := range fleet.state.Roster.Members() {
+		announcement := &host.Announcement
+		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || recentlySeen(now, host) {
+			continue
+		}
+		_, notFreed := unfreed[announcement.Host]
+		_, assigned := fleet.state.Register.GroupOf(announcement.Host)
+		if notFreed || assigned || fleet.hostLost(now, host) || fleet.silentHostLost(now, actions, host) {
+			continue
+		}
+		silent = append(silent, fleet.plannerHost(host))
+	}
+	return silent
+}
+
+// recentlySeen reports whether a host's last announcement is recent enough for it to be
+// put into a new group.
+func recentlySeen(now time.Time, host *roster.Member) bool {
+	return host.SinceLastAnnouncement(now) <= announcementIntervals(host, recentlySeenIntervals)
+}
+
 // newGroupName returns a group name that is unique for each term and group.
 func (fleet *Fleet) newGroupName() id.Group {
 	fleet.groupCount++
@@ -212,7 +238,7 @@
 		if _, assigned := fleet.state.Register.GroupOf(announcement.Host); assigned {
 			continue
 		}
-		if host.SinceLastAnnouncement(now) > announcementIntervals(host, recentlySeenIntervals) || fleet.hostLost(now, host) {
+		if !recentlySeen(now, host) || fleet.hostLost(now, host) {
 			continue
 		}
 		free = append(free, fleet.plannerHost(host))
--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -164,3 +164,41 @@
 		t.Errorf("%d of %d entries are kept for engines that are gone", after, before)
 	}
 }
+
+// Guards against a sound group that is dissolved to replace a lost engine, since the only
+// spare was silent for a time.
+func TestNoGroupIsDissolvedForASilentSpare(t *testing.T) {
+	for seed := range uint64(10) {
+		world := newLateWorld(t, seed, lateRates{})
+		world.pass(10*time.Second + world.upTo(announceInterval))
+		before := world.servingGroups()
+		used := map[id.Host]bool{}
+		lost := before[0]
+		for _, group := range before {
+			for _, host := range group.Hosts {
+				used[host] = true
+			}
+			if group.Model == four.Name {
+				lost = group
+			}
+		}
+		world.engines[lost.Hosts[1]].up = false
+		world.pass(time.Second)
+		for _, host := range world.hosts() {
+			if !used[host] {
+				world.silence(host, longestPause)
+			}
+		}
+		world.pass(7 * time.Second)
+		after := world.servingGroups()
+		for _, group := range before {
+			kept := slices.ContainsFunc(after, func(other register.GroupRecord) bool { return other.Group == group.Group })
+			if kept == (group.Group == lost.Group) {
+				t.Errorf("seed %d: group %s %v is in use: %t", seed, group.Group, group.Hosts, kept)
+			}
+		}
+		if len(after) != len(before) {
+			t.Errorf("seed %d: %d groups are in use, want %d", seed, len(after), len(before))
+		}
+	}
+}
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -82,7 +82,8 @@
 	// BeforeTraffic is true until the first calls arrive. The store then accepts
 	// all loads, so groups are formed of any free hosts.
 	BeforeTraffic bool
-	// DrainingHosts are the hosts of retired groups that will be free soon.
+	// DrainingHosts are those that will be free soon: hosts of retired groups, and free
+	// ones that are silent at present.
 	DrainingHosts []Host
 }
 
