controller: a test of all engines silent for two seconds, up to the nodes' views

All engines of the simulation are silent for 2 s, their groups are reported as stalled, and they go on. Each group must stay in a node's view all the time, each engine in its group, and no weights may be loaded. The existing tests of the simulation are unchanged; its engines can be silent now.

--- a/core/process/controller/engine_groups_test.go
+++ b/core/process/controller/engine_groups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -251,3 +252,67 @@
 	}
 	return count
 }
+
+// Guards against groups that leave a node's view, or are formed anew with loads of weights,
+// since all engines were silent for a time and went on.
+func TestSilentEnginesStayInTheViews(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		simulation := newEngineSimulation(t, 260+seed, 19, 60*time.Second)
+		groups, loads := simulation.groupStates(), simulation.countLoads()
+		open := simulation.countOpenGroups()
+		if open == 0 {
+			simulation.fail("no group is open")
+		}
+		simulation.schedule(400*time.Millisecond, func() {
+			for _, node := range simulation.nodes {
+				node.report = member.UsageReported{ActiveCalls: 1, StalledEndpoints: simulation.openEndpoints()}
+			}
+		})
+		for _, engine := range simulation.engines {
+			engine.silence(2 * time.Second)
+		}
+		for range 60 {
+			simulation.run(100 * time.Millisecond)
+			if now := simulation.countOpenGroups(); now != open {
+				simulation.fail("%d groups are in the view, want %d as before", now, open)
+			}
+		}
+		if now := simulation.groupStates(); !maps.Equal(now, groups) {
+			simulation.fail("the engines' groups are %v, want %v as before", now, groups)
+		}
+		if now := simulation.countLoads(); now != loads {
+			simulation.fail("%d loads of weights, want none", now-loads)
+		}
+	}
+}
+
+// groupStates returns the group and the state of each engine in one.
+func (simulation *simulation) groupStates() map[id.Host]string {
+	states := map[id.Host]string{}
+	for _, engine := range simulation.engines {
+		if engine.group != "" {
+			states[engine.name] = fmt.Sprint(engine.group, " ", engine.state)
+		}
+	}
+	return states
+}
+
+func (simulation *simulation) countLoads() int {
+	loads := 0
+	for _, engine := range simulation.engines {
+		loads += engine.loadCount
+	}
+	return loads
+}
+
+// openEndpoints lists the groups whose heads are open.
+func (simulation *simulation) openEndpoints() []feed.Endpoint {
+	var endpoints []feed.Endpoint
+	for _, engine := range simulation.engines {
+		if engine.state == "open" {
+			endpoints = append(endpoints, feed.Endpoint{Group: engine.group})
+		}
+	}
+	return endpoints
+}
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -39,11 +39,15 @@
 
 // engine is a simulated engine whose groups are opened and closed by order.
 type engine struct {
-	simulation     *simulation
-	name           id.Host
-	domain         id.Domain
-	up             bool
-	unreachable    bool
+	simulation  *simulation
+	name        id.Host
+	domain      id.Domain
+	up          bool
+	unreachable bool
+	// silent is set while the engine stands still: it announces nothing, and carries out
+	// its orders once it goes on. They are in heldOrders.
+	silent         bool
+	heldOrders     []action.Order
 	incarnation    id.Incarnation
 	sequence       uint64
 	highestFencing id.FencingToken
@@ -99,7 +103,7 @@
 
 // announce announces the engine's state to a random node with a disk.
 func (engine *engine) announce() {
-	if !engine.up || engine.unreachable {
+	if !engine.up || engine.unreachable || engine.silent {
 		return
 	}
 	engine.sequence++
@@ -164,6 +168,10 @@
 }
 
 func (engine *engine) executeOrder(order action.Order) {
+	if engine.silent {
+		engine.heldOrders = append(engine.heldOrders, order)
+		return
+	}
 	if !engine.up || order.Number < engine.highestNumber {
 		return
 	}
@@ -188,6 +196,20 @@
 	}
 }
 
+// silence lets the engine stand still for a time and go on.
+func (engine *engine) silence(pause time.Duration) {
+	engine.silent = true
+	engine.simulation.schedule(pause, func() {
+		engine.silent = false
+		orders := engine.heldOrders
+		engine.heldOrders = nil
+		for _, order := range orders {
+			engine.executeOrder(order)
+		}
+		engine.announce()
+	})
+}
+
 func (engine *engine) changeState(order action.Order) {
 	switch order.Kind {
 	case action.OrderOpen:
