electorate: a test that a silent voter stays until another has caught up

A voter counts as unreachable after 1.2 s, less than a host may be silent and go on. The test rules out that this alone removes it: it is removed only while a learner that is reachable has caught up, and a majority of the rest is reachable.

--- /dev/null
+++ b/core/process/electorate/electorate_test.go
@@ -0,0 +1,43 @@
+package electorate_test
+
+import (
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/electorate"
+	"carobline.dev/core/process/quorum"
+)
+
+// Guards against a voter that is removed since it was silent for a time, though no other
+// node could take its place.
+func TestASilentVoterStaysUntilAnotherHasCaughtUp(t *testing.T) {
+	voters := []id.Node{"a", "b", "c"}
+	cases := map[string]struct {
+		silence time.Duration
+		learner *electorate.Node
+		removed bool
+	}{
+		"no other node":                 {2 * time.Second, nil, false},
+		"a learner that is behind":      {2 * time.Second, &electorate.Node{Node: "d"}, false},
+		"a silent learner":              {2 * time.Second, &electorate.Node{Node: "d", SinceLastContact: 2 * time.Second, CaughtUp: true}, false},
+		"a learner, silent for 1 s":     {time.Second, &electorate.Node{Node: "d", CaughtUp: true}, false},
+		"a learner that has caught up":  {2 * time.Second, &electorate.Node{Node: "d", CaughtUp: true}, true},
+		"no majority of the other ones": {2 * time.Second, &electorate.Node{Node: "d", CaughtUp: true}, false},
+	}
+	for name, test := range cases {
+		membership := quorum.Membership{Voters: voters}
+		nodes := []electorate.Node{{Node: "a", CaughtUp: true}, {Node: "b", CaughtUp: true}, {Node: "c", SinceLastContact: test.silence, CaughtUp: true}}
+		if name == "no majority of the other ones" {
+			nodes[1].SinceLastContact = test.silence
+		}
+		if test.learner != nil {
+			membership.Learners = []id.Node{test.learner.Node}
+			nodes = append(nodes, *test.learner)
+		}
+		next, reason, ok := electorate.Next(membership, nodes, len(voters))
+		if removed := ok && len(next.Voters) < len(voters); removed != test.removed {
+			t.Errorf("%s: the next voters are %v (%s), want one removed: %t", name, next.Voters, reason, test.removed)
+		}
+	}
+}
