callerapi: a retry that isn't made is returned to the budget

Callers of a service got 502 instead of the answer of its second host, for as long as the retry budget of their node was used up by retries that had never been made: the budget was charged before the call was moved, and kept the charge when no other endpoint came free within the contract's deadline. Completions charged the budget in the same way.

The charge is now refunded when the call can't be moved.

The refund of a completion has no test of its own.

--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -101,7 +101,11 @@
 	if relay.delivered() > 0 {
 		relay.api.meters.resumed.Inc(1)
 	}
-	return relay.admission.Move(ctx, relay.admission.Level(), true)
+	moved := relay.admission.Move(ctx, relay.admission.Level(), true)
+	if !moved {
+		relay.api.config.RetryBudget.Refund()
+	}
+	return moved
 }
 
 // failAnswer returns the error for a caller whose answer can't be completed. If
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		retry := (!sent || serviceCall.mayMove) && ctx.Err() == nil && attempt < maxAttempts
-		if retry && api.config.RetryBudget.Spend() && admission.Move(ctx, 0, true) {
+		if retry && api.moveWithinBudget(ctx, admission) {
 			continue
 		}
 		admission.Finish(0, true)
@@ -154,6 +154,19 @@
 	}
 }
 
+// moveWithinBudget takes a retry from the budget and moves a failed call to another
+// endpoint. It returns false when either isn't to be had.
+func (api *API) moveWithinBudget(ctx context.Context, admission *traffic.Admission) bool {
+	if !api.config.RetryBudget.Spend() {
+		return false
+	}
+	moved := admission.Move(ctx, 0, true)
+	if !moved {
+		api.config.RetryBudget.Refund()
+	}
+	return moved
+}
+
 // serviceError returns the error of a call that got no answer. mayHaveRun reports whether
 // any of its attempts may have run it.
 func serviceError(err error, mayHaveRun bool) *rest.Error {
--- a/caroblined/process/daemon/once_test.go
+++ b/caroblined/process/daemon/once_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,6 +163,37 @@
 	})
 }
 
+// Guards against a retry budget that is used up by retries that aren't made, since there is
+// no other host of the service.
+func TestRetriesThatAreNotMadeLeaveTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const unreachableCalls, calls = 200, 12
+		system := newSystem(t, 2, nil)
+		defer system.close()
+		lookUp := func() reply {
+			return system.call(context.Background(), 0, http.MethodGet, "/services/orders/stock?item=7", "acme-token", nil, "")
+		}
+		system.network.setUnreachable("127.0.0.1:60", true)
+		var waiting sync.WaitGroup
+		for range unreachableCalls {
+			waiting.Go(func() { lookUp() })
+		}
+		waiting.Wait()
+		system.network.setUnreachable("127.0.0.1:60", false)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		second := engine.Config{Host: "orders-2", Address: "127.0.0.1:61", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second}
+		system.startEngine(ctx, second)
+		time.Sleep(time.Minute) // until both hosts get calls
+		system.service.SetFaults(engine.Faults{Garbage: true})
+		for range calls {
+			if got := lookUp(); got.status != http.StatusOK {
+				t.Errorf("status %d: %s; want the answer of the second host", got.status, got.body)
+			}
+		}
+	})
+}
+
 // Guards against a service's answer that was cut within an event and reaches its caller as
 // complete.
 func TestServiceAnswerCutWithinAnEventIsNotPassedOn(t *testing.T) {
