--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -39,6 +39,7 @@
 		{"a duplicate doesn't extend the lease", []receipt{{0, newAnnouncement(1, 1, false)}, {lease / 2, newAnnouncement(1, 1, false)}}, lease, false},
 		{"a delayed older announcement doesn't extend the lease", []receipt{{0, newAnnouncement(1, 2, false)}, {lease / 2, newAnnouncement(1, 1, false)}}, lease, false},
 		{"a newer announcement extends the lease", []receipt{{0, newAnnouncement(1, 1, false)}, {lease / 2, newAnnouncement(1, 2, false)}}, lease, true},
+		{"a host that was silent for longer than its lease is live again", []receipt{{0, newAnnouncement(1, 1, false)}, {3 * lease, newAnnouncement(1, 2, false)}}, 3*lease + 1, true},
 		{"leaving ends the lease", []receipt{{0, newAnnouncement(1, 1, false)}, {1, newAnnouncement(1, 2, true)}}, 2, false},
 		{"a departure counts although a later announcement has been heard", []receipt{{0, newAnnouncement(1, 5, false)}, {1, newAnnouncement(1, 3, true)}}, 2, false},
 		{"a departure of an earlier incarnation doesn't count", []receipt{{0, newAnnouncement(2, 1, false)}, {1, newAnnouncement(1, 3, true)}}, 2, true},
