callerapi: a second engine's refusal doesn't say that a completion hasn't run

Callers of a completion whose first engine took the call and broke off, and whose second engine refused it with a 4xx of its own, got that status with the outcome not_run. The outcome is now unknown after the first attempt. A refusal by the first engine says not_run as before.

Evidence: TestRefusalBySecondEngineProvesNothing failed before (400, not_run) and passes now. The fake engine has a fault for it, Refuse; the tests' network can lose one connection and go on.

--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -113,7 +113,12 @@
 func (relay *relay) failAnswer(err error) error {
 	var engineError *engineError
 	if errors.As(err, &engineError) && engineError.callerError != nil {
-		return engineError.callerError
+		refusal := engineError.callerError
+		if relay.attempt == 1 {
+			return refusal
+		}
+		// An engine that got the call before may have run it.
+		return rest.Unknown(refusal.Status, refusal.Code, refusal.Message)
 	}
 	restError := rest.Unknown(http.StatusBadGateway, "upstream_failed", "the answer could not be completed: "+err.Error())
 	if relay.call.answerStarted {
--- a/caroblined/process/daemon/calls_test.go
+++ b/caroblined/process/daemon/calls_test.go
@@ -116,6 +116,27 @@
 	})
 }
 
+// Guards against a caller that is told that its call hasn't run, since a second engine
+// refuses it, though the first one has got it.
+func TestRefusalBySecondEngineProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newSystem(t, 4, nil)
+		defer system.close()
+		for _, host := range system.engines {
+			host.SetFaults(engine.Faults{Refuse: true})
+		}
+		complete := func() reply {
+			return system.call(context.Background(), 0, http.MethodPost, "/v1/completions", "acme-token", nil, `{"model":"pulp","prompt":"x"}`)
+		}
+		sent := system.network.loseConnections("127.0.0.1:50", "127.0.0.1:51", "127.0.0.1:52", "127.0.0.1:53")
+		for _, want := range []rest.Outcome{rest.OutcomeUnknown, rest.OutcomeNotRun} {
+			if got := complete(); !sent() || got.status != http.StatusBadRequest || got.header.Get(rest.HeaderOutcome) != string(want) {
+				t.Errorf("sent %v, status %d, outcome %q: %s; want a 400 with the outcome %s", sent(), got.status, got.header.Get(rest.HeaderOutcome), got.body, want)
+			}
+		}
+	})
+}
+
 // TestBadRequests checks that each invalid request is rejected with its code
 // and the outcome not_run.
 func TestBadRequests(t *testing.T) {
--- a/caroblined/process/daemon/network_test.go
+++ b/caroblined/process/daemon/network_test.go
@@ -59,8 +59,8 @@
 	if tcpAddress != "" && !unreachable {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", tcpAddress)
 	}
-	if slices.Contains(network.lostAddresses(), address) {
-		return network.dialLost()
+	if slices.Contains(network.lostAddresses(), address) && !network.sentToLost.Swap(true) {
+		return dialLost(), nil
 	}
 	if listener == nil || unreachable {
 		return nil, errors.Errorf("connection to %s refused", address)
@@ -83,8 +83,7 @@
 }
 
 // loseConnections makes the first connection to one of the addresses take what is sent and
-// end without an answer. Further ones are refused. The returned function reports whether
-// something has been sent.
+// end without an answer. The returned function reports whether there was one.
 func (network *pipeNetwork) loseConnections(addresses ...string) (sent func() bool) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
@@ -98,16 +97,14 @@
 	return network.lost
 }
 
-func (network *pipeNetwork) dialLost() (net.Conn, error) {
-	if network.sentToLost.Swap(true) {
-		return nil, errors.New("connection refused")
-	}
+// dialLost returns a connection that ends after what is sent first.
+func dialLost() net.Conn {
 	dialled, accepted := net.Pipe()
 	go func() {
 		_, _ = accepted.Read(make([]byte, 1<<10))
 		_ = accepted.Close()
 	}()
-	return dialled, nil
+	return dialled
 }
 
 // pipeListener accepts one end of each dialled pipe.
--- a/caroblined/process/daemon/once_test.go
+++ b/caroblined/process/daemon/once_test.go
@@ -155,6 +155,9 @@
 		second := engine.Config{Host: "orders-2", Address: "127.0.0.1:61", DataCentre: "dc1", Service: serviceName, Slots: 16, Lease: 4 * time.Second}
 		system.startEngine(ctx, second)
 		time.Sleep(2 * time.Second) // until every node knows the second host
+		for _, address := range []string{"127.0.0.1:60", "127.0.0.1:61"} {
+			system.network.setUnreachable(address, true)
+		}
 		sent := system.network.loseConnections("127.0.0.1:60", "127.0.0.1:61")
 		got := system.call(context.Background(), 0, http.MethodGet, "/services/orders/stock?item=7", "acme-token", nil, "")
 		if outcome := got.header.Get(rest.HeaderOutcome); !sent() || got.status != http.StatusBadGateway || outcome != "unknown" {
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -86,6 +86,8 @@
 	OldRefusal bool `json:"old_refusal,omitempty"`
 	// NamelessRefusal does so without any request's id.
 	NamelessRefusal bool `json:"nameless_refusal,omitempty"`
+	// Refuse answers each call with a refusal of its own request.
+	Refuse bool `json:"refuse,omitempty"`
 	// Endless answers each stream and service call without end.
 	Endless Endless `json:"endless,omitempty"`
 	// WrongRequest puts another request's id into the response header.
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -62,10 +62,11 @@
 		header.Set(rest.HeaderRequestID, "another")
 	case faults.NamelessRefusal:
 		header.Del(rest.HeaderRequestID)
+	case faults.Refuse:
 	default:
 		return false
 	}
-	rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", "the refusal of another request"))
+	rest.WriteError(writer, rest.NotRun(http.StatusBadRequest, "bad_json", "refused as a fault"))
 	return true
 }
 
