balancer: a call that tries an endpoint doesn't report it as stalled

Callers saw nothing directly: after a pause, entry hosts whose calls had moved away from an endpoint keep its silence until one of their calls is answered there. Each such call, even minutes later, extended the time that the endpoint counts as stalled. The entry host reported a sound endpoint to the leader as stalled until the call was answered, the leader sent that to all entry hosts, and it counts towards retiring the group. With hundreds of entry hosts the reports follow one another.

Cause: silence.try sets avoidUntil anew, and StalledEndpoints lists an endpoint until then. Change: a try ends the endpoint's count as stalled. Result: the test passes, and so do the others of the package.

--- a/core/request/balancer/silence.go
+++ b/core/request/balancer/silence.go
@@ -35,10 +35,11 @@
 }
 
 // try records that a call is sent to the endpoint. The next one is sent there only after
-// another pause, or when the endpoint makes progress.
+// another pause, or when the endpoint makes progress. The endpoint doesn't count as stalled
+// unless that call is reported too.
 func (silence *silence) try(now time.Time) {
 	if silence.calls == 0 || now.Before(silence.avoidUntil) {
 		return
 	}
-	silence.trying, silence.avoidUntil = true, now.Add(silence.pause)
+	silence.trying, silence.stalled, silence.avoidUntil = true, false, now.Add(silence.pause)
 }
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -451,3 +451,23 @@
 		t.Errorf("Retry-After of %v after a silence of %v in which 100 calls were refused, at 100 departures a second before; want at most %v", last, silence, maxRetryAfter)
 	}
 }
+
+// Guards against a sound endpoint that is reported to all entry hosts as stalled each time that
+// a call tries it, long after its silence, until that call is answered.
+func TestTriedEndpointCountsAsStalledOnlyOnceItIsSilentAgain(t *testing.T) {
+	pools := newBalancer(1, 8, 0)
+	endpoint := feed.Endpoint{Host: "h00"}
+	pools.Report(start, endpoint, balancer.Stalled)
+	now := start.Add(10 * time.Second)
+	if decision := pools.Submit(now, call(1, now)); decision.Verdict != balancer.VerdictGo {
+		t.Fatalf("%+v, want to go", decision)
+	}
+	if stalled := pools.StalledEndpoints(now); len(stalled) != 0 {
+		t.Errorf("%v count as stalled while a call tries them", stalled)
+	}
+	now = now.Add(2 * silenceLimit)
+	pools.Report(now, endpoint, balancer.Failed)
+	if stalled := pools.StalledEndpoints(now); len(stalled) != 1 {
+		t.Errorf("stalled endpoints %v, want the one that is silent again", stalled)
+	}
+}
