balancer: an endpoint that answers that it is full isn't silent

Callers waited, or were sent to fewer endpoints, for up to four seconds after a silent endpoint had gone on: its first answers said that it was full, and it stayed avoided and reported to the other entry hosts as stalled.

Cause: only events and served answers end a silence; a refusal for lack of capacity is an answer of the endpoint too. Evidence: TestFullEndpointIsNotSilent failed before ('[{ h00}] count as stalled', and the next call had to wait though seven slots were free). Change: the ending Full is recorded as progress, and avoids the endpoint for its own pause. Result: the test passes, and so do the others of the package.

--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -58,6 +58,7 @@
 		state.failures = 0
 		state.recordProgress(now, true)
 	case Full:
+		state.recordProgress(now, true)
 		state.avoidUntil = now.Add(fullPause)
 	case Failed:
 		state.avoidUntil = now.Add(min(maxFailurePause, failurePause<<min(state.failures, maxPauseDoublings)))
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -471,3 +471,22 @@
 		t.Errorf("stalled endpoints %v, want the one that is silent again", stalled)
 	}
 }
+
+// Guards against an endpoint that is avoided as silent for seconds after it has answered that
+// it is full.
+func TestFullEndpointIsNotSilent(t *testing.T) {
+	const fullPause = 100 * time.Millisecond
+	pools := newBalancer(1, 8, 0, 8)
+	endpoint := feed.Endpoint{Host: "h00"}
+	pools.Submit(start, call(1, start))
+	pools.Report(start, endpoint, balancer.Stalled)
+	now := start.Add(silenceLimit)
+	pools.Done(now, call(1, now), endpoint, balancer.Full)
+	if stalled := pools.StalledEndpoints(now); len(stalled) != 0 {
+		t.Errorf("%v count as stalled", stalled)
+	}
+	now = now.Add(fullPause)
+	if decision := pools.Submit(now, call(2, now)); decision.Verdict != balancer.VerdictGo {
+		t.Errorf("%+v, want to go to the endpoint that has answered", decision)
+	}
+}
