balancer: waiting calls go to an endpoint that goes on

Callers waited, and were refused with a Retry-After of up to two seconds, while slots were free: an endpoint had been silent, the calls queued up meanwhile, and when its streams went on nothing looked at the queue until the next call ended or the next view came. New calls queued up behind.

Evidence: TestWaitingCallsGoToAnEndpointThatGoesOn failed before for a reported silence and for one that wasn't reported yet: no decision at the event. Change: an event after which an endpoint is no longer avoided gives the decisions for waiting calls, as the end of a call does. Other events look at the endpoint's own state only. Result: the test passes, and so do the others of the package.

--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -114,16 +114,17 @@
 	return api.balancer.StalledEndpoints(api.config.Now())
 }
 
-// recordEvent reports an event of an endpoint's stream to the balancer. The
-// first event of a stream adds the stream to the endpoint's count.
+// recordEvent reports an event of an endpoint's stream to the balancer, and wakes the
+// waiting calls that now get an endpoint. The first event of a stream adds the stream to the
+// endpoint's count.
 func (api *API) recordEvent(now time.Time, endpoint feed.Endpoint, first bool) {
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	if first {
-		api.balancer.StreamBegan(now, endpoint)
+		api.deliver(api.balancer.StreamBegan(now, endpoint))
 		return
 	}
-	api.balancer.StreamEvent(now, endpoint)
+	api.deliver(api.balancer.StreamEvent(now, endpoint))
 }
 
 // sinceLastEvent returns the time since any stream of an endpoint has had an
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -79,20 +79,30 @@
 	balancer.state(endpoint).recordSilence(now, ending)
 }
 
-// StreamBegan records the first event of a stream.
-func (balancer *Balancer) StreamBegan(now time.Time, endpoint feed.Endpoint) {
-	state := balancer.state(endpoint)
-	state.openStreams++
-	state.lastEventAt = now
-	state.recordProgress(now, true)
+// StreamBegan records the first event of a stream and returns the decisions for waiting
+// calls that may go now.
+func (balancer *Balancer) StreamBegan(now time.Time, endpoint feed.Endpoint) []Decision {
+	decisions := balancer.recordEvent(now, endpoint, true)
+	balancer.state(endpoint).openStreams++
+	return decisions
 }
 
-// StreamEvent records a further event of a stream. The endpoint no longer
-// counts as stalled.
-func (balancer *Balancer) StreamEvent(now time.Time, endpoint feed.Endpoint) {
+// StreamEvent records a further event of a stream and returns the decisions for waiting
+// calls that may go now. The endpoint no longer counts as stalled.
+func (balancer *Balancer) StreamEvent(now time.Time, endpoint feed.Endpoint) []Decision {
+	return balancer.recordEvent(now, endpoint, false)
+}
+
+// recordEvent records an event of a stream. Waiting calls may go if it ends a silence.
+func (balancer *Balancer) recordEvent(now time.Time, endpoint feed.Endpoint, begins bool) []Decision {
 	state := balancer.state(endpoint)
+	avoided := state.suspect(now)
 	state.lastEventAt = now
-	state.recordProgress(now, false)
+	state.recordProgress(now, begins)
+	if !avoided || state.suspect(now) {
+		return nil
+	}
+	return balancer.dispatchWaiting(now)
 }
 
 // StreamEnded records the end of a stream that StreamBegan was called for.
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -490,3 +490,24 @@
 		t.Errorf("%+v, want to go to the endpoint that has answered", decision)
 	}
 }
+
+// Guards against calls that wait, and are refused in the end, while slots are free at an
+// endpoint that has gone on.
+func TestWaitingCallsGoToAnEndpointThatGoesOn(t *testing.T) {
+	for name, reported := range map[string]bool{"reported": true, "not reported": false} {
+		pools := newBalancer(1, 2, 0, 2)
+		endpoint := feed.Endpoint{Host: "h00"}
+		pools.Submit(start, call(1, start))
+		pools.StreamBegan(start, endpoint)
+		now := start.Add(600 * time.Millisecond)
+		if reported {
+			pools.Report(now, endpoint, balancer.Stalled)
+		}
+		if decision := pools.Submit(now, call(2, now)); decision.Verdict != balancer.VerdictWait {
+			t.Fatalf("%s: %+v, want to wait", name, decision)
+		}
+		if decisions := pools.StreamEvent(now.Add(100*time.Millisecond), endpoint); len(decisions) != 1 || decisions[0].Call != 2 {
+			t.Errorf("%s: %+v, want the waiting call to go", name, decisions)
+		}
+	}
+}
