balancer: one pass less over all endpoints for each call

An entry host's balancer is under one lock, and its work for each call grows with the endpoints. The time for which a pool has been silent was computed by a look at all endpoints at each end of a call, refusal and wait, twice for those that wait in vain.

Change: the look ends at the first endpoint that has made progress within maxEventGap. No pool counts as silent then, so nothing that is decided differs. BenchmarkCallAtManyEndpoints measures the first case (too noisy on this machine for a limit).

--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -342,3 +342,19 @@
 		t.Errorf("Retry-After of %v beside 50 searches, want %v", got, want)
 	}
 }
+
+// Guards against work for each call that grows by another look at all endpoints.
+func BenchmarkCallAtManyEndpoints(b *testing.B) {
+	const endpoints, slots, callsEach = 100, 8, 3
+	pools := newBalancer(1, slots, make([]int, endpoints)...)
+	for number := range endpoints * callsEach {
+		pools.Submit(start, call(number, start))
+	}
+	now := start
+	for number := range b.N {
+		now = now.Add(100 * time.Microsecond)
+		running := call(number, now)
+		decision := pools.Submit(now, running)
+		pools.Done(now, running, decision.Endpoint.Name, balancer.Served)
+	}
+}
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -166,3 +166,8 @@
 func (state *endpointState) goesOn(now time.Time) bool {
 	return !state.progressAt.IsZero() && now.Sub(state.progressAt) <= maxEventGap
 }
+
+// quiet returns for how long none of the calls in progress there has made progress.
+func (state *endpointState) quiet(now time.Time) time.Duration {
+	return min(now.Sub(state.busySince), now.Sub(state.progressAt))
+}
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -132,12 +132,18 @@
 }
 
 // poolQuiet returns for how long no call at any of the endpoints has made progress. It is
-// zero while none runs.
+// zero while none runs. A time of at most maxEventGap is that of any endpoint, since no pool
+// counts as silent then and the others needn't be looked at.
 func (balancer *Balancer) poolQuiet(now time.Time, endpoints []*view.Endpoint) time.Duration {
 	least, busy := time.Duration(math.MaxInt64), false
 	for _, endpoint := range endpoints {
-		if state := balancer.stateByEndpoint[endpoint.Name]; state != nil && state.running > 0 {
-			least, busy = min(least, balancer.quiet(now, endpoint.Name)), true
+		state := balancer.stateByEndpoint[endpoint.Name]
+		if state == nil || state.running == 0 {
+			continue
+		}
+		least, busy = min(least, state.quiet(now)), true
+		if least <= maxEventGap {
+			break
 		}
 	}
 	if !busy {
@@ -162,7 +168,7 @@
 		case now.Sub(state.progressAt) <= maxQuiet:
 			return false
 		default:
-			silent = silent || balancer.quiet(now, endpoint.Name) > maxQuiet
+			silent = silent || state.quiet(now) > maxQuiet
 		}
 	}
 	return silent
@@ -175,7 +181,7 @@
 	if state == nil || state.running == 0 {
 		return 0
 	}
-	return min(now.Sub(state.busySince), now.Sub(state.progressAt))
+	return state.quiet(now)
 }
 
 // suspect reports whether an endpoint is avoided for what this entry host has seen there, or
