balancer: a call of an unknown model leaves nothing behind

Each name of a model that a caller made up left a queue in the entry host for good, and each end of a call looks at all queues.

Cause: Submit made the pool's queue before it knew whether the pool has endpoints. Evidence: TestUnknownModelsTakeNoMemory failed before with one allocation a call. Change: the queue is made once the pool has endpoints. Result: no allocation; the package's tests pass.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -186,11 +186,11 @@
 
 // Submit decides whether a new call goes to an endpoint, waits or is refused.
 func (balancer *Balancer) Submit(now time.Time, call Call) Decision {
-	queue := balancer.queue(call.Pool)
 	endpoints := balancer.available(now, call.Pool)
 	if len(endpoints) == 0 {
 		return Decision{Call: call.Number, Verdict: VerdictRefuse, Reason: ReasonNoEndpoint, RetryAfter: balancer.firstBack(now, call.Pool)}
 	}
+	queue := balancer.queue(call.Pool)
 	if !balancer.anyFits(now, call, endpoints) {
 		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number})
 	}
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -343,6 +343,27 @@
 	}
 }
 
+// Guards against memory that is kept for each name of a model that a caller makes up.
+func TestUnknownModelsTakeNoMemory(t *testing.T) {
+	const models = 1000
+	pools := newBalancer(1, 8, 0)
+	unknown := make([]balancer.Call, models+1)
+	for number := range unknown {
+		unknown[number] = call(number, start)
+		unknown[number].Pool.Model = id.Model(fmt.Sprintf("m%d", number))
+	}
+	number := 0
+	allocations := testing.AllocsPerRun(models, func() {
+		if decision := pools.Submit(start, unknown[number]); decision.Reason != balancer.ReasonNoEndpoint {
+			t.Errorf("%+v, want a refusal since there is no endpoint", decision)
+		}
+		number++
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations for a call of an unknown model, want none", allocations)
+	}
+}
+
 // Guards against work for each call that grows by another look at all endpoints.
 func BenchmarkCallAtManyEndpoints(b *testing.B) {
 	const endpoints, slots, callsEach = 100, 8, 3
