balancer: a new call passes a waiting one that has been to the free endpoint

A caller waited, and could be refused, while slots were free: the only endpoint with free slots was one that a waiting call had lost, and new calls queued up behind that call until the next call ended.

Evidence: TestNewCallPassesWaitingOneThatTriedTheFreeEndpoint failed before ('wait' with two free slots). Change: calls that have lost an endpoint don't hold up new ones. Result: the test passes, and so do the others of the package.

--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -194,8 +194,8 @@
 	if !balancer.anyFits(now, call, endpoints) {
 		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number})
 	}
-	ahead := balancer.queuedAhead(queue, call)
-	if ahead == 0 || call.Failover {
+	ahead, mayPass := queuedAhead(queue, call)
+	if mayPass {
 		if decision, ok := balancer.assign(now, call, endpoints); ok {
 			return decision
 		}
@@ -345,15 +345,18 @@
 	balancer.notices.Pause(now, endpoint, pause)
 }
 
-// queuedAhead counts the waiting calls that go before a new one.
-func (balancer *Balancer) queuedAhead(queue *queue, call Call) int {
-	count := 0
+// queuedAhead counts the waiting calls that go before a new one, and reports whether the new
+// one may still be sent before them. Calls that have lost an endpoint wait only while no
+// endpoint that they may go to takes any call.
+func queuedAhead(queue *queue, call Call) (count int, mayPass bool) {
+	mayPass = true
 	for _, other := range queue.waiting {
 		if compareCalls(other, call) <= 0 {
 			count++
+			mayPass = mayPass && (other.Failover || call.Failover)
 		}
 	}
-	return count
+	return count, mayPass
 }
 
 func (balancer *Balancer) state(endpoint feed.Endpoint) *endpointState {
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -295,6 +295,20 @@
 	}
 }
 
+// Guards against a new call that waits while slots are free, behind one that has been to the
+// endpoint with free slots.
+func TestNewCallPassesWaitingOneThatTriedTheFreeEndpoint(t *testing.T) {
+	pools := newBalancer(1, 2, 0, 3)
+	lost := call(1, start)
+	lost.Failover, lost.Tried = true, []feed.Endpoint{{Host: "h00"}}
+	if decision := pools.Submit(start, lost); decision.Verdict != balancer.VerdictWait {
+		t.Fatalf("%+v, want to wait", decision)
+	}
+	if decision := pools.Submit(start, call(2, start)); decision.Verdict != balancer.VerdictGo {
+		t.Errorf("%+v, want to go to the endpoint with free slots", decision)
+	}
+}
+
 // Guards against running calls that are sent a second time to endpoints at which no calls of
 // this entry host run, in a pause of all endpoints at which some do. When any of those goes
 // on, or the silence lasts, endpoints without calls are used.
