balancer: a running call is compared with its own endpoint

What callers saw: in a pause of all servers a call that had lost another server before, for good, was sent once more to one that was as silent as its own.

Cause: a call that runs is sent only to an endpoint that has made progress within half of the time for which its own has been silent. For its own stood the longest silence of all endpoints that it had been sent to, and one that is lost is silent for longest.

Change: Call.RunningAt names the endpoint and takes the place of StillRunning; the search for a replacement knows the endpoint beside which it runs.

--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -24,7 +24,7 @@
 	balancerCall := balancer.Call{
 		Number: balancer.Number(api.lastCallNumber.Add(1)), Pool: call.pool, Priority: call.priority,
 		Due: call.arrivedAt.Add(call.route.Target()), Tried: call.tried, Failover: len(call.tried) > 0, Late: call.late,
-		StillRunning: call.stillRunning,
+		RunningAt: call.runningAt,
 	}
 	if balancerCall.Failover {
 		balancerCall.Due = queuedAt.Add(call.route.Target())
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -49,8 +49,8 @@
 	// those that may have run it.
 	tried        []feed.Endpoint
 	possibleRuns int
-	// stillRunning reports that an endpoint may still answer the call if it gets no other.
-	stillRunning bool
+	// runningAt is the endpoint that may still answer the call if it gets no other.
+	runningAt feed.Endpoint
 	// streaming reports that the caller has got a part of a stream, so that only a stream
 	// can go on with the call.
 	streaming bool
--- a/caroblined/connection/entryapi/answerwatch.go
+++ b/caroblined/connection/entryapi/answerwatch.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	watch := &answerWatch{
-		failover: &failover{api: api, ctx: ctx, call: call, uncountedRuns: 1, cancelSilent: cancel, streaming: call.streaming},
+		failover: &failover{api: api, ctx: ctx, call: call, silent: attempt.endpoint.Name, uncountedRuns: 1, cancelSilent: cancel, streaming: call.streaming},
 		attempt:  attempt, startedAt: api.config.Now(), answerStart: answerStartTimeout(call), pause: pauseTimeout(call),
 	}
 	watch.mutex.Lock()
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 )
 
@@ -55,6 +56,8 @@
 	api  *API
 	ctx  context.Context
 	call *call
+	// silent is the endpoint at which the call runs.
+	silent feed.Endpoint
 	// uncountedRuns are the runs at the silent endpoint that call.possibleRuns doesn't
 	// count yet.
 	uncountedRuns int
@@ -80,7 +83,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(failover.ctx)
-	search := &search{call: failover.call.fork(), cancel: cancel}
+	search := &search{call: failover.call.fork(failover.silent), cancel: cancel}
 	search.call.possibleRuns += failover.uncountedRuns
 	search.call.streaming = failover.streaming
 	if lastEventID != "" {
@@ -90,13 +93,13 @@
 	failover.goroutines.Go(func() { failover.run(ctx, search) })
 }
 
-// fork returns a copy of a call for a search.
-func (call *call) fork() *call {
+// fork returns a copy of a call for a search beside a silent endpoint.
+func (call *call) fork(silent feed.Endpoint) *call {
 	fork := *call
 	fork.request = call.request.WithContext(call.request.Context())
 	fork.request.Header = call.request.Header.Clone()
 	fork.tried = slices.Clone(call.tried)
-	fork.stillRunning = true
+	fork.runningAt = silent
 	return &fork
 }
 
@@ -249,7 +252,7 @@
 	}
 	tried, possibleRuns, failure := call.tried, call.possibleRuns, call.failure
 	*call = *replacement.call
-	call.tried, call.possibleRuns, call.stillRunning = tried, possibleRuns, false
+	call.tried, call.possibleRuns, call.runningAt = tried, possibleRuns, feed.Endpoint{}
 	call.hold(failure)
 	return replacement.attempt, replacement.exchange
 }
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -38,7 +38,7 @@
 
 func newWatchdog(ctx context.Context, api *API, call *call, attempt *attempt, exchange *exchange, progress *progress) *watchdog {
 	watchdog := &watchdog{
-		failover: exchange.takeFailover(ctx, api, call),
+		failover: exchange.takeFailover(ctx, api, call, attempt),
 		attempt:  attempt, idleSince: api.config.Now(), position: progress.position,
 		answerStart: answerStartTimeout(call), pause: pauseTimeout(call), lonePause: loneStreamPauseTimeout(call),
 	}
@@ -50,9 +50,9 @@
 
 // takeFailover returns the failover of an exchange's stream. A search that began before
 // the stream's head goes on.
-func (exchange *exchange) takeFailover(ctx context.Context, api *API, call *call) *failover {
+func (exchange *exchange) takeFailover(ctx context.Context, api *API, call *call, attempt *attempt) *failover {
 	if exchange.watch == nil {
-		return &failover{api: api, ctx: ctx, call: call, streamHead: true, streaming: true, cancelSilent: exchange.cancel}
+		return &failover{api: api, ctx: ctx, call: call, silent: attempt.endpoint.Name, streamHead: true, streaming: true, cancelSilent: exchange.cancel}
 	}
 	return exchange.watch.handOver()
 }
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -81,12 +81,15 @@
 	// It goes before other calls and may go to an endpoint without free slots,
 	// since the work done for it would be lost.
 	Failover bool
-	// StillRunning marks a call that goes on at its endpoint if it is refused, so that no
+	// RunningAt is the endpoint at which the call goes on if it is refused, so that no
 	// caller comes back for it. It is sent only to endpoints that go on while its own is
 	// silent.
-	StillRunning bool
+	RunningAt feed.Endpoint
 }
 
+// running reports whether the call runs at an endpoint.
+func (call *Call) running() bool { return call.RunningAt != feed.Endpoint{} }
+
 // maxLoad returns the load below which an endpoint takes the call.
 func (call *Call) maxLoad() float64 {
 	switch {
--- a/core/request/balancer/balancer_test.go
+++ b/core/request/balancer/balancer_test.go
@@ -329,7 +329,7 @@
 		only := pools.Submit(start, call(0, start)).Endpoint.Name
 		for number := range searches {
 			search := call(number+1, start)
-			search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{only}
+			search.Failover, search.RunningAt, search.Tried = true, only, []feed.Endpoint{only}
 			if decision := pools.Submit(start, search); decision.Verdict != balancer.VerdictRefuse {
 				t.Fatalf("%+v, want a refusal", decision)
 			}
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -94,7 +94,7 @@
 	if queue.silent(quiet) {
 		wait = max(wait, quiet)
 	}
-	if !call.StillRunning {
+	if !call.running() {
 		queue.refusals++
 	}
 	decision.Verdict, decision.Reason = VerdictRefuse, ReasonNoCapacity
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -95,12 +95,12 @@
 // A call that still runs waits for its own endpoint then.
 func (balancer *Balancer) fits(now time.Time, call Call, endpoints []*view.Endpoint) func(*view.Endpoint) bool {
 	untried := func(endpoint *view.Endpoint) bool { return !slices.Contains(call.Tried, endpoint.Name) }
-	useReports := call.StillRunning || !balancer.reportsOutdated(now, endpoints)
+	useReports := call.running() || !balancer.reportsOutdated(now, endpoints)
 	trusted := func(endpoint *view.Endpoint) bool {
 		return untried(endpoint) && !balancer.suspect(now, endpoint, useReports)
 	}
 	switch {
-	case call.StillRunning:
+	case call.running():
 		maxQuiet, commonPause := balancer.maxQuiet(now, call), balancer.commonPause(now, call, endpoints)
 		return func(endpoint *view.Endpoint) bool {
 			return trusted(endpoint) && !commonPause && balancer.quiet(now, endpoint.Name) <= maxQuiet
@@ -121,10 +121,7 @@
 // with a running call: half as long as at the call's own endpoint. Where that one goes on
 // with other calls, there is no limit.
 func (balancer *Balancer) maxQuiet(now time.Time, call Call) time.Duration {
-	own := time.Duration(0)
-	for _, tried := range call.Tried {
-		own = max(own, balancer.quiet(now, tried))
-	}
+	own := balancer.quiet(now, call.RunningAt)
 	if own < maxEventGap/2 {
 		return math.MaxInt64
 	}
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -52,7 +52,7 @@
 	for range silentStreams {
 		pools.Report(now, silent, balancer.Stalled)
 		search := pools.call(now)
-		search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{silent}
+		search.Failover, search.RunningAt, search.Tried = true, silent, []feed.Endpoint{silent}
 		decision := pools.Submit(now, search)
 		switch decision.Verdict {
 		case balancer.VerdictGo:
@@ -245,6 +245,22 @@
 	}
 }
 
+// Guards against a call that is sent to an endpoint that is silent like its own, since it has
+// been at another one, lost for good, before.
+func TestRunningCallIsComparedWithItsOwnEndpoint(t *testing.T) {
+	pools := newStreamingPool("h00", "h01", "h02", "h03")
+	for _, host := range pools.hosts[1:] {
+		pools.goOn(start.Add(600*time.Millisecond), host)
+	}
+	now := start.Add(600*time.Millisecond + silenceLimit)
+	search := pools.call(now)
+	search.Failover, search.RunningAt = true, feed.Endpoint{Host: "h01"}
+	search.Tried = []feed.Endpoint{{Host: "h01"}, {Host: "h00"}}
+	if decision := pools.Submit(now, search); decision.Verdict != balancer.VerdictRefuse {
+		t.Errorf("%+v, want a refusal", decision)
+	}
+}
+
 // Guards against calls that stay at a silent endpoint while others go on.
 func TestRunningCallsMoveToEndpointsThatGoOn(t *testing.T) {
 	pools := newStreamingPool("h00", "h01", "h02", "h03")
@@ -266,7 +282,7 @@
 	pools.Report(now, feed.Endpoint{Host: "h00"}, balancer.Stalled)
 	pools.Report(now, feed.Endpoint{Host: "h01"}, balancer.Stalled)
 	search := pools.call(now)
-	search.Failover, search.StillRunning, search.Tried = true, true, []feed.Endpoint{{Host: "h00"}}
+	search.Failover, search.RunningAt, search.Tried = true, feed.Endpoint{Host: "h00"}, []feed.Endpoint{{Host: "h00"}}
 	if decision := pools.Submit(now, search); decision.Verdict != balancer.VerdictRefuse {
 		t.Errorf("%+v, want a refusal", decision)
 	}
@@ -332,10 +348,10 @@
 		}
 		now := start.Add(test.searchAfter)
 		search := call(100, now)
-		search.Failover, search.StillRunning = true, true
+		search.Failover = true
 		for endpoint := range silent {
 			if len(search.Tried) == 0 {
-				search.Tried = []feed.Endpoint{endpoint}
+				search.RunningAt, search.Tried = endpoint, []feed.Endpoint{endpoint}
 				pools.Report(now, endpoint, balancer.Stalled)
 			} else if test.goesOn {
 				pools.StreamEvent(now, endpoint)
--- a/measure/process/admission/simulation.go
+++ b/measure/process/admission/simulation.go
@@ -236,7 +236,7 @@
 	late := simulation.now-call.arrivedAt > max(call.kindOf.Target, simulation.lateAfter(call))
 	due := simulation.clock().Add(call.kindOf.Target)
 	decision := call.host.balancer.Submit(simulation.clock(), balancer.Call{
-		Number: call.number, Pool: pool, Due: due, Late: late && !failover, Tried: call.tried, Failover: failover, StillRunning: call.original != nil,
+		Number: call.number, Pool: pool, Due: due, Late: late && !failover, Tried: call.tried, Failover: failover, RunningAt: call.runningAt(),
 	})
 	if decision.Verdict == balancer.VerdictWait {
 		call.waitUntil = simulation.now + decision.WaitUntil.Sub(simulation.clock())
@@ -246,6 +246,14 @@
 	simulation.decide(call, decision)
 }
 
+// runningAt returns the endpoint beside which a call is a search, or none.
+func (call *call) runningAt() feed.Endpoint {
+	if call.original == nil {
+		return feed.Endpoint{}
+	}
+	return groupNames[call.original.group]
+}
+
 // lateAfter is from when on an entry host can tell that a caller has waited before.
 func (simulation *simulation) lateAfter(call *call) time.Duration {
 	if simulation.scenario.SavedRetries == 0 {
