fleet: a sound host is given one lost announcement after its silence

Callers lost answers when an engine was silent for 1.5 to 2 s, went on, and its first announcement afterwards got lost, for example at a control host that was silent itself: the leader retired the group and ordered its head to leave.

A host that can be reached was taken for lost 2 s and 1.25 announcement intervals after its last announcement. A silence of 2 s that begins just before an announcement uses all but a quarter of an interval of that, so that no announcement could get lost; the report of the stall counts for 3 s and so outlasts the silence.

The time is now one announcement interval longer. It is the time in which the next announcement comes. A host that can't be reached is found as before; one that accepts connections and never answers is found one interval later.

--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -28,8 +28,10 @@
 	silentIntervals = 1.25
 	probeIntervals  = 1
 	// longestSilence is how long a sound host may be silent and go on afterwards. A host
-	// that can be reached isn't taken for lost before.
+	// that can be reached isn't taken for lost before, nor before lostIntervals more, in
+	// announcement intervals: its first announcement after the silence may get lost.
 	longestSilence = 2 * time.Second
+	lostIntervals  = silentIntervals + 1
 	// hostStateInterval is the time between two looks for state of hosts that aren't known
 	// any more.
 	hostStateInterval = time.Minute
@@ -171,13 +173,12 @@
 }
 
 // silentHostLost reports whether a host that should announce itself counts as lost: it is
-// silent, and can't be reached or has been silent for longer than longestSilence. A sound
-// host may be silent for that long; a probe shows whether this one can be reached.
+// silent, and can't be reached or hasn't announced itself for longer than a sound host may
+// (see longestSilence). A probe shows whether it can be reached.
 func (fleet *Fleet) silentHostLost(now time.Time, actions *Actions, host *roster.Member) bool {
 	elapsed := fleet.sinceLastAnnouncement(now, host)
-	silence := elapsed - announcementIntervals(host, silentIntervals)
 	undelivered := fleet.undeliveredAtByHost[host.Announcement.Host].After(now.Add(-elapsed))
-	if silence > longestSilence || silence > 0 && undelivered {
+	if undelivered && elapsed > announcementIntervals(host, silentIntervals) || elapsed > longestSilence+announcementIntervals(host, lostIntervals) {
 		return true
 	}
 	if elapsed > announcementIntervals(host, probeIntervals) && !undelivered {
--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -112,6 +112,29 @@
 	}
 }
 
+// Guards against a group that is retired, with its answers cut, since a sound host was
+// silent and its first announcement after that got lost.
+func TestGroupOutlastsASilenceAndALostAnnouncement(t *testing.T) {
+	const lostFor = 600 * time.Millisecond
+	for _, pause := range []time.Duration{1500 * time.Millisecond, 2 * time.Second} {
+		for seed := range uint64(10) {
+			world := newLateWorld(t, seed, lateRates{})
+			world.pass(10*time.Second + world.upTo(announceInterval))
+			before, orders := world.servingGroups(), len(world.orders)
+			silent := before[0].Hosts[1]
+			world.silence(silent, pause)
+			world.engines[silent].cutOffUntil = world.now.Add(pause + lostFor)
+			world.pass(pause + lostFor + 3*announceInterval)
+			if after := world.servingGroups(); fmt.Sprint(after) != fmt.Sprint(before) {
+				t.Errorf("%v, seed %d: groups are %v, want %v as before", pause, seed, after, before)
+			}
+			for _, order := range world.ordersSince(orders) {
+				t.Errorf("%v, seed %d: %s is ordered to %s %s", pause, seed, order.Host, order.Kind, order.Group)
+			}
+		}
+	}
+}
+
 // Guards against answers that are cut while their group finishes them: its head was silent
 // for a time and goes on.
 func TestClosingGroupOfASilentHeadFinishesItsAnswers(t *testing.T) {
