tests: calls at silent engines and reports of silence share their preparation

The tests of entryapi and balancer repeated three pieces of code to the letter but for names and numbers: an entry host with a log whose budget may be used up first, calls at an interval that must each be refused or whole, and a balancer with one endpoint reported as silent. Each is now one function. Checks, numbers of calls and reports, and times between calls are what they were.

--- a/caroblined/connection/entryapi/engine_test.go
+++ b/caroblined/connection/entryapi/engine_test.go
@@ -187,6 +187,26 @@
 	}
 }
 
+// wantEachWholeOrRefused makes calls, one in each interval, and checks that each is refused or
+// gets a whole answer, and that nothing goes on after them.
+func (engines *engines) wantEachWholeOrRefused(t *testing.T, entryHost *entryHost, calls int, interval time.Duration) {
+	t.Helper()
+	var running sync.WaitGroup
+	for range calls {
+		time.Sleep(interval)
+		running.Go(func() {
+			got, err := call(t, entryHost.server, post("/a", "x"))
+			if got.status == http.StatusServiceUnavailable {
+				return // no endpoint took it
+			}
+			engines.wantWhole(t, got, err)
+		})
+	}
+	running.Wait()
+	entryHost.wantIdle(t)
+	wantOthersLeft(t, engines)
+}
+
 // shortened returns a text of at most some lines.
 func shortened(text string) string {
 	const most = 200
--- a/caroblined/connection/entryapi/failure_test.go
+++ b/caroblined/connection/entryapi/failure_test.go
@@ -107,14 +107,7 @@
 		test.prepare(&routes[0])
 	}
 	log := &logBuffer{}
-	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
-	if test.noBudget {
-		options.savedRetries = 1
-	}
-	entryHost = options.start(t, routes, services...)
-	if test.noBudget {
-		_, _ = call(t, entryHost.server, post("/drain", "x"))
-	}
+	entryHost = startLoggedEntryHost(t, log, test.noBudget, routes, services...)
 	got, err := call(t, entryHost.server, post("/a", "x"))
 	if err != nil || got.status != test.status || got.body != test.body || sends.Load() != test.sends {
 		t.Errorf("status %d %q after %d sends, error %v; want %d %q after %d", got.status, got.body, sends.Load(), err, test.status, test.body, test.sends)
--- a/caroblined/connection/entryapi/late_answer_test.go
+++ b/caroblined/connection/entryapi/late_answer_test.go
@@ -129,3 +129,17 @@
 	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}
 	return options.start(t, routes, services...)
 }
+
+// startLoggedEntryHost is like startEntryHost, with a log. Without a budget, a call that the
+// services refuse has used up the only saved retry first.
+func startLoggedEntryHost(t *testing.T, log *logBuffer, noBudget bool, routes []routing.Route, services ...*service) *entryHost {
+	t.Helper()
+	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
+	if !noBudget {
+		return options.start(t, routes, services...)
+	}
+	options.savedRetries = 1
+	entryHost := options.start(t, routes, services...)
+	_, _ = call(t, entryHost.server, post("/drain", "x"))
+	return entryHost
+}
--- a/caroblined/connection/entryapi/paused_engines_test.go
+++ b/caroblined/connection/entryapi/paused_engines_test.go
@@ -215,20 +215,7 @@
 			routes := silentRoute()
 			routes[0].Attempts = 3
 			entryHost := startEntryHost(t, routes, engines.service(t), engines.service(t), engines.service(t), engines.service(t))
-			var running sync.WaitGroup
-			for range calls {
-				time.Sleep(3 * eventInterval)
-				running.Go(func() {
-					got, err := call(t, entryHost.server, post("/a", "x"))
-					if got.status == http.StatusServiceUnavailable {
-						return // no endpoint took it
-					}
-					engines.wantWhole(t, got, err)
-				})
-			}
-			running.Wait()
-			entryHost.wantIdle(t)
-			wantOthersLeft(t, engines)
+			engines.wantEachWholeOrRefused(t, entryHost, calls, 3*eventInterval)
 		}
 	}
 	together(t, tests)
--- a/caroblined/connection/entryapi/silent_stream_test.go
+++ b/caroblined/connection/entryapi/silent_stream_test.go
@@ -106,14 +106,7 @@
 		hindrance.prepare(&routes[0])
 	}
 	log := &logBuffer{}
-	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
-	if hindrance.noBudget {
-		options.savedRetries = 1
-	}
-	entryHost = options.start(t, routes, services...)
-	if hindrance.noBudget {
-		_, _ = call(t, entryHost.server, post("/drain", "x"))
-	}
+	entryHost = startLoggedEntryHost(t, log, hindrance.noBudget, routes, services...)
 	got, err := call(t, entryHost.server, post("/a", "x"))
 	engines.wantWhole(t, got, err)
 	entryHost.wantIdle(t)
@@ -493,20 +486,7 @@
 			}
 			options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}
 			entryHost := options.start(t, silentRoute(), engines.service(t), engines.service(t), engines.service(t), engines.service(t))
-			var calls sync.WaitGroup
-			for range callers {
-				time.Sleep(20 * time.Millisecond)
-				calls.Go(func() {
-					got, err := call(t, entryHost.server, post("/a", "x"))
-					if got.status == http.StatusServiceUnavailable {
-						return // no endpoint took it
-					}
-					engines.wantWhole(t, got, err)
-				})
-			}
-			calls.Wait()
-			entryHost.wantIdle(t)
-			wantOthersLeft(t, engines)
+			engines.wantEachWholeOrRefused(t, entryHost, callers, 20*time.Millisecond)
 		}
 	}
 	together(t, tests)
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -85,6 +85,21 @@
 	return taken
 }
 
+// newSilentPool returns a balancer of two endpoints and the one of them that was reported as
+// silent, and checks that it alone counts as stalled.
+func newSilentPool(t *testing.T, slots, reports int) (*balancer.Balancer, feed.Endpoint) {
+	t.Helper()
+	pools := newBalancer(1, slots, 0, 0)
+	silent := feed.Endpoint{Host: "h00"}
+	for range reports {
+		pools.Report(start, silent, balancer.Failed)
+	}
+	if stalled := pools.StalledEndpoints(start); len(stalled) != 1 {
+		t.Errorf("stalled endpoints %v, want the silent one", stalled)
+	}
+	return pools, silent
+}
+
 // Guards against endpoints that get no calls for seconds after a pause in which each of
 // their calls was silent, though they have gone on.
 func TestEndpointsTakeCallsOnceTheyGoOn(t *testing.T) {
@@ -111,14 +126,7 @@
 // Guards against an endpoint that gets no calls after it was silent, though it has answered
 // a call since, for a service without streams.
 func TestAnswerEndsSilence(t *testing.T) {
-	pools := newBalancer(1, 8, 0, 0)
-	silent := feed.Endpoint{Host: "h00"}
-	for range 5 {
-		pools.Report(start, silent, balancer.Failed)
-	}
-	if stalled := pools.StalledEndpoints(start); len(stalled) != 1 {
-		t.Errorf("stalled endpoints %v, want the silent one", stalled)
-	}
+	pools, silent := newSilentPool(t, 8, 5)
 	now := start.Add(100 * time.Millisecond)
 	pools.Done(now, call(0, now), silent, balancer.Served)
 	pools.Done(now, call(0, now), feed.Endpoint{Host: "h01"}, balancer.Failed)
@@ -156,14 +164,7 @@
 // Guards against entry hosts that send call after call to an endpoint that is lost. While it
 // makes no progress, it counts as stalled, and single calls try it.
 func TestEndpointThatStaysSilentGetsFewCalls(t *testing.T) {
-	pools := newBalancer(1, 100, 0, 0)
-	silent := feed.Endpoint{Host: "h00"}
-	for range 17 {
-		pools.Report(start, silent, balancer.Failed)
-	}
-	if stalled := pools.StalledEndpoints(start); len(stalled) != 1 {
-		t.Errorf("stalled endpoints %v, want the silent one", stalled)
-	}
+	pools, silent := newSilentPool(t, 100, 17)
 	const step, length, maxCalls = 10 * time.Millisecond, 20 * time.Second, 10
 	var sentAt []time.Time
 	sent := 0
