--- a/caroblined/connection/entryapi/drain.go
+++ b/caroblined/connection/entryapi/drain.go
@@ -20,8 +20,8 @@
 
 // drain is the planned stop of the entry host.
 type drain struct {
-	// noticedAt is when the balancer has noticed the stop and sends callers to other
-	// hosts.
+	// noticedAt is when the load balancer in front of the entry hosts has noticed the
+	// stop and sends callers to other hosts.
 	noticedAt time.Time
 	// stopsAt is when the host ends the calls that still run.
 	stopsAt time.Time
@@ -29,8 +29,8 @@
 
 // answersInTime reports whether a call is answered to its end before the host
 // stops. For a call that must not repeat only its deadline is proof of that. A call
-// that may be repeated is also taken until the balancer has noticed the stop, if the
-// answers of its route usually end in time.
+// that may be repeated is also taken until noticedAt, since its caller has no other host
+// before, if the answers of its route usually end in time.
 func (drain *drain) answersInTime(now time.Time, call *call, answerTime estimate.Estimate) bool {
 	if !call.deadline.After(drain.stopsAt) {
 		return true
@@ -43,7 +43,7 @@
 
 // Drain prepares for the stop of the host: every answer from now on closes its
 // connection, and a call whose answer may not end before stopsAt is refused as not
-// run. The balancer has noticed the stop at noticedAt.
+// run. At noticedAt the load balancer in front of the entry hosts has noticed the stop.
 func (api *API) Drain(noticedAt, stopsAt time.Time) {
 	api.drain.Store(&drain{noticedAt: noticedAt, stopsAt: stopsAt})
 }
--- a/caroblined/process/node/config.go
+++ b/caroblined/process/node/config.go
@@ -17,8 +17,9 @@
 type Entry struct {
 	Address string
 	Dialect entryapi.Dialect
-	// ReadyAddress and ReadyPath serve the balancer's readiness check: status 200
-	// while the node accepts new connections, else 503.
+	// ReadyAddress and ReadyPath serve the readiness check of the load balancer in
+	// front of the entry hosts: status 200 while the node accepts new connections, else
+	// 503.
 	ReadyAddress string
 	ReadyPath    string
 	// SavedRetries is passed on to entryapi.Config.
--- a/caroblined/process/node/stop.go
+++ b/caroblined/process/node/stop.go
@@ -10,8 +10,8 @@
 	// transferPollInterval is the pause between two checks whether leadership has
 	// been transferred.
 	transferPollInterval = 20 * time.Millisecond
-	// balancerNoticeTime is within how long the balancer notices that a draining entry
-	// host isn't ready: two of its checks, a second apart.
+	// balancerNoticeTime is within how long the load balancer in front of the entry
+	// hosts notices that a draining one isn't ready: two of its checks, a second apart.
 	balancerNoticeTime = 2500 * time.Millisecond
 	// minDrainTime is how long a draining entry host keeps its listeners open. Single
 	// callers arrive after balancerNoticeTime, on connections that they had opened.
@@ -30,10 +30,10 @@
 }
 
 // drain transfers leadership on a node without an entry, and else waits for
-// running calls to end. Callers arrive until the balancer has noticed that the
-// node isn't ready, and some later, so the listeners stay open for minDrainTime.
-// Meanwhile each answer is the last on its connection, and calls that may outlast the
-// node are refused.
+// running calls to end. Callers arrive until the load balancer in front of the entry
+// hosts has noticed that the node isn't ready, and some later, so the listeners stay
+// open for minDrainTime. Meanwhile each answer is the last on its connection, and calls
+// that may outlast the node are refused.
 func (node *Node) drain(now time.Time) {
 	node.draining.Store(true)
 	node.config.Log.Info().Str("step", "drain").Msg("draining")
