--- a/caroblined/connection/callerapi/handover.go
+++ b/caroblined/connection/callerapi/handover.go
@@ -232,7 +232,7 @@
 	return free || handover.relay.api.config.RetryBudget.Spend()
 }
 
-// atFault reports whether the error of an attempt speaks against its endpoint.
+// atFault reports whether the error of an attempt is its endpoint's fault.
 func atFault(err error) bool { return mayGoOn(err) && !errors.Is(err, errNotWhole) }
 
 // sendSuccessor sends an attempt to a reserved endpoint and waits until it can go on with
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -155,7 +155,7 @@
 }
 
 // moveWithinBudget takes a retry from the budget and moves a failed call to another
-// endpoint. It returns false when either isn't to be had.
+// endpoint. It returns false when the retry or the endpoint isn't available.
 func (api *API) moveWithinBudget(ctx context.Context, admission *traffic.Admission) bool {
 	if !api.config.RetryBudget.Spend() {
 		return false
--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -148,7 +148,7 @@
 }
 
 // reserve takes a retry from the budget and an endpoint for it. It returns the reason when
-// either isn't to be had.
+// one of them isn't available.
 func (api *API) reserve(ctx context.Context, call *call) (*attempt, string) {
 	switch {
 	case ctx.Err() != nil:
--- a/caroblined/connection/entryapi/events.go
+++ b/caroblined/connection/entryapi/events.go
@@ -148,7 +148,7 @@
 }
 
 // hasEvent reports whether some of the lines belong to an event. Lines that don't are
-// passed on, but they are no progress: an endpoint in trouble may send them for ever.
+// passed on, but they are no progress: a faulty endpoint may send them without end.
 func hasEvent(lines []byte) bool {
 	for line := range bytes.Lines(lines) {
 		if bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("id:")) {
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -25,7 +25,8 @@
 	reasonForeignAnswer = "answer_to_another_request"
 	// reasonReplaced is that of one whose call goes on at another endpoint.
 	reasonReplaced = "replaced"
-	// reasonEndpointError is that of one whose endpoint failed, while another may not.
+	// reasonEndpointError is that of one whose endpoint answered that it has failed. The
+	// call is sent to another one, or ends with a failure that is held.
 	reasonEndpointError = "endpoint_error"
 )
 
@@ -55,7 +56,7 @@
 func (exchange *exchange) close() {
 	exchange.cancel()
 	if exchange.response != nil {
-		// A body that was read to its end, or is given up, has nothing more to say.
+		// A body that was read to its end, or is given up, isn't read further.
 		_ = exchange.response.Body.Close()
 	}
 }
@@ -113,6 +114,7 @@
 	switch {
 	case exchange.replacement != nil:
 		exchange.replaced()
+	// This failure isn't passed on if the call may be sent again, or if another one is held.
 	case failed && exchange.usable() && (call.repeatRefusal() == "" || call.failure != nil && call.failure != failure):
 		exchange.reason = reasonEndpointError
 	}
--- a/caroblined/connection/entryapi/failure.go
+++ b/caroblined/connection/entryapi/failure.go
@@ -12,9 +12,10 @@
 	readAt   time.Time
 }
 
-// failureAnswer returns an exchange's answer if it is one that may be held until it is
-// known that no other endpoint answers. A 503 isn't held, nor is one without the endpoint's
-// mark: callers take a 503 to say that the call hasn't run.
+// failureAnswer returns an exchange's answer if it is a failure that may be held until it
+// is known that no other endpoint answers, and nil otherwise. A 503 isn't held, since callers
+// take it to say that the call hasn't run, nor is an answer without the endpoint's mark,
+// which may not be the endpoint's.
 func (api *API) failureAnswer(attempt *attempt, exchange *exchange) *failureAnswer {
 	switch {
 	case !exchange.usable() || !exchange.endpointFailed():
--- a/caroblined/connection/entryapi/notice.go
+++ b/caroblined/connection/entryapi/notice.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// requestedPause returns for how long an endpoint that refuses a call wants no others: its
-// Retry-After in seconds, also fractions. A date isn't obeyed, since clocks differ.
+// requestedPause returns for how long an endpoint that refuses a call accepts no others: its
+// Retry-After in seconds, also fractions. A date is ignored, since clocks differ.
 func requestedPause(response *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	if response.StatusCode != http.StatusServiceUnavailable || err != nil || !(seconds > 0) {
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -16,8 +16,8 @@
 
 const announceInterval = 1200 * time.Millisecond
 
-// world is a fleet with its replicated state and the engines that it orders about. A
-// change is applied and an order carried out at once.
+// world is a fleet with its replicated state and the engines that it sends orders to.
+// A change is applied and an order carried out at once.
 type world struct {
 	t       *testing.T
 	now     time.Time
@@ -225,7 +225,7 @@
 }
 
 // Guards against a new leader that lets hosts join other groups while the head of theirs
-// is open: it has last heard of the head from before the head joined.
+// is open: the head's last announcement that it has received is from before the head joined.
 func TestNewLeaderFreesNoHostsByAnOldWordOfTheirHead(t *testing.T) {
 	world := newWorld(t, 1, 6, four)
 	world.nodesAt = math.MaxUint64 // no node lags
--- a/core/process/fleet/preparation_test.go
+++ b/core/process/fleet/preparation_test.go
@@ -12,7 +12,7 @@
 	"carobline.dev/core/version/routing"
 )
 
-// Guards against weights that are staged, and spares that are warmed, for the engines of the first service alone.
+// Guards against staged weights and standby groups for the engines of the first service alone.
 func TestEnginesOfEachServiceArePrepared(t *testing.T) {
 	world := newWorld(t, 0, 0)
 	var services []routing.Service
--- a/core/process/fleet/staging.go
+++ b/core/process/fleet/staging.go
@@ -14,7 +14,7 @@
 
 const (
 	// reservedRepairLoads is how many of the weight store's loads are reserved for
-	// repairing groups, out of reach of the staging of further models.
+	// repairing groups, and not available for the staging of further models.
 	reservedRepairLoads = 2
 	// earlyLoadSeconds limits the stagings in progress, until a node has reported
 	// a call, to the loads of so many seconds. Few are then left when calls come.
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -48,8 +48,8 @@
 	// leaderContactTimeout is how long after the leader's last response a node counts as
 	// cut off from it. An election takes less in most cases.
 	leaderContactTimeout = 800 * time.Millisecond
-	// firstContactTime is how long after its start a node needn't have heard from a
-	// leader: the voters may elect the first one.
+	// firstContactTime is how long after its start a node needn't have received
+	// anything from a leader: the voters may elect the first one.
 	firstContactTime = 3 * time.Second
 	// rosterPruneInterval is how often hosts that have long been dead are dropped
 	// from the roster.
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -101,7 +101,7 @@
 
 // lateDeparture reports whether an announcement says first that the incarnation of the
 // latest one leaves, though its sequence isn't higher. A node that is told of a
-// departure may have missed the announcements that other nodes have heard before.
+// departure may have missed the announcements that other nodes have received before.
 func (announcement *Announcement) lateDeparture(latest *Announcement) bool {
 	return announcement.Leaving && !latest.Leaving && announcement.Incarnation == latest.Incarnation && announcement.Sequence <= latest.Sequence
 }
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// Whatever two rosters have heard, one that merges what the other finds missing by its
+// Whatever two rosters have received, one that merges what the other finds missing by its
 // digest ends with all of the other's facts that are newer.
 func TestMissingBringsAllNewerFacts(t *testing.T) {
 	for seed := range uint64(200) {
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -323,12 +323,12 @@
 	return set.Endpoints
 }
 
-// available returns the endpoints that may serve a pool and want requests.
+// available returns the endpoints that may serve a pool and accept requests.
 func (balancer *Balancer) available(now time.Time, pool Pool) []*view.Endpoint {
 	return balancer.notices.Filter(now, balancer.endpoints(pool))
 }
 
-// firstBack returns the RetryAfter for a pool of which no endpoint wants requests.
+// firstBack returns the RetryAfter for a pool of which no endpoint accepts requests.
 func (balancer *Balancer) firstBack(now time.Time, pool Pool) time.Duration {
 	wait, ok := balancer.notices.FirstBack(now, balancer.endpoints(pool))
 	if !ok {
--- a/core/request/notice/notice.go
+++ b/core/request/notice/notice.go
@@ -1,5 +1,5 @@
 // Package notice keeps what endpoints have said of themselves in their answers to one
-// entry host: that they are leaving, or that they want no requests for a time. A notice
+// entry host: that they are leaving, or that they accept no requests for a time. A notice
 // holds for the incarnation of the host that gave it, whatever the control plane knows.
 //
 // # Usage
@@ -30,7 +30,7 @@
 	lastSeenAt  time.Time
 }
 
-// holds reports whether the host wants no requests at a time.
+// holds reports whether the host accepts no requests at a time.
 func (given *given) holds(now time.Time) bool { return given.leaving || now.Before(given.pausedUntil) }
 
 // Notices holds the notices of all hosts. It isn't safe for concurrent use.
@@ -46,7 +46,7 @@
 	}
 }
 
-// Pause records that the endpoint's host wants no requests for a time from now on.
+// Pause records that the endpoint's host accepts no requests for a time from now on.
 func (notices *Notices) Pause(now time.Time, endpoint *view.Endpoint, pause time.Duration) {
 	if given := notices.of(now, endpoint); given != nil && now.Add(pause).After(given.pausedUntil) {
 		given.pausedUntil = now.Add(pause)
@@ -68,7 +68,7 @@
 	return known
 }
 
-// Filter returns the endpoints that want requests. It returns the argument itself while
+// Filter returns the endpoints that accept requests. It returns the argument itself while
 // all do.
 func (notices *Notices) Filter(now time.Time, endpoints []*view.Endpoint) []*view.Endpoint {
 	declines := func(endpoint *view.Endpoint) bool { return notices.declines(now, endpoint) }
@@ -78,7 +78,7 @@
 	return slices.DeleteFunc(slices.Clone(endpoints), declines)
 }
 
-// declines reports whether an endpoint wants no requests at a time.
+// declines reports whether an endpoint accepts no requests at a time.
 func (notices *Notices) declines(now time.Time, endpoint *view.Endpoint) bool {
 	known := notices.byHost[endpoint.Host]
 	if known == nil || known.incarnation != endpoint.Incarnation {
@@ -88,7 +88,7 @@
 	return known.holds(now)
 }
 
-// FirstBack returns how long it takes until the first of the endpoints wants requests
+// FirstBack returns how long it takes until the first of the endpoints accepts requests
 // again, or false when all of them are leaving.
 func (notices *Notices) FirstBack(now time.Time, endpoints []*view.Endpoint) (time.Duration, bool) {
 	var first time.Duration
--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -121,7 +121,7 @@
 type Knowledge struct {
 	// ReportInterval is the time between two counts, and ReportLag how old they are.
 	ReportInterval, ReportLag time.Duration
-	// Leader is set where each entry host reports to a leader in its own time and hears
+	// Leader is set where each entry host reports to a leader in its own time and learns
 	// what the others reported last.
 	Leader bool
 }
--- a/measure/process/admission/calls.go
+++ b/measure/process/admission/calls.go
@@ -18,7 +18,7 @@
 	maxSends = 4
 	maxRuns  = 2
 	// earnedRetries and maxSavedRetries are the budget of an entry host for sending a
-	// call again, and rejectedRetryAfter is what the caller hears when it is used up.
+	// call again, and rejectedRetryAfter is what the caller is told when it is used up.
 	earnedRetries      = 0.15
 	maxSavedRetries    = 12
 	savedPart          = 0.9
@@ -177,7 +177,7 @@
 }
 
 // refuse tells the caller of a call that it wasn't run, and when to come back. The caller
-// of a call that may have run hears that it failed.
+// of a call that may have run is told that it failed.
 func (simulation *simulation) refuse(call *call, retryAfter time.Duration) {
 	if call.runs > 0 {
 		return
