--- a/carobline/command/contract/show/show.go
+++ b/carobline/command/contract/show/show.go
@@ -57,7 +57,7 @@
 	return options.Printer.Show(record, nil, nil)
 }
 
-// Find returns the record of the contract of a client account.
+// Find returns the record of the contract of a client account. It fails if there is none.
 func Find(ctx context.Context, client Client, clientAccount id.ClientAccount) (register.ContractRecord, error) {
 	list, err := client.Contracts(ctx)
 	if err != nil {
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -117,7 +117,7 @@
 		if relay.attempt == 1 {
 			return refusal
 		}
-		// An engine that got the call before may have run it.
+		// Another engine, which got the call in an earlier attempt, may have run it.
 		return rest.Unknown(refusal.Status, refusal.Code, refusal.Message)
 	}
 	restError := rest.Unknown(http.StatusBadGateway, "upstream_failed", "the answer could not be completed: "+err.Error())
--- a/core/connection/endpoint/header.go
+++ b/core/connection/endpoint/header.go
@@ -11,8 +11,8 @@
 
 // headerTimer closes a connection on which an answer has begun whose headers don't end.
 // Before the first byte there is no limit: an endpoint may work for long. The time is
-// counted in steps. A time for which this process was suspended counts as one of them, so
-// that the headers that came meanwhile are still read.
+// counted in steps. A time for which this process was suspended counts as one step, so that
+// the headers that came meanwhile are still read.
 type headerTimer struct {
 	mutex   sync.Mutex
 	timer   *time.Timer
--- a/core/connection/rest/client.go
+++ b/core/connection/rest/client.go
@@ -32,8 +32,8 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
-// Reach opens a connection to an address and closes it, without a byte sent. DialFailed
-// recognises its error.
+// Reach opens a connection to an address and closes it, without a byte sent. If it can't be
+// opened, the error is one that DialFailed recognises.
 func Reach(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) error {
 	connection, err := dial(ctx, "tcp", address)
 	if err != nil {
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -29,8 +29,8 @@
 	// OrderStage makes an engine's host fetch a model's weights without loading
 	// them.
 	OrderStage OrderKind = "stage"
-	// OrderProbe only opens a new connection to a silent host. It is undelivered if the host
-	// can't be reached.
+	// OrderProbe opens a new connection to a silent host and sends nothing. It shows whether
+	// the host is lost: at one that only pauses, the kernel still accepts connections.
 	OrderProbe OrderKind = "probe"
 )
 
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -132,7 +132,8 @@
 // StallReported is a node's report that its calls to a group make no progress.
 type StallReported struct{ Group id.Group }
 
-// OrderUndelivered reports an order that found no host at its address.
+// OrderUndelivered reports an order, which may be a probe, that found no host at its
+// address.
 type OrderUndelivered struct{ Host id.Host }
 
 func (CallReported) event()     {}
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -168,8 +168,8 @@
 }
 
 // planConstraints returns the constraints of a plan now: the loads that the weight store
-// takes, and the hosts that will soon be free. Loads aren't limited until a node has
-// reported a call in this term.
+// takes, and the hosts that will soon be free. Silent ones of these are sent probes. Loads
+// aren't limited until a node has reported a call in this term.
 func (fleet *Fleet) planConstraints(now time.Time, actions *Actions, service *routing.Service) grouper.Constraints {
 	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen, DrainingHosts: fleet.silentEngines(now, actions, service)}
 	for _, name := range slices.Sorted(maps.Keys(fleet.state.Register.Unfreed())) {
@@ -182,8 +182,9 @@
 	return constraints
 }
 
-// silentEngines lists the engines of a service in no group that are silent, but aren't
-// taken for lost. No group is dissolved, and nothing loaded, in place of them.
+// silentEngines lists the engines of a service in no group that are silent but don't count
+// as lost, and sends them probes. The planner takes them for free soon, and so neither
+// dissolves a group nor loads weights to replace them.
 func (fleet *Fleet) silentEngines(now time.Time, actions *Actions, service *routing.Service) []grouper.Host {
 	unfreed := fleet.state.Register.Unfreed()
 	var silent []grouper.Host
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -23,17 +23,17 @@
 	// counts for retiring it.
 	groupStallReportLifetime = 3 * time.Second
 	// silentIntervals is the time without an announcement, in announcement intervals,
-	// after which a host counts as silent, and probeIntervals that after which a probe shows
-	// whether it can be reached.
+	// after which a host counts as silent, and probeIntervals that after which a probe is
+	// sent to find out whether it can be reached.
 	silentIntervals = 1.25
 	probeIntervals  = 1
 	// longestSilence is how long a sound host may be silent and go on afterwards. A host
-	// that can be reached isn't taken for lost before, nor before lostIntervals more, in
-	// announcement intervals: its first announcement after the silence may get lost.
+	// that can be reached counts as lost only after this time and lostIntervals announcement
+	// intervals more, since its first announcement after the silence may get lost.
 	longestSilence = 2 * time.Second
 	lostIntervals  = silentIntervals + 1
-	// hostStateInterval is the time between two looks for state of hosts that aren't known
-	// any more.
+	// hostStateInterval is the time between two removals of the state of hosts that the
+	// roster doesn't know any more.
 	hostStateInterval = time.Minute
 )
 
@@ -63,7 +63,8 @@
 }
 
 // dropUnknownHostState deletes, once in hostStateInterval, the leader's volatile state of
-// hosts that the roster doesn't know any more, and the reports of stalls that don't count.
+// hosts that the roster doesn't know any more, and the reports of stalls that are too old
+// to count.
 func (fleet *Fleet) dropUnknownHostState(now time.Time) {
 	if now.Before(fleet.hostStateDroppedAt.Add(hostStateInterval)) {
 		return
@@ -174,7 +175,7 @@
 
 // silentHostLost reports whether a host that should announce itself counts as lost: it is
 // silent, and can't be reached or hasn't announced itself for longer than a sound host may
-// (see longestSilence). A probe shows whether it can be reached.
+// (see longestSilence). It sends a probe to find out whether the host can be reached.
 func (fleet *Fleet) silentHostLost(now time.Time, actions *Actions, host *roster.Member) bool {
 	elapsed := fleet.sinceLastAnnouncement(now, host)
 	undelivered := fleet.undeliveredAtByHost[host.Announcement.Host].After(now.Add(-elapsed))
@@ -258,7 +259,7 @@
 
 // orderHeadToLeave orders the head of a retired group to leave it. While all its
 // hosts are in the group, and none is lost, the head is first ordered to finish its
-// requests. That these are stalled doesn't show a loss: a host may be silent and go on.
+// requests. Stalled requests alone don't show a loss: a host may be silent and go on.
 func (fleet *Fleet) orderHeadToLeave(now time.Time, actions *Actions, head *roster.Member, previousGroup register.GroupRecord) {
 	stalled := fleet.stallReportedRecently(now, previousGroup)
 	serves := !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -148,8 +148,8 @@
 // minTarget stands for the target of a model without a share of the work.
 const minTarget = 1e-9
 
-// servedRatio returns the number of groups of a model, with a number of further ones or,
-// if that is negative, with fewer, divided by its target.
+// servedRatio returns the number of groups of a model plus further, which is negative for
+// fewer groups, divided by the model's target.
 func (grouper *Grouper) servedRatio(model id.Model, further int) float64 {
 	return float64(grouper.groupCountByModel[model]+further) / max(grouper.targetGroupsByModel[model], minTarget)
 }
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -194,7 +194,8 @@
 }
 
 // Member returns the entry of a host, live or not, and an empty one if it isn't known.
-// Entries are read-only: a change puts a new one in their place.
+// The entry is read-only. A change of the host stores a new entry, so that the returned one
+// goes on showing the state before; only its mark replaced is set.
 func (roster *Roster) Member(host id.Host) (*Member, bool) {
 	member, ok := roster.memberByHost[host]
 	if !ok {
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -21,7 +21,7 @@
 	// event before the endpoint gets no further calls.
 	maxEventGap = 500 * time.Millisecond
 	// maxCommonPause is for how long endpoints without calls are taken to be silent like
-	// all others: half of the time after which the first callers give up.
+	// those with calls: half of the time after which the first callers give up.
 	maxCommonPause = time.Second
 	// failuresToStall is the number of consecutive failures after which an
 	// endpoint counts as stalled.
@@ -74,7 +74,7 @@
 
 // Report records that an endpoint makes no progress with a call that goes on there: Failed
 // for one whose answer hasn't begun, Stalled for a stream. It holds until the endpoint makes
-// progress with any of its calls.
+// progress with any of its calls or, if its streams went on meanwhile, begins another answer.
 func (balancer *Balancer) Report(now time.Time, endpoint feed.Endpoint, ending Ending) {
 	balancer.state(endpoint).recordSilence(now, ending)
 }
@@ -88,7 +88,8 @@
 }
 
 // StreamEvent records a further event of a stream and returns the decisions for waiting
-// calls that may go now. The endpoint no longer counts as stalled.
+// calls that may go now. The endpoint no longer counts as stalled, unless it was reported
+// for answers that don't begin while its streams went on.
 func (balancer *Balancer) StreamEvent(now time.Time, endpoint feed.Endpoint) []Decision {
 	return balancer.recordEvent(now, endpoint, false)
 }
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -62,8 +62,8 @@
 }
 
 // decay reduces both counts in proportion to the part of rateWindow that has
-// passed since the last call. Departures don't decay in a silence, which says nothing of
-// the rate after it, unless it lasts.
+// passed since they were last reduced. Departures don't decay in a silence of up to
+// rateWindow, which says nothing of the rate after it.
 func (queue *queue) decay(now time.Time, quiet time.Duration) {
 	elapsed := now.Sub(queue.decayedAt)
 	queue.decayedAt = now
@@ -86,8 +86,8 @@
 
 // refuse turns decision into a refusal. Its RetryAfter is the time that the
 // pool needs to serve the waiting calls and those refused recently, whose callers
-// retry too, at the current departure rate. When its endpoints have all been silent
-// for the time quiet, it is at least as long.
+// retry too, at the current departure rate. It is at least quiet, the time without
+// progress at any endpoint, if the pool counts as silent.
 func (queue *queue) refuse(now time.Time, call Call, quiet time.Duration, decision Decision) Decision {
 	rate := max(queue.departureRate(now, quiet), 1)
 	wait := time.Duration((float64(len(queue.waiting)+1) + queue.refusals) / rate * float64(time.Second))
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -129,8 +129,8 @@
 }
 
 // poolQuiet returns for how long no call at any of the endpoints has made progress. It is
-// zero while none runs. A time of at most maxEventGap is that of any endpoint, since no pool
-// counts as silent then and the others needn't be looked at.
+// zero while none runs. Once one endpoint's time is at most maxEventGap, that is returned
+// though another's may be shorter, since no pool counts as silent then.
 func (balancer *Balancer) poolQuiet(now time.Time, endpoints []*view.Endpoint) time.Duration {
 	least, busy := time.Duration(math.MaxInt64), false
 	for _, endpoint := range endpoints {
@@ -195,8 +195,8 @@
 
 // reportsOutdated reports whether other entry hosts have reported at least half of the
 // endpoints as stalled, while calls of this one go on at some of those: a common pause is
-// over, which their reports don't show yet. Endpoints without calls of this entry host then
-// take calls like those with some.
+// over, which their reports don't show yet. Calls that run nowhere then ignore the reports,
+// or all would be sent to the endpoints where calls of this entry host go on.
 func (balancer *Balancer) reportsOutdated(now time.Time, endpoints []*view.Endpoint) bool {
 	reported, goOn := 0, false
 	for _, endpoint := range endpoints {
--- a/core/request/balancer/silence.go
+++ b/core/request/balancer/silence.go
@@ -3,8 +3,8 @@
 import "time"
 
 // silence is the time in which calls at an endpoint are reported for lack of progress, from
-// the first report to the next progress of any call there. All reports until the endpoint is
-// tried again count as one. It is zero while none is reported.
+// the first report to the next progress of any call there. Its pause is that of one report,
+// however many there are until the endpoint is tried again. It is zero while none is reported.
 type silence struct {
 	// calls counts the reports.
 	calls int
--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -111,7 +111,7 @@
 	// of a service, in seconds.
 	pace    float64
 	samples int
-	// slowUntil is the end of the time that the last slow sample is of.
+	// slowUntil is the end of the time that the last slow sample measured.
 	slowUntil    time.Time
 	ejectedUntil time.Time
 	ejections    int
--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -34,7 +34,8 @@
 	// LateCredit is the credit of a call that is served, but not on time, as a part of
 	// the whole.
 	LateCredit float64
-	// Patience is how long a caller waits for an event; 0 is without limit.
+	// Patience is how long a caller waits for an event. It counts only where
+	// Scenario.SavedRetries is set, and then mustn't be 0.
 	Patience time.Duration
 }
 
--- a/measure/process/admission/beside.go
+++ b/measure/process/admission/beside.go
@@ -7,7 +7,7 @@
 )
 
 // search reports a silent call to its balancer, once in each silence, and looks for another
-// group that goes on with it, again and again.
+// group that goes on with it, at most once in minPauseTimeout.
 func (simulation *simulation) search(group int, silent *call) {
 	if silent.reportedAt <= max(silent.sentAt, silent.lastAt) {
 		silent.reportedAt = simulation.now
--- a/measure/process/admission/pause.go
+++ b/measure/process/admission/pause.go
@@ -4,14 +4,14 @@
 
 const (
 	// pauseAt is when the groups of a pausing scenario fall silent, and pauseLength for how
-	// long. pauseAfter is how long after it arrivals are counted.
+	// long. pauseAfter is for how long after the pause arrivals are counted.
 	pauseAt     = 6 * time.Second
 	pauseLength = time.Second
 	pauseAfter  = 4 * time.Second
 )
 
-// EvenLoad returns a load without peaks or losses that a model's groups can serve, before
-// nine entry hosts.
+// EvenLoad returns a load without peaks or losses, at nine entry hosts: factor times the mean
+// rates of HeavyLoad.
 func EvenLoad(factor float64) Scenario {
 	scenario := HeavyLoad()
 	scenario.Length, scenario.EntryHosts, scenario.Swing, scenario.Losses = pauseAt+pauseLength+pauseAfter, 9, 0, nil
@@ -23,8 +23,8 @@
 	return scenario
 }
 
-// PausingGroups returns a scenario in which some of the groups make no progress for a second
-// and go on. The calls count that arrive within four seconds of the pause.
+// PausingGroups returns a scenario with a pause of some of its groups. The calls count that
+// arrive within pauseAfter of the end of the pause.
 func PausingGroups(scenario Scenario, groups int) Scenario {
 	scenario.Beside, scenario.Length = true, pauseAt+pauseLength+pauseAfter
 	scenario.CountedFrom, scenario.CountedUntil = pauseAt+pauseLength, scenario.Length
