--- a/caroblined/connection/entryapi/engine_test.go
+++ b/caroblined/connection/entryapi/engine_test.go
@@ -34,7 +34,7 @@
 	comments bool
 	// onPause is called when a pause begins.
 	onPause func()
-	// goOn ends a pause when it is closed. It is nil if nothing does.
+	// goOn ends each pause when it is closed, if it isn't nil.
 	goOn <-chan struct{}
 	// breaksAfter is the event after which the run breaks off, or beforeHead; 0 stands for
 	// none.
--- a/caroblined/connection/entryapi/failure_test.go
+++ b/caroblined/connection/entryapi/failure_test.go
@@ -24,7 +24,9 @@
 	responders []responder
 	// services is the number of endpoints. It is 3 if it isn't set.
 	services int
-	prepare  func(route *routing.Route)
+	// prepare changes the route before the start.
+	prepare func(route *routing.Route)
+	// noBudget uses up the budget of second sends before the call.
 	noBudget bool
 	// change is made to the view during the first send.
 	change func(t *testing.T, view *view.View)
@@ -32,7 +34,8 @@
 	status int
 	body   string
 	sends  int64
-	// refused is what the log says on why there was no further send.
+	// refused is why the log says that there was no further send. It isn't checked if it is
+	// empty.
 	refused string
 }
 
@@ -200,7 +203,7 @@
 	together(t, tests)
 }
 
-// Guards against a failure after a part of another answer.
+// Guards against an endpoint's failure that its caller gets after a part of another one's stream.
 func TestFailureDoesNotFollowAPartOfAStream(t *testing.T) {
 	respond := inTurn(streamsOneEvent, respondError)
 	entryHost := startEntryHost(t, silentRoute(), newService(t, respond), newService(t, respond))
--- a/caroblined/connection/entryapi/paused_engines_test.go
+++ b/caroblined/connection/entryapi/paused_engines_test.go
@@ -16,28 +16,31 @@
 // unrelatedChangeInterval is the time between two changes of a route without traffic.
 const unrelatedChangeInterval = 40 * time.Millisecond
 
-// freeze is a time in which engines stand still. It begins with the first run at one of them.
-type freeze struct {
+// commonPause is a time in which some engines make no progress. It begins with the first run
+// at one of them.
+type commonPause struct {
+	// place is where the first run pauses: an event's number, beforeHead or beforeEvents.
 	place  int
-	pause  time.Duration
-	frozen func(engine string) bool
+	length time.Duration
+	// paused reports whether an engine pauses.
+	paused func(engine string) bool
 	mutex  sync.Mutex
 	endsAt time.Time
 }
 
-// script returns what a run does: the first one stands still at the freeze's place, and one that
-// comes later before its head.
-func (freeze *freeze) script(request *http.Request) script {
-	if !freeze.frozen(request.Header.Get("For-Host")) {
+// script returns what a run does: the first one pauses at the given place, and one that comes
+// later before its head.
+func (commonPause *commonPause) script(request *http.Request) script {
+	if !commonPause.paused(request.Header.Get("For-Host")) {
 		return script{}
 	}
-	freeze.mutex.Lock()
-	defer freeze.mutex.Unlock()
-	if freeze.endsAt.IsZero() {
-		freeze.endsAt = time.Now().Add(freeze.pause)
-		return script{pauses: map[int]time.Duration{freeze.place: freeze.pause}}
+	commonPause.mutex.Lock()
+	defer commonPause.mutex.Unlock()
+	if commonPause.endsAt.IsZero() {
+		commonPause.endsAt = time.Now().Add(commonPause.length)
+		return script{pauses: map[int]time.Duration{commonPause.place: commonPause.length}}
 	}
-	return script{pauses: map[int]time.Duration{beforeHead: time.Until(freeze.endsAt)}}
+	return script{pauses: map[int]time.Duration{beforeHead: time.Until(commonPause.endsAt)}}
 }
 
 // changeUnrelatedRoute puts declarations in force that differ in a route without traffic,
@@ -56,20 +59,20 @@
 	}
 }
 
-// Guards against an answer that isn't whole since its engine, or every engine, stands still for a
-// time and goes on, also while the declaration changes (issue 33).
+// Guards against an answer that isn't whole since its engine, or every engine, pauses and goes on,
+// also while the declaration changes (issue 33).
 func TestPauseOfEnginesLeavesAnswersWhole(t *testing.T) {
 	const calls = 3
 	tests := map[string]func(t *testing.T){}
-	for engines, frozen := range map[string]func(engine string) bool{
+	for engines, paused := range map[string]func(engine string) bool{
 		"one engine": func(engine string) bool { return engine == "h0" }, "all engines": func(string) bool { return true },
 	} {
 		for place, at := range silentPlaces() {
-			for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+			for _, length := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
 				for change, changes := range map[string]bool{"unchanged": false, "changes meanwhile": true} {
-					name := fmt.Sprintf("%s, %s, %v, %s", engines, place, pause, change)
-					freeze := &freeze{place: at, pause: pause, frozen: frozen}
-					tests[name] = func(t *testing.T) { freeze.play(t, calls, changes) }
+					name := fmt.Sprintf("%s, %s, %v, %s", engines, place, length, change)
+					commonPause := &commonPause{place: at, length: length, paused: paused}
+					tests[name] = func(t *testing.T) { commonPause.play(t, calls, changes) }
 				}
 			}
 		}
@@ -77,9 +80,9 @@
 	together(t, tests)
 }
 
-// play makes calls while engines stand still, and checks that all get whole answers.
-func (freeze *freeze) play(t *testing.T, calls int, changes bool) {
-	engines := &engines{events: 6, script: func(_ int, request *http.Request) script { return freeze.script(request) }}
+// play makes calls while engines pause, and checks that all get whole answers.
+func (commonPause *commonPause) play(t *testing.T, calls int, changes bool) {
+	engines := &engines{events: 6, script: func(_ int, request *http.Request) script { return commonPause.script(request) }}
 	log := &logBuffer{}
 	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
 	entryHost := options.start(t, silentRoute(), engines.service(t), engines.service(t), engines.service(t))
@@ -185,7 +188,7 @@
 	return runsLeft
 }
 
-// goOnTogether plays a call whose engine is silent at a place and goes on some time after its
+// goOnTogether plays a call whose engine is silent at a place and goes on a given time after its
 // replacement's head, which is followed by events. It returns which of the two was left.
 func goOnTogether(t *testing.T, place int, goesOnAfter time.Duration) string {
 	goOn := make(chan struct{})
--- a/caroblined/process/node/drain_test.go
+++ b/caroblined/process/node/drain_test.go
@@ -16,7 +16,8 @@
 
 // drainCase is one caller of an entry host that stops. Times are counted from the
 // request to stop; negative ones are before it. The host closes its listeners after
-// 3.5 s and ends what still runs after 5.3 s. Callers have other hosts after 2.5 s.
+// 3.5 s and ends what still runs after 5.3 s. From 2.5 s on callers
+// have other hosts, since the load balancer in front of the entry hosts sends them there.
 type drainCase struct {
 	name string
 	path string
--- a/core/connection/rest/client_test.go
+++ b/core/connection/rest/client_test.go
@@ -9,9 +9,9 @@
 	"carobline.dev/core/connection/rest"
 )
 
-// Guards against a host that is taken for lost since it stands still: its address is still
-// reached, while that of a host that has ended isn't.
-func TestAHostThatStandsStillIsReached(t *testing.T) {
+// Guards against a paused host that is taken for lost: connections to its address are still
+// opened, while those to one that has ended aren't.
+func TestPausedHostIsReachedAndEndedOneIsNot(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -44,8 +44,8 @@
 	domain      id.Domain
 	up          bool
 	unreachable bool
-	// silent is set while the engine stands still: it announces nothing, and carries out
-	// its orders once it goes on. They are in heldOrders.
+	// silent is set while the engine announces nothing and carries out no order. Its orders
+	// are kept in heldOrders until it goes on.
 	silent         bool
 	heldOrders     []action.Order
 	incarnation    id.Incarnation
@@ -196,7 +196,7 @@
 	}
 }
 
-// silence lets the engine stand still for a time and go on.
+// silence makes the engine silent for a time, after which it goes on.
 func (engine *engine) silence(pause time.Duration) {
 	engine.silent = true
 	engine.simulation.schedule(pause, func() {
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -220,7 +220,7 @@
 
 // Guards against a leader that falls behind on its heartbeats and is deposed while it
 // tells seventy entry hosts of changes, and one leader after it.
-func TestLeaderOutlivesStormOfChangesAtSeventyEntryHosts(t *testing.T) {
+func TestLeaderKeepsLeadingThroughRepeatedChangesAtSeventyEntryHosts(t *testing.T) {
 	t.Parallel()
 	spread := newSpread(t, 3, spreadEntryNodes)
 	term := spread.leader().voter.Quorum().Term
--- a/core/process/electorate/electorate_test.go
+++ b/core/process/electorate/electorate_test.go
@@ -15,21 +15,23 @@
 	voters := []id.Node{"a", "b", "c"}
 	cases := map[string]struct {
 		silence time.Duration
-		learner *electorate.Node
-		removed bool
+		// silentVoters are how many of the three voters are silent.
+		silentVoters int
+		learner      *electorate.Node
+		removed      bool
 	}{
-		"no other node":                 {2 * time.Second, nil, false},
-		"a learner that is behind":      {2 * time.Second, &electorate.Node{Node: "d"}, false},
-		"a silent learner":              {2 * time.Second, &electorate.Node{Node: "d", SinceLastContact: 2 * time.Second, CaughtUp: true}, false},
-		"a learner, silent for 1 s":     {time.Second, &electorate.Node{Node: "d", CaughtUp: true}, false},
-		"a learner that has caught up":  {2 * time.Second, &electorate.Node{Node: "d", CaughtUp: true}, true},
-		"no majority of the other ones": {2 * time.Second, &electorate.Node{Node: "d", CaughtUp: true}, false},
+		"no other node":                 {2 * time.Second, 1, nil, false},
+		"a learner that is behind":      {2 * time.Second, 1, &electorate.Node{Node: "d"}, false},
+		"a silent learner":              {2 * time.Second, 1, &electorate.Node{Node: "d", SinceLastContact: 2 * time.Second, CaughtUp: true}, false},
+		"a voter silent for 1 s":        {time.Second, 1, &electorate.Node{Node: "d", CaughtUp: true}, false},
+		"a learner that has caught up":  {2 * time.Second, 1, &electorate.Node{Node: "d", CaughtUp: true}, true},
+		"no majority of the other ones": {2 * time.Second, 2, &electorate.Node{Node: "d", CaughtUp: true}, false},
 	}
 	for name, test := range cases {
 		membership := quorum.Membership{Voters: voters}
-		nodes := []electorate.Node{{Node: "a", CaughtUp: true}, {Node: "b", CaughtUp: true}, {Node: "c", SinceLastContact: test.silence, CaughtUp: true}}
-		if name == "no majority of the other ones" {
-			nodes[1].SinceLastContact = test.silence
+		nodes := []electorate.Node{{Node: "a", CaughtUp: true}, {Node: "b", CaughtUp: true}, {Node: "c", CaughtUp: true}}
+		for index := range test.silentVoters {
+			nodes[len(nodes)-1-index].SinceLastContact = test.silence
 		}
 		if test.learner != nil {
 			membership.Learners = []id.Node{test.learner.Node}
--- a/core/process/fleet/late_orders_test.go
+++ b/core/process/fleet/late_orders_test.go
@@ -49,8 +49,8 @@
 	roster.Announcement
 	up          bool
 	cutOffUntil time.Time
-	// The engine stands still from silentSince until silentUntil: it announces nothing and carries
-	// out no order, and goes on afterwards.
+	// From silentSince until silentUntil the engine announces nothing and carries out no
+	// order. It goes on afterwards.
 	silentSince, silentUntil time.Time
 	members                  []id.Host
 	highestNumber            id.OrderNumber
@@ -157,7 +157,7 @@
 	}
 }
 
-// step lets what is due happen, and the leader decide.
+// step runs what is due of all events and engines, and then the leader.
 func (world *lateWorld) step() {
 	world.runEvents()
 	for _, host := range world.hosts() {
@@ -283,7 +283,7 @@
 	}
 }
 
-// deliver hands an order to an engine, once it goes on if it is silent.
+// deliver lets an engine carry out an order: at once or, if it is silent, when it goes on.
 func (world *lateWorld) deliver(engine *lateEngine, incarnation id.Incarnation, order action.Order) {
 	switch {
 	case !engine.up || engine.Incarnation != incarnation:
--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -17,7 +17,8 @@
 // reports it.
 const stallNoticed = 400 * time.Millisecond
 
-// pass passes time without faults. Nodes report the groups of silent engines as stalled.
+// pass runs the world for a time without faults. Nodes report the groups of silent engines as
+// stalled.
 func (world *lateWorld) pass(duration time.Duration) {
 	for end := world.now.Add(duration); world.now.Before(end); world.now = world.now.Add(lateWorldStep) {
 		world.step()
@@ -35,7 +36,7 @@
 	return engine == nil || world.now.Before(engine.silentUntil) && !world.now.Before(engine.silentSince.Add(stallNoticed))
 }
 
-// silence lets an engine stand still for a time.
+// silence makes an engine silent for a time.
 func (world *lateWorld) silence(host id.Host, pause time.Duration) {
 	engine := world.engines[host]
 	engine.silentSince, engine.silentUntil = world.now, world.now.Add(pause)
@@ -45,13 +46,13 @@
 	return slices.DeleteFunc(world.state.Groups(), func(group register.GroupRecord) bool { return group.Phase != register.PhaseServing })
 }
 
-// ordersSince returns the orders from one on that aren't probes.
+// ordersSince returns the orders from index first on, without probes.
 func (world *lateWorld) ordersSince(first int) []action.Order {
 	return slices.DeleteFunc(slices.Clone(world.orders[first:]), func(order action.Order) bool { return order.Kind == action.OrderProbe })
 }
 
-// Guards against a group that is retired, with its answers cut and its hosts sent elsewhere,
-// since one or all of its sound engines were silent for a second or two and went on.
+// Guards against a group that is retired, with its answers cut and its hosts put into other
+// groups, since sound engines of it were silent for up to two seconds and went on.
 func TestSilentEnginesThatGoOnStayInTheirGroups(t *testing.T) {
 	beside := map[string]func(*lateWorld){
 		"nothing": func(*lateWorld) {},
@@ -166,7 +167,7 @@
 	}
 }
 
-// Guards against a leader whose memory grows with each engine and group that ever was.
+// Guards against a leader whose memory grows with each engine and group that there has been.
 func TestStateOfEnginesThatAreGoneIsDropped(t *testing.T) {
 	world := newLateWorld(t, 1, lateRates{})
 	world.pass(10 * time.Second)
--- a/core/request/balancer/silence_test.go
+++ b/core/request/balancer/silence_test.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	// silentSlots and silentStreams are the slots and the running streams of each endpoint.
 	silentSlots   = 20
 	silentStreams = 10
 	// silenceLimit is how long a stream is silent before its endpoint is reported.
@@ -18,7 +19,7 @@
 	usualTime = 20 * time.Millisecond
 )
 
-// streamingPool is a pool of endpoints with streams that run at one entry host.
+// streamingPool is a pool of endpoints, each with silentStreams streams of one entry host.
 type streamingPool struct {
 	*balancer.Balancer
 	hosts  []id.Host
@@ -161,8 +162,8 @@
 	}
 }
 
-// Guards against entry hosts that send call after call to an endpoint that is lost. While it
-// makes no progress, it counts as stalled, and single calls try it.
+// Guards against entry hosts that send call after call to an endpoint that is lost, though
+// single calls suffice to try it.
 func TestEndpointThatStaysSilentGetsFewCalls(t *testing.T) {
 	pools, silent := newSilentPool(t, 100, 17)
 	const step, length, maxCalls = 10 * time.Millisecond, 20 * time.Second, 10
@@ -215,8 +216,8 @@
 	}
 }
 
-// Guards against an endpoint whose streams go on but that begins no further answers: it isn't
-// taken for sound by its streams.
+// Guards against calls that go to an endpoint that begins no further answers, since its streams
+// go on.
 func TestStreamsThatGoOnDontHideAnswersThatDontBegin(t *testing.T) {
 	pools := newBalancer(1, 8, 0, 0)
 	slow := feed.Endpoint{Host: "h00"}
@@ -246,8 +247,8 @@
 	}
 }
 
-// Guards against a call that is sent to an endpoint that is silent like its own, since it has
-// been at another one, lost for good, before.
+// Guards against a running call that is sent to an endpoint that is silent like its own, since
+// it is compared with one that it was sent to before.
 func TestRunningCallIsComparedWithItsOwnEndpoint(t *testing.T) {
 	pools := newStreamingPool("h00", "h01", "h02", "h03")
 	for _, host := range pools.hosts[1:] {
@@ -326,9 +327,8 @@
 	}
 }
 
-// Guards against running calls that are sent a second time to endpoints at which no calls of
-// this entry host run, in a pause of all endpoints at which some do. When any of those goes
-// on, or the silence lasts, endpoints without calls are used.
+// Guards against running calls that are sent a second time to endpoints without calls of this
+// entry host while all with calls are silent, unless one of these goes on or the silence lasts.
 func TestEndpointsWithoutCallsAreUsedUnlessAllOthersAreSilent(t *testing.T) {
 	for name, test := range map[string]struct {
 		searchAfter time.Duration
@@ -385,8 +385,7 @@
 }
 
 // Guards against entry hosts that send all calls where their own calls go on, after a pause of
-// all endpoints that others still report as stalled. While no call goes on at any of those, or
-// few are reported, reports hold.
+// all endpoints that others still report as stalled.
 func TestReportsOfAPauseThatIsOverDontCrowdOneEndpoint(t *testing.T) {
 	const endpoints = 4
 	for name, test := range map[string]struct {
--- a/core/request/chooser/eject_test.go
+++ b/core/request/chooser/eject_test.go
@@ -11,8 +11,10 @@
 )
 
 const (
+	// usualGap is the time between two tokens.
 	usualGap = 20 * time.Millisecond
-	streams  = 17
+	// streams is how many run at each endpoint.
+	streams = 17
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -60,8 +62,8 @@
 	}
 }
 
-// Guards against endpoints that are slow by far, or fall silent again and again, and get
-// calls as before.
+// Guards against endpoints that are several times as slow as their peers, or pause before each
+// token, and get calls as before.
 func TestSlowEndpointIsEjected(t *testing.T) {
 	const within = 2 * time.Second
 	for _, gap := range []time.Duration{3 * usualGap, 250 * time.Millisecond} {
--- a/measure/process/admission/admission_test.go
+++ b/measure/process/admission/admission_test.go
@@ -66,9 +66,8 @@
 	}
 }
 
-// Guards against groups that get no calls once they go on after a pause of all of them, calls
-// that are sent a second time meanwhile, and callers that are refused. It must cost those
-// who come after the pause little.
+// Guards against callers that come after a pause of all groups and are refused or served late,
+// since groups that have gone on get no calls.
 func TestPauseOfAllGroupsCostsLittleAfterIt(t *testing.T) {
 	knowledge := admission.Knowledge{ReportInterval: 300 * time.Millisecond, Leader: true}
 	const maxCost = 0.03
