entryapi: the test of a call that waits while its host drains needs no time of its own

The test began to drain 250 ms after the calls, whose work takes 500 ms; a machine that is 250 ms late lets the ninth call run first.

The endpoint now holds its eight calls until the host drains, and the test waits until they have arrived. The checks are the same.

--- a/caroblined/connection/entryapi/drain_calls_test.go
+++ b/caroblined/connection/entryapi/drain_calls_test.go
@@ -44,9 +44,10 @@
 // that one waits, and returns the answers and the number of calls that reached the endpoint.
 func waitingCalls(t *testing.T, stopsIn time.Duration) (answers []answer, sent int) {
 	t.Helper()
-	const calls, work = 9, 500 * time.Millisecond
+	const calls, slots = 9, 8
+	release := make(chan struct{})
 	service := newService(t, func(service *service, connection net.Conn, request *http.Request, number int) {
-		time.Sleep(work)
+		<-release
 		respondDone(service, connection, request, number)
 	})
 	server := newEntryHost(t, route(routing.RepeatNever), service)
@@ -61,11 +62,21 @@
 			answers[number] = got
 		})
 	}
-	time.Sleep(work / 2)
+	api := server.Config.Handler.(*entryapi.API)
+	deadline := time.Now().Add(10 * time.Second)
+	for api.ActiveCalls() < calls || len(service.requests()) < slots {
+		if time.Now().After(deadline) {
+			t.Errorf("%d calls are active, %d have arrived; want %d and %d", api.ActiveCalls(), len(service.requests()), calls, slots)
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // until the last one waits for the endpoint
 	if arrived := len(service.requests()); arrived >= calls {
-		t.Errorf("%d calls run at an endpoint of 8 slots; none waits", arrived)
+		t.Errorf("%d calls run at an endpoint of %d slots; none waits", arrived, slots)
 	}
-	server.Config.Handler.(*entryapi.API).Drain(time.Now(), time.Now().Add(stopsIn))
+	api.Drain(time.Now(), time.Now().Add(stopsIn))
+	close(release)
 	callers.Wait()
 	return answers, len(service.requests())
 }
