--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -226,3 +226,34 @@
 		}
 	}
 }
+
+// Guards against a group that is retired, with its answers cut, since a single probe of one of
+// its sound hosts timed out while that was silent or a packet was lost.
+func TestGroupOutlastsAProbeThatTimesOut(t *testing.T) {
+	const pause, dialTimeout = 2 * time.Second, 400 * time.Millisecond
+	for seed := range uint64(10) {
+		world := newLateWorld(t, seed, lateRates{})
+		world.pass(10*time.Second + world.upTo(announceInterval))
+		before, orders := world.servingGroups(), len(world.orders)
+		silent := before[0].Hosts[1]
+		world.silence(silent, pause)
+		timedOut := false
+		for end := world.now.Add(pause + 2*announceInterval); world.now.Before(end); {
+			seen := len(world.orders)
+			world.pass(lateWorldStep)
+			probed := slices.ContainsFunc(world.orders[seen:], func(order action.Order) bool {
+				return order.Kind == action.OrderProbe && order.Host == silent
+			})
+			if probed && !timedOut {
+				timedOut = true
+				world.after(dialTimeout, func() { world.fleet.Step(world.now, fleet.OrderUndelivered{Host: silent}) })
+			}
+		}
+		if after := world.servingGroups(); fmt.Sprint(after) != fmt.Sprint(before) {
+			t.Errorf("seed %d: groups are %v, want %v as before", seed, after, before)
+		}
+		for _, order := range world.ordersSince(orders) {
+			t.Errorf("seed %d: %s is ordered to %s %s", seed, order.Host, order.Kind, order.Group)
+		}
+	}
+}
