entryapi: a call's line in the log names the shared parts of its prompt

The line of a request now has the parts that others may share: all but the last, eight at most. Names of parts are compared without regard to case, longer ones than 32 bytes are kept as a hash, so that the log stays bounded.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -12,6 +12,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
+	"carobline.dev/core/request/prompt"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -37,10 +38,12 @@
 	route         *routing.Route
 	table         *routing.Table
 	clientAccount id.ClientAccount
-	pool          balancer.Pool
-	priority      int
-	arrivedAt     time.Time
-	deadline      time.Time
+	// sharedParts are the parts of the prompt that other requests may have too.
+	sharedParts []id.PromptPart
+	pool        balancer.Pool
+	priority    int
+	arrivedAt   time.Time
+	deadline    time.Time
 	// late reports that the caller has already waited past the route's target
 	// in an earlier attempt.
 	late              bool
@@ -87,6 +90,7 @@
 		}
 	}
 	call.pool = api.choosePool(call)
+	call.sharedParts = prompt.Shared(call.request.Header.Values(api.config.Dialect.PromptParts))
 	call.connectionOptions = parseConnectionOptions(call.request.Header)
 	return nil
 }
--- a/caroblined/connection/entryapi/dialect.go
+++ b/caroblined/connection/entryapi/dialect.go
@@ -24,6 +24,8 @@
 	ClientAccount string
 	// Model names the model that a request is for.
 	Model string
+	// PromptParts lists the parts of the request's prompt, as package prompt reads them.
+	PromptParts string
 	// NotRun is set by an endpoint that has not run the request.
 	NotRun string
 	// Leaving is set by an endpoint that will stop and wants no further requests.
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -30,7 +30,7 @@
 
 var dialect = entryapi.Dialect{
 	RequestID: "Call-Id", TimeLeftMS: "Left-Ms", ExpectedHost: "For-Host", ClientAccount: "Customer",
-	Model: "Model", NotRun: "Not-Run", Leaving: "Leaving", EndpointMark: "Mark", LastEventID: "Last-Event-Id", TokenScheme: "Token",
+	Model: "Model", PromptParts: "Parts", NotRun: "Not-Run", Leaving: "Leaving", EndpointMark: "Mark", LastEventID: "Last-Event-Id", TokenScheme: "Token",
 }
 
 const token = "good-token"
--- a/caroblined/connection/entryapi/log_test.go
+++ b/caroblined/connection/entryapi/log_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -112,3 +114,21 @@
 		})
 	}
 }
+
+// Guards against a failed call whose line in the log doesn't tell which parts its prompt
+// shares with other requests, so that a part that ends engines can't be found.
+func TestLineOfACallNamesTheSharedPartsOfItsPrompt(t *testing.T) {
+	log := &logBuffer{}
+	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries, log: log}
+	breakOff := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		_, _ = io.WriteString(connection, streamHead(request, "m"))
+		_ = connection.Close()
+	}
+	entryHost := options.start(t, route(routing.RepeatStream), newService(t, breakOff))
+	if got, err := call(t, entryHost.server, post("/a", "x", "Parts: aa:40,bb:800,cc:12")); err == nil {
+		t.Fatalf("the answer looks complete: %q", got.body)
+	}
+	if diff := cmp.Diff([]any{"aa", "bb"}, log.awaitLine(t, "request")["parts"]); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/caroblined/connection/entryapi/result.go
+++ b/caroblined/connection/entryapi/result.go
@@ -13,6 +13,9 @@
 	"carobline.dev/core/request/balancer"
 )
 
+// maxLoggedParts bounds the parts of a prompt in a line of the log.
+const maxLoggedParts = 8
+
 // result is the outcome of a call, as written to the log.
 type result struct {
 	status    int
@@ -51,6 +54,9 @@
 		event = event.Str("route", call.route.Name).Str("customer", string(call.clientAccount)).Str("service", string(call.pool.Service)).
 			Str("model", string(call.pool.Model)).Bool("late", call.late).Int64("left_ms", call.deadline.Sub(call.arrivedAt).Milliseconds())
 	}
+	if len(call.sharedParts) > 0 {
+		event = event.Interface("parts", call.sharedParts[:min(len(call.sharedParts), maxLoggedParts)])
+	}
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
 			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried)).
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -43,6 +43,9 @@
 // Request identifies one request of a caller.
 type Request string
 
+// PromptPart names one part of a prompt, which several requests may share.
+type PromptPart string
+
 // Stop identifies one planned stop.
 type Stop string
 
--- /dev/null
+++ b/core/request/prompt/prompt.go
@@ -0,0 +1,54 @@
+// Package prompt reads the list of the parts that a request's prompt consists of.
+//
+// # Usage
+//
+//	shared := prompt.Shared(request.Header["Prompt-Parts"]) // "a:800,b:410,c:250": a and b
+package prompt
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"carobline.dev/core/id"
+)
+
+const (
+	// maxNameBytes is the length of the longest name of a part that is kept as it is. A
+	// longer one is replaced by hashBytes of its hash.
+	maxNameBytes = 32
+	hashBytes    = 12
+	// maxParts bounds the parts that are kept of one prompt.
+	maxParts = 4096
+)
+
+// Shared returns the parts of a prompt that other requests may have too: all but the last,
+// which belongs to the request or its session. The list has the form NAME:TOKENS,NAME:TOKENS,
+// in any number of lines. Names are compared without regard to case.
+func Shared(lines []string) []id.PromptPart {
+	if len(lines) == 0 {
+		return nil
+	}
+	entries := strings.Split(strings.Join(lines, ","), ",")
+	var shared []id.PromptPart
+	seen := map[id.PromptPart]bool{"": true}
+	for _, entry := range entries[:len(entries)-1] {
+		part := partOf(entry)
+		if !seen[part] && len(shared) < maxParts {
+			seen[part] = true
+			shared = append(shared, part)
+		}
+	}
+	return shared
+}
+
+// partOf returns the part that an entry of the list names, or "" for none.
+func partOf(entry string) id.PromptPart {
+	name, _, _ := strings.Cut(entry, ":")
+	name = strings.ToLower(strings.TrimSpace(name))
+	if len(name) <= maxNameBytes {
+		return id.PromptPart(name)
+	}
+	hash := sha256.Sum256([]byte(name))
+	return id.PromptPart("sha256-" + hex.EncodeToString(hash[:hashBytes]))
+}
