node: a failing test of a part of a prompt that ends each engine

Several entry hosts and control hosts in front of one pool of engines; an engine ends as it begins an answer on one part, whatever else the request holds, and is back after 1.5 s.

--- /dev/null
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -0,0 +1,369 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carobline.dev/caroblined/connection/entryapi"
+	"carobline.dev/caroblined/process/control"
+	"carobline.dev/caroblined/process/node"
+	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/loopback"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/process/wal"
+	"carobline.dev/core/version/routing"
+)
+
+const (
+	controlHosts, entryHosts, engineCount = 3, 4, 24
+	// restartTime is how long an engine that has ended is away.
+	restartTime = 1500 * time.Millisecond
+	// crashes is the number of ended engines after which the operators count, and
+	// crashWindow how long after that requests with the part may still reach engines.
+	crashes     = 5
+	crashWindow = 3 * time.Second
+	// lateSends is how many may reach engines later.
+	lateSends = 3
+	// storm is how long requests with the part come, one each badInterval; sound ones come
+	// one each soundInterval.
+	storm         = 10 * time.Second
+	badInterval   = 50 * time.Millisecond
+	soundInterval = 20 * time.Millisecond
+	badPart       = "bad0"
+)
+
+// poolSystem is several entry hosts and control hosts in front of one pool of engines. An
+// engine ends as it begins an answer on badPart.
+type poolSystem struct {
+	t       *testing.T
+	entries []string
+	loops   []*control.Control
+
+	mutex   sync.Mutex
+	engines []*poolEngine
+	// crashedAt and badArrivals are when engines ended, and when requests with badPart
+	// reached one.
+	crashedAt, badArrivals []time.Time
+}
+
+// poolEngine is one engine of the pool.
+type poolEngine struct {
+	system      *poolSystem
+	name        id.Host
+	address     string
+	incarnation id.Incarnation
+	// server is nil while the engine is away.
+	server *http.Server
+}
+
+func newPoolSystem(t *testing.T) *poolSystem {
+	t.Helper()
+	system := &poolSystem{t: t}
+	addresses := loopback.ClaimFor(t)
+	var seeds []string
+	for number := range controlHosts {
+		seeds = append(seeds, addresses.Address(number, 1))
+	}
+	loops := make(chan *control.Control, controlHosts)
+	for number := range controlHosts + entryHosts {
+		config := node.Config{
+			PeerAddress: addresses.Address(number, 1), ReadSeeds: func() ([]string, error) { return seeds, nil }, TargetVoters: controlHosts, Disk: wal.OS(),
+			GracePeriod: gracePeriod, Log: zerolog.Nop(),
+		}
+		if number < controlHosts {
+			config.Control = &node.Control{
+				Address: addresses.Address(number, 2), DataFolder: t.TempDir(), Founder: true,
+				Handler: func(loop *control.Control) http.Handler {
+					loops <- loop
+					return http.NotFoundHandler()
+				},
+			}
+		} else {
+			config.Entry = &node.Entry{Address: addresses.Address(number, 0), ReadyAddress: addresses.Address(number, 2), ReadyPath: "/ready", Dialect: poolDialect, SavedRetries: 30}
+			system.entries = append(system.entries, config.Entry.Address)
+		}
+		system.start(config)
+	}
+	for range controlHosts {
+		system.loops = append(system.loops, <-loops)
+	}
+	for number := range engineCount {
+		system.engines = append(system.engines, &poolEngine{system: system, name: id.Host(fmt.Sprintf("engine-%d", number)), address: addresses.Address(controlHosts+entryHosts+number, 1)})
+	}
+	for _, engine := range system.engines {
+		engine.start()
+	}
+	system.announceAll()
+	system.declare()
+	return system
+}
+
+var poolDialect = entryapi.Dialect{
+	RequestID: "Call-Id", TimeLeftMS: "Left-Ms", ExpectedHost: "For-Host", ClientAccount: "Customer", Model: "Model", PromptParts: "Parts",
+	NotRun: "Not-Run", Leaving: "Leaving", EndpointMark: "Mark", LastEventID: "Last-Event-Id", TokenScheme: "Token",
+}
+
+// start runs a node until the end of the test.
+func (system *poolSystem) start(config node.Config) {
+	started, err := node.New(config)
+	if err != nil {
+		system.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- started.Run(ctx, nil) }()
+	system.t.Cleanup(func() {
+		stop()
+		if err := <-stopped; err != nil {
+			system.t.Error(err)
+		}
+	})
+}
+
+// declare puts a declaration with one streaming route in force at all entry hosts.
+func (system *poolSystem) declare() {
+	declaration := routing.Declaration{
+		Revision: 1, Services: []routing.Service{{Name: "pool"}},
+		Routes: []routing.Route{{
+			Name: "draft", Host: "shop.example", PathPrefix: "/draft/", Repeat: routing.RepeatStream, Resumable: true, Anonymous: true,
+			TimeoutMS: 6000, TargetMS: 1000, PauseMS: 300, Attempts: 2, Backends: []routing.Backend{{Service: "pool", Weight: 1}},
+		}},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	command := register.Command{Change: "declare-1", Actor: "operator", Declare: &register.Declare{Declaration: declaration}}
+	for {
+		outcome, err := system.loops[0].Propose(ctx, peers.Proposal{Command: command})
+		if err == nil && outcome.Result != nil && outcome.Result.Verdict != register.VerdictRefused {
+			break
+		}
+		if ctx.Err() != nil {
+			system.t.Fatalf("declare: %+v, %v", outcome, err)
+		}
+	}
+	for _, entry := range system.entries {
+		for !system.send(entry, "warm-up", "common,own") {
+			if ctx.Err() != nil {
+				system.t.Fatalf("%s doesn't serve", entry)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// announceAll announces each engine that runs, until the end of the test.
+func (system *poolSystem) announceAll() {
+	ctx, stop := context.WithCancel(context.Background())
+	var announcer sync.WaitGroup
+	announcer.Go(func() {
+		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+			for number, engine := range system.engines {
+				if incarnation := engine.running(); incarnation > 0 {
+					// Fails while the node has no leader yet, and once it is closed.
+					_ = system.loops[number%len(system.loops)].AnnounceWithoutEcho(ctx, roster.Announcement{
+						Host: engine.name, Incarnation: incarnation, Sequence: sequence, Service: "pool", Address: engine.address,
+						Load: roster.Load{Slots: 8}, LeaseMS: 5000,
+					})
+				}
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(announceInterval):
+			}
+		}
+	})
+	system.t.Cleanup(func() {
+		stop()
+		announcer.Wait()
+		for _, engine := range system.engines {
+			engine.end()
+		}
+	})
+}
+
+// running returns the engine's incarnation, or 0 while it is away.
+func (engine *poolEngine) running() id.Incarnation {
+	engine.system.mutex.Lock()
+	defer engine.system.mutex.Unlock()
+	if engine.server == nil {
+		return 0
+	}
+	return engine.incarnation
+}
+
+func (engine *poolEngine) start() {
+	listener, err := net.Listen("tcp", engine.address)
+	if err != nil {
+		engine.system.t.Error(err)
+		return
+	}
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
+	engine.system.mutex.Lock()
+	engine.server = server
+	engine.incarnation++
+	engine.system.mutex.Unlock()
+	go func() { _ = server.Serve(listener) }()
+}
+
+// end closes all that the engine has open. It reports whether the engine was running.
+func (engine *poolEngine) end() bool {
+	engine.system.mutex.Lock()
+	server := engine.server
+	engine.server = nil
+	engine.system.mutex.Unlock()
+	if server == nil {
+		return false
+	}
+	_ = server.Close()
+	return true
+}
+
+// crash ends the engine, which is back after restartTime.
+func (engine *poolEngine) crash() {
+	if !engine.end() {
+		return
+	}
+	engine.system.mutex.Lock()
+	engine.system.crashedAt = append(engine.system.crashedAt, time.Now())
+	engine.system.mutex.Unlock()
+	time.AfterFunc(restartTime, engine.start)
+}
+
+// ServeHTTP answers with three events, or ends the engine.
+func (engine *poolEngine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	const work, eventInterval = 30 * time.Millisecond, 20 * time.Millisecond
+	bad := slices.Contains(strings.Split(request.Header.Get("Parts"), ","), badPart)
+	if bad {
+		engine.system.mutex.Lock()
+		engine.system.badArrivals = append(engine.system.badArrivals, time.Now())
+		engine.system.mutex.Unlock()
+	}
+	writer.Header().Set("Call-Id", request.Header.Get("Call-Id"))
+	writer.Header().Set("Mark", "m")
+	writer.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(writer)
+	_ = controller.Flush()
+	time.Sleep(work)
+	if bad {
+		engine.crash()
+		return
+	}
+	for number := range 3 {
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: x\n\n", number+1)
+		_ = controller.Flush()
+		time.Sleep(eventInterval)
+	}
+}
+
+// send sends a request to an entry host and reports whether its answer has begun.
+func (system *poolSystem) send(entry, name, parts string) bool {
+	connection, err := net.DialTimeout("tcp", entry, time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(6 * time.Second))
+	request := fmt.Sprintf("POST /draft/x HTTP/1.1\r\nHost: shop.example\r\nCall-Id: %s\r\nLeft-Ms: 6000\r\nParts: %s\r\nContent-Length: 0\r\n\r\n", name, parts)
+	if _, err := io.WriteString(connection, request); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadFull(response.Body, make([]byte, 1))
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// sent is one request of a caller.
+type sent struct {
+	at    time.Time
+	begun bool
+}
+
+// load sends a request each interval, to one entry host after the other, for the time of the
+// storm. Each has the parts that parts returns.
+func (system *poolSystem) load(interval time.Duration, parts func(number int) string) []*sent {
+	var all []*sent
+	var ended sync.WaitGroup
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for number, from := 0, time.Now(); time.Since(from) < storm; number++ {
+		request := &sent{at: time.Now()}
+		all = append(all, request)
+		ended.Go(func() {
+			request.begun = system.send(system.entries[number%entryHosts], fmt.Sprintf("%s-%d", interval, number), parts(number))
+		})
+		<-ticker.C
+	}
+	ended.Wait()
+	return all
+}
+
+// Guards against a request that ends each engine which begins its answer, and that is sent to
+// engine after engine by all entry hosts, until the sound requests find none (BUDGET and LOST).
+func TestPartThatEndsEnginesReachesNoMore(t *testing.T) {
+	for name, badParts := range map[string]string{
+		"between":  "common,topic%d," + badPart + ",own%d",
+		"in front": badPart + ",common,topic%d,own%d",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			system := newPoolSystem(t)
+			var sound []*sent
+			var load sync.WaitGroup
+			load.Go(func() {
+				sound = system.load(soundInterval, func(number int) string { return fmt.Sprintf("common,topic%d,sound%d", number%7, number) })
+			})
+			system.load(badInterval, func(number int) string { return fmt.Sprintf(badParts, number%7, number) })
+			load.Wait()
+			system.checkStorm(sound)
+		})
+	}
+}
+
+// checkStorm checks what reached engines after the fifth one had ended, and what became of
+// the sound requests.
+func (system *poolSystem) checkStorm(sound []*sent) {
+	system.t.Helper()
+	if len(system.crashedAt) == 0 {
+		system.t.Fatal("no engine ended")
+	}
+	last := system.crashedAt[min(crashes, len(system.crashedAt))-1]
+	late := 0
+	for _, at := range system.badArrivals {
+		if at.Sub(last) > crashWindow {
+			late++
+		}
+	}
+	count, begun := 0, 0
+	for _, request := range sound {
+		if request.at.Sub(last) > 2*crashWindow {
+			count++
+			if request.begun {
+				begun++
+			}
+		}
+	}
+	system.t.Logf("%d engines ended, %d requests with the part reached one, %d of them late; of %d sound ones %d began", len(system.crashedAt), len(system.badArrivals), late, count, begun)
+	if late > lateSends {
+		system.t.Errorf("%d requests with the part reached engines later than %v after engine %d had ended, want at most %d", late, crashWindow, crashes, lateSends)
+	}
+	if count < 20 || 2*begun < count {
+		system.t.Errorf("of %d sound requests %d began, want at least half of 20 or more", count, begun)
+	}
+}
