--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -42,6 +42,10 @@
 		api.finishAttempt(call, attempt, balancer.Abandoned)
 		return nil, refusal
 	}
+	if refusal := api.takePermit(now, call); refusal != nil {
+		api.finishAttempt(call, attempt, balancer.Abandoned)
+		return nil, refusal
+	}
 	if call.deadline.Sub(now) < minTimeLeft || ctx.Err() != nil {
 		api.finishAttempt(call, attempt, balancer.Abandoned)
 		return nil, newRefusal(http.StatusServiceUnavailable, "no_time_left", defaultRetryAfter)
@@ -136,6 +140,19 @@
 // recordAnswerTime reports to the balancer the time from the send to the first
 // event of a stream, or to the end of any other answer.
 func (api *API) recordAnswerTime(call *call, attempt *attempt) {
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
+	api.recordBegun(api.config.Now(), call, attempt)
+	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
+}
+
+// recordAnswer is recordAnswerTime for an answer that was read to its end. One by which the
+// endpoint says that it has failed speaks for no part of the prompt.
+func (api *API) recordAnswer(call *call, attempt *attempt, exchange *exchange) {
+	if !exchange.endpointFailed() {
+		api.recordAnswerTime(call, attempt)
+		return
+	}
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
@@ -144,6 +161,10 @@
 func (api *API) finishAttempt(call *call, attempt *attempt, ending balancer.Ending) {
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
+	if ending == balancer.Failed {
+		call.brokenAt = processOf(attempt.endpoint)
+		api.checkCrash(api.config.Now(), call, attempt)
+	}
 	api.deliver(api.balancer.Done(api.config.Now(), balancer.Call{Pool: call.pool}, attempt.endpoint.Name, ending))
 }
 
@@ -157,6 +178,8 @@
 		return nil, refusalNotIdempotent
 	case call.possibleRuns >= call.route.Attempts:
 		return nil, refusalAttempts
+	case !api.mayResend(call):
+		return nil, refusalSuspectParts
 	case !api.retryBudget.Spend():
 		return nil, refusalBudget
 	}
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -13,6 +13,7 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/prompt"
+	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -40,10 +41,12 @@
 	clientAccount id.ClientAccount
 	// sharedParts are the parts of the prompt that other requests may have too.
 	sharedParts []id.PromptPart
-	pool        balancer.Pool
-	priority    int
-	arrivedAt   time.Time
-	deadline    time.Time
+	// brokenAt is the process at which an answer to the call last broke off.
+	brokenAt  suspicion.Process
+	pool      balancer.Pool
+	priority  int
+	arrivedAt time.Time
+	deadline  time.Time
 	// late reports that the caller has already waited past the route's target
 	// in an earlier attempt.
 	late              bool
@@ -92,7 +95,7 @@
 	call.pool = api.choosePool(call)
 	call.sharedParts = prompt.Shared(call.request.Header.Values(api.config.Dialect.PromptParts))
 	call.connectionOptions = parseConnectionOptions(call.request.Header)
-	return nil
+	return api.refuseBlocked(now, call)
 }
 
 // stateRetryAfter returns when a node without a configuration in force may have one. A
--- a/caroblined/connection/entryapi/drain.go
+++ b/caroblined/connection/entryapi/drain.go
@@ -49,7 +49,10 @@
 }
 
 // Stop ends all calls. Callers whose answer hasn't begun are told so.
-func (api *API) Stop() { api.stop() }
+func (api *API) Stop() {
+	api.stop()
+	api.goroutines.Wait()
+}
 
 // refuseBeforeStop refuses a call that may not be answered before the host stops.
 func (api *API) refuseBeforeStop(now time.Time, call *call) *refusal {
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -24,10 +24,12 @@
 	"github.com/rs/zerolog"
 
 	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/estimate"
+	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -61,6 +63,12 @@
 	Log                 zerolog.Logger
 	Metrics             metrics.Registry
 	Rand                *rand.Rand
+	// Reach opens a connection to an endpoint's address and closes it. Without it no
+	// endpoint is known to have ended.
+	Reach func(ctx context.Context, address string) error
+	// Self and Incarnation are those of the node.
+	Self        id.Node
+	Incarnation id.Incarnation
 	// SavedRetries is the number of retries that all entry hosts together may save
 	// up. Zero leaves it at maxSavedRetries for each.
 	SavedRetries int
@@ -77,6 +85,8 @@
 	stop           context.CancelFunc
 	activeCalls    atomic.Int64
 	lastCallNumber atomic.Uint64
+	// goroutines are those that no call waits for.
+	goroutines sync.WaitGroup
 
 	mutex          sync.Mutex
 	balancer       *balancer.Balancer
@@ -85,6 +95,8 @@
 	// answerTimeByRoute holds the routes of table.
 	answerTimeByRoute map[string]estimate.Estimate
 	table             *routing.Table
+	suspicion         *suspicion.Suspicion
+	crashChecks       map[suspicion.Process]*crashCheck
 }
 
 // New returns an API without endpoints. The first Update supplies them.
@@ -93,6 +105,7 @@
 	return &API{
 		config: config, startedAt: config.Now(), retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
 		stopCtx: stopCtx, stop: stop, decisionByCall: map[balancer.Number]chan balancer.Decision{}, answerTimeByRoute: map[string]estimate.Estimate{},
+		suspicion: suspicion.New(config.Self, config.Incarnation), crashChecks: map[suspicion.Process]*crashCheck{},
 		latency: metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 }
@@ -151,6 +164,7 @@
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	api.forgetDroppedRoutes(current.Routing)
+	api.suspicion.Update(current.Blocks, current.SuspectParts)
 	api.deliver(api.balancer.Update(api.config.Now(), current))
 }
 
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -94,11 +94,13 @@
 	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
 	response, err := api.transport(call, request).RoundTrip(request)
 	api.recordHead(call, attempt, exchange, response, err)
+	attempt.notRun = exchange.notRun
 	if exchange.usable() && call.streams(exchange.response) && watch.recordStreamHead(api.config.Now(), call) {
 		exchange.events, exchange.watch = newEventReader(exchange.response.Body, api.config.Now), watch
 		return exchange
 	}
 	failed := exchange.endpointFailed()
+	attempt.begun = attempt.begun || failed
 	if !failed {
 		watch.recordAnswerHead()
 	}
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -16,6 +16,9 @@
 	queueTime time.Duration
 	// sentAt is when the endpoint was assigned, immediately before the send.
 	sentAt time.Time
+	// begun reports that the endpoint has begun to answer, and notRun that it has certainly
+	// not run the call.
+	begun, notRun bool
 }
 
 // result returns the result of a call that this attempt has ended.
@@ -67,6 +70,8 @@
 		return refusalAttempts
 	case len(call.tried) >= maxSends:
 		return refusalSends
+	case !api.mayResend(call):
+		return refusalSuspectParts
 	case !api.retryBudget.Spend():
 		return refusalBudget
 	default:
@@ -77,7 +82,7 @@
 // answer ends a call with an answer that was read to its end.
 func (api *API) answer(writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
 	result := api.writeAnswer(writer, attempt, exchange)
-	api.recordAnswerTime(call, attempt)
+	api.recordAnswer(call, attempt, exchange)
 	api.finishAttempt(call, attempt, balancer.Served)
 	return result
 }
--- a/caroblined/connection/entryapi/result.go
+++ b/caroblined/connection/entryapi/result.go
@@ -38,6 +38,8 @@
 	framing         framing
 	unfinishedBytes int
 	breakage        breakage
+	// block is that of a refusal of parts of the prompt.
+	block id.PartsBlock
 }
 
 // record writes the log line of a request and updates the metrics.
@@ -57,6 +59,9 @@
 	if len(call.sharedParts) > 0 {
 		event = event.Interface("parts", call.sharedParts[:min(len(call.sharedParts), maxLoggedParts)])
 	}
+	if result.block != "" {
+		event = event.Str("block", string(result.block))
+	}
 	if result.host != "" {
 		event = event.Str("host", string(result.host)).Str("group", string(result.endpoint.Group)).
 			Int("running", result.running).Int("limit", result.limit).Int("events", result.events).Int("tried", len(call.tried)).
@@ -81,8 +86,10 @@
 	// closeConnection ends the connection after the answer, so that the caller
 	// reconnects to another node.
 	closeConnection bool
-	// decision holds the balancer's figures, for the log.
+	// decision holds the balancer's figures, and block the block of parts of the prompt,
+	// for the log.
 	decision balancer.Decision
+	block    id.PartsBlock
 }
 
 // closingConnection makes a refusal the last answer on its connection.
@@ -116,6 +123,6 @@
 	_, _ = io.WriteString(writer, refusal.reason+"\n")
 	return result{
 		status: refusal.status, reason: refusal.reason, outcome: "not_run",
-		running: refusal.decision.Running, limit: refusal.decision.Limit, waiting: refusal.decision.Waiting,
+		running: refusal.decision.Running, limit: refusal.decision.Limit, waiting: refusal.decision.Waiting, block: refusal.block,
 	}
 }
--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -329,7 +329,16 @@
 func (control *Control) logDecisions(decisions []action.Decision) {
 	for index := range decisions {
 		decision := &decisions[index]
-		event := control.config.Log.Info().Str("step", decision.Step).Str("group", string(decision.Group)).Str("reason", decision.Reason).Int64("age_ms", decision.Age.Milliseconds())
+		event := control.config.Log.Info().Str("step", decision.Step).Str("reason", decision.Reason)
+		if decision.Group != "" || decision.Host != "" {
+			event = event.Str("group", string(decision.Group)).Int64("age_ms", decision.Age.Milliseconds())
+		}
+		if decision.Block != "" {
+			event = event.Str("block", string(decision.Block))
+		}
+		if len(decision.Parts) > 0 {
+			event = event.Interface("parts", decision.Parts).Interface("customers", decision.ClientAccounts)
+		}
 		if decision.Host != "" {
 			event = event.Str("host", string(decision.Host))
 		}
--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -51,6 +51,7 @@
 	t       *testing.T
 	entries []string
 	loops   []*control.Control
+	nodes   sync.WaitGroup
 
 	mutex   sync.Mutex
 	engines []*poolEngine
@@ -71,7 +72,12 @@
 
 func newPoolSystem(t *testing.T) *poolSystem {
 	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
 	system := &poolSystem{t: t}
+	t.Cleanup(func() {
+		stop()
+		system.nodes.Wait()
+	})
 	addresses := loopback.ClaimFor(t)
 	var seeds []string
 	for number := range controlHosts {
@@ -95,7 +101,7 @@
 			config.Entry = &node.Entry{Address: addresses.Address(number, 0), ReadyAddress: addresses.Address(number, 2), ReadyPath: "/ready", Dialect: poolDialect, SavedRetries: 30}
 			system.entries = append(system.entries, config.Entry.Address)
 		}
-		system.start(config)
+		system.start(ctx, config)
 	}
 	for range controlHosts {
 		system.loops = append(system.loops, <-loops)
@@ -116,18 +122,14 @@
 	NotRun: "Not-Run", Leaving: "Leaving", EndpointMark: "Mark", LastEventID: "Last-Event-Id", TokenScheme: "Token",
 }
 
-// start runs a node until the end of the test.
-func (system *poolSystem) start(config node.Config) {
+// start runs a node until ctx ends.
+func (system *poolSystem) start(ctx context.Context, config node.Config) {
 	started, err := node.New(config)
 	if err != nil {
 		system.t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- started.Run(ctx, nil) }()
-	system.t.Cleanup(func() {
-		stop()
-		if err := <-stopped; err != nil {
+	system.nodes.Go(func() {
+		if err := started.Run(ctx, nil); err != nil {
 			system.t.Error(err)
 		}
 	})
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -144,6 +144,8 @@
 	node.entry = entryapi.New(entryapi.Config{
 		Dialect: node.config.Entry.Dialect, View: node.view, Now: node.clock.Now, Transport: node.endpointTransport,
 		SingleSendTransport: node.singleSendTransport, Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
+		Self: node.self.Node, Incarnation: node.self.Incarnation,
+		Reach: func(ctx context.Context, address string) error { return rest.Reach(ctx, dial, address) },
 	})
 }
 
@@ -208,7 +210,9 @@
 	if node.entry == nil {
 		return member.UsageReported{}
 	}
-	return member.UsageReported{RunningByEndpoint: node.entry.RunningByEndpoint(), ActiveCalls: node.entry.ActiveCalls(), StalledEndpoints: node.entry.StalledEndpoints()}
+	usage := member.UsageReported{RunningByEndpoint: node.entry.RunningByEndpoint(), ActiveCalls: node.entry.ActiveCalls(), StalledEndpoints: node.entry.StalledEndpoints()}
+	usage.Crashes, usage.SoundParts, usage.WantedTrials = node.entry.Suspicions()
+	return usage
 }
 
 func (node *Node) viewChanged(current *view.View) {
--- a/core/connection/rest/client.go
+++ b/core/connection/rest/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 
 	"github.com/dghubble/sling"
 	"github.com/go-faster/errors"
@@ -32,6 +33,10 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
+// Refused reports whether an address refused a connection: nothing listens there. One that
+// can't be reached in time, or not at all, hasn't refused.
+func Refused(err error) bool { return DialFailed(err) && errors.Is(err, syscall.ECONNREFUSED) }
+
 // Reach opens a connection to an address and closes it, without a byte sent. If it can't be
 // opened, the error is one that DialFailed recognises.
 func Reach(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) error {
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -46,6 +46,9 @@
 // PromptPart names one part of a prompt, which several requests may share.
 type PromptPart string
 
+// PartsBlock names one block of parts of prompts.
+type PartsBlock string
+
 // Stop identifies one planned stop.
 type Stop string
 
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -75,4 +75,8 @@
 	// Age is the age of the last announcement of Host, on which the decision
 	// rests. It has no meaning where Host is empty or unknown.
 	Age time.Duration
+	// Block, Parts and ClientAccounts are those of a decision on parts of prompts.
+	Block          id.PartsBlock
+	Parts          []id.PromptPart
+	ClientAccounts []id.ClientAccount
 }
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/granter"
@@ -27,6 +28,8 @@
 	callCountsInterval = 20 * time.Millisecond
 	// callExpiryInterval is the time between two checks for expired call records.
 	callExpiryInterval = time.Minute
+	// suspectsInterval is how old the suspect parts of prompts in a response may be.
+	suspectsInterval = 20 * time.Millisecond
 )
 
 // leadership is the leader's volatile state for one term. It isn't replicated
@@ -78,6 +81,13 @@
 	// departuresKnown is set once a majority of the voters has offered the departures
 	// that it knows. Before, the roster may lack some that were acknowledged.
 	departuresKnown bool
+	// crashes decides which parts of prompts are blocked. blocksProposalIndex is the log
+	// index of its last change.
+	crashes             *crashes.Crashes
+	blocksProposalIndex id.Index
+	// suspects are the parts that nodes are asked about, as of suspectsTakenAt.
+	suspects        []id.PromptPart
+	suspectsTakenAt time.Time
 }
 
 // nodeState is what the leader knows of one node from its last request.
@@ -137,8 +147,8 @@
 		stateByNode: map[id.Node]*nodeState{}, pollByNode: map[id.Node]heldPoll{},
 		lastOrderAtByHost: map[id.Host]time.Time{}, brokenSinceByGroup: map[id.Group]time.Time{},
 		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callsByEndpoint: map[feed.Endpoint]int{},
-		stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{},
-		fleet:                     fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
+		stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{}, crashes: crashes.New(),
+		fleet: fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
 	}
 	// A node that hasn't sent a request in this term may still hold a lease that
 	// the previous leader granted.
@@ -192,6 +202,7 @@
 	if request.ActiveCalls > 0 {
 		leadership.fleet.Step(now, fleet.CallReported{})
 	}
+	controller.recordCrashes(now, actions, &request)
 	if held, ok := leadership.pollByNode[request.Node]; ok {
 		// The node has replaced its older request by this one.
 		controller.responses.Superseded++
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -229,6 +229,7 @@
 	node := held.state
 	response.RunningByEndpoint = controller.leadership.callCountsAt(now)
 	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
+	response.SuspectParts = controller.leadership.suspectParts(now, controller.register.Blocks().Blocks)
 	if response.Delta.Declared != nil {
 		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
 	}
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -36,6 +36,7 @@
 		return
 	}
 	controller.sendOrders(now, actions)
+	controller.decideBlocks(now, actions)
 	if controller.reconcileVoters(now, actions) || leadership.ownProposalIndex > controller.appliedIndex {
 		return
 	}
--- /dev/null
+++ b/core/process/crashes/crashes.go
@@ -0,0 +1,316 @@
+// Package crashes decides for the leader which parts of prompts requests are blocked for. A
+// part may end each endpoint that begins an answer on it, whatever else the request holds.
+// Nodes report which calls without an answer were at an endpoint whose process has ended,
+// and on which parts answers have begun; a part on which one has isn't the cause.
+//
+// A block holds for requests with all of its parts: those that the calls under suspicion
+// have in common. It ends, or is narrowed, once an answer has begun on one of them. A few
+// requests are allowed as trials meanwhile, each at one node only: at once for a client
+// account that had no part in the crashes, so that no caller can have the requests of others
+// refused by naming their parts, and after trialDelays for the others.
+//
+// # Usage
+//
+//	suspects := crashes.New()
+//	suspects.Record(now, request.Crashes)
+//	suspects.RecordSound(now, request.SoundParts)
+//	suspects.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
+//	if command, ok := suspects.Decide(now, blocks); ok { propose(command) }
+package crashes
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/register"
+)
+
+const (
+	// SoundTime is how long an answer that has begun on a part speaks for it.
+	SoundTime = 10 * time.Second
+	// crashRetention is how long a crash counts.
+	crashRetention = time.Minute
+	// simultaneousTime is the time within which crashes have one cause, such as a rack
+	// that loses power, and count once.
+	simultaneousTime = 50 * time.Millisecond
+	// minCrashes is the number of crashes from which parts are blocked that more of them
+	// have in common than any others. From decisiveCrashes on they are blocked in any case.
+	minCrashes      = 3
+	decisiveCrashes = 5
+	// maxCrashes, maxCallsPerCrash and maxPartsPerCall bound what is kept, and
+	// maxEvidenceParts its parts in all. The oldest crash is dropped first.
+	maxCrashes       = 128
+	maxCallsPerCrash = 32
+	maxPartsPerCall  = 256
+	maxEvidenceParts = 16_384
+	// maxSoundParts bounds the parts that are known to be sound, beside those asked about.
+	maxSoundParts = 4096
+	// maxSuspects bounds the parts that nodes are asked about.
+	maxSuspects = 32
+)
+
+// crashKey identifies the process that ended.
+type crashKey struct {
+	host        id.Host
+	incarnation id.Incarnation
+}
+
+// crash is the end of one endpoint's process.
+type crash struct {
+	key   crashKey
+	at    time.Time
+	calls []feed.CrashedCall
+}
+
+// Crashes is what the leader of one term knows. It isn't safe for concurrent use.
+type Crashes struct {
+	// crashes are sorted by time.
+	crashes []*crash
+	// soundAt is when an answer was last known to have begun on a part.
+	soundAt map[id.PromptPart]time.Time
+	trials  map[id.PartsBlock]*trials
+}
+
+// New returns a Crashes that knows of none.
+func New() *Crashes {
+	return &Crashes{soundAt: map[id.PromptPart]time.Time{}, trials: map[id.PartsBlock]*trials{}}
+}
+
+// Record adds what a node reports. Reports of the same crash are merged.
+func (crashes *Crashes) Record(now time.Time, reports []feed.CrashReport) {
+	for index := range reports {
+		report := &reports[index]
+		at := now.Add(-time.Duration(max(0, report.AgeMS)) * time.Millisecond)
+		if now.Sub(at) >= crashRetention {
+			continue
+		}
+		crashes.crash(crashKey{report.Host, report.Incarnation}, at).merge(at, report.Calls)
+	}
+	slices.SortStableFunc(crashes.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	crashes.prune(now)
+}
+
+// crash returns the entry of a crash, a new one if it isn't known.
+func (crashes *Crashes) crash(key crashKey, at time.Time) *crash {
+	for _, known := range crashes.crashes {
+		if known.key == key {
+			return known
+		}
+	}
+	added := &crash{key: key, at: at}
+	crashes.crashes = append(crashes.crashes, added)
+	return added
+}
+
+// merge adds a node's calls. A node reports a crash again with all of its calls.
+func (crash *crash) merge(at time.Time, calls []feed.CrashedCall) {
+	if at.Before(crash.at) {
+		crash.at = at
+	}
+	for _, call := range calls {
+		call.Parts = slices.Clone(call.Parts[:min(len(call.Parts), maxPartsPerCall)])
+		slices.Sort(call.Parts)
+		known := slices.ContainsFunc(crash.calls, func(other feed.CrashedCall) bool {
+			return other.ClientAccount == call.ClientAccount && slices.Equal(other.Parts, call.Parts)
+		})
+		if !known && len(crash.calls) < maxCallsPerCrash {
+			crash.calls = append(crash.calls, call)
+		}
+	}
+}
+
+// prune drops what is too old or too much.
+func (crashes *Crashes) prune(now time.Time) {
+	crashes.crashes = slices.DeleteFunc(crashes.crashes, func(crash *crash) bool { return now.Sub(crash.at) >= crashRetention })
+	maps.DeleteFunc(crashes.soundAt, func(_ id.PromptPart, at time.Time) bool { return now.Sub(at) >= crashRetention+SoundTime })
+	parts := 0
+	for index := len(crashes.crashes) - 1; index >= 0; index-- {
+		for _, call := range crashes.crashes[index].calls {
+			parts += len(call.Parts)
+		}
+		if len(crashes.crashes)-index > maxCrashes || parts > maxEvidenceParts {
+			crashes.crashes = slices.Delete(crashes.crashes, 0, index+1)
+			return
+		}
+	}
+}
+
+// RecordSound records that an answer has begun on parts at some node lately.
+func (crashes *Crashes) RecordSound(now time.Time, parts []id.PromptPart) {
+	for _, part := range parts {
+		if _, known := crashes.soundAt[part]; known || len(crashes.soundAt) < maxSoundParts {
+			crashes.soundAt[part] = now
+		}
+	}
+}
+
+// Suspects returns the parts that nodes are asked about: those in most crashes, on which no
+// answer has begun since.
+func (crashes *Crashes) Suspects(blocks []register.PartsBlock) []id.PromptPart {
+	counts := crashes.countByPart(blocks)
+	suspects := slices.SortedFunc(maps.Keys(counts), func(a, b id.PromptPart) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	return suspects[:min(len(suspects), maxSuspects)]
+}
+
+// suspectParts returns the parts of a call that may have ended its endpoint.
+func (crashes *Crashes) suspectParts(crash *crash, call *feed.CrashedCall) []id.PromptPart {
+	return slices.DeleteFunc(slices.Clone(call.Parts), func(part id.PromptPart) bool {
+		soundAt, ok := crashes.soundAt[part]
+		return ok && soundAt.After(crash.at.Add(-SoundTime))
+	})
+}
+
+// countByPart counts the crashes of each part, those within simultaneousTime once. A crash
+// that a block explains counts only for the parts of the block.
+func (crashes *Crashes) countByPart(blocks []register.PartsBlock) map[id.PromptPart]int {
+	counts, countedAt := map[id.PromptPart]int{}, map[id.PromptPart]time.Time{}
+	for _, crash := range crashes.crashes {
+		for _, part := range crashes.causes(crash, blocks) {
+			if last, ok := countedAt[part]; !ok || crash.at.Sub(last) > simultaneousTime {
+				counts[part]++
+				countedAt[part] = crash.at
+			}
+		}
+	}
+	return counts
+}
+
+// causes returns the parts that may have caused a crash: those of the blocks that explain
+// it, if there are any, and otherwise all that are suspect.
+func (crashes *Crashes) causes(crash *crash, blocks []register.PartsBlock) []id.PromptPart {
+	var all, explained []id.PromptPart
+	for index := range crash.calls {
+		parts := crashes.suspectParts(crash, &crash.calls[index])
+		all = append(all, parts...)
+		for number := range blocks {
+			if blocks[number].Covers(parts) {
+				explained = append(explained, blocks[number].Parts...)
+			}
+		}
+	}
+	if len(explained) > 0 {
+		return explained
+	}
+	return all
+}
+
+// Decide returns the next change of the blocks that hold, or false for none. It is called
+// again once that change is applied.
+func (crashes *Crashes) Decide(now time.Time, blocks []register.PartsBlock) (register.Command, bool) {
+	crashes.prune(now)
+	crashes.trackBlocks(now, blocks)
+	for index := range blocks {
+		if command, ok := crashes.narrow(&blocks[index], blocks); ok {
+			return command, true
+		}
+	}
+	if command, ok := crashes.addAccount(blocks); ok {
+		return command, true
+	}
+	if command, ok := crashes.newBlock(blocks); ok {
+		return command, true
+	}
+	return crashes.grantTrial(now, blocks)
+}
+
+// narrow ends a block of which fewer parts are blocked by now, or on one of whose parts an
+// answer has begun. What is left of its parts is blocked first.
+func (crashes *Crashes) narrow(block *register.PartsBlock, blocks []register.PartsBlock) (register.Command, bool) {
+	since := crashes.trials[block.Block].heldSince
+	left := slices.DeleteFunc(slices.Clone(block.Parts), func(part id.PromptPart) bool { return crashes.soundAt[part].After(since) })
+	narrower := slices.ContainsFunc(blocks, func(other register.PartsBlock) bool {
+		return other.Block != block.Block && other.Covers(left)
+	})
+	end := register.UnblockParts{Block: block.Block}
+	switch {
+	case len(left) == 0:
+		end.Reason = "answer_began"
+	case narrower:
+		end.Reason = "narrowed"
+	case len(left) < len(block.Parts):
+		return register.Command{BlockParts: &register.BlockParts{Parts: left, ClientAccounts: block.ClientAccounts}}, true
+	default:
+		return register.Command{}, false
+	}
+	return register.Command{UnblockParts: &end}, true
+}
+
+// addAccount returns a change that adds a client account to a block: one of its calls was at
+// an endpoint that ended.
+func (crashes *Crashes) addAccount(blocks []register.PartsBlock) (register.Command, bool) {
+	for _, crash := range crashes.crashes {
+		for index := range crash.calls {
+			call := &crash.calls[index]
+			for number := range blocks {
+				block := &blocks[number]
+				if block.Covers(call.Parts) && len(block.ClientAccounts) < register.MaxBlockAccounts && !block.Names(call.ClientAccount) {
+					return register.Command{BlockParts: &register.BlockParts{Parts: block.Parts, ClientAccounts: []id.ClientAccount{call.ClientAccount}}}, true
+				}
+			}
+		}
+	}
+	return register.Command{}, false
+}
+
+// candidate is what the calls with one part under which endpoints ended have in common.
+type candidate struct {
+	part           id.PromptPart
+	count          int
+	parts          []id.PromptPart
+	clientAccounts []id.ClientAccount
+}
+
+// newBlock returns a block of the parts that the most crashes have in common, if these are
+// enough and no block explains them.
+func (crashes *Crashes) newBlock(blocks []register.PartsBlock) (register.Command, bool) {
+	counts := crashes.countByPart(blocks)
+	maps.DeleteFunc(counts, func(_ id.PromptPart, count int) bool { return count < minCrashes })
+	var candidates []candidate
+	for part, count := range counts {
+		parts, clientAccounts := crashes.common(part)
+		if !slices.ContainsFunc(blocks, func(block register.PartsBlock) bool { return block.Covers(parts) }) {
+			candidates = append(candidates, candidate{part, count, parts, clientAccounts})
+		}
+	}
+	if len(candidates) == 0 {
+		return register.Command{}, false
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.part, b.part)) })
+	best := candidates[0]
+	rival := slices.ContainsFunc(candidates, func(other candidate) bool {
+		return other.count == best.count && !slices.Contains(best.parts, other.part)
+	})
+	if rival && best.count < decisiveCrashes {
+		return register.Command{}, false
+	}
+	return register.Command{BlockParts: &register.BlockParts{Parts: best.parts, ClientAccounts: best.clientAccounts}}, true
+}
+
+// common returns the parts that all calls with a part have in common, and the client
+// accounts of these calls.
+func (crashes *Crashes) common(part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
+	var common []id.PromptPart
+	var clientAccounts []id.ClientAccount
+	for _, crash := range crashes.crashes {
+		for index := range crash.calls {
+			parts := crashes.suspectParts(crash, &crash.calls[index])
+			if !slices.Contains(parts, part) {
+				continue
+			}
+			if common == nil {
+				common = slices.Clone(parts)
+			}
+			common = slices.DeleteFunc(common, func(candidate id.PromptPart) bool { return !slices.Contains(parts, candidate) })
+			if account := crash.calls[index].ClientAccount; !slices.Contains(clientAccounts, account) {
+				clientAccounts = append(clientAccounts, account)
+			}
+		}
+	}
+	return common, clientAccounts[:min(len(clientAccounts), register.MaxBlockAccounts)]
+}
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -69,6 +69,48 @@
 	StalledEndpoints []Endpoint `json:"stalled,omitempty"`
 	// HasDisk is set when the node has a data folder and so could become a voter.
 	HasDisk bool `json:"disk,omitempty"`
+	// Crashes are the endpoints that ended under calls of this node, and that the leader
+	// of the present term hasn't got yet.
+	Crashes []CrashReport `json:"crashes,omitempty"`
+	// SoundParts are those of the leader's suspect and blocked parts on which an answer
+	// has begun at this node lately.
+	SoundParts []id.PromptPart `json:"sound_parts,omitempty"`
+	// WantedTrials are the blocks under which this node has lately refused requests.
+	WantedTrials []WantedTrial `json:"wanted_trials,omitempty"`
+}
+
+// CrashReport is what one node knows of the end of an endpoint's process.
+type CrashReport struct {
+	Host        id.Host        `json:"host"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	// AgeMS is how long ago the node saw it, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+	// Calls are the node's calls there whose answers hadn't begun.
+	Calls []CrashedCall `json:"calls"`
+}
+
+// ObservedCrash is a crash as the node that saw it keeps it. Revision rises when its report
+// says more.
+type ObservedCrash struct {
+	SeenAt   time.Time
+	Revision uint64
+	// Report is without its age.
+	Report CrashReport
+}
+
+// CrashedCall is a call whose endpoint ended before the answer had begun.
+type CrashedCall struct {
+	ClientAccount id.ClientAccount `json:"customer"`
+	// Parts are those of its prompt that other calls may share, without those on which
+	// an answer had begun lately.
+	Parts []id.PromptPart `json:"parts"`
+}
+
+// WantedTrial is a block under which a node has refused requests.
+type WantedTrial struct {
+	Block id.PartsBlock `json:"block"`
+	// OtherAccount is set if one was of a client account that the block doesn't name.
+	OtherAccount bool `json:"other_customer,omitempty"`
 }
 
 // Endpoint is where a call runs: a group, or a single host of a service without
@@ -157,6 +199,9 @@
 	StalledEndpoints []Endpoint `json:"stalled,omitempty"`
 	// RunningByEndpoint is the number of calls in progress of all nodes at each endpoint.
 	RunningByEndpoint *CallCounts `json:"running,omitempty"`
+	// SuspectParts are those of prompts under which endpoints have ended, and on which no
+	// answer has begun since.
+	SuspectParts []id.PromptPart `json:"suspect_parts,omitempty"`
 }
 
 // Redirect is the answer of a node that doesn't lead. Leader is empty when unknown.
--- a/core/process/member/events.go
+++ b/core/process/member/events.go
@@ -57,6 +57,11 @@
 	Drained bool
 	// StalledEndpoints are those whose calls make no progress.
 	StalledEndpoints []feed.Endpoint
+	// Crashes are the endpoints that have ended lately under calls without an answer.
+	Crashes []feed.ObservedCrash
+	// SoundParts and WantedTrials are those of feed.Request.
+	SoundParts   []id.PromptPart
+	WantedTrials []feed.WantedTrial
 }
 
 func (Announced) event()            {}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -20,7 +20,9 @@
 	announcements []roster.RelayedAnnouncement
 	// runningByEndpoint are the node's calls that the request reported.
 	runningByEndpoint map[feed.Endpoint]int
-	overdue           bool
+	// crashes are those that the request reported.
+	crashes []crashKey
+	overdue bool
 }
 
 // handleResponse applies the leader's response to one request. Responses that
@@ -56,6 +58,8 @@
 	member.grant = response.Grant
 	member.counts.update(now, response.Term, response.Share, response.RunningByEndpoint.Elsewhere(request.runningByEndpoint))
 	member.stalledEndpoints = response.StalledEndpoints
+	member.suspectParts = response.SuspectParts
+	member.crashQueue.accept(response.Term, request.crashes)
 	member.holdTime = time.Duration(response.HoldMS) * time.Millisecond
 	if len(response.Voters) > 0 {
 		member.voters = response.Voters
@@ -258,6 +262,7 @@
 		member.sendAtOnce = true
 	}
 	member.sendAtOnce = member.sendAtOnce || len(report.StalledEndpoints) > len(member.usage.StalledEndpoints)
+	member.handleCrashes(now, &report)
 	member.usage = report
 }
 
@@ -338,7 +343,8 @@
 	member.nextSendAt = now.Add(minSendInterval)
 	member.lastNumber++
 	announcements := member.unacceptedAnnouncements(now)
-	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements, runningByEndpoint: member.usage.RunningByEndpoint}
+	crashReports, crashes := member.crashQueue.unaccepted(now, member.usage.Crashes, member.crashesInFlight())
+	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements, runningByEndpoint: member.usage.RunningByEndpoint, crashes: crashes}
 	request := feed.Request{
 		Node: member.config.Self, Incarnation: member.config.Incarnation, Number: member.lastNumber,
 		Version: member.version, Epoch: member.rosterEpoch, Cursor: member.rosterCursor,
@@ -346,6 +352,7 @@
 		HeldGrant:             granter.Grant{Serial: member.grant.Serial, QuotaByClientAccount: member.heldQuota(now)},
 		DemandByClientAccount: member.usage.DemandByClientAccount, RunningByEndpoint: member.usage.RunningByEndpoint, ActiveCalls: member.usage.ActiveCalls, Drained: member.usage.Drained,
 		HasDisk: member.config.HasDisk, StalledEndpoints: member.usage.StalledEndpoints,
+		Crashes: crashReports, SoundParts: member.usage.SoundParts, WantedTrials: member.usage.WantedTrials,
 	}
 	if len(member.awaitedCursorByHost) > 0 {
 		request.AwaitedCursor = slices.Min(slices.Collect(maps.Values(member.awaitedCursorByHost)))
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -137,6 +137,10 @@
 	viewBuiltAt time.Time
 	builtFrom   viewInputs
 	exchanges   ExchangeStats
+	// blocks and suspectParts are those that the leader last sent.
+	blocks       register.PartsBlocks
+	suspectParts []id.PromptPart
+	crashQueue   crashQueue
 }
 
 // New returns the state machine of a node that has no state yet. The roster may be
@@ -333,6 +337,7 @@
 		clear(member.contractByClientAccount)
 		clear(member.stopByID)
 		clear(member.groupByID)
+		member.blocks = register.PartsBlocks{}
 	}
 	for _, record := range delta.Contracts {
 		if record.Version > member.contractByClientAccount[record.Contract.ClientAccount].Version {
@@ -352,6 +357,9 @@
 	if delta.Declared != nil {
 		member.applyDeclaration(delta.Declared.Record())
 	}
+	if delta.Blocks != nil && delta.Blocks.Version > member.blocks.Version {
+		member.blocks = *delta.Blocks
+	}
 	member.pruneRetiredGroups()
 	member.version = delta.To
 	member.sendAtOnce = true
--- a/core/process/member/view.go
+++ b/core/process/member/view.go
@@ -22,6 +22,8 @@
 		Share:                    member.counts.share,
 		Routing:                  member.routingTable,
 		RoutingDelay:             member.routingDelay,
+		Blocks:                   member.blocks,
+		SuspectParts:             member.suspectParts,
 		ClientAccounts:           map[id.ClientAccount]*view.ClientAccount{},
 		ClientAccountByTokenHash: map[[sha256.Size]byte]id.ClientAccount{},
 		Models:                   map[id.Model]*view.Set{},
--- a/core/process/register/apply.go
+++ b/core/process/register/apply.go
@@ -61,6 +61,12 @@
 		return register.recordChange(index, command, "voters_change", "voters", jsonText(command.RecordVoters.From), jsonText(command.RecordVoters.To))
 	case command.ExpireCalls != nil:
 		return register.expireCalls()
+	case command.BlockParts != nil:
+		return register.blockParts(index, command, command.BlockParts)
+	case command.GrantTrial != nil:
+		return register.grantTrial(index, command, command.GrantTrial)
+	case command.UnblockParts != nil:
+		return register.unblockParts(index, command, command.UnblockParts)
 	case command.Declare != nil:
 		return register.declare(index, command, &command.Declare.Declaration)
 	default:
--- a/core/process/register/command.go
+++ b/core/process/register/command.go
@@ -39,6 +39,9 @@
 	ExpireCalls    *ExpireCalls    `json:"expire_calls,omitempty"`
 	RecordVoters   *RecordVoters   `json:"record_voters,omitempty"`
 	Declare        *Declare        `json:"declare,omitempty"`
+	BlockParts     *BlockParts     `json:"block_parts,omitempty"`
+	GrantTrial     *GrantTrial     `json:"grant_trial,omitempty"`
+	UnblockParts   *UnblockParts   `json:"unblock_parts,omitempty"`
 }
 
 // Declare puts a declaration in force when its revision is higher than that of the
--- a/core/process/register/register.go
+++ b/core/process/register/register.go
@@ -57,6 +57,7 @@
 	Audit           []AuditEntry                         `json:"audit"`
 	Clock           stateClock                           `json:"clock"`
 	Declared        *DeclarationRecord                   `json:"declared,omitempty"`
+	Blocks          PartsBlocks                          `json:"parts_blocks,omitzero"`
 }
 
 // stateClock measures time by the log alone, from the clock readings in the
@@ -259,6 +260,8 @@
 	Groups    []GroupRecord    `json:"groups,omitempty"`
 	// Declared is set when the declaration has changed.
 	Declared *PackedDeclaration `json:"declared,omitempty"`
+	// Blocks is set when a block of parts of prompts has changed.
+	Blocks *PartsBlocks `json:"parts_blocks,omitempty"`
 }
 
 // Since returns all changes after a version in one delta. The delta is Full when the
@@ -277,6 +280,10 @@
 	if declared := register.state.Declared; declared != nil && declared.Version > version {
 		delta.Declared = register.packedDeclaration()
 	}
+	if register.state.Blocks.Version > version {
+		blocks := register.state.Blocks
+		delta.Blocks = &blocks
+	}
 	return delta
 }
 
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -343,6 +343,11 @@
 	balancer.notices.Leave(now, endpoint)
 }
 
+// Declines reports whether an endpoint has said that it accepts no calls for now.
+func (balancer *Balancer) Declines(now time.Time, endpoint *view.Endpoint) bool {
+	return len(balancer.notices.Filter(now, []*view.Endpoint{endpoint})) == 0
+}
+
 // Paused records that an endpoint wants no calls of this entry host for a time.
 func (balancer *Balancer) Paused(now time.Time, endpoint *view.Endpoint, pause time.Duration) {
 	balancer.notices.Pause(now, endpoint, pause)
--- /dev/null
+++ b/core/request/suspicion/suspicion.go
@@ -0,0 +1,333 @@
+// Package suspicion keeps, for one entry host, what speaks for and against the parts of
+// prompts: which calls without an answer were at endpoints whose process ended, and on
+// which parts answers have begun. The leader joins what all nodes report and decides which
+// parts are blocked (package crashes); this package applies that.
+//
+// # Usage
+//
+//	suspicion := suspicion.New(self, incarnation)
+//	suspicion.Update(view.Blocks, view.SuspectParts)
+//	if refusal, ok := suspicion.Check(now, call); ok { refuse }
+//	suspicion.Began(now, call.Parts)          // an answer has begun
+//	suspicion.Ended(now, process, calls)      // an endpoint's process has ended
+//	reports := suspicion.Crashes(now)         // for the leader
+package suspicion
+
+import (
+	"slices"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/crashes"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/register"
+)
+
+const (
+	// reportTime is how long a crash is reported to new leaders.
+	reportTime = 30 * time.Second
+	// maxCrashes, maxCallsPerCrash and maxPartsPerCall bound the crashes that are kept, and
+	// maxReportParts the parts of one. The oldest crash is dropped first.
+	maxCrashes       = 16
+	maxCallsPerCrash = 16
+	maxPartsPerCall  = 256
+	maxReportParts   = 1024
+	// maxSoundParts bounds the parts of each of the two generations that are kept.
+	maxSoundParts = 2048
+	// wantedTime is how long a refusal under a block is reported.
+	wantedTime = time.Second
+	// blockedRetryAfter is when a trial may be granted to a client account that a block
+	// names, and otherRetryAfter to any other.
+	blockedRetryAfter = 10 * time.Minute
+	otherRetryAfter   = time.Second
+)
+
+// Call is what is known of a call.
+type Call struct {
+	ClientAccount id.ClientAccount
+	// Parts are those of its prompt that other calls may share.
+	Parts []id.PromptPart
+}
+
+// Process is one process of an endpoint.
+type Process struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+}
+
+// Permit allows one call in spite of a block.
+type Permit struct {
+	Block  id.PartsBlock
+	Number int
+}
+
+// Refusal is why a call may not be sent.
+type Refusal struct {
+	Block      id.PartsBlock
+	RetryAfter time.Duration
+}
+
+// observed is one crash with the parts of all its calls.
+type observed struct {
+	feed.ObservedCrash
+	parts int
+}
+
+// refused is a block under which calls were refused.
+type refused struct {
+	at, otherAt time.Time
+}
+
+// Suspicion is the state of one entry host. It isn't safe for concurrent use.
+type Suspicion struct {
+	self        id.Node
+	incarnation id.Incarnation
+	blocks      register.PartsBlocks
+	suspects    []id.PromptPart
+	// sound and soundBefore are the parts on which answers have begun within
+	// crashes.SoundTime, in two halves. soundSince is when the first half began.
+	sound, soundBefore map[id.PromptPart]bool
+	soundSince         time.Time
+	crashes            []*observed
+	refusedByBlock     map[id.PartsBlock]refused
+	usedPermits        map[Permit]bool
+}
+
+// New returns the state of a node that knows of no crash.
+func New(self id.Node, incarnation id.Incarnation) *Suspicion {
+	return &Suspicion{
+		self: self, incarnation: incarnation, sound: map[id.PromptPart]bool{}, soundBefore: map[id.PromptPart]bool{},
+		refusedByBlock: map[id.PartsBlock]refused{}, usedPermits: map[Permit]bool{},
+	}
+}
+
+// Update takes what the leader has decided and asks about.
+func (suspicion *Suspicion) Update(blocks register.PartsBlocks, suspects []id.PromptPart) {
+	suspicion.suspects = suspects
+	if blocks.Version == suspicion.blocks.Version {
+		return
+	}
+	suspicion.blocks = blocks
+	held := func(name id.PartsBlock) bool {
+		return slices.ContainsFunc(blocks.Blocks, func(block register.PartsBlock) bool { return block.Block == name })
+	}
+	for name := range suspicion.refusedByBlock {
+		if !held(name) {
+			delete(suspicion.refusedByBlock, name)
+		}
+	}
+	for permit := range suspicion.usedPermits {
+		if !held(permit.Block) {
+			delete(suspicion.usedPermits, permit)
+		}
+	}
+}
+
+// Check returns the refusal of a call that a block holds for. A call that is the block's
+// trial may go on: Use must be called just before it is sent.
+func (suspicion *Suspicion) Check(now time.Time, call Call) (Refusal, bool) {
+	block, permit := suspicion.blockOf(call)
+	if block == nil || permit != (Permit{}) {
+		return Refusal{}, false
+	}
+	known := suspicion.refusedByBlock[block.Block]
+	known.at = now
+	refusal := Refusal{Block: block.Block, RetryAfter: blockedRetryAfter}
+	if !block.Names(call.ClientAccount) && len(block.ClientAccounts) < register.MaxBlockAccounts {
+		known.otherAt = now
+		refusal.RetryAfter = otherRetryAfter
+	}
+	suspicion.refusedByBlock[block.Block] = known
+	return refusal, true
+}
+
+// Use takes the permit of a call that is a block's trial. It returns false for a call that a
+// block holds for and that has none.
+func (suspicion *Suspicion) Use(call Call) bool {
+	block, permit := suspicion.blockOf(call)
+	if permit != (Permit{}) {
+		suspicion.usedPermits[permit] = true
+		return true
+	}
+	return block == nil
+}
+
+// blockOf returns the block that holds for a call, or nil, and the permit for it. A permit
+// is for calls that one block alone holds for.
+func (suspicion *Suspicion) blockOf(call Call) (*register.PartsBlock, Permit) {
+	var found *register.PartsBlock
+	var permit Permit
+	for index := range suspicion.blocks.Blocks {
+		block := &suspicion.blocks.Blocks[index]
+		if !block.Covers(call.Parts) {
+			continue
+		}
+		if found != nil {
+			return found, Permit{}
+		}
+		found, permit = block, suspicion.permitOf(block, call)
+	}
+	return found, permit
+}
+
+// permitOf returns the permit of a block that a call may use, if this node has one.
+func (suspicion *Suspicion) permitOf(block *register.PartsBlock, call Call) Permit {
+	trial := block.Trial
+	permit := Permit{Block: block.Block, Number: trial.Number}
+	switch {
+	case trial.Number == 0 || trial.Node != suspicion.self || trial.Incarnation != suspicion.incarnation,
+		suspicion.usedPermits[permit], trial.OtherAccount && block.Names(call.ClientAccount):
+		return Permit{}
+	default:
+		return permit
+	}
+}
+
+// Began records that an answer has begun on a call with these parts.
+func (suspicion *Suspicion) Began(now time.Time, parts []id.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	suspicion.rotate(now)
+	for _, part := range parts {
+		if len(suspicion.sound) < maxSoundParts {
+			suspicion.sound[part] = true
+		}
+	}
+}
+
+// rotate drops the older half of the sound parts once the later one is as old.
+func (suspicion *Suspicion) rotate(now time.Time) {
+	const half = crashes.SoundTime / 2
+	switch age := now.Sub(suspicion.soundSince); {
+	case age >= 2*half:
+		clear(suspicion.soundBefore)
+		clear(suspicion.sound)
+	case age >= half:
+		suspicion.sound, suspicion.soundBefore = suspicion.soundBefore, suspicion.sound
+		clear(suspicion.sound)
+	default:
+		return
+	}
+	suspicion.soundSince = now
+}
+
+func (suspicion *Suspicion) isSound(part id.PromptPart) bool {
+	return suspicion.sound[part] || suspicion.soundBefore[part]
+}
+
+// suspect returns the parts of a call on which no answer has begun lately.
+func (suspicion *Suspicion) suspect(parts []id.PromptPart) []id.PromptPart {
+	return slices.DeleteFunc(slices.Clone(parts), suspicion.isSound)
+}
+
+// Ended records that an endpoint's process has ended under a call whose answer hadn't begun.
+// It returns the parts that may be the cause.
+func (suspicion *Suspicion) Ended(now time.Time, process Process, call Call) []id.PromptPart {
+	suspicion.rotate(now)
+	parts := suspicion.suspect(call.Parts)
+	parts = parts[:min(len(parts), maxPartsPerCall)]
+	if len(parts) == 0 {
+		return nil
+	}
+	crash := suspicion.crash(now, process)
+	if len(crash.Report.Calls) < maxCallsPerCrash && crash.parts+len(parts) <= maxReportParts {
+		// The report before may be on its way, so that its calls aren't changed.
+		crash.Report.Calls = append(slices.Clone(crash.Report.Calls), feed.CrashedCall{ClientAccount: call.ClientAccount, Parts: parts})
+		crash.Revision++
+		crash.parts += len(parts)
+	}
+	return parts
+}
+
+// crash returns the entry of a crash, a new one if it isn't known.
+func (suspicion *Suspicion) crash(now time.Time, process Process) *observed {
+	suspicion.forget(now)
+	for _, known := range suspicion.crashes {
+		if known.Report.Host == process.Host && known.Report.Incarnation == process.Incarnation {
+			return known
+		}
+	}
+	added := &observed{ObservedCrash: feed.ObservedCrash{SeenAt: now, Report: feed.CrashReport{Host: process.Host, Incarnation: process.Incarnation}}}
+	suspicion.crashes = append(suspicion.crashes, added)
+	suspicion.crashes = suspicion.crashes[max(0, len(suspicion.crashes)-maxCrashes):]
+	return added
+}
+
+func (suspicion *Suspicion) forget(now time.Time) {
+	suspicion.crashes = slices.DeleteFunc(suspicion.crashes, func(crash *observed) bool { return now.Sub(crash.SeenAt) >= reportTime })
+}
+
+// MayResend reports whether a call that was at an endpoint whose answer broke off before it
+// began may be sent to another one: not if the leader suspects one of its parts, or a crash
+// of another process has been seen under one.
+func (suspicion *Suspicion) MayResend(now time.Time, process Process, call Call) bool {
+	suspicion.rotate(now)
+	suspicion.forget(now)
+	parts := suspicion.suspect(call.Parts)
+	if len(parts) == 0 {
+		return true
+	}
+	among := func(part id.PromptPart) bool { return slices.Contains(parts, part) }
+	if slices.ContainsFunc(suspicion.suspects, among) {
+		return false
+	}
+	for _, crash := range suspicion.crashes {
+		if crash.Report.Host == process.Host && crash.Report.Incarnation == process.Incarnation {
+			continue
+		}
+		for index := range crash.Report.Calls {
+			if slices.ContainsFunc(crash.Report.Calls[index].Parts, among) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Crashes returns the crashes that the leader is told of.
+func (suspicion *Suspicion) Crashes(now time.Time) []feed.ObservedCrash {
+	suspicion.forget(now)
+	if len(suspicion.crashes) == 0 {
+		return nil
+	}
+	reported := make([]feed.ObservedCrash, 0, len(suspicion.crashes))
+	for _, crash := range suspicion.crashes {
+		reported = append(reported, crash.ObservedCrash)
+	}
+	return reported
+}
+
+// SoundParts returns those of the parts that the leader asks about, or has blocked, on which
+// an answer has begun lately.
+func (suspicion *Suspicion) SoundParts(now time.Time) []id.PromptPart {
+	if len(suspicion.suspects)+len(suspicion.blocks.Blocks) == 0 {
+		return nil
+	}
+	suspicion.rotate(now)
+	var sound []id.PromptPart
+	add := func(parts []id.PromptPart) {
+		for _, part := range parts {
+			if suspicion.isSound(part) && !slices.Contains(sound, part) {
+				sound = append(sound, part)
+			}
+		}
+	}
+	add(suspicion.suspects)
+	for index := range suspicion.blocks.Blocks {
+		add(suspicion.blocks.Blocks[index].Parts)
+	}
+	return sound
+}
+
+// WantedTrials returns the blocks under which calls were refused lately.
+func (suspicion *Suspicion) WantedTrials(now time.Time) []feed.WantedTrial {
+	var wanted []feed.WantedTrial
+	for index := range suspicion.blocks.Blocks {
+		block := suspicion.blocks.Blocks[index].Block
+		if known, ok := suspicion.refusedByBlock[block]; ok && now.Sub(known.at) < wantedTime {
+			wanted = append(wanted, feed.WantedTrial{Block: block, OtherAccount: now.Sub(known.otherAt) < wantedTime})
+		}
+	}
+	return wanted
+}
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -20,6 +20,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/contract"
 	"carobline.dev/core/version/routing"
@@ -115,6 +116,10 @@
 	// RoutingDelay is how long after the leader's use of it this node began to use
 	// Routing, at most.
 	RoutingDelay time.Duration
+	// Blocks are the parts of prompts that requests are blocked for, and SuspectParts
+	// those that the leader asks about.
+	Blocks       register.PartsBlocks
+	SuspectParts []id.PromptPart
 
 	ClientAccounts map[id.ClientAccount]*ClientAccount
 	// ClientAccountByTokenHash is keyed by the SHA-256 of a bearer token.
