Tests of crashes, suspect parts and their blocks, layer by layer

The decider's tables: what is blocked, what crashes of another cause leave alone, how a block is narrowed and ends, whom a trial is granted to, and the bounds. The entry host's: what counts as a crash, what is sent again, what callers are told. The replicated state, the reports to each leader, and nine nodes in the cluster simulation whose leader is lost or cut off around the last crash. Decide weighs the evidence only when it has changed, so that many reports don't take up the leader's time.

--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -96,7 +97,10 @@
 	entryHost.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
 		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
-		SavedRetries: options.savedRetries,
+		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1,
+		Reach: func(ctx context.Context, address string) error {
+			return rest.Reach(ctx, (&net.Dialer{}).DialContext, address)
+		},
 	})
 	entryHost.api.Update(entryHost.view.Load())
 	entryHost.server = httptest.NewServer(entryHost.api)
--- a/core/process/controller/blocks.go
+++ b/core/process/controller/blocks.go
@@ -29,7 +29,7 @@
 	if leadership.blocksProposalIndex > controller.appliedIndex {
 		return
 	}
-	command, ok := leadership.crashes.Decide(now, controller.register.Blocks().Blocks)
+	command, ok := leadership.crashes.Decide(now, controller.register.Blocks())
 	if !ok {
 		return
 	}
@@ -54,7 +54,7 @@
 // the same for all responses until suspectsInterval is over.
 func (leadership *leadership) suspectParts(now time.Time, blocks []register.PartsBlock) []id.PromptPart {
 	if now.Sub(leadership.suspectsTakenAt) >= suspectsInterval {
-		leadership.suspects, leadership.suspectsTakenAt = leadership.crashes.Suspects(blocks), now
+		leadership.suspects, leadership.suspectsTakenAt = leadership.crashes.Suspects(now, blocks), now
 	}
 	return leadership.suspects
 }
--- /dev/null
+++ b/core/process/controller/blocks_test.go
@@ -0,0 +1,173 @@
+package controller_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/member"
+	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/suspicion"
+)
+
+// connectivityWindow is within how long of the last crash every node must refuse requests
+// with the part that caused it.
+const connectivityWindow = 3 * time.Second
+
+// suspicions are what the nodes of a simulation know of the parts of prompts.
+type suspicions struct {
+	*simulation
+	byNode map[id.Node]*suspicion.Suspicion
+	ended  int
+}
+
+func newSuspicions(t *testing.T, seed uint64) *suspicions {
+	t.Helper()
+	suspicions := &suspicions{simulation: newSimulation(t, seed), byNode: map[id.Node]*suspicion.Suspicion{}}
+	suspicions.checker.off = true
+	for _, node := range suspicions.nodes {
+		suspicions.restart(node)
+	}
+	suspicions.schedule(0, suspicions.report)
+	suspicions.run(5 * time.Second)
+	return suspicions
+}
+
+func (suspicions *suspicions) restart(node *node) {
+	suspicions.byNode[node.name] = suspicion.New(node.name, node.incarnation)
+}
+
+// report passes on what the nodes know, and what they are told, as often as they tick.
+func (suspicions *suspicions) report() {
+	suspicions.schedule(tickInterval, suspicions.report)
+	for _, node := range suspicions.nodes {
+		if !node.up {
+			continue
+		}
+		state, now := suspicions.byNode[node.name], node.now()
+		state.Update(node.view.Blocks, node.view.SuspectParts)
+		node.report = member.UsageReported{Crashes: state.Crashes(now), SoundParts: state.SoundParts(now), WantedTrials: state.WantedTrials(now)}
+	}
+}
+
+// crash ends one more endpoint under a node's call of a client account.
+func (suspicions *suspicions) crash(node *node, account id.ClientAccount, parts ...id.PromptPart) {
+	suspicions.ended++
+	process := suspicion.Process{Host: id.Host(fmt.Sprintf("x%d", suspicions.ended)), Incarnation: 1}
+	suspicions.byNode[node.name].Ended(node.now(), process, suspicion.Call{ClientAccount: account, Parts: parts})
+}
+
+// lacking lists the nodes that are up and don't refuse a call with the part.
+func (suspicions *suspicions) lacking(part id.PromptPart) []id.Node {
+	var lacking []id.Node
+	for _, node := range suspicions.nodes {
+		state := suspicions.byNode[node.name]
+		state.Update(node.view.Blocks, node.view.SuspectParts)
+		if _, refused := state.Check(node.now(), suspicion.Call{ClientAccount: "any", Parts: []id.PromptPart{"own", part}}); node.up && !refused {
+			lacking = append(lacking, node.name)
+		}
+	}
+	return lacking
+}
+
+// Guards against hosts that go on sending requests with a part that others have seen end
+// endpoints, and against a verdict that is lost with the leader or at a restart.
+func TestBlockReachesEveryNode(t *testing.T) {
+	for name, fault := range map[string]func(suspicions *suspicions){
+		"no fault": func(*suspicions) {},
+		"the leader has just got the last report": func(suspicions *suspicions) {
+			suspicions.run(25 * time.Millisecond)
+			suspicions.leader().crash()
+		},
+		"the leader is lost before": func(suspicions *suspicions) { suspicions.leader().crash() },
+		"the leader is cut off": func(suspicions *suspicions) {
+			leader := suspicions.leader()
+			suspicions.blockTraffic(leader, time.Minute, true)
+		},
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%s, seed=%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				suspicions := newSuspicions(t, seed)
+				for number := range 5 {
+					suspicions.run(80 * time.Millisecond)
+					suspicions.crash(suspicions.nodes[(number+int(seed))%nodeCount], id.ClientAccount(fmt.Sprint("a", number)), "bad", id.PromptPart(fmt.Sprint("topic", number)))
+				}
+				fault(suspicions)
+				suspicions.run(connectivityWindow)
+				lacking := suspicions.lacking("bad")
+				if name == "the leader is cut off" {
+					// The node that is cut off takes no new calls once its lease has ended.
+					lacking = slices.DeleteFunc(lacking, func(lacking id.Node) bool {
+						return !suspicions.node(lacking).view.AcceptsNewWork(suspicions.node(lacking).now())
+					})
+				}
+				if len(lacking) > 0 {
+					t.Errorf("%v after the fifth crash %v don't refuse requests with the part", connectivityWindow, lacking)
+				}
+			})
+		}
+	}
+}
+
+func (suspicions *suspicions) node(name id.Node) *node {
+	return suspicions.nodes[slices.IndexFunc(suspicions.nodes, func(node *node) bool { return node.name == name })]
+}
+
+// Guards against a block that ends when hosts or all voters start again.
+func TestBlockOutlastsRestarts(t *testing.T) {
+	suspicions := newSuspicions(t, 1)
+	for range 3 {
+		suspicions.run(80 * time.Millisecond)
+		suspicions.crash(suspicions.nodes[4], "a", "bad")
+	}
+	suspicions.run(time.Second)
+	for _, node := range suspicions.nodes {
+		node.crash()
+	}
+	suspicions.run(time.Second)
+	for _, node := range suspicions.nodes {
+		node.start()
+		suspicions.restart(node)
+	}
+	suspicions.run(connectivityWindow + 2*time.Second)
+	if lacking := suspicions.lacking("bad"); len(lacking) > 0 {
+		t.Errorf("after a restart of all nodes %v don't refuse requests with the part", lacking)
+	}
+}
+
+// Guards against more than one request with a blocked part that reaches endpoints as a trial,
+// however many nodes and client accounts ask, and against a block that outlasts its proof.
+func TestOneNodeMakesTheTrialOfABlock(t *testing.T) {
+	suspicions := newSuspicions(t, 2)
+	for range 3 {
+		suspicions.run(80 * time.Millisecond)
+		suspicions.crash(suspicions.nodes[4], "a", "victim")
+	}
+	suspicions.run(time.Second)
+	sent, now := 0, suspicions.now
+	for suspicions.now-now < 5*time.Second {
+		suspicions.run(20 * time.Millisecond)
+		for _, node := range suspicions.nodes {
+			call := suspicion.Call{ClientAccount: "other", Parts: []id.PromptPart{"victim"}}
+			if _, refused := suspicions.byNode[node.name].Check(node.now(), call); !refused && suspicions.byNode[node.name].Use(call) {
+				sent++
+				suspicions.schedule(100*time.Millisecond, func() { suspicions.crash(node, "other", "victim") })
+			}
+		}
+	}
+	if sent != 1 {
+		t.Errorf("%d requests with the part reached endpoints as trials, want 1", sent)
+	}
+	record := suspicions.leader().voter.Register().Blocks().Blocks
+	if len(record) != 1 || len(record[0].ClientAccounts) != register.MaxBlockAccounts {
+		t.Errorf("the blocks are %+v; want one that names two client accounts", record)
+	}
+	suspicions.byNode[suspicions.nodes[5].name].Began(suspicions.nodes[5].now(), []id.PromptPart{"victim"})
+	suspicions.run(time.Second)
+	if lacking := suspicions.lacking("victim"); len(lacking) != nodeCount {
+		t.Errorf("an answer has begun on the part, and all but %v still refuse it", lacking)
+	}
+}
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -29,7 +29,7 @@
 	// callExpiryInterval is the time between two checks for expired call records.
 	callExpiryInterval = time.Minute
 	// suspectsInterval is how old the suspect parts of prompts in a response may be.
-	suspectsInterval = 20 * time.Millisecond
+	suspectsInterval = 100 * time.Millisecond
 )
 
 // leadership is the leader's volatile state for one term. It isn't replicated
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -15,7 +15,7 @@
 //	suspects.Record(now, request.Crashes)
 //	suspects.RecordSound(now, request.SoundParts)
 //	suspects.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
-//	if command, ok := suspects.Decide(now, blocks); ok { propose(command) }
+//	if command, ok := suspects.Decide(now, register.Blocks()); ok { propose(command) }
 package crashes
 
 import (
@@ -46,7 +46,9 @@
 	maxCrashes       = 128
 	maxCallsPerCrash = 32
 	maxPartsPerCall  = 256
-	maxEvidenceParts = 16_384
+	maxEvidenceParts = 4096
+	// soundInterval is the least time between two records that a part is sound.
+	soundInterval = 100 * time.Millisecond
 	// maxSoundParts bounds the parts that are known to be sound, beside those asked about.
 	maxSoundParts = 4096
 	// maxSuspects bounds the parts that nodes are asked about.
@@ -72,6 +74,10 @@
 	crashes []*crash
 	// soundAt is when an answer was last known to have begun on a part.
 	soundAt map[id.PromptPart]time.Time
+	// weighed is the version of the blocks by which what is known was last found to call
+	// for no other block, and changed reports that more has become known since.
+	weighed id.Version
+	changed bool
 	trials  map[id.PartsBlock]*trials
 }
 
@@ -90,6 +96,7 @@
 		}
 		crashes.crash(crashKey{report.Host, report.Incarnation}, at).merge(at, report.Calls)
 	}
+	crashes.changed = crashes.changed || len(reports) > 0
 	slices.SortStableFunc(crashes.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	crashes.prune(now)
 }
@@ -142,15 +149,21 @@
 // RecordSound records that an answer has begun on parts at some node lately.
 func (crashes *Crashes) RecordSound(now time.Time, parts []id.PromptPart) {
 	for _, part := range parts {
-		if _, known := crashes.soundAt[part]; known || len(crashes.soundAt) < maxSoundParts {
-			crashes.soundAt[part] = now
+		at, known := crashes.soundAt[part]
+		if (known && now.Sub(at) < soundInterval) || (!known && len(crashes.soundAt) >= maxSoundParts) {
+			continue
 		}
+		crashes.soundAt[part], crashes.changed = now, true
 	}
 }
 
 // Suspects returns the parts that nodes are asked about: those in most crashes, on which no
 // answer has begun since.
-func (crashes *Crashes) Suspects(blocks []register.PartsBlock) []id.PromptPart {
+func (crashes *Crashes) Suspects(now time.Time, blocks []register.PartsBlock) []id.PromptPart {
+	if len(crashes.crashes) == 0 {
+		return nil
+	}
+	crashes.prune(now)
 	counts := crashes.countByPart(blocks)
 	suspects := slices.SortedFunc(maps.Keys(counts), func(a, b id.PromptPart) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
@@ -202,9 +215,20 @@
 
 // Decide returns the next change of the blocks that hold, or false for none. It is called
 // again once that change is applied.
-func (crashes *Crashes) Decide(now time.Time, blocks []register.PartsBlock) (register.Command, bool) {
+func (crashes *Crashes) Decide(now time.Time, held register.PartsBlocks) (register.Command, bool) {
+	crashes.trackBlocks(now, held.Blocks)
+	if crashes.changed || crashes.weighed != held.Version {
+		if command, ok := crashes.weigh(now, held.Blocks); ok {
+			return command, true
+		}
+		crashes.changed, crashes.weighed = false, held.Version
+	}
+	return crashes.grantTrial(now, held.Blocks)
+}
+
+// weigh returns the next change of the blocks by what is known of crashes and sound parts.
+func (crashes *Crashes) weigh(now time.Time, blocks []register.PartsBlock) (register.Command, bool) {
 	crashes.prune(now)
-	crashes.trackBlocks(now, blocks)
 	for index := range blocks {
 		if command, ok := crashes.narrow(&blocks[index], blocks); ok {
 			return command, true
@@ -213,10 +237,7 @@
 	if command, ok := crashes.addAccount(blocks); ok {
 		return command, true
 	}
-	if command, ok := crashes.newBlock(blocks); ok {
-		return command, true
-	}
-	return crashes.grantTrial(now, blocks)
+	return crashes.newBlock(blocks)
 }
 
 // narrow ends a block of which fewer parts are blocked by now, or on one of whose parts an
--- /dev/null
+++ b/core/process/crashes/crashes_test.go
@@ -0,0 +1,283 @@
+package crashes_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/crashes"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/register"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// leader is a Crashes with the blocks that it has decided on.
+type leader struct {
+	t       *testing.T
+	crashes *crashes.Crashes
+	state   *register.Register
+	index   id.Index
+	now     time.Time
+	ended   int
+}
+
+func newLeader(t *testing.T) *leader {
+	return &leader{t: t, crashes: crashes.New(), state: register.New(), now: start}
+}
+
+// call returns a call of a client account.
+func call(account id.ClientAccount, parts ...id.PromptPart) feed.CrashedCall {
+	return feed.CrashedCall{ClientAccount: account, Parts: parts}
+}
+
+// crash reports, after a time, that one more endpoint has ended under calls.
+func (leader *leader) crash(after time.Duration, calls ...feed.CrashedCall) {
+	leader.now = leader.now.Add(after)
+	leader.ended++
+	leader.crashes.Record(leader.now, []feed.CrashReport{{Host: id.Host(fmt.Sprintf("e%d", leader.ended)), Incarnation: 1, Calls: calls}})
+	leader.decide()
+}
+
+// decide applies what is decided, until nothing is.
+func (leader *leader) decide() {
+	leader.t.Helper()
+	const enough = 10
+	for range enough {
+		command, ok := leader.crashes.Decide(leader.now, leader.state.Blocks())
+		if !ok {
+			return
+		}
+		leader.index++
+		command.Change = id.Change(fmt.Sprint(leader.index))
+		if result := leader.state.Apply(leader.index, command); result.Verdict != register.VerdictDone {
+			leader.t.Fatalf("%+v is decided, and changes nothing: %+v", command, result)
+		}
+	}
+	leader.t.Fatal("there is no end of what is decided")
+}
+
+// sound reports that an answer has begun on parts.
+func (leader *leader) sound(after time.Duration, parts ...id.PromptPart) {
+	leader.now = leader.now.Add(after)
+	leader.crashes.RecordSound(leader.now, parts)
+	leader.decide()
+}
+
+// want reports that a node refuses calls under all blocks.
+func (leader *leader) want(after time.Duration, node id.Node, other bool) {
+	leader.now = leader.now.Add(after)
+	for _, block := range leader.state.Blocks().Blocks {
+		leader.crashes.RecordWanted(leader.now, node, 1, []feed.WantedTrial{{Block: block.Block, OtherAccount: other}})
+	}
+	leader.decide()
+}
+
+// blocked returns the parts of the blocks.
+func (leader *leader) blocked() [][]id.PromptPart {
+	var parts [][]id.PromptPart
+	for _, block := range leader.state.Blocks().Blocks {
+		parts = append(parts, block.Parts)
+	}
+	return parts
+}
+
+func (leader *leader) check(want ...[]id.PromptPart) {
+	leader.t.Helper()
+	if diff := cmp.Diff(want, leader.blocked()); diff != "" {
+		leader.t.Errorf("blocked parts: %s", diff)
+	}
+}
+
+const gap = 100 * time.Millisecond
+
+// Guards against a part that ends each engine and isn't blocked, or not alone, whatever other
+// parts are in the same prompts and whoever else loses the same engines.
+func TestPartUnderWhichEndpointsEndIsBlocked(t *testing.T) {
+	for name, crash := range map[string]func(leader *leader, number int){
+		"alone": func(leader *leader, _ int) { leader.crash(gap, call("a", "bad")) },
+		"with a part that varies": func(leader *leader, number int) {
+			leader.crash(gap, call("a", "bad", id.PromptPart(fmt.Sprint("topic", number))))
+		},
+		"of several client accounts": func(leader *leader, number int) {
+			leader.crash(gap, call(id.ClientAccount(fmt.Sprint("a", number)), "bad"))
+		},
+		"beside other calls": func(leader *leader, number int) {
+			leader.crash(gap, call("a", "bad"), call("b", id.PromptPart(fmt.Sprint("topic", number))), call("b", "own"+id.PromptPart(fmt.Sprint(number))))
+		},
+		"beside a part that is answered": func(leader *leader, _ int) {
+			leader.sound(gap/2, "common")
+			leader.crash(gap, call("a", "bad", "common"), call("b", "common"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for number := range 2 {
+				crash(leader, number)
+			}
+			leader.check()
+			crash(leader, 2)
+			leader.check([]id.PromptPart{"bad"})
+		})
+	}
+}
+
+// Guards against sound parts that are blocked for crashes of another cause.
+func TestCrashesOfAnotherCauseBlockNothing(t *testing.T) {
+	for name, play := range map[string]func(leader *leader){
+		"a rack loses power": func(leader *leader) {
+			for range 20 {
+				leader.crash(2*time.Millisecond, call("a", "common"), call("b", "common", "topic"))
+			}
+		},
+		"engines end one by one under parts that are answered": func(leader *leader) {
+			for range 20 {
+				leader.sound(time.Second, "common", "topic")
+				leader.crash(gap, call("a", "common"), call("b", "common", "topic"))
+			}
+		},
+		"answers have begun at other nodes, which say so later": func(leader *leader) {
+			leader.crash(gap, call("a", "common"))
+			leader.crash(gap, call("a", "common"))
+			leader.sound(gap, "common")
+			leader.crash(gap, call("a", "common"))
+			leader.crash(gap, call("a", "common"))
+		},
+		"rare parts, each once": func(leader *leader) {
+			for number := range 20 {
+				leader.crash(gap, call("a", id.PromptPart(fmt.Sprint("topic", number))))
+			}
+		},
+		"two crashes a minute": func(leader *leader) {
+			for range 20 {
+				leader.crash(31*time.Second, call("a", "topic"))
+			}
+		},
+		"one crash that all nodes report": func(leader *leader) {
+			for number := range 20 {
+				leader.now = leader.now.Add(gap)
+				leader.crashes.Record(leader.now, []feed.CrashReport{{Host: "e", Incarnation: 1, AgeMS: 10, Calls: []feed.CrashedCall{call(id.ClientAccount(fmt.Sprint("a", number)), "topic")}}})
+				leader.decide()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			play(leader)
+			leader.check()
+		})
+	}
+}
+
+// Guards against a choice by chance between parts that as many crashes have in common, and
+// against one that is never made.
+func TestPartsInAsManyCrashesAreToldApartByMore(t *testing.T) {
+	leader := newLeader(t)
+	for range 3 {
+		leader.crash(gap, call("a", "bad", "x1"), call("b", "topic", "x2"))
+	}
+	leader.check()
+	leader.crash(gap, call("a", "bad", "x1"))
+	leader.check([]id.PromptPart{"bad", "x1"})
+
+	leader = newLeader(t)
+	for range 5 {
+		leader.crash(gap, call("a", "bad"), call("b", "topic"))
+	}
+	if len(leader.blocked()) == 0 {
+		t.Error("after five crashes under the same two calls nothing is blocked")
+	}
+}
+
+// Guards against a block for more than the part that ends engines, and against one that goes
+// on to hold once its parts are known to be sound.
+func TestBlockIsNarrowedAndEnded(t *testing.T) {
+	leader := newLeader(t)
+	for range 3 {
+		leader.crash(gap, call("a", "bad", "topic1"))
+	}
+	leader.check([]id.PromptPart{"bad", "topic1"})
+	leader.crash(gap, call("a", "bad", "topic2"))
+	leader.check([]id.PromptPart{"bad"})
+
+	leader = newLeader(t)
+	for range 3 {
+		leader.crash(gap, call("a", "bad", "topic1"))
+	}
+	leader.sound(gap, "topic1")
+	leader.check([]id.PromptPart{"bad"})
+	if accounts := leader.state.Blocks().Blocks[0].ClientAccounts; !slices.Equal(accounts, []id.ClientAccount{"a"}) {
+		t.Errorf("the narrowed block names %v, want a", accounts)
+	}
+	leader.sound(gap, "bad")
+	leader.check()
+}
+
+// Guards against a caller that has the requests of others refused by naming their parts in
+// prompts of its own that end engines.
+func TestOtherClientAccountsGetATrialAtOnce(t *testing.T) {
+	leader := newLeader(t)
+	for number := range 3 {
+		leader.crash(gap, call("attacker", "victim", id.PromptPart(fmt.Sprint("bad", number))))
+	}
+	leader.check([]id.PromptPart{"victim"})
+	leader.want(gap, "n1", true)
+	trial := leader.state.Blocks().Blocks[0].Trial
+	if diff := cmp.Diff(register.PartsTrial{Number: 1, Node: "n1", Incarnation: 1, OtherAccount: true}, trial); diff != "" {
+		t.Fatalf("trial: %s", diff)
+	}
+	leader.sound(gap, "victim")
+	leader.check()
+}
+
+// Guards against trials that are more than three at all hosts together, or come one after the
+// other without a pause.
+func TestTrialsOfABlockAreFew(t *testing.T) {
+	leader := newLeader(t)
+	for range 3 {
+		leader.crash(gap, call("a", "bad"))
+	}
+	numbers := map[time.Duration]int{}
+	from := leader.now
+	for leader.now.Sub(from) < 24*time.Hour {
+		before := leader.state.Blocks().Blocks[0].Trial.Number
+		leader.want(time.Second, id.Node(fmt.Sprint("n", leader.now.Second())), leader.now.Second()%2 == 0)
+		if number := leader.state.Blocks().Blocks[0].Trial.Number; number != before {
+			numbers[leader.now.Sub(from).Round(time.Second)] = number
+			leader.crash(gap, call("b", "bad"))
+		}
+	}
+	if len(numbers) != 3 {
+		t.Errorf("trials at %v, want three", numbers)
+	}
+	leader.check([]id.PromptPart{"bad"})
+	if accounts := leader.state.Blocks().Blocks[0].ClientAccounts; !slices.Equal(accounts, []id.ClientAccount{"a", "b"}) {
+		t.Errorf("the block names %v, want a and b", accounts)
+	}
+}
+
+// Guards against reports that take up the leader's memory, or all of its time.
+func TestReportsAreBounded(t *testing.T) {
+	leader := newLeader(t)
+	var calls []feed.CrashedCall
+	for number := range 64 {
+		var parts []id.PromptPart
+		for part := range 1024 {
+			parts = append(parts, id.PromptPart(fmt.Sprint(number, "-", part)))
+		}
+		calls = append(calls, call("a", parts...))
+	}
+	for range 1000 {
+		leader.crash(time.Millisecond, calls...)
+	}
+	if kept, parts := leader.crashes.Size(); kept > 128 || parts > 4096 {
+		t.Errorf("%d crashes and %d parts are kept", kept, parts)
+	}
+	if suspects := len(leader.crashes.Suspects(leader.now, nil)); suspects > 32 {
+		t.Errorf("nodes are asked about %d parts", suspects)
+	}
+}
