--- a/caroblined/connection/entryapi/crash_test.go
+++ b/caroblined/connection/entryapi/crash_test.go
@@ -193,6 +193,9 @@
 	if got := len(entryHost.crashesOf()); got > 3 {
 		t.Errorf("%d endpoints have ended, want 2 for the first request and 1 for the second", got)
 	}
+	if line := log.awaitLine(t, "crash"); !cmp.Equal(line["suspect_parts"], []any{"topic", "bad"}) {
+		t.Errorf("the line of the crash names %v, want topic and bad", line["suspect_parts"])
+	}
 	if line := log.awaitLine(t, "request"); line["retry_refused"] != "suspect_parts" {
 		t.Errorf("retry_refused %v, want suspect_parts", line["retry_refused"])
 	}
