The guard of parts of prompts is a package of its own, for both interfaces of callers

It finds out whether an endpoint has ended, reports and applies blocks; entryapi held all of that, and the interface of own callers needs the same.

--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -42,7 +42,7 @@
 		api.finishAttempt(call, attempt, balancer.Abandoned)
 		return nil, refusal
 	}
-	if refusal := api.takePermit(now, call); refusal != nil {
+	if refusal := api.takePermit(call); refusal != nil {
 		api.finishAttempt(call, attempt, balancer.Abandoned)
 		return nil, refusal
 	}
@@ -140,9 +140,9 @@
 // recordAnswerTime reports to the balancer the time from the send to the first
 // event of a stream, or to the end of any other answer.
 func (api *API) recordAnswerTime(call *call, attempt *attempt) {
+	api.recordBegun(call, attempt)
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
-	api.recordBegun(api.config.Now(), call, attempt)
 	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
 }
 
@@ -159,12 +159,11 @@
 }
 
 func (api *API) finishAttempt(call *call, attempt *attempt, ending balancer.Ending) {
-	api.mutex.Lock()
-	defer api.mutex.Unlock()
 	if ending == balancer.Failed {
-		call.brokenAt = processOf(attempt.endpoint)
-		api.checkCrash(api.config.Now(), call, attempt)
+		api.recordFailed(call, attempt)
 	}
+	api.mutex.Lock()
+	defer api.mutex.Unlock()
 	api.deliver(api.balancer.Done(api.config.Now(), balancer.Call{Pool: call.pool}, attempt.endpoint.Name, ending))
 }
 
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -13,7 +13,6 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/prompt"
-	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -41,8 +40,8 @@
 	clientAccount id.ClientAccount
 	// sharedParts are the parts of the prompt that other requests may have too.
 	sharedParts []id.PromptPart
-	// brokenAt is the process at which an answer to the call last broke off.
-	brokenAt  suspicion.Process
+	// brokenAt is the endpoint at which an answer to the call last broke off, or nil.
+	brokenAt  *view.Endpoint
 	pool      balancer.Pool
 	priority  int
 	arrivedAt time.Time
@@ -95,7 +94,7 @@
 	call.pool = api.choosePool(call)
 	call.sharedParts = prompt.Shared(call.request.Header.Values(api.config.Dialect.PromptParts))
 	call.connectionOptions = parseConnectionOptions(call.request.Header)
-	return api.refuseBlocked(now, call)
+	return api.refuseBlocked(call)
 }
 
 // stateRetryAfter returns when a node without a configuration in force may have one. A
--- a/caroblined/connection/entryapi/crash_test.go
+++ b/caroblined/connection/entryapi/crash_test.go
@@ -11,6 +11,7 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
@@ -25,11 +26,17 @@
 	_ = connection.Close()
 }
 
+// reported returns what the leader is told.
+func (entryHost *entryHost) reported() member.UsageReported {
+	var usage member.UsageReported
+	entryHost.api.ReportParts(&usage)
+	return usage
+}
+
 // crashesOf returns the parts that an entry host reports, by crash and call.
 func (entryHost *entryHost) crashesOf() [][][]id.PromptPart {
 	var parts [][][]id.PromptPart
-	crashes, _, _ := entryHost.api.Suspicions()
-	for _, crash := range crashes {
+	for _, crash := range entryHost.reported().Crashes {
 		var calls [][]id.PromptPart
 		for _, call := range crash.Report.Calls {
 			calls = append(calls, call.Parts)
@@ -293,7 +300,7 @@
 	if diff := cmp.Diff([]int{200, 503, 503}, statuses); diff != "" {
 		t.Error(diff)
 	}
-	if _, sound, _ := entryHost.api.Suspicions(); !cmp.Equal(sound, []id.PromptPart{"bad", "topic"}) {
+	if sound := entryHost.reported().SoundParts; !cmp.Equal(sound, []id.PromptPart{"bad", "topic"}) {
 		t.Errorf("the leader is told of the sound parts %v, want bad and topic", sound)
 	}
 }
--- a/caroblined/connection/entryapi/drain.go
+++ b/caroblined/connection/entryapi/drain.go
@@ -51,7 +51,7 @@
 // Stop ends all calls. Callers whose answer hasn't begun are told so.
 func (api *API) Stop() {
 	api.stop()
-	api.goroutines.Wait()
+	api.guard.Close()
 }
 
 // refuseBeforeStop refuses a call that may not be answered before the host stops.
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -23,13 +23,13 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/estimate"
-	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -63,8 +63,7 @@
 	Log                 zerolog.Logger
 	Metrics             metrics.Registry
 	Rand                *rand.Rand
-	// Reach opens a connection to an endpoint's address and closes it. Without it no
-	// endpoint is known to have ended.
+	// Reach opens a connection to an endpoint's address and closes it.
 	Reach func(ctx context.Context, address string) error
 	// Self and Incarnation are those of the node.
 	Self        id.Node
@@ -85,8 +84,7 @@
 	stop           context.CancelFunc
 	activeCalls    atomic.Int64
 	lastCallNumber atomic.Uint64
-	// goroutines are those that no call waits for.
-	goroutines sync.WaitGroup
+	guard          *partsguard.Guard
 
 	mutex          sync.Mutex
 	balancer       *balancer.Balancer
@@ -95,19 +93,21 @@
 	// answerTimeByRoute holds the routes of table.
 	answerTimeByRoute map[string]estimate.Estimate
 	table             *routing.Table
-	suspicion         *suspicion.Suspicion
-	crashChecks       map[suspicion.Process]*crashCheck
 }
 
 // New returns an API without endpoints. The first Update supplies them.
 func New(config Config) *API {
 	stopCtx, stop := context.WithCancel(context.Background())
-	return &API{
+	api := &API{
 		config: config, startedAt: config.Now(), retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
 		stopCtx: stopCtx, stop: stop, decisionByCall: map[balancer.Number]chan balancer.Decision{}, answerTimeByRoute: map[string]estimate.Estimate{},
-		suspicion: suspicion.New(config.Self, config.Incarnation), crashChecks: map[suspicion.Process]*crashCheck{},
 		latency: metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
+	api.guard = partsguard.New(partsguard.Config{
+		Self: config.Self, Incarnation: config.Incarnation, View: config.View, Now: config.Now, Reach: config.Reach,
+		Declines: api.declines, Log: config.Log, Metrics: config.Metrics,
+	})
+	return api
 }
 
 // ActiveCalls returns the number of calls in progress.
@@ -161,10 +161,10 @@
 		saved := savedRetriesFraction * float64(api.config.SavedRetries) * current.Share
 		api.retryBudget.SetCapacity(min(maxSavedRetries, max(minSavedRetries, saved)))
 	}
+	api.guard.Update(current)
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	api.forgetDroppedRoutes(current.Routing)
-	api.suspicion.Update(current.Blocks, current.SuspectParts)
 	api.deliver(api.balancer.Update(api.config.Now(), current))
 }
 
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -211,7 +211,7 @@
 		return member.UsageReported{}
 	}
 	usage := member.UsageReported{RunningByEndpoint: node.entry.RunningByEndpoint(), ActiveCalls: node.entry.ActiveCalls(), StalledEndpoints: node.entry.StalledEndpoints()}
-	usage.Crashes, usage.SoundParts, usage.WantedTrials = node.entry.Suspicions()
+	node.entry.ReportParts(&usage)
 	return usage
 }
 
