callerapi: chats whose messages end engines reach no more of them

A chat with a message that ends each engine was sent to four engines, by every node, for ever; calls of others found none.

Change: the shared parts of a chat are its messages but the last, by the hash of their JSON. The guard of the declared routes checks a call as it arrives and before each send; a call whose attempts broke off at two engines before the answer began isn't sent to a third if its parts are suspect. The answer is 503 parts_blocked, not_run, with the time after which a trial may be granted, and says what to leave out.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
@@ -59,6 +60,8 @@
 	PriorityLevels     *attained.Attained
 	// RetryBudget bounds repeated attempts.
 	RetryBudget *budget.Budget
+	// Guard keeps calls whose prompts end engines from more of them.
+	Guard *partsguard.Guard
 	// EngineTransport sends requests to engines over keep-alive connections.
 	EngineTransport http.RoundTripper
 	// SingleSendTransport sends calls that must not repeat. It opens a new
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -10,6 +10,8 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/request/dispatcher"
+	"carobline.dev/core/request/prompt"
+	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/step"
 )
 
@@ -58,6 +60,10 @@
 	if err != nil {
 		return err
 	}
+	parts := suspicion.Call{ClientAccount: call.clientAccount.Contract.ClientAccount, Parts: prompt.Messages(completion.Messages)}
+	if err := blockedError(api.config.Guard.Check(parts)); err != nil {
+		return err
+	}
 	prefix := prefixOf(call, completion)
 	admission, err := api.config.Traffic.Admit(request.Context(), dispatcher.Call{
 		ClientAccount: call.clientAccount.Contract.ClientAccount, Model: completion.Model,
@@ -67,7 +73,7 @@
 		return err
 	}
 	api.config.RetryBudget.Earn()
-	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, body: body, prefix: prefix, maxTokens: *completion.MaxTokens}
+	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, body: body, parts: parts, prefix: prefix, maxTokens: *completion.MaxTokens}
 	if completion.Stream {
 		relay.sink = &streamSink{writer: writer, controller: http.NewResponseController(writer), writeTimeout: api.config.CallerWriteTimeout, call: call}
 	} else {
--- /dev/null
+++ b/caroblined/connection/callerapi/parts.go
@@ -0,0 +1,38 @@
+package callerapi
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/request/suspicion"
+)
+
+// blockedError returns the error for a caller whose prompt has parts that are blocked, or nil.
+func blockedError(blocked suspicion.Refusal, refused bool) *rest.Error {
+	if !refused {
+		return nil
+	}
+	restError := rest.NotRun(http.StatusServiceUnavailable, "parts_blocked", fmt.Sprintf(
+		"engines have ended as they began to answer on messages of this prompt before the last (block %s); leave these out, or ask your operator", blocked.Block))
+	restError.RetryAfter = blocked.RetryAfter
+	return restError
+}
+
+// mayResend reports whether the call may be sent to another engine as far as the parts of its
+// prompt are concerned.
+func (relay *relay) mayResend() bool {
+	return relay.breaks == 0 || relay.delivered() > 0 || relay.api.config.Guard.MayResend(relay.admission.Endpoint(), relay.parts, relay.breaks)
+}
+
+// recordBrokenOff records an attempt whose engine broke off before the answer had begun.
+func (relay *relay) recordBrokenOff(attempt *attempt, err error) {
+	var engineError *engineError
+	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || rest.DialFailed(err) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
+		return
+	}
+	relay.breaks++
+	relay.api.config.Guard.BrokeOff(relay.call.id, relay.parts, attempt.endpoint)
+}
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -17,6 +17,7 @@
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
 	"carobline.dev/core/request/attained"
+	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/view"
 )
 
@@ -28,6 +29,10 @@
 	admission *traffic.Admission
 	path      string
 	body      []byte
+	// parts are those of the prompt that other calls may share.
+	parts suspicion.Call
+	// breaks counts the attempts that broke off before the answer had begun.
+	breaks    int
 	prefix    uint64
 	maxTokens id.Tokens
 	sink      sink
@@ -92,6 +97,10 @@
 	if errors.As(err, &engineError) && !engineError.retry {
 		return false
 	}
+	if !relay.mayResend() {
+		relay.failed = true
+		return false
+	}
 	resumable := relay.delivered() == 0 || relay.admission.Endpoint().Resumes
 	if !resumable || relay.attempt >= maxAttempts || !relay.api.config.RetryBudget.Spend() {
 		relay.failed = true
@@ -178,6 +187,7 @@
 	relay.call.lastEndpoint = endpointName(current.endpoint)
 	handover := relay.startHandover(ctx, current)
 	err := relay.exchange(current, handover)
+	relay.recordBrokenOff(current, err)
 	successor := handover.finish(ctx.Err() == nil && mayGoOn(err))
 	switch {
 	case successor == nil:
@@ -221,6 +231,9 @@
 		return errors.Wrapf(err, "request to %s", address)
 	}
 	relay.setHeaders(request, attempt)
+	if err := blockedError(relay.api.config.Guard.Take(relay.parts)); err != nil {
+		return &engineError{callerError: err, cause: err.Message}
+	}
 	response, err := relay.api.config.EngineTransport.RoundTrip(request) //nolint:bodyclose // attempt.end closes it
 	if err != nil {
 		return errors.Wrapf(causeOf(attempt.ctx, err), "call engine at %s", address)
@@ -351,6 +364,7 @@
 		return false, nil
 	}
 	if relay.delivered() == 0 {
+		relay.api.config.Guard.Began(relay.parts)
 		relay.api.meters.firstToken.Update(relay.api.config.Now().Sub(relay.call.startedAt).Microseconds())
 	}
 	relay.deliveredTokens.Store(event.ID)
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -41,7 +41,9 @@
 	// sharedParts are the parts of the prompt that other requests may have too.
 	sharedParts []id.PromptPart
 	// brokenAt is the endpoint at which an answer to the call last broke off, or nil.
+	// breaks counts those that have before the answer had begun.
 	brokenAt  *view.Endpoint
+	breaks    int
 	pool      balancer.Pool
 	priority  int
 	arrivedAt time.Time
--- a/caroblined/connection/entryapi/crash.go
+++ b/caroblined/connection/entryapi/crash.go
@@ -59,6 +59,7 @@
 func (api *API) recordFailed(call *call, attempt *attempt) {
 	call.brokenAt = attempt.endpoint
 	if !attempt.begun && !attempt.notRun {
+		call.breaks++
 		api.guard.BrokeOff(call.id, call.suspicion(), attempt.endpoint)
 	}
 }
@@ -66,5 +67,5 @@
 // mayResend reports whether a call that may have run may be sent once more as far as its
 // parts are concerned.
 func (api *API) mayResend(call *call) bool {
-	return call.possibleRuns == 0 || api.guard.MayResend(call.brokenAt, call.suspicion())
+	return call.possibleRuns == 0 || api.guard.MayResend(call.brokenAt, call.suspicion(), call.breaks)
 }
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -29,12 +29,14 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
 	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/tlsfiles"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/wal"
@@ -101,6 +103,7 @@
 	peers       *peers.Peers
 	traffic     *traffic.Traffic
 	retryBudget *budget.Budget
+	guard       *partsguard.Guard
 
 	listeners           []*listener
 	tlsFiles            []*tlsfiles.Files
@@ -155,6 +158,7 @@
 	daemon.startTraffic(incarnation)
 	if err := daemon.startControl(incarnation, rest.NewClient(&http.Client{Transport: daemon.engineTransport}, orderToken)); err != nil {
 		daemon.traffic.Close()
+		daemon.guard.Close()
 		daemon.peers.Close()
 		return err
 	}
@@ -197,6 +201,17 @@
 		Dispatcher:  dispatcher.Config{Node: daemon.settings.Node, DataCentre: daemon.settings.DataCentre, Rand: newRand(incarnation)},
 		View:        daemon.view, Now: daemon.now,
 	})
+	daemon.guard = partsguard.New(partsguard.Config{
+		Self: daemon.settings.Node, Incarnation: incarnation, View: daemon.view, Now: daemon.now, Log: daemon.log, Metrics: daemon.metrics,
+		Reach: func(ctx context.Context, address string) error { return rest.Reach(ctx, daemon.network.Dial, address) },
+	})
+}
+
+// usage returns what the leader is told of the request path.
+func (daemon *Daemon) usage(now time.Time) member.UsageReported {
+	usage := daemon.traffic.Report(now)
+	daemon.guard.Report(&usage)
+	return usage
 }
 
 // view returns the latest view, or an empty one before the event loop is started.
@@ -220,7 +235,7 @@
 			}
 			return hostapi.SendOrder(ctx, engines, order)
 		},
-		CollectUsage: daemon.traffic.Report,
+		CollectUsage: daemon.usage,
 		OnViewChange: daemon.viewChanged,
 	})
 	if err != nil {
@@ -232,6 +247,7 @@
 
 func (daemon *Daemon) viewChanged(current *view.View) {
 	daemon.traffic.Wake()
+	daemon.guard.Update(current)
 	if current.StopFinished {
 		daemon.stopFinishedOnce.Do(func() { close(daemon.stopFinished) })
 	}
@@ -245,7 +261,7 @@
 		Propose: loop.Propose, RunInBackground: daemon.runInBackground, Log: daemon.log, Metrics: daemon.metrics,
 		BodyBytes: nodeSettings.Limits.BodyBytes, InactivityTimeout: time.Duration(nodeSettings.Limits.InactivityTimeoutMS) * time.Millisecond,
 		CallerWriteTimeout: daemon.callerWriteTimeout(),
-		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
+		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, Guard: daemon.guard, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
 	}).Handler()
 	if nodeSettings.RouterOff {
 		callers = routerOffHandler()
@@ -367,6 +383,7 @@
 	daemon.cancelBackground()
 	daemon.background.Wait()
 	daemon.traffic.Close()
+	daemon.guard.Close()
 	err := daemon.control.Load().Close()
 	daemon.peers.Close()
 	daemon.engineTransport.CloseIdleConnections()
--- a/caroblined/process/daemon/network_test.go
+++ b/caroblined/process/daemon/network_test.go
@@ -6,8 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-
-	"github.com/go-faster/errors"
+	"syscall"
 
 	"carobline.dev/caroblined/process/daemon"
 )
@@ -63,19 +62,24 @@
 		return dialLost(), nil
 	}
 	if listener == nil || unreachable {
-		return nil, errors.Errorf("connection to %s refused", address)
+		return nil, refusedConnection()
 	}
 	dialled, accepted := net.Pipe()
 	select {
 	case listener.incoming <- accepted:
 		return dialled, nil
 	case <-listener.closed:
-		return nil, errors.Errorf("connection to %s refused", address)
+		return nil, refusedConnection()
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// refusedConnection returns the error of a connection to an address at which nothing listens.
+func refusedConnection() error {
+	return &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
+}
+
 func (network *pipeNetwork) setUnreachable(address string, unreachable bool) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,8 @@
 	stop       context.CancelFunc
 	announcers sync.WaitGroup
 	closers    []func()
+	// ended counts the engines that have ended under prompts with endingText.
+	ended atomic.Int64
 }
 
 // runningNode is a node with the daemon that runs it.
@@ -177,7 +180,7 @@
 	if err != nil {
 		system.t.Fatal(err)
 	}
-	server := &http.Server{Handler: host.Handler()}
+	server := &http.Server{Handler: system.endingOn(config.Address, host.Handler())}
 	go func() { _ = server.Serve(listener) }()
 	transport := &http.Transport{DialContext: system.network.dial}
 	system.closers = append(system.closers, func() { _ = server.Close(); transport.CloseIdleConnections() })
--- a/caroblined/request/partsguard/partsguard.go
+++ b/caroblined/request/partsguard/partsguard.go
@@ -10,7 +10,7 @@
 //	if refusal, ok := guard.Take(call); ok { ... }   // as the last step before a send
 //	guard.Began(call)                                // its answer has begun
 //	guard.BrokeOff(request, call, endpoint)          // it broke off before
-//	if guard.MayResend(endpoint, call) { ... }
+//	if guard.MayResend(endpoint, call, breaks) { ... }
 //	guard.Close()
 package partsguard
 
@@ -162,9 +162,10 @@
 	guard.suspicion.Began(guard.config.Now(), call.Parts)
 }
 
-// MayResend reports whether a call whose answer broke off at an endpoint, before it had
-// begun, may be sent to another one. The endpoint is nil if none has the answer broken off.
-func (guard *Guard) MayResend(endpoint *view.Endpoint, call suspicion.Call) bool {
+// MayResend reports whether a call whose answer last broke off at an endpoint, before it had
+// begun, may be sent to another one. The endpoint is nil if none has broken it off, and breaks
+// counts those that have.
+func (guard *Guard) MayResend(endpoint *view.Endpoint, call suspicion.Call, breaks int) bool {
 	if len(call.Parts) == 0 {
 		return true
 	}
@@ -174,7 +175,7 @@
 	}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	return guard.suspicion.MayResend(guard.config.Now(), process, call)
+	return guard.suspicion.MayResend(guard.config.Now(), process, call, breaks)
 }
 
 // Report adds what the leader is told of endpoints that ended, of the parts that it asks
--- a/core/request/prompt/prompt.go
+++ b/core/request/prompt/prompt.go
@@ -1,13 +1,17 @@
-// Package prompt reads the list of the parts that a request's prompt consists of.
+// Package prompt reads the parts that a request's prompt consists of, from a list of their
+// names or from the messages of a chat.
 //
 // # Usage
 //
+//	shared := prompt.Messages(body.Messages)
 //	shared := prompt.Shared(request.Header["Prompt-Parts"]) // "a:800,b:410,c:250": a and b
 package prompt
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"strings"
 
 	"carobline.dev/core/id"
@@ -42,6 +46,28 @@
 	return shared
 }
 
+// Messages returns the parts of a chat's prompt that other requests may have too: all messages
+// but the last. It returns none for JSON that isn't a list.
+func Messages(list json.RawMessage) []id.PromptPart {
+	var messages []json.RawMessage
+	if json.Unmarshal(list, &messages) != nil || len(messages) == 0 {
+		return nil
+	}
+	var shared []id.PromptPart
+	seen := map[id.PromptPart]bool{}
+	for _, message := range messages[:min(len(messages)-1, maxParts)] {
+		var compact bytes.Buffer
+		if json.Compact(&compact, message) != nil {
+			continue
+		}
+		if part := hashed(compact.Bytes()); !seen[part] {
+			seen[part] = true
+			shared = append(shared, part)
+		}
+	}
+	return shared
+}
+
 // partOf returns the part that an entry of the list names, or "" for none.
 func partOf(entry string) id.PromptPart {
 	name, _, _ := strings.Cut(entry, ":")
@@ -49,6 +75,10 @@
 	if len(name) <= maxNameBytes {
 		return id.PromptPart(name)
 	}
-	hash := sha256.Sum256([]byte(name))
+	return hashed([]byte(name))
+}
+
+func hashed(data []byte) id.PromptPart {
+	hash := sha256.Sum256(data)
 	return id.PromptPart("sha256-" + hex.EncodeToString(hash[:hashBytes]))
 }
--- a/core/request/prompt/prompt_test.go
+++ b/core/request/prompt/prompt_test.go
@@ -47,3 +47,19 @@
 		t.Errorf("%d parts are kept of one prompt, want %d", got, bound)
 	}
 }
+
+// Guards against messages that differ in white space alone and count as two parts, and against
+// a last message, which is the request's own, that counts.
+func TestMessagesButTheLastAreShared(t *testing.T) {
+	system, question := `{"role":"system","content":"be brief"}`, `{"role":"user","content":"why?"}`
+	one := prompt.Messages([]byte("[" + system + "," + question + "]"))
+	other := prompt.Messages([]byte("[ {\"role\": \"system\",\n\"content\":\"be brief\"}, " + system + "," + question + ", " + question + "]"))
+	if len(one) != 1 || len(other) != 2 || one[0] != other[0] {
+		t.Errorf("shared parts are %v and %v; want one, and the same with one more", one, other)
+	}
+	for _, list := range []string{"", "[]", "[" + question + "]", "{}", `"text"`} {
+		if got := prompt.Messages([]byte(list)); got != nil {
+			t.Errorf("shared parts of %s are %v, want none", list, got)
+		}
+	}
+}
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -36,6 +36,9 @@
 	maxSoundParts = 2048
 	// wantedTime is how long a refusal under a block is reported.
 	wantedTime = time.Second
+	// maxBreaks is how many endpoints may break off the answer to a call with suspect parts
+	// before it begins.
+	maxBreaks = 2
 	// blockedRetryAfter is when a trial may be granted to a client account that a block
 	// names, and otherRetryAfter to any other.
 	blockedRetryAfter = 10 * time.Minute
@@ -259,15 +262,18 @@
 }
 
 // MayResend reports whether a call that was at an endpoint whose answer broke off before it
-// began may be sent to another one: not if the leader suspects one of its parts, or a crash
-// of another process has been seen under one.
-func (suspicion *Suspicion) MayResend(now time.Time, process Process, call Call) bool {
+// began may be sent to another one: not if the leader suspects one of its parts, a crash of
+// another process has been seen under one, or maxBreaks endpoints have broken off.
+func (suspicion *Suspicion) MayResend(now time.Time, process Process, call Call, breaks int) bool {
 	suspicion.rotate(now)
 	suspicion.forget(now)
 	parts := suspicion.suspect(call.Parts)
 	if len(parts) == 0 {
 		return true
 	}
+	if breaks >= maxBreaks {
+		return false
+	}
 	among := func(part id.PromptPart) bool { return slices.Contains(parts, part) }
 	if slices.ContainsFunc(suspicion.suspects, among) {
 		return false
--- a/core/request/suspicion/suspicion_test.go
+++ b/core/request/suspicion/suspicion_test.go
@@ -127,17 +127,19 @@
 	for name, test := range map[string]struct {
 		process suspicion.Process
 		call    suspicion.Call
+		breaks  int
 		want    bool
 	}{
-		"first crash, the same process": {process, call("a", "bad"), true},
-		"second process":                {other, call("b", "bad", "x"), false},
-		"answered part":                 {other, call("b", "common"), true},
-		"other part":                    {other, call("b", "x"), true},
-		"no part":                       {other, call("b"), true},
-		"asked about":                   {other, call("b", "asked"), false},
+		"first crash, the same process": {process, call("a", "bad"), 1, true},
+		"second process":                {other, call("b", "bad", "x"), 1, false},
+		"answered part":                 {other, call("b", "common"), 3, true},
+		"other part":                    {other, call("b", "x"), 1, true},
+		"second break":                  {other, call("b", "x"), 2, false},
+		"no part":                       {other, call("b"), 3, true},
+		"asked about":                   {other, call("b", "asked"), 1, false},
 	} {
 		state.Update(register.PartsBlocks{}, []id.PromptPart{"asked"})
-		if got := state.MayResend(start, test.process, test.call); got != test.want {
+		if got := state.MayResend(start, test.process, test.call, test.breaks); got != test.want {
 			t.Errorf("%s: sent again: %v, want %v", name, got, test.want)
 		}
 	}
