fleet: one timed-out probe doesn't prove that a host is lost

Cause: a probe that timed out counted like a connection that was refused. A lost packet, or a cut that is over soon, was taken for the loss of the host.

Change: control says whether the address refused the connection. A refusal proves the loss at once; timeouts prove it once two of them came half a retry interval apart or more, since the host's last announcement. The stand-in engines of the other tests that are gone refuse, as a machine whose process has ended does.

A host whose power is lost is known as lost after two probes, a second later than before.

--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -357,7 +357,9 @@
 	defer cancel()
 	if err := control.config.SendOrder(ctx, order); err != nil {
 		if rest.DialFailed(err) {
-			control.post(func(now time.Time) { control.stepVoter(now, controller.OrderUndelivered{Host: order.Host}) })
+			control.post(func(now time.Time) {
+				control.stepVoter(now, controller.OrderUndelivered{Host: order.Host, Refused: rest.Refused(err)})
+			})
 		}
 		control.config.Log.Warn().Err(err).Str("step", "order").Str("host", string(order.Host)).Uint64("fencing", uint64(order.Fencing)).Msg("sending an order to the host failed; the leader sends it again")
 	}
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -140,7 +140,7 @@
 		controller.handleVotersChange(now, &actions, event)
 	case OrderUndelivered:
 		if controller.leadership != nil {
-			controller.leadership.fleet.Step(now, fleet.OrderUndelivered{Host: event.Host})
+			controller.leadership.fleet.Step(now, fleet.OrderUndelivered{Host: event.Host, Refused: event.Refused})
 		}
 	case LeadershipTransferRequested:
 		controller.applyQuorumActions(now, &actions, controller.quorum.Step(now, quorum.TransferLeadership{}))
--- a/core/process/controller/engine_test.go
+++ b/core/process/controller/engine_test.go
@@ -156,7 +156,7 @@
 		return
 	}
 	if !engine.up || engine.unreachable {
-		from.step(controller.OrderUndelivered{Host: order.Host})
+		from.step(controller.OrderUndelivered{Host: order.Host, Refused: !engine.up})
 		return
 	}
 	deliver := func() { engine.executeOrder(order) }
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -45,8 +45,12 @@
 	Membership quorum.Membership
 }
 
-// OrderUndelivered reports an order that found no host at its address.
-type OrderUndelivered struct{ Host id.Host }
+// OrderUndelivered reports an order that didn't reach its host: the host's address refused
+// the connection, or else it couldn't be opened in time.
+type OrderUndelivered struct {
+	Host    id.Host
+	Refused bool
+}
 
 // LeadershipTransferRequested asks a leader to transfer its leadership.
 type LeadershipTransferRequested struct{}
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -89,8 +89,8 @@
 	// stallReportedAtByGroup is when a node last reported that its calls to a group
 	// are stalled.
 	stallReportedAtByGroup map[id.Group]time.Time
-	// undeliveredAtByHost is when an order last found no host at its address.
-	undeliveredAtByHost map[id.Host]time.Time
+	// undeliveredByHost holds the orders that didn't reach their host.
+	undeliveredByHost map[id.Host]*undelivered
 	// probedAtByHost is when a probe was last sent to a host.
 	probedAtByHost map[id.Host]time.Time
 	// stagingByHost holds the orders to stage weights that are in progress.
@@ -118,7 +118,7 @@
 		formedAtByGroup: map[id.Group]id.Version{}, retiredAtByHost: map[id.Host]id.Version{},
 		joinStartedAtByGroup: map[id.Group]time.Time{}, leftGroupAtByHost: map[id.Host]time.Time{}, openedGroups: map[id.Group]bool{},
 		lastOrderByHost: map[id.Host]sentOrder{}, stallReportedAtByGroup: map[id.Group]time.Time{},
-		undeliveredAtByHost: map[id.Host]time.Time{}, probedAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
+		undeliveredByHost: map[id.Host]*undelivered{}, probedAtByHost: map[id.Host]time.Time{}, stagingByHost: map[id.Host]staging{},
 		lastDissolvedAtByDomain: map[id.Domain]time.Time{},
 	}
 }
@@ -132,9 +132,12 @@
 // StallReported is a node's report that its calls to a group make no progress.
 type StallReported struct{ Group id.Group }
 
-// OrderUndelivered reports an order, which may be a probe, that found no host at its
-// address.
-type OrderUndelivered struct{ Host id.Host }
+// OrderUndelivered reports an order, which may be a probe, that didn't reach its host: the
+// host's address refused the connection, or else it couldn't be opened in time.
+type OrderUndelivered struct {
+	Host    id.Host
+	Refused bool
+}
 
 func (CallReported) event()     {}
 func (StallReported) event()    {}
@@ -148,7 +151,12 @@
 	case StallReported:
 		fleet.stallReportedAtByGroup[event.Group] = now
 	case OrderUndelivered:
-		fleet.undeliveredAtByHost[event.Host] = now
+		known := fleet.undeliveredByHost[event.Host]
+		if known == nil {
+			known = &undelivered{}
+			fleet.undeliveredByHost[event.Host] = known
+		}
+		known.record(now, event.Refused)
 	}
 }
 
--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -105,7 +105,7 @@
 func (world *world) carryOut(order action.Order) {
 	engine := world.engines[order.Host]
 	if engine == nil {
-		world.fleet.Step(world.now, fleet.OrderUndelivered{Host: order.Host})
+		world.fleet.Step(world.now, fleet.OrderUndelivered{Host: order.Host, Refused: true})
 		return
 	}
 	if order.Number < world.highestNumberByHost[order.Host] || !world.fits(engine, order) {
@@ -243,7 +243,7 @@
 	world.silent = map[id.Host]bool{head: true, lost: true}
 	world.run(announceInterval / 4)
 	delete(world.engines, lost)
-	world.fleet.Step(world.now, fleet.OrderUndelivered{Host: lost})
+	world.fleet.Step(world.now, fleet.OrderUndelivered{Host: lost, Refused: true})
 	world.run(announceInterval)
 	world.silent = nil
 	if world.run(8 * time.Second); len(world.openGroups("four")) != 1 {
--- a/core/process/fleet/late_orders_test.go
+++ b/core/process/fleet/late_orders_test.go
@@ -262,7 +262,7 @@
 	engine := world.engines[order.Host]
 	if engine == nil || !engine.up {
 		if world.chance(0.5) {
-			world.fleet.Step(world.now, fleet.OrderUndelivered{Host: order.Host})
+			world.fleet.Step(world.now, fleet.OrderUndelivered{Host: order.Host, Refused: true})
 		}
 		return
 	}
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -75,7 +75,7 @@
 		return !known
 	}
 	maps.DeleteFunc(fleet.lastOrderByHost, func(host id.Host, _ sentOrder) bool { return unknown(host) })
-	maps.DeleteFunc(fleet.undeliveredAtByHost, func(host id.Host, _ time.Time) bool { return unknown(host) })
+	maps.DeleteFunc(fleet.undeliveredByHost, func(host id.Host, _ *undelivered) bool { return unknown(host) })
 	maps.DeleteFunc(fleet.probedAtByHost, func(host id.Host, _ time.Time) bool { return unknown(host) })
 	maps.DeleteFunc(fleet.retiredAtByHost, func(host id.Host, _ id.Version) bool { return unknown(host) })
 	maps.DeleteFunc(fleet.stallReportedAtByGroup, func(_ id.Group, reportedAt time.Time) bool { return now.Sub(reportedAt) >= groupStallReportLifetime })
@@ -166,11 +166,10 @@
 
 // hostLost reports whether a host that takes no requests yet counts as lost: the
 // time since its last announcement (see sinceLastAnnouncement) exceeds its lease,
-// or an order has found no host at its address within that time.
+// or orders within that time prove that it can't be reached.
 func (fleet *Fleet) hostLost(now time.Time, host *roster.Member) bool {
 	elapsed := fleet.sinceLastAnnouncement(now, host)
-	undeliveredAt := fleet.undeliveredAtByHost[host.Announcement.Host]
-	return elapsed > host.Announcement.Lease() || undeliveredAt.After(now.Add(-elapsed))
+	return elapsed > host.Announcement.Lease() || fleet.undeliveredByHost[host.Announcement.Host].proven(now.Add(-elapsed))
 }
 
 // silentHostLost reports whether a host that should announce itself counts as lost: it is
@@ -178,11 +177,11 @@
 // (see longestSilence). It sends a probe to find out whether the host can be reached.
 func (fleet *Fleet) silentHostLost(now time.Time, actions *Actions, host *roster.Member) bool {
 	elapsed := fleet.sinceLastAnnouncement(now, host)
-	undelivered := fleet.undeliveredAtByHost[host.Announcement.Host].After(now.Add(-elapsed))
-	if undelivered && elapsed > announcementIntervals(host, silentIntervals) || elapsed > longestSilence+announcementIntervals(host, lostIntervals) {
+	unreachable := fleet.undeliveredByHost[host.Announcement.Host].proven(now.Add(-elapsed))
+	if unreachable && elapsed > announcementIntervals(host, silentIntervals) || elapsed > longestSilence+announcementIntervals(host, lostIntervals) {
 		return true
 	}
-	if elapsed > announcementIntervals(host, probeIntervals) && !undelivered {
+	if elapsed > announcementIntervals(host, probeIntervals) && !unreachable {
 		fleet.sendProbe(now, actions, host)
 	}
 	return false
--- a/core/process/fleet/silence_test.go
+++ b/core/process/fleet/silence_test.go
@@ -257,3 +257,30 @@
 		}
 	}
 }
+
+// Guards against a lost host, with its group, that is kept for long since it refuses no
+// connection: its power is lost, or it is cut off.
+func TestSilentHostIsLostOnceTwoProbesTimeOut(t *testing.T) {
+	const dialTimeout, most = 400 * time.Millisecond, 4 * time.Second
+	for seed := range uint64(10) {
+		world := newLateWorld(t, seed, lateRates{})
+		world.pass(10*time.Second + world.upTo(announceInterval))
+		before := world.servingGroups()[0]
+		dark := before.Hosts[1]
+		world.silence(dark, time.Hour)
+		from := world.now
+		for world.now.Sub(from) < most {
+			seen := len(world.orders)
+			world.pass(lateWorldStep)
+			for _, order := range world.orders[seen:] {
+				if order.Host == dark {
+					world.after(dialTimeout, func() { world.fleet.Step(world.now, fleet.OrderUndelivered{Host: dark}) })
+				}
+			}
+		}
+		kept := slices.ContainsFunc(world.servingGroups(), func(group register.GroupRecord) bool { return group.Group == before.Group })
+		if kept {
+			t.Errorf("seed %d: group %s of a host that can't be reached is in use %v later", seed, before.Group, most)
+		}
+	}
+}
--- a/core/process/fleet/staging.go
+++ b/core/process/fleet/staging.go
@@ -55,7 +55,7 @@
 		host, known := fleet.state.Roster.Member(name)
 		announcement := &host.Announcement
 		unavailable := !known || !host.Live(now) || announcement.Incarnation != staging.incarnation
-		undelivered := fleet.undeliveredAtByHost[name].After(staging.orderedAt)
+		undelivered := fleet.undeliveredByHost[name].any(staging.orderedAt)
 		if unavailable || undelivered || !now.Before(staging.deadline) || slices.Contains(announcement.Staged, staging.model) {
 			delete(fleet.stagingByHost, name)
 		}
