names and comments: unresponsive, idle and without progress in place of silent

Hosts and endpoints that should answer and don't are unresponsive, streams without an event are idle, pools without any make no progress; silent stood for all three. Outer names, such as the log's step silent and the fault of the stand-in engine, stay.

--- a/caroblined/connection/callerapi/handover.go
+++ b/caroblined/connection/callerapi/handover.go
@@ -28,11 +28,11 @@
 // ejected as slow.
 var errEndpointSlow = errors.New("the endpoint has turned slow")
 
-// errEndpointSilent is the reason to move an answer away from an endpoint that has sent
+// errEndpointUnresponsive is the reason to move an answer away from an endpoint that has sent
 // nothing for the inactivity timeout. It ends a running stream only where the view no
-// longer holds the endpoint; it also ends a successor that sends nothing, and a silent call
+// longer holds the endpoint; it also ends a successor that sends nothing, and an unresponsive call
 // of a plain service.
-var errEndpointSilent = errors.New("the endpoint was silent for too long")
+var errEndpointUnresponsive = errors.New("the endpoint sent nothing for too long")
 
 // errHandedOver ends an attempt whose successor has begun.
 var errHandedOver = errors.New("the answer goes on at another endpoint")
@@ -42,7 +42,7 @@
 var errDemoted = errors.New("the call was demoted to a lower priority level")
 
 // handover looks for a successor to an attempt that is demoted, or whose endpoint is slow,
-// stalled, silent or lost. The attempt goes on until the successor has an event to pass on,
+// stalled, unresponsive or lost. The attempt goes on until the successor has an event to pass on,
 // in a demotion at most demotionGrace after an engine accepted it; its own engine may be at
 // work all the same.
 type handover struct {
@@ -146,10 +146,10 @@
 		}
 		if handover.silence() >= relay.api.config.InactivityTimeout {
 			if !handover.endpointValid() {
-				handover.current.cancel(errEndpointSilent)
+				handover.current.cancel(errEndpointUnresponsive)
 				return
 			}
-			handover.setReason(errEndpointSilent)
+			handover.setReason(errEndpointUnresponsive)
 		}
 		handover.dropReason()
 		if now := relay.api.config.Now(); handover.reason != nil && !now.Before(handover.nextTryAt) {
@@ -174,7 +174,7 @@
 // dropReason forgets a reason that holds no more. That an endpoint is slow is said again
 // by each slow token.
 func (handover *handover) dropReason() {
-	passing := errors.Is(handover.reason, traffic.ErrStalled) || errors.Is(handover.reason, errEndpointSilent) || errors.Is(handover.reason, errEndpointSlow)
+	passing := errors.Is(handover.reason, traffic.ErrStalled) || errors.Is(handover.reason, errEndpointUnresponsive) || errors.Is(handover.reason, errEndpointSlow)
 	if passing && handover.relay.delivered() > handover.deliveredAtReason {
 		handover.reason = nil
 	}
@@ -244,7 +244,7 @@
 		return nil, errNotWhole
 	}
 	successor := &attempt{endpoint: reservation.Endpoint(), level: reservation.Level(), ctx: started, cancel: cancel}
-	timer := time.AfterFunc(relay.api.config.InactivityTimeout, func() { cancel(errEndpointSilent) })
+	timer := time.AfterFunc(relay.api.config.InactivityTimeout, func() { cancel(errEndpointUnresponsive) })
 	defer timer.Stop()
 	err := relay.send(successor)
 	if err == nil {
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -187,7 +187,7 @@
 		return nil, false, errors.Errorf("endpoint %s is no longer whole", endpoint.Address)
 	}
 	defer cancel(nil)
-	inactivityTimer := time.AfterFunc(api.config.InactivityTimeout, func() { cancel(errEndpointSilent) })
+	inactivityTimer := time.AfterFunc(api.config.InactivityTimeout, func() { cancel(errEndpointUnresponsive) })
 	defer inactivityTimer.Stop()
 	if serviceCall.mayMove {
 		defer api.leaveLostEndpoint(attemptCtx, cancel, admission, serviceCall)()
--- a/caroblined/connection/entryapi/answerwatch.go
+++ b/caroblined/connection/entryapi/answerwatch.go
@@ -18,7 +18,7 @@
 	answerStart, pause time.Duration
 
 	// The mutex of failover guards the fields below.
-	silent bool
+	reported bool
 	// begun reports that a whole answer is being read, so that no search starts.
 	begun bool
 }
@@ -30,7 +30,7 @@
 		return nil
 	}
 	watch := &answerWatch{
-		failover: &failover{api: api, ctx: ctx, call: call, silent: attempt.endpoint.Name, uncountedRuns: 1, cancelSilent: cancel, streaming: call.streaming},
+		failover: &failover{api: api, ctx: ctx, call: call, unresponsive: attempt.endpoint.Name, uncountedRuns: 1, cancelUnresponsive: cancel, streaming: call.streaming},
 		attempt:  attempt, startedAt: api.config.Now(), answerStart: answerStartTimeout(call), pause: pauseTimeout(call),
 	}
 	watch.mutex.Lock()
@@ -56,9 +56,9 @@
 		watch.timer.Reset(watch.pause / 4)
 		return
 	}
-	if !watch.silent {
-		watch.silent = true
-		watch.api.reportSilence(now, watch.call, watch.attempt, balancer.Failed, limit, idle)
+	if !watch.reported {
+		watch.reported = true
+		watch.api.reportUnresponsive(now, watch.call, watch.attempt, balancer.Failed, limit, idle)
 	}
 	watch.start("")
 	watch.timer.Reset(watch.pause)
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -49,19 +49,19 @@
 	outdated bool
 }
 
-// failover looks for a replacement of an endpoint that is silent, beside the exchange with
+// failover looks for a replacement of an endpoint that is unresponsive, beside the exchange with
 // it. That exchange is cancelled only once the replacement has begun to answer. What the
-// silent endpoint sends before ends the search if it is passed on.
+// unresponsive endpoint sends before ends the search if it is passed on.
 type failover struct {
 	api  *API
 	ctx  context.Context
 	call *call
-	// silent is the endpoint at which the call runs.
-	silent feed.Endpoint
-	// uncountedRuns are the runs at the silent endpoint that call.possibleRuns doesn't
+	// unresponsive is the endpoint at which the call runs.
+	unresponsive feed.Endpoint
+	// uncountedRuns are the runs at the unresponsive endpoint that call.possibleRuns doesn't
 	// count yet.
-	uncountedRuns int
-	cancelSilent  context.CancelFunc
+	uncountedRuns      int
+	cancelUnresponsive context.CancelFunc
 
 	mutex sync.Mutex
 	// streamHead reports that the head of a stream has come, and streaming that the caller
@@ -83,7 +83,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(failover.ctx)
-	search := &search{call: failover.call.fork(failover.silent), cancel: cancel}
+	search := &search{call: failover.call.fork(failover.unresponsive), cancel: cancel}
 	search.call.possibleRuns += failover.uncountedRuns
 	search.call.streaming = failover.streaming
 	if lastEventID != "" {
@@ -93,13 +93,13 @@
 	failover.goroutines.Go(func() { failover.run(ctx, search) })
 }
 
-// fork returns a copy of a call for a search beside a silent endpoint.
-func (call *call) fork(silent feed.Endpoint) *call {
+// fork returns a copy of a call for a search beside an unresponsive endpoint.
+func (call *call) fork(unresponsive feed.Endpoint) *call {
 	fork := *call
 	fork.request = call.request.WithContext(call.request.Context())
 	fork.request.Header = call.request.Header.Clone()
 	fork.tried = slices.Clone(call.tried)
-	fork.runningAt = silent
+	fork.runningAt = unresponsive
 	return &fork
 }
 
@@ -117,7 +117,7 @@
 	if replacement != nil && !search.outdated && failover.fits(replacement) {
 		failover.secured = replacement
 		replacement.exchange.onClose(search.cancel)
-		failover.cancelSilent()
+		failover.cancelUnresponsive()
 		failover.mutex.Unlock()
 		return
 	}
@@ -128,7 +128,7 @@
 	search.cancel()
 }
 
-// fits reports whether a replacement can go on with the call, of which the silent endpoint
+// fits reports whether a replacement can go on with the call, of which the unresponsive endpoint
 // may have begun a stream meanwhile. The caller holds the mutex.
 func (failover *failover) fits(replacement *replacement) bool {
 	return !failover.streamHead || replacement.exchange.continues(failover.streaming)
@@ -148,10 +148,10 @@
 	}
 	failover.refusal = refusal
 	failover.api.config.Log.Info().Str("step", "not_replaced").Str("request", string(failover.call.id)).Str("retry_refused", refusal).
-		Msg("no other endpoint goes on with the call; the silent one is awaited")
+		Msg("no other endpoint goes on with the call; the unresponsive one is awaited")
 }
 
-// progressed ends a search, since the silent endpoint has gone on. It returns false when
+// progressed ends a search, since the unresponsive endpoint has gone on. It returns false when
 // the call has a replacement already. The caller holds the mutex.
 func (failover *failover) progressed() bool {
 	if failover.secured != nil {
@@ -228,7 +228,7 @@
 	}
 }
 
-// send sends a call to an endpoint, or to its replacement if that one is silent, and
+// send sends a call to an endpoint, or to its replacement if that one is unresponsive, and
 // returns the attempt that was answered last.
 func (api *API) send(ctx context.Context, call *call, attempt *attempt) (*attempt, *exchange) {
 	exchange := api.exchange(ctx, call, attempt)
@@ -270,11 +270,11 @@
 	limitLonePause   silenceLimit = "lone_pause"
 )
 
-// reportSilence tells the balancer and the log that an endpoint is silent.
-func (api *API) reportSilence(now time.Time, call *call, attempt *attempt, ending balancer.Ending, limit silenceLimit, idle time.Duration) {
+// reportUnresponsive tells the balancer and the log that an endpoint is unresponsive.
+func (api *API) reportUnresponsive(now time.Time, call *call, attempt *attempt, ending balancer.Ending, limit silenceLimit, idle time.Duration) {
 	api.mutex.Lock()
 	api.balancer.Report(now, attempt.endpoint.Name, ending)
 	api.mutex.Unlock()
 	api.config.Log.Info().Str("step", "silent").Str("request", string(call.id)).Str("host", string(attempt.endpoint.Host)).
-		Str("limit", string(limit)).Int64("idle_ms", idle.Milliseconds()).Msg("another endpoint is looked for beside one that is silent")
+		Str("limit", string(limit)).Int64("idle_ms", idle.Milliseconds()).Msg("another endpoint is looked for beside one that is unresponsive")
 }
--- a/caroblined/connection/entryapi/silent_stream_test.go
+++ b/caroblined/connection/entryapi/silent_stream_test.go
@@ -460,7 +460,7 @@
 		}
 	}
 	if !reported {
-		t.Error("the silent endpoint wasn't reported as stalled")
+		t.Error("the unresponsive endpoint wasn't reported as stalled")
 	}
 	if stalled := entryHost.api.StalledEndpoints(); len(stalled) != 0 {
 		t.Errorf("%v is still reported as stalled, though it has gone on", stalled)
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -91,7 +91,7 @@
 var errCallerWrite = errors.New("write to the caller failed")
 
 // stream passes a stream on event by event. When it breaks off, or another endpoint has
-// taken over from a silent one, it goes on there after the last complete event. The caller sees one answer,
+// taken over from an unresponsive one, it goes on there after the last complete event. The caller sees one answer,
 // with the first endpoint's headers.
 func (api *API) stream(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
 	progress := progress{header: exchange.response.Header}
--- a/caroblined/connection/entryapi/watchdog.go
+++ b/caroblined/connection/entryapi/watchdog.go
@@ -8,7 +8,7 @@
 )
 
 // watchdog looks for a replacement of an endpoint whose stream has had no event for too
-// long, and looks again while it stays silent. The limit depends on whether other streams
+// long, and looks again while it has none. The limit depends on whether other streams
 // of the endpoint get events.
 type watchdog struct {
 	*failover
@@ -23,8 +23,8 @@
 	idleSince      time.Time
 	// writing reports that events are being passed on, so that nothing is read.
 	writing bool
-	// silent reports that the endpoint has been silent since the last event.
-	silent bool
+	// reported reports that the endpoint has been reported as unresponsive since the last event.
+	reported bool
 	// position is how far the caller has got.
 	position position
 }
@@ -52,7 +52,7 @@
 // the stream's head goes on.
 func (exchange *exchange) takeFailover(ctx context.Context, api *API, call *call, attempt *attempt) *failover {
 	if exchange.watch == nil {
-		return &failover{api: api, ctx: ctx, call: call, silent: attempt.endpoint.Name, streamHead: true, streaming: true, cancelSilent: exchange.cancel}
+		return &failover{api: api, ctx: ctx, call: call, unresponsive: attempt.endpoint.Name, streamHead: true, streaming: true, cancelUnresponsive: exchange.cancel}
 	}
 	return exchange.watch.handOver()
 }
@@ -75,7 +75,7 @@
 	}
 	first := !watchdog.firstEventSeen
 	watchdog.streaming = true
-	watchdog.firstEventSeen, watchdog.writing, watchdog.silent, watchdog.idleSince = true, true, false, now
+	watchdog.firstEventSeen, watchdog.writing, watchdog.reported, watchdog.idleSince = true, true, false, now
 	watchdog.mutex.Unlock()
 	watchdog.api.recordEvent(now, watchdog.attempt.endpoint.Name, first)
 	if first {
@@ -126,11 +126,11 @@
 	}
 }
 
-// failOver reports a silent endpoint to the balancer, once, and looks for a replacement.
+// failOver reports an unresponsive endpoint to the balancer, once, and looks for a replacement.
 func (watchdog *watchdog) failOver(now time.Time, limit silenceLimit, idle time.Duration) {
-	if !watchdog.silent {
-		watchdog.silent = true
-		watchdog.api.reportSilence(now, watchdog.call, watchdog.attempt, balancer.Stalled, limit, idle)
+	if !watchdog.reported {
+		watchdog.reported = true
+		watchdog.api.reportUnresponsive(now, watchdog.call, watchdog.attempt, balancer.Stalled, limit, idle)
 	}
 	if watchdog.position.refusal != "" {
 		watchdog.recordRefusal(watchdog.position.refusal)
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -32,7 +32,7 @@
 	// maxHeaderBytes bounds the status line and the headers of an answer.
 	maxHeaderBytes = 64 << 10
 	// maxHeaderTime is the longest time from the first byte of an answer to the end of its
-	// headers. A sound endpoint may be silent for two seconds of it.
+	// headers. A sound endpoint may send nothing for two seconds of it.
 	maxHeaderTime = 3 * time.Second
 	// maxInterimAnswers is the most interim answers (1xx) before the answer itself.
 	maxInterimAnswers = 16
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -29,7 +29,7 @@
 	// OrderStage makes an engine's host fetch a model's weights without loading
 	// them.
 	OrderStage OrderKind = "stage"
-	// OrderProbe opens a new connection to a silent host and sends nothing. It shows whether
+	// OrderProbe opens a new connection to an unresponsive host and sends nothing. It shows whether
 	// the host is lost: at one that only pauses, the kernel still accepts connections.
 	OrderProbe OrderKind = "probe"
 )
--- a/core/process/electorate/electorate.go
+++ b/core/process/electorate/electorate.go
@@ -158,7 +158,7 @@
 	if _, ok := planner.readyLearner(); !ok {
 		return quorum.Membership{}, "", false
 	}
-	return planner.removeUnreachable("a learner takes a silent voter's place")
+	return planner.removeUnreachable("a learner takes an unresponsive voter's place")
 }
 
 // removeExcessVoter removes an unreachable voter when there are more voters than the
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -168,13 +168,13 @@
 }
 
 // planConstraints returns the constraints of a plan now: the loads that the weight store
-// takes, and the hosts that will soon be free. Silent ones of these are sent probes. Loads
+// takes, and the hosts that will soon be free. Unresponsive ones of these are sent probes. Loads
 // aren't limited until a node has reported a call in this term.
 func (fleet *Fleet) planConstraints(now time.Time, actions *Actions, service *routing.Service) grouper.Constraints {
-	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen, DrainingHosts: fleet.silentEngines(now, actions, service)}
+	constraints := grouper.Constraints{BeforeTraffic: !fleet.callsSeen, DrainingHosts: fleet.unresponsiveEngines(now, actions, service)}
 	for _, name := range slices.Sorted(maps.Keys(fleet.state.Register.Unfreed())) {
 		host, ok := fleet.state.Roster.Member(name)
-		if ok && host.Live(now) && (recentlySeen(now, host) || !fleet.silentHostLost(now, actions, host)) {
+		if ok && host.Live(now) && (recentlySeen(now, host) || !fleet.unresponsiveHostLost(now, actions, host)) {
 			constraints.DrainingHosts = append(constraints.DrainingHosts, fleet.plannerHost(host))
 		}
 	}
@@ -182,12 +182,12 @@
 	return constraints
 }
 
-// silentEngines lists the engines of a service in no group that are silent but don't count
+// unresponsiveEngines lists the engines of a service in no group that are unresponsive but don't count
 // as lost, and sends them probes. The planner takes them for free soon, and so neither
 // dissolves a group nor loads weights to replace them.
-func (fleet *Fleet) silentEngines(now time.Time, actions *Actions, service *routing.Service) []grouper.Host {
+func (fleet *Fleet) unresponsiveEngines(now time.Time, actions *Actions, service *routing.Service) []grouper.Host {
 	unfreed := fleet.state.Register.Unfreed()
-	var silent []grouper.Host
+	var unresponsive []grouper.Host
 	for _, host := range fleet.state.Roster.Members() {
 		announcement := &host.Announcement
 		if !announcement.Engine || announcement.Service != service.Name || !host.Live(now) || recentlySeen(now, host) {
@@ -195,12 +195,12 @@
 		}
 		_, notFreed := unfreed[announcement.Host]
 		_, assigned := fleet.state.Register.GroupOf(announcement.Host)
-		if notFreed || assigned || fleet.hostLost(now, host) || fleet.silentHostLost(now, actions, host) {
+		if notFreed || assigned || fleet.hostLost(now, host) || fleet.unresponsiveHostLost(now, actions, host) {
 			continue
 		}
-		silent = append(silent, fleet.plannerHost(host))
+		unresponsive = append(unresponsive, fleet.plannerHost(host))
 	}
-	return silent
+	return unresponsive
 }
 
 // recentlySeen reports whether a host's last announcement is recent enough for it to be
--- a/core/process/fleet/orders.go
+++ b/core/process/fleet/orders.go
@@ -191,7 +191,7 @@
 	fleet.orderingUntil = fleet.orderingUntil.Add(orderSpacing)
 }
 
-// sendProbe sends a probe to a silent host, at most once in action.OrderRetryInterval.
+// sendProbe sends a probe to an unresponsive host, at most once in action.OrderRetryInterval.
 func (fleet *Fleet) sendProbe(now time.Time, actions *Actions, host *roster.Member) {
 	name := host.Announcement.Host
 	if !fleet.mayOrder(now) || now.Before(fleet.probedAtByHost[name].Add(action.OrderRetryInterval)) {
--- a/core/process/fleet/retire.go
+++ b/core/process/fleet/retire.go
@@ -23,11 +23,11 @@
 	// counts for retiring it.
 	groupStallReportLifetime = 3 * time.Second
 	// silentIntervals is the time without an announcement, in announcement intervals,
-	// after which a host counts as silent, and probeIntervals that after which a probe is
+	// after which a host counts as unresponsive, and probeIntervals that after which a probe is
 	// sent to find out whether it can be reached.
 	silentIntervals = 1.25
 	probeIntervals  = 1
-	// longestSilence is how long a sound host may be silent and go on afterwards. A host
+	// longestSilence is how long a sound host may be unresponsive and go on afterwards. A host
 	// that can be reached counts as lost only after this time and lostIntervals announcement
 	// intervals more, since its first announcement after the silence may get lost.
 	longestSilence = 2 * time.Second
@@ -133,7 +133,7 @@
 			return hostGaveUp, name
 		case open && !inGroup(host, group):
 			return hostAbsent, name
-		case stalled && fleet.silentHostLost(now, actions, host):
+		case stalled && fleet.unresponsiveHostLost(now, actions, host):
 			return groupStalled, name
 		case !open && fleet.hostLost(now, host):
 			return hostSilent, name
@@ -172,10 +172,10 @@
 	return elapsed > host.Announcement.Lease() || fleet.undeliveredByHost[host.Announcement.Host].proven(now.Add(-elapsed))
 }
 
-// silentHostLost reports whether a host that should announce itself counts as lost: it is
-// silent, and can't be reached or hasn't announced itself for longer than a sound host may
+// unresponsiveHostLost reports whether a host that should announce itself counts as lost: it is
+// unresponsive, and can't be reached or hasn't announced itself for longer than a sound host may
 // (see longestSilence). It sends a probe to find out whether the host can be reached.
-func (fleet *Fleet) silentHostLost(now time.Time, actions *Actions, host *roster.Member) bool {
+func (fleet *Fleet) unresponsiveHostLost(now time.Time, actions *Actions, host *roster.Member) bool {
 	elapsed := fleet.sinceLastAnnouncement(now, host)
 	unreachable := fleet.undeliveredByHost[host.Announcement.Host].proven(now.Add(-elapsed))
 	if unreachable && elapsed > announcementIntervals(host, silentIntervals) || elapsed > longestSilence+announcementIntervals(host, lostIntervals) {
@@ -228,7 +228,7 @@
 		}
 		return false
 	}
-	if live && !fleet.silentHostLost(now, actions, head) {
+	if live && !fleet.unresponsiveHostLost(now, actions, head) {
 		return false
 	}
 	return fleet.leftLostHead(now, actions, name, previousGroup)
@@ -258,12 +258,12 @@
 
 // orderHeadToLeave orders the head of a retired group to leave it. While all its
 // hosts are in the group, and none is lost, the head is first ordered to finish its
-// requests. Stalled requests alone don't show a loss: a host may be silent and go on.
+// requests. Stalled requests alone don't show a loss: a host may be unresponsive and go on.
 func (fleet *Fleet) orderHeadToLeave(now time.Time, actions *Actions, head *roster.Member, previousGroup register.GroupRecord) {
 	stalled := fleet.stallReportedRecently(now, previousGroup)
 	serves := !slices.ContainsFunc(previousGroup.Hosts, func(name id.Host) bool {
 		host, ok := fleet.state.Roster.Member(name)
-		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup) || stalled && fleet.silentHostLost(now, actions, host)
+		return !ok || !now.Before(host.Expiry) || !inGroup(host, previousGroup) || stalled && fleet.unresponsiveHostLost(now, actions, host)
 	})
 	switch serving := head.Announcement.Serving; {
 	case serves && serving.Closing:
--- a/core/process/grouper/grouper.go
+++ b/core/process/grouper/grouper.go
@@ -83,7 +83,7 @@
 	// all loads, so groups are formed of any free hosts.
 	BeforeTraffic bool
 	// DrainingHosts are those that will be free soon: hosts of retired groups, and free
-	// ones that are silent at present.
+	// ones that are unresponsive at present.
 	DrainingHosts []Host
 }
 
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -83,7 +83,7 @@
 	Failover bool
 	// RunningAt is the endpoint at which the call goes on if it is refused, so that no
 	// caller comes back for it. It is sent only to endpoints that go on while its own is
-	// silent.
+	// unresponsive.
 	RunningAt feed.Endpoint
 }
 
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -20,7 +20,7 @@
 	// maxEventGap is how long all streams of an endpoint may go without an
 	// event before the endpoint gets no further calls.
 	maxEventGap = 500 * time.Millisecond
-	// maxCommonPause is for how long endpoints without calls are taken to be silent like
+	// maxCommonPause is for how long endpoints without calls are taken to make no progress like
 	// those with calls: half of the time after which the first callers give up.
 	maxCommonPause = time.Second
 	// failuresToStall is the number of consecutive failures after which an
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -73,25 +73,25 @@
 	}
 	remaining := 1 - float64(elapsed)/float64(rateWindow)
 	queue.refusals *= remaining
-	if !queue.silent(quiet) || quiet > rateWindow {
+	if !queue.withoutProgress(quiet) || quiet > rateWindow {
 		queue.departures *= remaining
 	}
 }
 
-// silent reports whether a pool without progress for the time quiet is silent, rather than
-// at work on its calls.
-func (queue *queue) silent(quiet time.Duration) bool {
+// withoutProgress reports whether the time quiet is longer than a pool at work on its calls
+// goes without progress.
+func (queue *queue) withoutProgress(quiet time.Duration) bool {
 	return quiet > max(maxEventGap, 2*queue.timeToFirstEvent)
 }
 
 // refuse turns decision into a refusal. Its RetryAfter is the time that the
 // pool needs to serve the waiting calls and those refused recently, whose callers
 // retry too, at the current departure rate. It is at least quiet, the time without
-// progress at any endpoint, if the pool counts as silent.
+// progress at any endpoint, if the pool counts as without progress.
 func (queue *queue) refuse(now time.Time, call Call, quiet time.Duration, decision Decision) Decision {
 	rate := max(queue.departureRate(now, quiet), 1)
 	wait := time.Duration((float64(len(queue.waiting)+1) + queue.refusals) / rate * float64(time.Second))
-	if queue.silent(quiet) {
+	if queue.withoutProgress(quiet) {
 		wait = max(wait, quiet)
 	}
 	if !call.running() {
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -130,7 +130,7 @@
 
 // poolQuiet returns for how long no call at any of the endpoints has made progress. It is
 // zero while none runs. Once one endpoint's time is at most maxEventGap, that is returned
-// though another's may be shorter, since no pool counts as silent then.
+// though another's may be shorter, since no pool counts as without progress then.
 func (balancer *Balancer) poolQuiet(now time.Time, endpoints []*view.Endpoint) time.Duration {
 	least, busy := time.Duration(math.MaxInt64), false
 	for _, endpoint := range endpoints {
@@ -149,7 +149,7 @@
 	return least
 }
 
-// commonPause reports whether a running call's endpoint seems to be silent together with all
+// commonPause reports whether a running call's endpoint seems to make no progress together with all
 // others: calls of this entry host run at some of them, and none makes progress. What holds
 // for those is expected of endpoints without calls, but not for longer than maxCommonPause.
 func (balancer *Balancer) commonPause(now time.Time, call Call, endpoints []*view.Endpoint) bool {
@@ -157,7 +157,7 @@
 	if maxQuiet > maxCommonPause/2 {
 		return false
 	}
-	silent := false
+	unresponsive := false
 	for _, endpoint := range endpoints {
 		state := balancer.stateByEndpoint[endpoint.Name]
 		switch {
@@ -165,10 +165,10 @@
 		case now.Sub(state.progressAt) <= maxQuiet:
 			return false
 		default:
-			silent = silent || state.quiet(now) > maxQuiet
+			unresponsive = unresponsive || state.quiet(now) > maxQuiet
 		}
 	}
-	return silent
+	return unresponsive
 }
 
 // quiet returns for how long none of the calls at an endpoint has made progress. It is zero
