entryapi: a call whose kept connection was already closed is sent on another one

What callers saw: a 502 for a call that had never been sent, just after the endpoint had written an answer to another request.

Cause: an answer to another request without a body is taken from its connection before anything is known of it, so that net/http keeps the connection; we then close it, and net/http learns of that from a goroutine of its own. Until that runs, the next call is given the closed connection. Nothing can be written, but net/http can't send the call elsewhere, since it can't read its body again.

Change: the request tells how its body is read again, unless net/http would also use that for requests that may have run (GET and the like, and those with an idempotency key). Of all others it sends a second time only those of which it has written nothing.

Result: the test passes, and each call reaches the endpoint once.

--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -64,6 +64,8 @@
 	leaseUntil   time.Time
 	savedRetries int
 	log          io.Writer
+	// dial opens the connections to services, without it those of net.Dialer.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // entryHost is an entry host whose view a test may change.
@@ -92,7 +94,10 @@
 		LeaseUntil: options.leaseUntil, Share: 1 / float64(options.entryHosts), Routing: newTable(t, 1, routes), Endpoints: endpointByName,
 		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
 	})
-	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IDHeader: dialect.RequestID})
+	if options.dial == nil {
+		options.dial = (&net.Dialer{}).DialContext
+	}
+	transport := endpoint.New(endpoint.Config{Dial: options.dial, MaxIdlePerHost: 2, IDHeader: dialect.RequestID})
 	singleSendTransport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, IDHeader: dialect.RequestID})
 	entryHost.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -172,7 +172,13 @@
 		Header: api.config.Dialect.requestHeaders(call, endpoint, timeLeft), ContentLength: int64(len(call.body)),
 	}
 	if len(call.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(call.body))
+		body := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(call.body)), nil }
+		request.Body, _ = body()
+		if !replayable(request) {
+			// net/http then sends it on another connection only if it has written nothing
+			// of it on a kept one that turns out to be closed.
+			request.GetBody = body
+		}
 	} else {
 		request.Body = http.NoBody
 	}
--- a/caroblined/connection/entryapi/kept_connection_test.go
+++ b/caroblined/connection/entryapi/kept_connection_test.go
@@ -1,11 +1,13 @@
 package entryapi_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,3 +59,51 @@
 		})
 	}
 }
+
+// lateConn is a connection whose reader notices its close only after noticeTime, like a
+// goroutine that waits for a processor.
+type lateConn struct{ net.Conn }
+
+const noticeTime = 200 * time.Millisecond
+
+func (conn lateConn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if err != nil {
+		time.Sleep(noticeTime)
+	}
+	return count, err
+}
+
+// Guards against a call that gets a 502, though it was never sent, since the kept connection
+// that it was to be sent on had been closed for an answer to another request.
+func TestCallIsSentThoughItsKeptConnectionWasClosed(t *testing.T) {
+	for name, repeat := range map[string]routing.Repeat{"never repeats": routing.RepeatNever, "stream": routing.RepeatStream} {
+		t.Run(name, func(t *testing.T) {
+			var sent sync.Map
+			service := newService(t, func(service *service, connection net.Conn, request *http.Request, number int) {
+				if _, again := sent.LoadOrStore(request.Header.Get("Call-Id"), true); again {
+					t.Errorf("call %s was sent twice", request.Header.Get("Call-Id"))
+				}
+				if request.Header.Get("Call-Id") == "c1" {
+					_, _ = io.WriteString(connection, "HTTP/1.1 503 Service Unavailable\r\nCall-Id: other\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				respondDone(service, connection, request, number)
+			})
+			routes := route(repeat)
+			routes[0].Attempts, routes[0].TargetMS = 1, 300
+			options := loggedOptions(nil)
+			options.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return lateConn{connection}, err
+			}
+			entryHost := options.start(t, routes, service)
+			for number, want := range []int{http.StatusBadGateway, http.StatusOK, http.StatusOK} {
+				got, err := call(t, entryHost.server, strings.Replace(post("/a", "x"), "Call-Id: c1", fmt.Sprintf("Call-Id: c%d", number+1), 1))
+				if err != nil || got.status != want {
+					t.Errorf("call %d: status %d, error %v; want %d", number+1, got.status, err, want)
+				}
+			}
+		})
+	}
+}
--- a/caroblined/connection/entryapi/singlesend.go
+++ b/caroblined/connection/entryapi/singlesend.go
@@ -23,9 +23,11 @@
 
 // mayBeResent reports whether net/http may send a request again by itself.
 func mayBeResent(request *http.Request) bool {
-	if request.Body != nil && request.Body != http.NoBody {
-		return false
-	}
+	return (request.Body == nil || request.Body == http.NoBody) && replayable(request)
+}
+
+// replayable reports whether net/http takes a request for one that may run twice.
+func replayable(request *http.Request) bool {
 	return slices.Contains(resentMethods, request.Method) || slices.ContainsFunc(resentHeaders, func(name string) bool {
 		_, set := request.Header[name]
 		return set
