--- a/caroblined/connection/entryapi/framing_test.go
+++ b/caroblined/connection/entryapi/framing_test.go
@@ -1,6 +1,7 @@
 package entryapi_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -262,3 +263,46 @@
 		}
 	}
 }
+
+// Guards against an answer that ends with its connection, or within an event, and that takes
+// the caller's kept connection along, or leaves something of it there for the next call.
+func TestKeptConnectionOfACallerOutlastsAnswersWithoutFraming(t *testing.T) {
+	for _, ending := range append(unfinishedEndings(), streamEnding{framing: "connection"}, streamEnding{framing: "chunked, kept", tail: "id: 3\nda"}) {
+		t.Run(ending.framing+" "+fmt.Sprintf("%q", ending.tail), func(t *testing.T) {
+			respond := func(_ *service, connection net.Conn, request *http.Request, _ int) {
+				switch {
+				case request.Header.Get("Last-Event-Id") == "2":
+					streamEnding{framing: "connection"}.write(connection, request, event(3))
+				case ending.framing == "chunked, kept":
+					_, _ = io.WriteString(connection, streamHead(request, "m")+chunk(event(1)+event(2)+ending.tail)+"0\r\n\r\n")
+				case ending.tail == "":
+					ending.write(connection, request, event(1)+event(2)+event(3))
+				default:
+					ending.write(connection, request, event(1)+event(2))
+				}
+			}
+			server := newEntryHost(t, route(routing.RepeatStream), newService(t, respond), newService(t, respond))
+			connection, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = connection.Close() }()
+			reader := bufio.NewReader(connection)
+			for number := range 3 {
+				id := fmt.Sprintf("k%d", number)
+				if _, err := io.WriteString(connection, strings.Replace(post("/a", "x"), "Call-Id: c1", "Call-Id: "+id, 1)); err != nil {
+					t.Fatal(err)
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatalf("call %d on the kept connection: %v", number, err)
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if want := event(1) + event(2) + event(3); err != nil || string(body) != want || response.Header.Get("Call-Id") != id || response.Close {
+					t.Fatalf("call %d: %q, error %v, of call %s, closes: %v; want %q of %s on a kept connection", number, body, err, response.Header.Get("Call-Id"), response.Close, want, id)
+				}
+			}
+		})
+	}
+}
