--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -195,7 +195,7 @@
 	}
 	queue := balancer.queue(call.Pool)
 	if !balancer.anyFits(now, call, endpoints) {
-		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number})
+		return queue.refuse(now, call, balancer.poolIdle(now, endpoints), Decision{Call: call.Number})
 	}
 	ahead, mayPass := queuedAhead(queue, call)
 	if mayPass {
@@ -204,11 +204,11 @@
 		}
 	}
 	running, limit := balancer.poolLoad(endpoints)
-	rate := queue.departureRate(now, balancer.poolQuiet(now, endpoints))
+	rate := queue.departureRate(now, balancer.poolIdle(now, endpoints))
 	wait := time.Duration(float64(ahead+1) / max(rate, 1) * float64(time.Second))
 	maxWait := queue.maxWait(now, call)
 	if wait > maxWait && ahead >= minQueueLength {
-		return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
+		return queue.refuse(now, call, balancer.poolIdle(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: ahead})
 	}
 	queue.waiting = append(queue.waiting, call)
 	slices.SortStableFunc(queue.waiting, compareCalls)
@@ -240,13 +240,13 @@
 	queue.waiting = slices.Delete(queue.waiting, index, index+1)
 	endpoints := balancer.available(now, call.Pool)
 	running, limit := balancer.poolLoad(endpoints)
-	return queue.refuse(now, call, balancer.poolQuiet(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
+	return queue.refuse(now, call, balancer.poolIdle(now, endpoints), Decision{Call: call.Number, Running: running, Limit: limit, Waiting: index}), true
 }
 
 // Done records how a call ended at an endpoint and returns the decisions for
 // waiting calls that may go now.
 func (balancer *Balancer) Done(now time.Time, call Call, endpoint feed.Endpoint, ending Ending) []Decision {
-	balancer.queue(call.Pool).recordDeparture(now, balancer.poolQuiet(now, balancer.endpoints(call.Pool)))
+	balancer.queue(call.Pool).recordDeparture(now, balancer.poolIdle(now, balancer.endpoints(call.Pool)))
 	state := balancer.state(endpoint)
 	state.running = max(0, state.running-1)
 	balancer.recordEnding(now, state, ending)
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -168,7 +168,7 @@
 	return !state.progressAt.IsZero() && now.Sub(state.progressAt) <= maxEventGap
 }
 
-// quiet returns for how long none of the calls in progress there has made progress.
-func (state *endpointState) quiet(now time.Time) time.Duration {
+// idle returns for how long none of the calls in progress there has made progress.
+func (state *endpointState) idle(now time.Time) time.Duration {
 	return min(now.Sub(state.busySince), now.Sub(state.progressAt))
 }
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -55,16 +55,16 @@
 	return 0
 }
 
-// recordDeparture counts a finished call, before which the pool was quiet.
-func (queue *queue) recordDeparture(now time.Time, quiet time.Duration) {
-	queue.decay(now, quiet)
+// recordDeparture counts a finished call, before which the pool made no progress for idle.
+func (queue *queue) recordDeparture(now time.Time, idle time.Duration) {
+	queue.decay(now, idle)
 	queue.departures++
 }
 
 // decay reduces both counts in proportion to the part of rateWindow that has
 // passed since they were last reduced. Departures don't decay in a silence of up to
 // rateWindow, which says nothing of the rate after it.
-func (queue *queue) decay(now time.Time, quiet time.Duration) {
+func (queue *queue) decay(now time.Time, idle time.Duration) {
 	elapsed := now.Sub(queue.decayedAt)
 	queue.decayedAt = now
 	if elapsed >= rateWindow {
@@ -73,26 +73,26 @@
 	}
 	remaining := 1 - float64(elapsed)/float64(rateWindow)
 	queue.refusals *= remaining
-	if !queue.withoutProgress(quiet) || quiet > rateWindow {
+	if !queue.withoutProgress(idle) || idle > rateWindow {
 		queue.departures *= remaining
 	}
 }
 
-// withoutProgress reports whether the time quiet is longer than a pool at work on its calls
+// withoutProgress reports whether the time idle is longer than a pool at work on its calls
 // goes without progress.
-func (queue *queue) withoutProgress(quiet time.Duration) bool {
-	return quiet > max(maxEventGap, 2*queue.timeToFirstEvent)
+func (queue *queue) withoutProgress(idle time.Duration) bool {
+	return idle > max(maxEventGap, 2*queue.timeToFirstEvent)
 }
 
 // refuse turns decision into a refusal. Its RetryAfter is the time that the
 // pool needs to serve the waiting calls and those refused recently, whose callers
-// retry too, at the current departure rate. It is at least quiet, the time without
+// retry too, at the current departure rate. It is at least idle, the time without
 // progress at any endpoint, if the pool counts as without progress.
-func (queue *queue) refuse(now time.Time, call Call, quiet time.Duration, decision Decision) Decision {
-	rate := max(queue.departureRate(now, quiet), 1)
+func (queue *queue) refuse(now time.Time, call Call, idle time.Duration, decision Decision) Decision {
+	rate := max(queue.departureRate(now, idle), 1)
 	wait := time.Duration((float64(len(queue.waiting)+1) + queue.refusals) / rate * float64(time.Second))
-	if queue.withoutProgress(quiet) {
-		wait = max(wait, quiet)
+	if queue.withoutProgress(idle) {
+		wait = max(wait, idle)
 	}
 	if !call.running() {
 		queue.refusals++
@@ -103,7 +103,7 @@
 }
 
 // departureRate returns the finished calls per second.
-func (queue *queue) departureRate(now time.Time, quiet time.Duration) float64 {
-	queue.decay(now, quiet)
+func (queue *queue) departureRate(now time.Time, idle time.Duration) float64 {
+	queue.decay(now, idle)
 	return queue.departures / rateWindow.Seconds()
 }
--- a/core/request/balancer/room.go
+++ b/core/request/balancer/room.go
@@ -101,9 +101,9 @@
 	}
 	switch {
 	case call.running():
-		maxQuiet, commonPause := balancer.maxQuiet(now, call), balancer.commonPause(now, call, endpoints)
+		maxIdle, commonPause := balancer.maxIdle(now, call), balancer.commonPause(now, call, endpoints)
 		return func(endpoint *view.Endpoint) bool {
-			return trusted(endpoint) && !commonPause && balancer.quiet(now, endpoint.Name) <= maxQuiet
+			return trusted(endpoint) && !commonPause && balancer.idle(now, endpoint.Name) <= maxIdle
 		}
 	case slices.ContainsFunc(endpoints, trusted):
 		return trusted
@@ -117,28 +117,28 @@
 	return slices.ContainsFunc(endpoints, balancer.fits(now, call, endpoints))
 }
 
-// maxQuiet returns for how long calls may have made no progress at an endpoint that goes on
+// maxIdle returns for how long calls may have made no progress at an endpoint that goes on
 // with a running call: half as long as at the call's own endpoint. Where that one goes on
 // with other calls, there is no limit.
-func (balancer *Balancer) maxQuiet(now time.Time, call Call) time.Duration {
-	own := balancer.quiet(now, call.RunningAt)
+func (balancer *Balancer) maxIdle(now time.Time, call Call) time.Duration {
+	own := balancer.idle(now, call.RunningAt)
 	if own < maxEventGap/2 {
 		return math.MaxInt64
 	}
 	return own / 2
 }
 
-// poolQuiet returns for how long no call at any of the endpoints has made progress. It is
+// poolIdle returns for how long no call at any of the endpoints has made progress. It is
 // zero while none runs. Once one endpoint's time is at most maxEventGap, that is returned
 // though another's may be shorter, since no pool counts as without progress then.
-func (balancer *Balancer) poolQuiet(now time.Time, endpoints []*view.Endpoint) time.Duration {
+func (balancer *Balancer) poolIdle(now time.Time, endpoints []*view.Endpoint) time.Duration {
 	least, busy := time.Duration(math.MaxInt64), false
 	for _, endpoint := range endpoints {
 		state := balancer.stateByEndpoint[endpoint.Name]
 		if state == nil || state.running == 0 {
 			continue
 		}
-		least, busy = min(least, state.quiet(now)), true
+		least, busy = min(least, state.idle(now)), true
 		if least <= maxEventGap {
 			break
 		}
@@ -153,8 +153,8 @@
 // others: calls of this entry host run at some of them, and none makes progress. What holds
 // for those is expected of endpoints without calls, but not for longer than maxCommonPause.
 func (balancer *Balancer) commonPause(now time.Time, call Call, endpoints []*view.Endpoint) bool {
-	maxQuiet := balancer.maxQuiet(now, call)
-	if maxQuiet > maxCommonPause/2 {
+	maxIdle := balancer.maxIdle(now, call)
+	if maxIdle > maxCommonPause/2 {
 		return false
 	}
 	unresponsive := false
@@ -162,23 +162,23 @@
 		state := balancer.stateByEndpoint[endpoint.Name]
 		switch {
 		case state == nil || state.running == 0 || slices.Contains(call.Tried, endpoint.Name):
-		case now.Sub(state.progressAt) <= maxQuiet:
+		case now.Sub(state.progressAt) <= maxIdle:
 			return false
 		default:
-			unresponsive = unresponsive || state.quiet(now) > maxQuiet
+			unresponsive = unresponsive || state.idle(now) > maxIdle
 		}
 	}
 	return unresponsive
 }
 
-// quiet returns for how long none of the calls at an endpoint has made progress. It is zero
+// idle returns for how long none of the calls at an endpoint has made progress. It is zero
 // while none runs there.
-func (balancer *Balancer) quiet(now time.Time, endpoint feed.Endpoint) time.Duration {
+func (balancer *Balancer) idle(now time.Time, endpoint feed.Endpoint) time.Duration {
 	state := balancer.stateByEndpoint[endpoint]
 	if state == nil || state.running == 0 {
 		return 0
 	}
-	return state.quiet(now)
+	return state.idle(now)
 }
 
 // suspect reports whether an endpoint is avoided for what this entry host has seen there, or
