--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -37,9 +37,9 @@
 	crashWindow = 3 * time.Second
 	// lateSends is how many may reach engines later.
 	lateSends = 3
-	// storm is how long requests with the part come, one each badInterval; sound ones come
+	// loadTime is how long requests with the part come, one each badInterval; sound ones come
 	// one each soundInterval.
-	storm         = 10 * time.Second
+	loadTime      = 10 * time.Second
 	badInterval   = 50 * time.Millisecond
 	soundInterval = 20 * time.Millisecond
 	badPart       = "bad0"
@@ -297,14 +297,13 @@
 	begun bool
 }
 
-// load sends a request each interval, to one entry host after the other, for the time of the
-// storm. Each has the parts that parts returns.
+// load sends a request each interval, to one entry host after the other, for loadTime. Each has the parts that parts returns.
 func (system *poolSystem) load(interval time.Duration, parts func(number int) string) []*sent {
 	var all []*sent
 	var ended sync.WaitGroup
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for number, from := 0, time.Now(); time.Since(from) < storm; number++ {
+	for number, from := 0, time.Now(); time.Since(from) < loadTime; number++ {
 		request := &sent{at: time.Now()}
 		all = append(all, request)
 		ended.Go(func() {
@@ -333,14 +332,14 @@
 			})
 			system.load(badInterval, func(number int) string { return fmt.Sprintf(badParts, number%7, number) })
 			load.Wait()
-			system.checkStorm(sound)
+			system.checkRequests(sound)
 		})
 	}
 }
 
-// checkStorm checks what reached engines after the fifth one had ended, and what became of
+// checkRequests checks what reached engines after the fifth one had ended, and what became of
 // the sound requests.
-func (system *poolSystem) checkStorm(sound []*sent) {
+func (system *poolSystem) checkRequests(sound []*sent) {
 	system.t.Helper()
 	if len(system.crashedAt) == 0 {
 		system.t.Fatal("no engine ended")
--- a/core/process/controller/blocks_test.go
+++ b/core/process/controller/blocks_test.go
@@ -142,17 +142,17 @@
 	suspicions := newSuspicions(t, 2)
 	for range 3 {
 		suspicions.run(80 * time.Millisecond)
-		suspicions.crash(suspicions.nodes[4], "a", "victim")
+		suspicions.crash(suspicions.nodes[4], "a", "others")
 	}
 	suspicions.run(time.Second)
 	sent, now := 0, suspicions.now
 	for suspicions.now-now < 5*time.Second {
 		suspicions.run(20 * time.Millisecond)
 		for _, node := range suspicions.nodes {
-			call := suspicion.Call{ClientAccount: "other", Parts: []id.PromptPart{"victim"}}
+			call := suspicion.Call{ClientAccount: "other", Parts: []id.PromptPart{"others"}}
 			if _, refused := suspicions.byNode[node.name].Check(node.now(), call); !refused && suspicions.byNode[node.name].Use(call) {
 				sent++
-				suspicions.schedule(100*time.Millisecond, func() { suspicions.crash(node, "other", "victim") })
+				suspicions.schedule(100*time.Millisecond, func() { suspicions.crash(node, "other", "others") })
 			}
 		}
 	}
@@ -163,9 +163,9 @@
 	if len(record) != 1 || len(record[0].ClientAccounts) != register.MaxBlockAccounts {
 		t.Errorf("the blocks are %+v; want one that names two client accounts", record)
 	}
-	suspicions.byNode[suspicions.nodes[5].name].Began(suspicions.nodes[5].now(), []id.PromptPart{"victim"})
+	suspicions.byNode[suspicions.nodes[5].name].Began(suspicions.nodes[5].now(), []id.PromptPart{"others"})
 	suspicions.run(time.Second)
-	if lacking := suspicions.lacking("victim"); len(lacking) != nodeCount {
+	if lacking := suspicions.lacking("others"); len(lacking) != nodeCount {
 		t.Errorf("an answer has begun on the part, and all but %v still refuse it", lacking)
 	}
 }
--- a/core/process/controller/large_test.go
+++ b/core/process/controller/large_test.go
@@ -140,15 +140,15 @@
 	large.declareEngines()
 	large.run(formingBound)
 	term := large.leader().voter.Quorum().Term
-	herd := large.entryNodes()[:largeEntryNodes/2]
-	for _, node := range herd {
+	restarted := large.entryNodes()[:largeEntryNodes/2]
+	for _, node := range restarted {
 		node.crash()
 		node.startAfter(time.Second)
 	}
 	large.run(time.Second + spreadBound)
-	large.checkLeads(term, "by a herd of restarts")
+	large.checkLeads(term, "by restarts of half of the entry hosts")
 	if open := large.leastOpenGroups(); open < 120 {
-		large.fail("%d groups are open at all entry hosts %v after a herd of restarts, want 120 or more", open, spreadBound)
+		large.fail("%d groups are open at all entry hosts %v after restarts of half of the entry hosts, want 120 or more", open, spreadBound)
 	}
 }
 
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -222,15 +222,15 @@
 func TestOtherClientAccountsGetATrialAtOnce(t *testing.T) {
 	leader := newLeader(t)
 	for number := range 3 {
-		leader.crash(gap, call("attacker", "victim", id.PromptPart(fmt.Sprint("bad", number))))
+		leader.crash(gap, call("attacker", "others", id.PromptPart(fmt.Sprint("bad", number))))
 	}
-	leader.check([]id.PromptPart{"victim"})
+	leader.check([]id.PromptPart{"others"})
 	leader.want(gap, "n1", true)
 	trial := leader.state.Blocks().Blocks[0].Trial
 	if diff := cmp.Diff(register.PartsTrial{Number: 1, Node: "n1", Incarnation: 1, OtherAccount: true}, trial); diff != "" {
 		t.Fatalf("trial: %s", diff)
 	}
-	leader.sound(gap, "victim")
+	leader.sound(gap, "others")
 	leader.check()
 }
 
--- a/measure/process/admission/admission.go
+++ b/measure/process/admission/admission.go
@@ -34,9 +34,9 @@
 	// LateCredit is the credit of a call that is served, but not on time, as a part of
 	// the whole.
 	LateCredit float64
-	// Patience is how long a caller waits for an event. It counts only where
+	// EventTimeout is how long a caller waits for an event. It counts only where
 	// Scenario.SavedRetries is set, and then mustn't be 0.
-	Patience time.Duration
+	EventTimeout time.Duration
 }
 
 // Loss is a group that stops at a time and is replaced by an empty one later. A group that
--- a/measure/process/admission/groups.go
+++ b/measure/process/admission/groups.go
@@ -89,7 +89,7 @@
 		}
 		switch {
 		case call.original != nil:
-		case simulation.now-max(call.askedAt, call.lastAt) > call.kindOf.Patience:
+		case simulation.now-max(call.askedAt, call.lastAt) > call.kindOf.EventTimeout:
 			group.remove(call)
 			simulation.cancelSearch(call)
 			simulation.done(call, index, balancer.Abandoned)
--- a/measure/process/admission/pause.go
+++ b/measure/process/admission/pause.go
@@ -18,7 +18,7 @@
 	scenario.Engine.Queue, scenario.SavedRetries = 2*scenario.Engine.Slots, 12*float64(scenario.EntryHosts)
 	for index := range scenario.Kinds {
 		scenario.Kinds[index].CallsPerSecond *= factor
-		scenario.Kinds[index].Patience = 2400 * time.Millisecond
+		scenario.Kinds[index].EventTimeout = 2400 * time.Millisecond
 	}
 	return scenario
 }
