--- a/carobline/command/root/root.go
+++ b/carobline/command/root/root.go
@@ -15,6 +15,8 @@
 	"github.com/go-faster/errors"
 
 	auditlist "carobline.dev/carobline/command/audit/list"
+	blockend "carobline.dev/carobline/command/block/end"
+	blocklist "carobline.dev/carobline/command/block/list"
 	"carobline.dev/carobline/command/contract/apply"
 	contractlist "carobline.dev/carobline/command/contract/list"
 	"carobline.dev/carobline/command/contract/retire"
@@ -40,6 +42,8 @@
   stop create       request a planned stop
   stop list         list planned stops
   stop show         show one planned stop, or wait until it is done
+  block list        list the blocks of parts of prompts that end engines
+  block end         end one of them
   voter set         set the voters; each change adds or removes one node
   status            show groups, hosts, entry hosts and customers
   audit list        list changes with time, actor, old and new value
@@ -66,6 +70,8 @@
 	"stop list":       stoplist.Command,
 	"stop show":       stopshow.Command,
 	"status":          status.Command,
+	"block list":      blocklist.Command,
+	"block end":       blockend.Command,
 	"voter set":       voterset.Command,
 	"audit list":      auditlist.Command,
 }
--- a/carobline/command/root/root_test.go
+++ b/carobline/command/root/root_test.go
@@ -28,6 +28,7 @@
 		{"contract show", 2, "give the name of one customer"},
 		{"stop create --kind moon --target x", 2, "--kind"},
 		{"stop create --kind node", 2, "--target"},
+		{"block end", 2, "give the name of one block"},
 		{"voter set", 2, "give the names of all voters"},
 		{"status --json", 2, "CAROBLINE_TOKEN_FILE"},
 	}
--- a/caroblined/connection/operatorapi/operatorapi.go
+++ b/caroblined/connection/operatorapi/operatorapi.go
@@ -58,6 +58,8 @@
 	mux.HandleFunc("GET /operator/v1/contracts", api.contracts)
 	mux.Handle("POST /operator/v1/stops", rest.Handle(bodyBytes, api.stop))
 	mux.HandleFunc("GET /operator/v1/stops", api.stops)
+	mux.Handle("POST /operator/v1/blocks/end", rest.Handle(bodyBytes, api.endBlock))
+	mux.HandleFunc("GET /operator/v1/blocks", api.blocks)
 	mux.Handle("POST /operator/v1/voters", rest.Handle(bodyBytes, api.voters))
 	mux.HandleFunc("GET /operator/v1/status", api.status)
 	mux.HandleFunc("GET /operator/v1/audit", api.audit)
@@ -86,6 +88,15 @@
 	return api.change(ctx, request.Change, request.AcceptLoss, register.Command{CreateStop: create})
 }
 
+func (api *API) endBlock(ctx context.Context, request operator.EndBlockRequest) (controller.Outcome, error) {
+	return api.change(ctx, request.Change, false, register.Command{UnblockParts: &register.UnblockParts{Block: request.Block, Reason: "operator"}})
+}
+
+func (api *API) blocks(writer http.ResponseWriter, request *http.Request) {
+	overview, err := api.overview(request)
+	writeAnswer(writer, operator.BlockList{Blocks: overview.Blocks}, err)
+}
+
 func (api *API) change(ctx context.Context, change id.Change, acceptLoss bool, command register.Command) (controller.Outcome, error) {
 	if change == "" {
 		return controller.Outcome{}, rest.NotRun(http.StatusBadRequest, "missing_change", "field change: an id of the change that a resend repeats")
--- a/core/connection/operator/messages.go
+++ b/core/connection/operator/messages.go
@@ -39,6 +39,17 @@
 	Voters []id.Node `json:"voters"`
 }
 
+// EndBlockRequest ends one block of parts of prompts.
+type EndBlockRequest struct {
+	Change id.Change     `json:"change"`
+	Block  id.PartsBlock `json:"block"`
+}
+
+// BlockList is the response to a listing of the blocks of parts of prompts.
+type BlockList struct {
+	Blocks []register.PartsBlock `json:"blocks"`
+}
+
 // ContractList is the response to a listing of contracts.
 type ContractList struct {
 	Contracts []register.ContractRecord `json:"contracts"`
--- a/core/connection/operator/operator.go
+++ b/core/connection/operator/operator.go
@@ -46,6 +46,18 @@
 	return client.change(ctx, "/operator/v1/stops", request)
 }
 
+// EndBlock ends a block of parts of prompts.
+func (client *Client) EndBlock(ctx context.Context, request EndBlockRequest) (controller.Outcome, error) {
+	return client.change(ctx, "/operator/v1/blocks/end", request)
+}
+
+// Blocks returns the blocks of parts of prompts.
+func (client *Client) Blocks(ctx context.Context) (BlockList, error) {
+	var list BlockList
+	err := client.read(ctx, "/operator/v1/blocks", &list)
+	return list, err
+}
+
 // SetVoters requests a new set of voters. A resend of the same set changes
 // nothing.
 func (client *Client) SetVoters(ctx context.Context, request VotersRequest) (controller.Outcome, error) {
--- a/core/process/controller/overview.go
+++ b/core/process/controller/overview.go
@@ -19,6 +19,7 @@
 	Hosts     []HostOverview            `json:"hosts"`
 	Contracts []register.ContractRecord `json:"contracts"`
 	Stops     []register.StopRecord     `json:"stops"`
+	Blocks    []register.PartsBlock     `json:"parts_blocks,omitempty"`
 }
 
 // NodeOverview is one node in an overview.
@@ -56,7 +57,7 @@
 func (controller *Controller) Overview(now time.Time) Overview {
 	overview := Overview{
 		Leader: controller.config.Self, Quorum: controller.quorum.Status(), Version: controller.register.Version(),
-		Contracts: controller.register.Contracts(), Stops: controller.register.Stops(),
+		Contracts: controller.register.Contracts(), Stops: controller.register.Stops(), Blocks: controller.register.Blocks().Blocks,
 	}
 	for _, name := range sortedKeys(controller.leadership.stateByNode) {
 		node := controller.leadership.stateByNode[name]
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -146,6 +146,14 @@
 	}
 }
 
+// forget drops the crashes under calls with all of the parts.
+func (crashes *Crashes) forget(parts []id.PromptPart) {
+	ended := register.PartsBlock{Parts: parts}
+	crashes.crashes = slices.DeleteFunc(crashes.crashes, func(crash *crash) bool {
+		return slices.ContainsFunc(crash.calls, func(call feed.CrashedCall) bool { return ended.Covers(call.Parts) })
+	})
+}
+
 // RecordSound records that an answer has begun on parts at some node lately.
 func (crashes *Crashes) RecordSound(now time.Time, parts []id.PromptPart) {
 	for _, part := range parts {
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -260,6 +260,25 @@
 	}
 }
 
+// Guards against a block that an operator ends and that is back at once, without a new crash,
+// and against one that doesn't come back after new ones.
+func TestBlockThatAnOperatorEndsStaysEnded(t *testing.T) {
+	leader := newLeader(t)
+	crash := func() { leader.crash(gap, call("a", "bad", "topic")) }
+	for range 3 {
+		crash()
+	}
+	block := leader.state.Blocks().Blocks[0].Block
+	leader.index++
+	leader.state.Apply(leader.index, register.Command{Change: "end", UnblockParts: &register.UnblockParts{Block: block, Reason: "operator"}})
+	leader.decide()
+	crash()
+	crash()
+	leader.check()
+	crash()
+	leader.check([]id.PromptPart{"bad", "topic"})
+}
+
 // Guards against reports that take up the leader's memory, or all of its time.
 func TestReportsAreBounded(t *testing.T) {
 	leader := newLeader(t)
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -136,7 +136,7 @@
 	known := suspicion.refusedByBlock[block.Block]
 	known.at = now
 	refusal := Refusal{Block: block.Block, RetryAfter: blockedRetryAfter}
-	if !block.Names(call.ClientAccount) && len(block.ClientAccounts) < register.MaxBlockAccounts {
+	if !block.Names(call.ClientAccount) && len(block.ClientAccounts) < register.MaxBlockAccounts && block.Trial.Number < crashes.MaxTrials {
 		known.otherAt = now
 		refusal.RetryAfter = otherRetryAfter
 	}
--- a/core/request/suspicion/suspicion_test.go
+++ b/core/request/suspicion/suspicion_test.go
@@ -36,13 +36,14 @@
 		call       suspicion.Call
 		retryAfter time.Duration
 	}{
-		"all parts":                   {one, call("a", "bad", "topic"), 10 * time.Minute},
-		"in another order, and more":  {one, call("a", "x", "topic", "y", "bad"), 10 * time.Minute},
-		"one part":                    {one, call("a", "bad"), 0},
-		"none":                        {one, call("a"), 0},
-		"another client account":      {one, call("b", "bad", "topic"), time.Second},
-		"another, where two had part": {block(register.PartsTrial{}, "a", "c"), call("b", "bad", "topic"), 10 * time.Minute},
-		"no block":                    {register.PartsBlocks{}, call("a", "bad", "topic"), 0},
+		"all parts":                     {one, call("a", "bad", "topic"), 10 * time.Minute},
+		"in another order, and more":    {one, call("a", "x", "topic", "y", "bad"), 10 * time.Minute},
+		"one part":                      {one, call("a", "bad"), 0},
+		"none":                          {one, call("a"), 0},
+		"another client account":        {one, call("b", "bad", "topic"), time.Second},
+		"another, where two had part":   {block(register.PartsTrial{}, "a", "c"), call("b", "bad", "topic"), 10 * time.Minute},
+		"another, after the last trial": {block(register.PartsTrial{Number: 3, Node: "n2"}, "a"), call("b", "bad", "topic"), 10 * time.Minute},
+		"no block":                      {register.PartsBlocks{}, call("a", "bad", "topic"), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := suspicion.New("n1", 1)
