memory: an account of the bytes that a process holds, with its gauges and its line

What callers saw isn't changed yet: nothing is charged. Each answer and each body has a bound of its own and their sum has none, so that no metric tells what a process holds and no line tells who holds most. The account has a usual, a large and a peers' section; charges without progress give way first, then those of the holder that holds most. Its decisions take the present time, and its tests play 24 faulty endpoints with 96 answers, one greedy holder of each kind, and complete bytes that nothing may end.

Settings: limits.memory_mb (1024 by default); on the platform the memory that its settings name.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -22,6 +22,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/request/attained"
 	"carobline.dev/core/request/budget"
@@ -62,6 +63,8 @@
 	RetryBudget *budget.Budget
 	// Guard keeps calls whose prompts end engines from more of them.
 	Guard *partsguard.Guard
+	// Account is charged for what is held for callers and endpoints. Nil bounds nothing.
+	Account *memory.Account
 	// EngineTransport sends requests to engines over keep-alive connections.
 	EngineTransport http.RoundTripper
 	// SingleSendTransport sends calls that must not repeat. It opens a new
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -27,6 +27,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/budget"
 	"carobline.dev/core/request/estimate"
@@ -71,6 +72,8 @@
 	// SavedRetries is the number of retries that all entry hosts together may save
 	// up. Zero leaves it at maxSavedRetries for each.
 	SavedRetries int
+	// Account is charged for what is held for callers and endpoints. Nil bounds nothing.
+	Account *memory.Account
 }
 
 // API serves callers. It is safe for concurrent use.
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"carobline.dev/caroblined/connection/hostapi"
 	"carobline.dev/caroblined/connection/operatorapi"
 	"carobline.dev/caroblined/connection/peerapi"
+	"carobline.dev/caroblined/process/accountant"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/caroblined/process/settings"
@@ -37,6 +38,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/member"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/wal"
@@ -98,6 +100,7 @@
 	now      func() time.Time
 	network  Network
 	metrics  metrics.Registry
+	account  *memory.Account
 
 	control     atomic.Pointer[control.Control]
 	peers       *peers.Peers
@@ -133,6 +136,7 @@
 		// may send a request again when a reused connection fails.
 		singleSendTransport: endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID}),
 	}
+	daemon.account = accountant.New(accountant.Config{Memory: memory.Bytes(nodeSettings.Limits.MemoryMB) << 20, Log: daemon.log, Metrics: daemon.metrics})
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
 		return nil, errors.Wrap(err, "start")
@@ -261,7 +265,7 @@
 		Propose: loop.Propose, RunInBackground: daemon.runInBackground, Log: daemon.log, Metrics: daemon.metrics,
 		BodyBytes: nodeSettings.Limits.BodyBytes, InactivityTimeout: time.Duration(nodeSettings.Limits.InactivityTimeoutMS) * time.Millisecond,
 		CallerWriteTimeout: daemon.callerWriteTimeout(),
-		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, Guard: daemon.guard, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
+		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, Guard: daemon.guard, Account: daemon.account, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
 	}).Handler()
 	if nodeSettings.RouterOff {
 		callers = routerOffHandler()
--- a/caroblined/process/node/config.go
+++ b/caroblined/process/node/config.go
@@ -10,6 +10,7 @@
 	"carobline.dev/caroblined/connection/entryapi"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/wal"
 )
 
@@ -57,6 +58,8 @@
 	NodeLease time.Duration
 	// GracePeriod bounds the time from the stop request to the end of the process.
 	GracePeriod time.Duration
+	// Memory is what the process may use, in bytes; zero bounds nothing.
+	Memory memory.Bytes
 	// SendOrder delivers an order, other than a probe, to its host.
 	SendOrder func(ctx context.Context, client *http.Client, order action.Order) error
 	// Disk stores the write-ahead log and the identity of a control host.
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"carobline.dev/caroblined/connection/entryapi"
+	"carobline.dev/caroblined/process/accountant"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/identity"
 	"carobline.dev/caroblined/process/peers"
@@ -32,6 +33,7 @@
 	"carobline.dev/core/process/boottime"
 	"carobline.dev/core/process/electorate"
 	"carobline.dev/core/process/member"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/version/view"
 )
@@ -56,6 +58,7 @@
 	clock    *boottime.Clock
 	self     identity.Identity
 	metrics  metrics.Registry
+	account  *memory.Account
 	peers    *peers.Peers
 	loop     atomic.Pointer[control.Control]
 	entry    *entryapi.API
@@ -108,6 +111,7 @@
 		return err
 	}
 	node.config.Log = node.config.Log.With().Str("node", string(node.self.Node)).Logger()
+	node.account = accountant.New(accountant.Config{Memory: node.config.Memory, Log: node.config.Log, Metrics: node.metrics})
 	node.peers = peers.New(peers.Config{
 		Self: node.self.Node, Resolve: resolve,
 		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, ""),
@@ -144,7 +148,7 @@
 	node.entry = entryapi.New(entryapi.Config{
 		Dialect: node.config.Entry.Dialect, View: node.view, Now: node.clock.Now, Transport: node.endpointTransport,
 		SingleSendTransport: node.singleSendTransport, Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
-		Self: node.self.Node, Incarnation: node.self.Incarnation,
+		Self: node.self.Node, Incarnation: node.self.Incarnation, Account: node.account,
 		Reach: func(ctx context.Context, address string) error { return rest.Reach(ctx, dial, address) },
 	})
 }
--- a/caroblined/process/settings/settings.go
+++ b/caroblined/process/settings/settings.go
@@ -94,6 +94,8 @@
 	BodyBytes   int64 `json:"body_bytes,omitempty"`
 	HeaderBytes int   `json:"header_bytes,omitempty"`
 	Connections int   `json:"connections,omitempty"`
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
 	// InactivityTimeoutMS is how long an endpoint may send nothing before a call to
 	// it is broken off, in milliseconds.
 	InactivityTimeoutMS int64 `json:"silence_ms,omitempty"`
@@ -101,6 +103,9 @@
 	CallerWriteTimeoutMS int64 `json:"caller_stall_ms,omitempty"`
 }
 
+// minMemoryMB is the least memory with which a process holds one large answer and its own state.
+const minMemoryMB = 64
+
 var nameRegexp = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // Load reads and validates a settings file.
@@ -130,6 +135,7 @@
 	setDefault(&limits.BodyBytes, 4<<20)
 	setDefault(&limits.HeaderBytes, 64<<10)
 	setDefault(&limits.Connections, 10_000)
+	setDefault(&limits.MemoryMB, 1024)
 	setDefault(&limits.InactivityTimeoutMS, 30_000)
 	setDefault(&limits.CallerWriteTimeoutMS, 30_000)
 	setDefault(&settings.MaxLoadingGroups, 4)
@@ -168,6 +174,7 @@
 		{settings.Limits.BodyBytes > 0, "limits.body_bytes", settings.Limits.BodyBytes, "more than 0"},
 		{settings.Limits.HeaderBytes >= 4096, "limits.header_bytes", settings.Limits.HeaderBytes, "4096 or more"},
 		{settings.Limits.Connections > 0, "limits.connections", settings.Limits.Connections, "more than 0"},
+		{settings.Limits.MemoryMB >= minMemoryMB, "limits.memory_mb", settings.Limits.MemoryMB, "64 or more"},
 		{settings.Limits.InactivityTimeoutMS > 0, "limits.silence_ms", settings.Limits.InactivityTimeoutMS, "more than 0"},
 		{settings.Limits.CallerWriteTimeoutMS > 0, "limits.caller_stall_ms", settings.Limits.CallerWriteTimeoutMS, "more than 0"},
 	}
--- /dev/null
+++ b/core/process/memory/charge.go
@@ -0,0 +1,148 @@
+package memory
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Charge is what is held for one request or answer. It is safe for concurrent use. A nil Charge
+// bounds nothing.
+type Charge struct {
+	account *Account
+	subject string
+
+	// The account's mutex guards the fields below.
+	holdings           *holdings
+	usual, large, peer Bytes
+	end                func(stalled bool)
+	// ended reports that the charge was told to give way.
+	ended      bool
+	progressAt time.Time
+}
+
+// Resize makes the charge hold size bytes. If they don't fit it returns ErrNoRoom, and the charge
+// stays as it is; others may have been told to give way. A charge that becomes smaller always fits.
+func (charge *Charge) Resize(now time.Time, size Bytes) error {
+	if charge == nil {
+		return nil
+	}
+	_, err := charge.resize(now, size)
+	if errors.Is(err, errPending) {
+		return ErrNoRoom
+	}
+	return err
+}
+
+// Await is like Resize, but waits while others give way, until ctx ends.
+func (charge *Charge) Await(ctx context.Context, now func() time.Time, size Bytes) error {
+	if charge == nil {
+		return nil
+	}
+	for {
+		freed, err := charge.resize(now(), size)
+		if !errors.Is(err, errPending) {
+			return err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return ErrNoRoom
+		}
+	}
+}
+
+// Progress records that what the charge is for makes progress without more bytes.
+func (charge *Charge) Progress(now time.Time) {
+	if charge == nil {
+		return
+	}
+	charge.account.mutex.Lock()
+	defer charge.account.mutex.Unlock()
+	charge.progressAt = now
+}
+
+// Keep tells that the bytes are complete, so that the charge isn't ended any more. It returns
+// false when the charge has been told to give way already.
+func (charge *Charge) Keep() bool {
+	if charge == nil {
+		return true
+	}
+	charge.account.mutex.Lock()
+	defer charge.account.mutex.Unlock()
+	charge.end = nil
+	return !charge.ended
+}
+
+// Transfer makes the bytes those of another holder, such as the caller that an answer is being
+// written to, and replaces the function that ends the charge. The new holder may hold more than
+// it would be given.
+func (charge *Charge) Transfer(now time.Time, holder Holder, end func(stalled bool)) {
+	if charge == nil {
+		return
+	}
+	charge.account.mutex.Lock()
+	defer charge.account.mutex.Unlock()
+	usual, large, peer := charge.usual, charge.large, charge.peer
+	charge.set(0, 0, 0)
+	charge.detach()
+	charge.attach(holder)
+	charge.set(usual, large, peer)
+	charge.end, charge.progressAt = end, now
+}
+
+// Close gives all bytes back. It may be called more than once.
+func (charge *Charge) Close() {
+	if charge == nil {
+		return
+	}
+	charge.account.mutex.Lock()
+	defer charge.account.mutex.Unlock()
+	if charge.holdings == nil {
+		return
+	}
+	charge.set(0, 0, 0)
+	charge.detach()
+	charge.end = nil
+}
+
+// attach makes the charge one of a holder's. The caller holds the mutex, as for all below.
+func (charge *Charge) attach(holder Holder) {
+	known := charge.account.byHolder[holder]
+	if known == nil {
+		known = &holdings{holder: holder, charges: map[*Charge]struct{}{}}
+		charge.account.byHolder[holder] = known
+	}
+	known.charges[charge] = struct{}{}
+	charge.holdings = known
+}
+
+func (charge *Charge) detach() {
+	delete(charge.holdings.charges, charge)
+	if len(charge.holdings.charges) == 0 {
+		delete(charge.account.byHolder, charge.holdings.holder)
+	}
+	charge.holdings = nil
+}
+
+// set makes the charge hold so much of each section.
+func (charge *Charge) set(usual, large, peer Bytes) {
+	account, holdings := charge.account, charge.holdings
+	account.usual.held += usual - charge.usual
+	account.large.held += large - charge.large
+	account.peer.held += peer - charge.peer
+	holdings.usual += usual - charge.usual
+	holdings.large += large - charge.large
+	holdings.peer += peer - charge.peer
+	if charge.ended {
+		account.pending += large - charge.large
+	}
+	freed := large < charge.large
+	charge.usual, charge.large, charge.peer = usual, large, peer
+	account.peak = max(account.peak, account.held())
+	if freed {
+		close(account.freed)
+		account.freed = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/core/process/memory/memory_test.go
@@ -0,0 +1,166 @@
+package memory_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobline.dev/core/process/memory"
+)
+
+const (
+	mebibyte = memory.Bytes(1 << 20)
+	// processMemory is that of a small entry host.
+	processMemory = 284 * mebibyte
+)
+
+var start = time.Unix(1000, 0)
+
+// fixture is an account whose ended charges are closed at once.
+type fixture struct {
+	*memory.Account
+	shortages []memory.Shortage
+}
+
+func newFixture() *fixture {
+	fixture := &fixture{}
+	fixture.Account = memory.New(memory.Config{Memory: processMemory, Report: func(shortage memory.Shortage) {
+		fixture.shortages = append(fixture.shortages, shortage)
+	}})
+	return fixture
+}
+
+// open opens a charge that is closed when it has to give way.
+func (fixture *fixture) open(holder memory.Holder, subject string) *memory.Charge {
+	var charge *memory.Charge
+	charge = fixture.Open(holder, subject, func(bool) { charge.Close() })
+	return charge
+}
+
+func endpoint(number int) memory.Holder {
+	return memory.Holder{Kind: memory.Endpoint, Name: fmt.Sprintf("pool/%d", number)}
+}
+
+func caller(name string) memory.Holder { return memory.Holder{Kind: memory.Caller, Name: name} }
+
+// Guards against answers of faulty endpoints that are bounded one by one and together end the
+// process: 24 endpoints, 96 answers at once of which each takes all that it can.
+func TestAnswersOfManyFaultyEndpointsStayWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		for size := 256 << 10; size <= 4<<20; size += 256 << 10 {
+			for number := range 96 {
+				charge := fixture.open(endpoint(number%24), fmt.Sprintf("request-%d-%d", number, size))
+				_ = charge.Resize(start, memory.Bytes(size))
+				synctest.Wait()
+			}
+		}
+		state := fixture.State()
+		if state.Held > state.Limit || state.Peak > state.Limit || state.Limit > processMemory/2 {
+			t.Errorf("held %d, at its peak %d, of %d; want at most the limit, and that under half of %d", state.Held, state.Peak, state.Limit, processMemory)
+		}
+		sound := fixture.open(endpoint(100), "sound")
+		if err := sound.Resize(start, 64<<10); err != nil {
+			t.Errorf("an answer of usual size of another endpoint: %v; want room", err)
+		}
+		peer := fixture.open(memory.Holder{Kind: memory.Peer, Name: "leader"}, "feed")
+		if err := peer.Resize(start, 2*mebibyte); err != nil {
+			t.Errorf("a peer's message: %v; want room", err)
+		}
+	})
+}
+
+// Guards against one holder that takes what all others need.
+func TestOneHolderGetsAPartOnly(t *testing.T) {
+	for _, holder := range []memory.Holder{endpoint(1), caller("account"), {Kind: memory.Peer, Name: "node"}} {
+		t.Run(string(holder.Kind), func(t *testing.T) {
+			fixture := newFixture()
+			for number := range 200 {
+				_ = fixture.open(holder, fmt.Sprint(number)).Resize(start, 4*mebibyte)
+			}
+			if state := fixture.State(); state.LargestHeld > state.Limit*2/3 || state.Largest != holder {
+				t.Errorf("the largest holder is %v with %d of %d bytes; want at most two thirds of them", state.Largest, state.LargestHeld, state.Limit)
+			}
+			if err := fixture.open(caller("other"), "body").Resize(start, 4*mebibyte); err != nil {
+				t.Errorf("4 MiB of another holder: %v; want room", err)
+			}
+		})
+	}
+}
+
+// Guards against a sound request that is refused for the bytes of others that make no progress.
+func TestChargesWithoutProgressGiveWayFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		for number := range 40 {
+			_ = fixture.open(endpoint(number), fmt.Sprintf("stalled-%d", number)).Resize(start, 4*mebibyte)
+		}
+		now := start.Add(memory.StallTime)
+		large := fixture.open(caller("account"), "body")
+		if err := large.Await(t.Context(), func() time.Time { return now }, 4*mebibyte); err != nil {
+			t.Fatalf("a large body beside answers without progress: %v; want room", err)
+		}
+		last := fixture.shortages[len(fixture.shortages)-1]
+		if last.Verdict != memory.VerdictEnded || !last.Stalled || last.AskedBy != caller("account") {
+			t.Errorf("last shortage %+v; want an answer without progress ended for the account", last)
+		}
+	})
+}
+
+// Guards against an eviction of the one that asks last while another holds far more.
+func TestTheHolderThatHoldsMostGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		for number := range 8 {
+			_ = fixture.open(caller("greedy"), fmt.Sprintf("greedy-%d", number)).Resize(start, 4*mebibyte)
+		}
+		for number := range 10 {
+			_ = fixture.open(endpoint(number), fmt.Sprintf("answer-%d", number)).Resize(start, 4*mebibyte)
+		}
+		if err := fixture.open(caller("small"), "body").Await(t.Context(), func() time.Time { return start }, 4*mebibyte); err != nil {
+			t.Fatalf("a body beside an account that holds 32 MiB: %v; want room", err)
+		}
+		last := fixture.shortages[len(fixture.shortages)-1]
+		if last.Verdict != memory.VerdictEnded || last.Holder != caller("greedy") || last.Stalled {
+			t.Errorf("last shortage %+v; want a charge of the greedy account ended", last)
+		}
+	})
+}
+
+// Guards against complete bytes, of calls that wait or run, that are ended for others.
+func TestCompleteBytesAreNotEnded(t *testing.T) {
+	fixture := newFixture()
+	for number := range 40 {
+		charge := fixture.open(caller(fmt.Sprint(number)), fmt.Sprint(number))
+		if charge.Resize(start, 4*mebibyte) == nil && !charge.Keep() {
+			t.Fatal("a charge was ended before it was complete")
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := fixture.open(caller("last"), "body").Await(ctx, func() time.Time { return start.Add(time.Hour) }, 4*mebibyte)
+	if err == nil || ctx.Err() != nil {
+		t.Errorf("a body without room: %v after %v; want a refusal at once", err, ctx.Err())
+	}
+	if state := fixture.State(); state.Ended != 0 {
+		t.Errorf("%d charges were ended, want none", state.Ended)
+	}
+}
+
+// Guards against bytes that are never given back, by which the account fills up for good.
+func TestAllIsGivenBack(t *testing.T) {
+	fixture := newFixture()
+	for number := range 100 {
+		charge := fixture.open(endpoint(number), "answer")
+		_ = charge.Resize(start, mebibyte)
+		charge.Transfer(start, caller("account"), nil)
+		_ = charge.Resize(start, 10)
+		charge.Close()
+		charge.Close()
+	}
+	if state := fixture.State(); state.Held != 0 || state.LargestHeld != 0 || state.Peak < mebibyte {
+		t.Errorf("held %d, largest %d, peak %d; want nothing held and a peak of a mebibyte or more", state.Held, state.LargestHeld, state.Peak)
+	}
+}
--- /dev/null
+++ b/core/process/memory/room.go
@@ -0,0 +1,161 @@
+package memory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// resize makes the charge hold size bytes. It returns errPending when that will be possible once
+// others have given way, which the returned channel tells.
+func (charge *Charge) resize(now time.Time, size Bytes) (<-chan struct{}, error) {
+	account := charge.account
+	account.mutex.Lock()
+	if charge.holdings == nil {
+		account.mutex.Unlock()
+		return nil, ErrNoRoom
+	}
+	usual, large, peer := charge.split(size)
+	more := large - charge.large
+	if more > 0 && charge.ended {
+		account.mutex.Unlock()
+		return nil, ErrNoRoom
+	}
+	// A charge that waits for others isn't without progress by its own fault.
+	charge.progressAt = now
+	if more <= 0 || account.large.fits(charge.holdings.large, more) {
+		charge.set(usual, large, peer)
+		account.mutex.Unlock()
+		return nil, nil
+	}
+	shortages, ends, err := account.makeRoom(now, charge, more)
+	freed := account.freed
+	account.mutex.Unlock()
+	for _, shortage := range shortages {
+		account.report(shortage)
+	}
+	for _, end := range ends {
+		go end()
+	}
+	return freed, err
+}
+
+// split divides size among the sections.
+func (charge *Charge) split(size Bytes) (usual, large, peer Bytes) {
+	account, holdings := charge.account, charge.holdings
+	if holdings.holder.Kind == Peer {
+		if more := size - charge.peer; more <= 0 || account.peer.fits(holdings.peer, more) {
+			return 0, 0, size
+		}
+		return 0, size - charge.peer, charge.peer
+	}
+	usual = min(size, usualChargeBytes)
+	if more := usual - charge.usual; more > 0 && !account.usual.fits(holdings.usual, more) {
+		usual = charge.usual
+	}
+	return usual, size - usual, 0
+}
+
+// makeRoom tells charges to give way until a charge can have more bytes of the large section.
+// It returns errPending if it can once they have, and ErrNoRoom if it can't. Those without
+// progress go first, then those of the holder that holds most, unless that is the one that asks.
+func (account *Account) makeRoom(now time.Time, asker *Charge, more Bytes) ([]Shortage, []func(), error) {
+	own := asker.holdings
+	victims := []*Charge{}
+	missing := account.large.held + more - account.large.limit - account.pending
+	if own.large+more <= account.large.holderLimit {
+		victims = account.victims(now, asker, more, missing)
+		for _, victim := range victims {
+			missing -= victim.large
+		}
+	}
+	if own.large+more > account.large.holderLimit || missing > 0 {
+		account.refused++
+		return []Shortage{account.shortage(now, VerdictRefused, asker, asker, more)}, nil, ErrNoRoom
+	}
+	shortages, ends := make([]Shortage, len(victims)), make([]func(), len(victims))
+	for index, victim := range victims {
+		shortages[index] = account.shortage(now, VerdictEnded, victim, asker, more)
+		stalled, end := victim.stalled(now), victim.end
+		ends[index] = func() { end(stalled) }
+		victim.ended, victim.end = true, nil
+		account.pending += victim.large
+		account.ended++
+	}
+	return shortages, ends, errPending
+}
+
+// victims returns the charges that have to give way for missing bytes.
+func (account *Account) victims(now time.Time, asker *Charge, more, missing Bytes) []*Charge {
+	var victims []*Charge
+	take := func(candidates []*Charge) {
+		for _, candidate := range candidates {
+			if missing <= 0 {
+				return
+			}
+			victims = append(victims, candidate)
+			missing -= candidate.large
+		}
+	}
+	take(account.stalledCharges(now, asker))
+	if largest := account.largestEndable(victims); missing > 0 && largest != nil && largest != asker.holdings && largest.large > asker.holdings.large+more {
+		take(largest.endable(victims))
+	}
+	return victims
+}
+
+// stalledCharges returns the charges without progress, the longest without first.
+func (account *Account) stalledCharges(now time.Time, asker *Charge) []*Charge {
+	var stalled []*Charge
+	for _, holdings := range account.byHolder {
+		for charge := range holdings.charges {
+			if charge != asker && charge.mayEnd() && charge.stalled(now) {
+				stalled = append(stalled, charge)
+			}
+		}
+	}
+	slices.SortFunc(stalled, func(a, b *Charge) int {
+		return cmp.Or(a.progressAt.Compare(b.progressAt), cmp.Compare(b.large, a.large), cmp.Compare(a.subject, b.subject))
+	})
+	return stalled
+}
+
+// largestEndable returns the holder whose charges that can be ended hold most, or nil.
+func (account *Account) largestEndable(excluded []*Charge) *holdings {
+	var largest *holdings
+	most := Bytes(0)
+	for _, holdings := range account.byHolder {
+		held := Bytes(0)
+		for _, charge := range holdings.endable(excluded) {
+			held += charge.large
+		}
+		if held > most {
+			largest, most = holdings, held
+		}
+	}
+	return largest
+}
+
+// endable returns the holder's charges that can be ended, the largest first.
+func (holdings *holdings) endable(excluded []*Charge) []*Charge {
+	charges := slices.DeleteFunc(slices.Collect(maps.Keys(holdings.charges)), func(charge *Charge) bool {
+		return !charge.mayEnd() || slices.Contains(excluded, charge)
+	})
+	slices.SortFunc(charges, func(a, b *Charge) int {
+		return cmp.Or(cmp.Compare(b.large, a.large), a.progressAt.Compare(b.progressAt), cmp.Compare(a.subject, b.subject))
+	})
+	return charges
+}
+
+// mayEnd reports whether ending the charge frees bytes of the large section.
+func (charge *Charge) mayEnd() bool { return charge.end != nil && charge.large > 0 }
+
+func (charge *Charge) stalled(now time.Time) bool { return now.Sub(charge.progressAt) >= StallTime }
+
+func (account *Account) shortage(now time.Time, verdict Verdict, charge, asker *Charge, more Bytes) Shortage {
+	return Shortage{
+		At: now, Verdict: verdict, Holder: charge.holdings.holder, Subject: charge.subject, Stalled: charge.stalled(now), Asked: more,
+		AskedBy: asker.holdings.holder, HolderHeld: charge.holdings.total(), Held: account.held(), Limit: account.limit(),
+	}
+}
