callerapi: a call of a plain service goes on while its caller waits

Callers of a plain service that worked for longer than silence_ms (30 s) got a 502 with the outcome unknown, also where the call must not repeat, though they still waited and the service was at work. Cause: one timer for each attempt, which nothing reset, cancelled it; another of two minutes did the same to a call that must not repeat.

The test failed before: 502 'the endpoint sent nothing for too long' for services that take 40 s and 3 minutes, in both kinds of call. Now a watch of each attempt notes the bytes that come. After silence_ms without any, a call that may repeat moves to another host, once, and only when that one is reserved; an attempt ends without one only where the view no longer holds the host. A call that must not repeat runs as long as its caller waits, and two minutes longer.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -52,9 +52,9 @@
 	Log             zerolog.Logger
 	Metrics         metrics.Registry
 	BodyBytes       int64
-	// InactivityTimeout is how long an engine may send no event, and how long a
-	// whole attempt at a plain service may take, before the attempt is
-	// cancelled.
+	// InactivityTimeout is how long an engine may send no event, and a plain service
+	// nothing, before another endpoint is looked for. An attempt is cancelled then only if its
+	// endpoint is lost.
 	InactivityTimeout time.Duration
 	// CallerWriteTimeout is how long a caller may take to accept one write.
 	CallerWriteTimeout time.Duration
--- a/caroblined/connection/callerapi/handover.go
+++ b/caroblined/connection/callerapi/handover.go
@@ -29,9 +29,9 @@
 var errEndpointSlow = errors.New("the endpoint has turned slow")
 
 // errEndpointUnresponsive is the reason to move an answer away from an endpoint that has sent
-// nothing for the inactivity timeout. It ends a running stream only where the view no
-// longer holds the endpoint; it also ends a successor that sends nothing, and an unresponsive call
-// of a plain service.
+// nothing for the inactivity timeout. It ends a running answer only where the view no
+// longer holds the endpoint, or where the answer goes on at another one; it also ends a successor that
+// sends nothing.
 var errEndpointUnresponsive = errors.New("the endpoint sent nothing for too long")
 
 // errHandedOver ends an attempt whose successor has begun.
--- /dev/null
+++ b/caroblined/connection/callerapi/serviceexchange.go
@@ -0,0 +1,80 @@
+package callerapi
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/connection/sse"
+	"carobline.dev/core/process/register"
+)
+
+// exchange makes one attempt. The result sent is false only when no byte of the
+// request can have reached the service, or when the service's answer says that
+// the request did not run.
+func (api *API) exchange(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, attempt int, transport http.RoundTripper) (answer *register.Answer, sent bool, err error) {
+	endpoint := admission.Endpoint()
+	serviceCall.call.lastEndpoint = endpointName(endpoint)
+	attemptCtx, cancel, ok := admission.Attempt(ctx)
+	if !ok {
+		return nil, false, errors.Errorf("endpoint %s is no longer whole", endpoint.Address)
+	}
+	defer cancel(nil)
+	watch := api.watchService(attemptCtx, cancel, admission, serviceCall)
+	defer watch.stop()
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(traced, serviceCall.method, "http://"+endpoint.Address+serviceCall.target, bytes.NewReader(serviceCall.body))
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "request to %s", endpoint.Address)
+	}
+	serviceCall.setHeaders(request, attempt)
+	startedAt := api.config.Now()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, connected.Load(), errors.Wrapf(causeOf(attemptCtx, err), "call service at %s", endpoint.Address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	watch.recordBytes()
+	body, err := io.ReadAll(io.LimitReader(&watchedReader{response.Body, watch}, maxAnswerBytes+1))
+	if err != nil {
+		return nil, true, errors.Wrapf(causeOf(attemptCtx, err), "read service at %s", endpoint.Address)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, true, errors.Errorf("read service at %s: the answer is too large", endpoint.Address)
+	}
+	if sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(body) {
+		return nil, true, errors.Wrapf(sse.ErrTruncated, "read service at %s", endpoint.Address)
+	}
+	if response.Header.Get(rest.HeaderOutcome) == string(rest.OutcomeNotRun) {
+		// A refusal that doesn't name the request may be another one's.
+		mayHaveRun := response.Header.Get(rest.HeaderRequestID) != string(serviceCall.call.id)
+		return nil, mayHaveRun, errors.Errorf("service at %s refused without running: %s", endpoint.Address, response.Status)
+	}
+	admission.RecordAnswerTime(api.config.Now().Sub(startedAt))
+	return &register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, true, nil
+}
+
+// forwardedHeaders are the headers of the caller that are sent on to a service.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", headerIdempotencyKey}
+
+func (serviceCall *serviceCall) setHeaders(request *http.Request, attempt int) {
+	for _, name := range forwardedHeaders {
+		if value := serviceCall.header.Get(name); value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	request.Header.Set(rest.HeaderRequestID, string(serviceCall.call.id))
+	request.Header.Set(headerAttempt, strconv.Itoa(attempt))
+	request.Header.Set("Carobline-Customer", string(serviceCall.call.clientAccount.Contract.ClientAccount))
+}
--- a/caroblined/process/settings/settings.go
+++ b/caroblined/process/settings/settings.go
@@ -96,8 +96,8 @@
 	Connections int   `json:"connections,omitempty"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
-	// InactivityTimeoutMS is how long an endpoint may send nothing before a call to
-	// it is broken off, in milliseconds.
+	// InactivityTimeoutMS is how long an endpoint may send nothing before another one is
+	// looked for, and before a call to an endpoint that is lost is broken off, in milliseconds.
 	InactivityTimeoutMS int64 `json:"silence_ms,omitempty"`
 	// CallerWriteTimeoutMS bounds one write to a caller, in milliseconds.
 	CallerWriteTimeoutMS int64 `json:"caller_stall_ms,omitempty"`
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -76,8 +76,7 @@
 	Slow int `json:"slow,omitempty"`
 	// DropAnswer runs a service call and aborts the connection before the answer.
 	DropAnswer bool `json:"drop_answer,omitempty"`
-	// Delay holds back the answer to a service call that has run; in JSON it is
-	// in nanoseconds.
+	// Delay holds back the answer to a service call; in JSON it is in nanoseconds.
 	Delay time.Duration `json:"delay,omitempty"`
 	// RefuseUnrun refuses service calls with an error that states that the call
 	// wasn't run.
--- a/fakeengine/process/engine/orders.go
+++ b/fakeengine/process/engine/orders.go
@@ -58,6 +58,9 @@
 		return
 	}
 	if request.Method != http.MethodPost {
+		if !awaitDelay(request, faults.Delay) {
+			return
+		}
 		rest.WriteJSON(writer, http.StatusOK, map[string]string{"path": strings.TrimPrefix(request.URL.Path, "/"), "stock": "1200"})
 		return
 	}
@@ -73,14 +76,23 @@
 		<-request.Context().Done()
 		return
 	}
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-request.Context().Done():
-			return
-		}
+	if !awaitDelay(request, faults.Delay) {
+		return
 	}
 	rest.WriteJSON(writer, http.StatusCreated, booking{Key: key, Run: run, Body: string(data)})
 }
+
+// awaitDelay waits for a time. It returns false when the caller leaves before.
+func awaitDelay(request *http.Request, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
