memory: a holder's own charges without progress give way to its sound ones, and large ones may wait

A holder at its limit was refused even where the bytes it held were those of answers that made no progress, so that one faulty call kept sound calls to the same endpoint out. They give way first now. AwaitTurn lets an answer whose size is known wait until others have ended. The two tests fail without the change (ErrNoRoom for the sound answer; there was no AwaitTurn).

--- a/core/process/memory/charge.go
+++ b/core/process/memory/charge.go
@@ -28,7 +28,7 @@
 	if charge == nil {
 		return nil
 	}
-	_, err := charge.resize(now, size)
+	_, err := charge.resize(now, size, true)
 	if errors.Is(err, errPending) {
 		return ErrNoRoom
 	}
@@ -41,18 +41,57 @@
 		return nil
 	}
 	for {
-		freed, err := charge.resize(now(), size)
+		freed, err := charge.resize(now(), size, true)
 		if !errors.Is(err, errPending) {
 			return err
 		}
-		select {
-		case <-freed:
-		case <-ctx.Done():
+		if !wait(ctx, freed) {
 			return ErrNoRoom
 		}
 	}
 }
 
+// AwaitTurn is like Await, but also waits while nobody gives way, until others have ended. A charge that
+// waits keeps what it holds, so that it is for what is asked for at once, or for a bounded time.
+func (charge *Charge) AwaitTurn(ctx context.Context, now func() time.Time, size Bytes) error {
+	if charge == nil {
+		return nil
+	}
+	for recorded := true; ; recorded = false {
+		freed, err := charge.resize(now(), size, recorded)
+		switch {
+		case err == nil:
+			return nil
+		case !charge.account.mayEverFit(size):
+			return err
+		case !wait(ctx, freed):
+			return ErrNoRoom
+		}
+	}
+}
+
+// recheckInterval is the longest wait before a charge that waits is asked for again: others may be
+// without progress by then.
+const recheckInterval = StallTime / 3
+
+// wait waits until bytes are freed, or for recheckInterval. It returns false if ctx ends first.
+func wait(ctx context.Context, freed <-chan struct{}) bool {
+	timer := time.NewTimer(recheckInterval)
+	defer timer.Stop()
+	select {
+	case <-freed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// mayEverFit reports whether one charge may have so many bytes when nobody else holds any.
+func (account *Account) mayEverFit(size Bytes) bool {
+	return size <= account.large.holderLimit
+}
+
 // Progress records that what the charge is for makes progress without more bytes.
 func (charge *Charge) Progress(now time.Time) {
 	if charge == nil {
@@ -86,6 +125,7 @@
 	defer charge.account.mutex.Unlock()
 	usual, large, peer := charge.usual, charge.large, charge.peer
 	charge.set(0, 0, 0)
+	charge.ended = false
 	charge.detach()
 	charge.attach(holder)
 	charge.set(usual, large, peer)
@@ -137,6 +177,7 @@
 	holdings.peer += peer - charge.peer
 	if charge.ended {
 		account.pending += large - charge.large
+		holdings.pending += large - charge.large
 	}
 	freed := large < charge.large
 	charge.usual, charge.large, charge.peer = usual, large, peer
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -132,7 +132,9 @@
 type holdings struct {
 	holder             Holder
 	usual, large, peer Bytes
-	charges            map[*Charge]struct{}
+	// pending is the part of large that charges which were ended still hold.
+	pending Bytes
+	charges map[*Charge]struct{}
 }
 
 func (holdings *holdings) total() Bytes { return holdings.usual + holdings.large + holdings.peer }
--- a/core/process/memory/memory_test.go
+++ b/core/process/memory/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,44 @@
 		t.Errorf("held %d, largest %d, peak %d; want nothing held and a peak of a mebibyte or more", state.Held, state.LargestHeld, state.Peak)
 	}
 }
+
+// Guards against a faulty holder whose charges make no progress and keep its own sound ones out for good.
+func TestOwnChargesWithoutProgressGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		for number := range 20 {
+			_ = fixture.open(endpoint(1), fmt.Sprintf("stalled-%d", number)).Resize(start, 4*mebibyte)
+		}
+		now := start.Add(memory.StallTime)
+		if err := fixture.open(endpoint(1), "sound").Await(t.Context(), func() time.Time { return now }, 4*mebibyte); err != nil {
+			t.Errorf("an answer of an endpoint whose other answers make no progress: %v; want room", err)
+		}
+	})
+}
+
+// Guards against large sound answers that are refused where they could wait for each other.
+func TestLargeAnswersWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		var answers sync.WaitGroup
+		for number := range 60 {
+			answers.Go(func() {
+				charge := fixture.Open(endpoint(1), fmt.Sprint(number), nil)
+				defer charge.Close()
+				if err := charge.AwaitTurn(t.Context(), time.Now, 4*mebibyte); err != nil {
+					t.Errorf("answer %d: %v; want its turn", number, err)
+				}
+				time.Sleep(time.Second)
+			})
+		}
+		answers.Wait()
+		if state := fixture.State(); state.Held != 0 || state.Peak > state.Limit {
+			t.Errorf("state %+v; want nothing held and a peak within the limit", state)
+		}
+		charge := fixture.Open(endpoint(1), "too large", nil)
+		defer charge.Close()
+		if err := charge.AwaitTurn(t.Context(), time.Now, processMemory); err == nil {
+			t.Error("an answer that never fits got room")
+		}
+	})
+}
--- a/core/process/memory/room.go
+++ b/core/process/memory/room.go
@@ -5,11 +5,13 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // resize makes the charge hold size bytes. It returns errPending when that will be possible once
-// others have given way, which the returned channel tells.
-func (charge *Charge) resize(now time.Time, size Bytes) (<-chan struct{}, error) {
+// others have given way, which the returned channel tells. A refusal counts, and is reported, if recorded is set.
+func (charge *Charge) resize(now time.Time, size Bytes, recorded bool) (<-chan struct{}, error) {
 	account := charge.account
 	account.mutex.Lock()
 	if charge.holdings == nil {
@@ -30,6 +32,10 @@
 		return nil, nil
 	}
 	shortages, ends, err := account.makeRoom(now, charge, more)
+	if errors.Is(err, ErrNoRoom) && recorded {
+		account.refused++
+		shortages = append(shortages, account.shortage(now, VerdictRefused, charge, charge, more))
+	}
 	freed := account.freed
 	account.mutex.Unlock()
 	for _, shortage := range shortages {
@@ -62,65 +68,84 @@
 // progress go first, then those of the holder that holds most, unless that is the one that asks.
 func (account *Account) makeRoom(now time.Time, asker *Charge, more Bytes) ([]Shortage, []func(), error) {
 	own := asker.holdings
-	victims := []*Charge{}
 	missing := account.large.held + more - account.large.limit - account.pending
-	if own.large+more <= account.large.holderLimit {
-		victims = account.victims(now, asker, more, missing)
-		for _, victim := range victims {
-			missing -= victim.large
-		}
+	victims, ownMissing := takeCharges(own.stalledCharges(now, asker), own.large+more-account.large.holderLimit-own.pending)
+	if ownMissing > 0 {
+		return nil, nil, ErrNoRoom
 	}
-	if own.large+more > account.large.holderLimit || missing > 0 {
-		account.refused++
-		return []Shortage{account.shortage(now, VerdictRefused, asker, asker, more)}, nil, ErrNoRoom
+	for _, victim := range victims {
+		missing -= victim.large
+	}
+	victims, missing = account.addVictims(now, asker, victims, more, missing)
+	if missing > 0 {
+		return nil, nil, ErrNoRoom
 	}
 	shortages, ends := make([]Shortage, len(victims)), make([]func(), len(victims))
 	for index, victim := range victims {
 		shortages[index] = account.shortage(now, VerdictEnded, victim, asker, more)
-		stalled, end := victim.stalled(now), victim.end
-		ends[index] = func() { end(stalled) }
-		victim.ended, victim.end = true, nil
-		account.pending += victim.large
-		account.ended++
+		ends[index] = victim.giveWay(now)
 	}
 	return shortages, ends, errPending
 }
 
-// victims returns the charges that have to give way for missing bytes.
-func (account *Account) victims(now time.Time, asker *Charge, more, missing Bytes) []*Charge {
-	var victims []*Charge
-	take := func(candidates []*Charge) {
-		for _, candidate := range candidates {
-			if missing <= 0 {
-				return
-			}
-			victims = append(victims, candidate)
-			missing -= candidate.large
+// giveWay marks the charge as ended, and returns the function that tells its owner.
+func (charge *Charge) giveWay(now time.Time) func() {
+	stalled, end := charge.stalled(now), charge.end
+	charge.ended, charge.end = true, nil
+	charge.account.pending += charge.large
+	charge.holdings.pending += charge.large
+	charge.account.ended++
+	return func() { end(stalled) }
+}
+
+// takeCharges returns as many of the charges as free missing bytes, and what is missing still.
+func takeCharges(charges []*Charge, missing Bytes) ([]*Charge, Bytes) {
+	for index, charge := range charges {
+		if missing <= 0 {
+			return charges[:index], missing
 		}
+		missing -= charge.large
 	}
-	take(account.stalledCharges(now, asker))
-	if largest := account.largestEndable(victims); missing > 0 && largest != nil && largest != asker.holdings && largest.large > asker.holdings.large+more {
-		take(largest.endable(victims))
-	}
-	return victims
+	return charges, missing
 }
 
-// stalledCharges returns the charges without progress, the longest without first.
-func (account *Account) stalledCharges(now time.Time, asker *Charge) []*Charge {
+// addVictims adds the charges that have to give way for missing bytes, and returns what is missing still.
+func (account *Account) addVictims(now time.Time, asker *Charge, victims []*Charge, more, missing Bytes) ([]*Charge, Bytes) {
 	var stalled []*Charge
 	for _, holdings := range account.byHolder {
-		for charge := range holdings.charges {
-			if charge != asker && charge.mayEnd() && charge.stalled(now) {
+		for _, charge := range holdings.stalledCharges(now, asker) {
+			if !slices.Contains(victims, charge) {
 				stalled = append(stalled, charge)
 			}
 		}
 	}
-	slices.SortFunc(stalled, func(a, b *Charge) int {
-		return cmp.Or(a.progressAt.Compare(b.progressAt), cmp.Compare(b.large, a.large), cmp.Compare(a.subject, b.subject))
-	})
+	slices.SortFunc(stalled, compareStalled)
+	taken, missing := takeCharges(stalled, missing)
+	victims = append(slices.Clip(victims), taken...)
+	largest := account.largestEndable(victims)
+	if missing <= 0 || largest == nil || largest == asker.holdings || largest.large <= asker.holdings.large+more {
+		return victims, missing
+	}
+	taken, missing = takeCharges(largest.endable(victims), missing)
+	return append(victims, taken...), missing
+}
+
+// stalledCharges returns the holder's charges without progress, the longest without first.
+func (holdings *holdings) stalledCharges(now time.Time, asker *Charge) []*Charge {
+	var stalled []*Charge
+	for charge := range holdings.charges {
+		if charge != asker && charge.mayEnd() && charge.stalled(now) {
+			stalled = append(stalled, charge)
+		}
+	}
+	slices.SortFunc(stalled, compareStalled)
 	return stalled
 }
 
+func compareStalled(a, b *Charge) int {
+	return cmp.Or(a.progressAt.Compare(b.progressAt), cmp.Compare(b.large, a.large), cmp.Compare(a.subject, b.subject))
+}
+
 // largestEndable returns the holder whose charges that can be ended hold most, or nil.
 func (account *Account) largestEndable(excluded []*Charge) *holdings {
 	var largest *holdings
