--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -48,6 +48,8 @@
 	stop       context.CancelFunc
 	announcers sync.WaitGroup
 	closers    []func()
+	// memoryMB is what each node may use; zero stands for the default.
+	memoryMB int64
 	// ended counts the engines that have ended under prompts with endingText.
 	ended atomic.Int64
 }
@@ -67,10 +69,21 @@
 	return newSystemOn(t, newPipeNetwork(), hosts, change)
 }
 
+// newSystemWithMemory is a system of two hosts whose nodes have so much memory.
+func newSystemWithMemory(t testing.TB, memoryMB int64) *system {
+	t.Helper()
+	return startSystem(t, &system{t: t, network: newPipeNetwork(), memoryMB: memoryMB}, 2, nil)
+}
+
 func newSystemOn(t testing.TB, network *pipeNetwork, hosts int, change func(config *engine.Config)) *system {
+	t.Helper()
+	return startSystem(t, &system{t: t, network: network}, hosts, change)
+}
+
+func startSystem(t testing.TB, system *system, hosts int, change func(config *engine.Config)) *system {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	system := &system{t: t, network: network, folder: t.TempDir(), stop: stop}
+	system.folder, system.stop = t.TempDir(), stop
 	transport := &http.Transport{DialContext: system.network.dial}
 	system.client = &http.Client{Transport: transport}
 	system.closers = append(system.closers, transport.CloseIdleConnections)
@@ -128,7 +141,7 @@
 			Announcers:    []rest.Credential{{Name: "hosts", TokenSHA256: rest.HashToken("host-token")}},
 			PeerTokenFile: filepath.Join(system.folder, "peer"), OrderTokenFile: filepath.Join(system.folder, "order"),
 		},
-		LogLevel: "disabled",
+		LogLevel: "disabled", Limits: settings.Limits{MemoryMB: system.memoryMB},
 	}
 	for other := range 3 {
 		nodeSettings.Peers = append(nodeSettings.Peers, settings.Peer{Node: id.Node(fmt.Sprintf("n%d", other)), Address: fmt.Sprintf("127.0.0.1:4%d", other), Voter: true})
--- a/fakeengine/process/engine/endless.go
+++ b/fakeengine/process/engine/endless.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"carobline.dev/core/connection/rest"
@@ -21,6 +22,14 @@
 	EndlessEvent   Endless = "event"
 	EndlessEvents  Endless = "events"
 	EndlessRepeats Endless = "repeats"
+	// EndlessPause is a body of stalledBodyBytes that stops a little before its end.
+	EndlessPause Endless = "pause"
+)
+
+// stalledBodyBytes is the stated length of an EndlessPause, and missingBytes what never comes.
+const (
+	stalledBodyBytes = 4_000_000
+	missingBytes     = 10_000
 )
 
 // answerEndlessly writes an answer of the given form until the caller closes the
@@ -28,7 +37,9 @@
 func answerEndlessly(writer http.ResponseWriter, request *http.Request, form Endless) {
 	const blockBytes = 32 << 10
 	block := map[Endless]string{EndlessHead: "X: y\r\n", EndlessBody: "x", EndlessEvent: "x", EndlessEvents: "data: {}\n\n", EndlessRepeats: "id: 1\ndata: {}\n\n"}[form]
-	block = strings.Repeat(block, blockBytes/len(block))
+	if block != "" {
+		block = strings.Repeat(block, blockBytes/len(block))
+	}
 	connection, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -36,6 +47,8 @@
 	defer func() { _ = connection.Close() }()
 	head := "HTTP/1.1 200 OK\r\n" + rest.HeaderRequestID + ": " + request.Header.Get(rest.HeaderRequestID) + "\r\nContent-Type: text/event-stream\r\n"
 	switch form {
+	case EndlessPause:
+		head += "Content-Length: " + strconv.Itoa(stalledBodyBytes) + "\r\n\r\n" + strings.Repeat("x", stalledBodyBytes-missingBytes)
 	case EndlessHead:
 	case EndlessEvent:
 		head += "\r\ndata: "
@@ -43,6 +56,10 @@
 		head += "\r\n"
 	}
 	_, err = io.WriteString(connection, head)
+	if form == EndlessPause {
+		_, _ = connection.Read(make([]byte, 1)) // returns when the caller closes the connection
+		return
+	}
 	for err == nil {
 		_, err = io.WriteString(connection, block)
 	}
