callerapi: bodies and answers are charged to the process's account before they are kept

What others' callers saw: their calls ended with the process. 96 answers of plain services that stop 10 KB before their end let the live heap grow by 540 MB, 288 bodies that stop by 2,426 MB, of 284 that the process may use. Cause: each is bounded, their sum wasn't.

A body is charged to its client account, and again for what its decoding takes; a body that makes no progress or belongs to the account that holds most gives way with a 503 not_run. Gathered completions and long events are charged too, and the events before a successor's first token, up to 1,000 of 64 KiB before, are bounded to 256 KiB.

The stand-in's faulty answer shares one text, so that what is measured is the entry host's.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -12,7 +12,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -163,6 +162,8 @@
 	answerStarted bool
 	// lastEndpoint names the endpoint of the latest attempt, for the log.
 	lastEndpoint string
+	// body is the request's, if it has been read.
+	body heldBody
 }
 
 // serve assigns a request id, authenticates the caller, runs handle, and
@@ -172,6 +173,8 @@
 		call := &call{id: api.config.RequestID(), startedAt: api.config.Now()}
 		writer.Header().Set(rest.HeaderRequestID, string(call.id))
 		call.log = api.config.Log.With().Str("request_id", string(call.id)).Logger()
+		call.body.uses.Add(1)
+		defer call.body.release()
 		api.meters.calls.Inc(1)
 		err := api.authenticate(request, call)
 		if err == nil {
@@ -198,20 +201,6 @@
 	return nil
 }
 
-// readBody reads the whole body and then clears the connection's read deadline,
-// which would otherwise cut off a long answer too.
-func (api *API) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
-	body, err := rest.ReadBody(writer, request, api.config.BodyBytes)
-	if err != nil {
-		return nil, err
-	}
-	err = http.NewResponseController(writer).SetReadDeadline(time.Time{})
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, rest.NotRun(rest.StatusClientClosed, "caller_gone", "the caller went away")
-	}
-	return body, nil
-}
-
 func (api *API) finish(writer http.ResponseWriter, request *http.Request, call *call, err error) {
 	elapsed := api.config.Now().Sub(call.startedAt)
 	api.meters.duration.Update(elapsed.Microseconds())
--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -25,6 +25,8 @@
 	maxEventBytes = 64 << 10
 	// maxUnnumberedEvents bounds the events of one attempt that are no tokens.
 	maxUnnumberedEvents = 1000
+	// maxOpeningBytes bounds what is held of an attempt's stream before its first token.
+	maxOpeningBytes = 256 << 10
 	// maxAnswerBytes bounds an answer that is collected whole before it goes to
 	// the caller.
 	maxAnswerBytes = 16 << 20
@@ -52,7 +54,11 @@
 }
 
 func (api *API) completions(writer http.ResponseWriter, request *http.Request, call *call) error {
-	callerBody, err := api.readBody(writer, request)
+	callerBody, err := api.readBody(writer, request, call)
+	if err != nil {
+		return err
+	}
+	decoded, err := api.chargeDecoded(request.Context(), call, len(callerBody))
 	if err != nil {
 		return err
 	}
@@ -60,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	decoded()
 	parts := suspicion.Call{ClientAccount: call.clientAccount.Contract.ClientAccount, Parts: prompt.Messages(completion.Messages)}
 	if err := blockedError(api.config.Guard.Check(parts)); err != nil {
 		return err
@@ -73,11 +80,13 @@
 		return err
 	}
 	api.config.RetryBudget.Earn()
-	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, body: body, parts: parts, prefix: prefix, maxTokens: *completion.MaxTokens}
+	relay := &relay{api: api, call: call, admission: admission, path: request.URL.Path, model: completion.Model, body: body, parts: parts, prefix: prefix, maxTokens: *completion.MaxTokens}
 	if completion.Stream {
 		relay.sink = &streamSink{writer: writer, controller: http.NewResponseController(writer), writeTimeout: api.config.CallerWriteTimeout, call: call}
 	} else {
-		relay.sink = &bufferedSink{writer: writer, chat: request.URL.Path == "/v1/chat/completions"}
+		charge := api.config.Account.Open(call.holder(request), string(call.id), nil)
+		defer charge.Close()
+		relay.sink = &bufferedSink{charge: charge, now: api.config.Now, writer: writer, chat: request.URL.Path == "/v1/chat/completions"}
 	}
 	err = relay.run(request.Context())
 	admission.Finish(relay.delivered(), relay.failed)
--- a/caroblined/connection/callerapi/eventsource.go
+++ b/caroblined/connection/callerapi/eventsource.go
@@ -63,7 +63,8 @@
 // leave out no token.
 func readOpening(reader *sse.Reader, delivered func() id.Tokens) opening {
 	var opening opening
-	for len(opening.events) <= maxUnnumberedEvents {
+	held := 0
+	for len(opening.events) <= maxUnnumberedEvents && held <= maxOpeningBytes {
 		event, err := reader.Next()
 		if err != nil {
 			opening.err = err
@@ -74,11 +75,12 @@
 			return opening
 		}
 		opening.events = append(opening.events, event)
+		held += len(event.Raw) + len(event.Data)
 		if event.HasID || event.Done() {
 			return opening
 		}
 	}
-	opening.err = errors.Errorf("the stream began with more than %d events without a number", maxUnnumberedEvents)
+	opening.err = errors.Errorf("the stream began with more than %d events, or %d bytes, without a number", maxUnnumberedEvents, maxOpeningBytes)
 	return opening
 }
 
--- a/caroblined/connection/callerapi/once.go
+++ b/caroblined/connection/callerapi/once.go
@@ -47,7 +47,8 @@
 		attempt := id.Change(string(serviceCall.call.id) + "-" + strconv.Itoa(round))
 		answer, replayed, err := api.tryOnce(ctx, serviceCall, attempt)
 		if err == nil {
-			writeAnswer(writer, answer, replayed)
+			defer answer.close()
+			writeAnswer(writer, answer.Answer, replayed)
 			return nil
 		}
 		if !errors.Is(err, errInFlight) {
@@ -71,7 +72,7 @@
 
 // tryOnce records and sends a call that must not repeat, or answers it from the
 // record of an earlier call with the same key.
-func (api *API) tryOnce(ctx context.Context, serviceCall *serviceCall, attempt id.Change) (answer *register.Answer, replayed bool, err error) {
+func (api *API) tryOnce(ctx context.Context, serviceCall *serviceCall, attempt id.Change) (answer *heldAnswer, replayed bool, err error) {
 	admission, err := api.admitService(ctx, serviceCall)
 	if err != nil {
 		return nil, false, err
@@ -99,10 +100,10 @@
 }
 
 // answerFromRecord answers a resend from the record of the first call.
-func answerFromRecord(record *register.CallRecord) (*register.Answer, bool, error) {
+func answerFromRecord(record *register.CallRecord) (*heldAnswer, bool, error) {
 	switch {
 	case record.State == register.CallDone && record.Answer != nil:
-		return record.Answer, true, nil
+		return &heldAnswer{Answer: record.Answer}, true, nil
 	case record.State == register.CallInFlight:
 		return nil, false, errInFlight
 	case record.State == register.CallUnknown:
@@ -142,17 +143,22 @@
 
 // dispatchOnce sends a recorded call. The call continues in the background when
 // the caller has disconnected, so that a resend finds the answer.
-func (api *API) dispatchOnce(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, key register.CallKey, attempt id.Change) (*register.Answer, error) {
+func (api *API) dispatchOnce(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, key register.CallKey, attempt id.Change) (*heldAnswer, error) {
 	type outcome struct {
-		answer *register.Answer
+		answer *heldAnswer
 		err    error
 	}
 	outcomes := make(chan outcome, 1)
+	serviceCall.call.body.uses.Add(1)
 	api.config.RunInBackground(func(background context.Context) {
 		run, cancel := context.WithCancel(background)
 		defer cancel()
 		defer context.AfterFunc(ctx, func() { cancelAfter(run, cancel, abandonedTimeout) })()
+		defer serviceCall.call.body.release()
 		answer, err := api.sendOnce(run, admission, serviceCall, key, attempt)
+		if ctx.Err() != nil {
+			answer.close()
+		}
 		outcomes <- outcome{answer, err}
 	})
 	select {
@@ -176,13 +182,13 @@
 
 // sendOnce sends a recorded call and records its end. It tries another endpoint
 // only while the call provably hasn't been sent.
-func (api *API) sendOnce(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, key register.CallKey, attempt id.Change) (*register.Answer, error) {
+func (api *API) sendOnce(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, key register.CallKey, attempt id.Change) (*heldAnswer, error) {
 	for attemptNumber := 1; ; attemptNumber++ {
 		answer, sent, err := api.exchange(ctx, admission, serviceCall, attemptNumber, api.config.SingleSendTransport)
 		switch {
 		case err == nil:
 			admission.Finish(0, false)
-			storedAnswer := answer
+			storedAnswer := answer.Answer
 			if len(answer.Body) > maxStoredAnswerBytes {
 				storedAnswer = nil
 			}
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -16,6 +16,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/attained"
 	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/view"
@@ -28,6 +29,7 @@
 	call      *call
 	admission *traffic.Admission
 	path      string
+	model     id.Model
 	body      []byte
 	// parts are those of the prompt that other calls may share.
 	parts suspicion.Call
@@ -156,6 +158,8 @@
 	// response is nil until the engine's headers have come.
 	response *http.Response
 	events   eventSource
+	// charge is for the events that are held, and nil until the attempt is sent.
+	charge *memory.Charge
 	// release, if set, releases what ctx is derived from.
 	release context.CancelFunc
 }
@@ -169,6 +173,7 @@
 	if attempt.response != nil {
 		_ = attempt.response.Body.Close()
 	}
+	attempt.charge.Close()
 }
 
 // runAttempt makes one attempt at the call's current endpoint, or goes on with the
@@ -239,6 +244,13 @@
 		return errors.Wrapf(causeOf(attempt.ctx, err), "call engine at %s", address)
 	}
 	attempt.response, attempt.events.reader = response, sse.NewReader(response.Body, maxEventBytes)
+	attempt.charge = relay.api.config.Account.Open(completionHolder(relay.model, attempt.endpoint), string(relay.call.id), func(bool) { attempt.cancel(errNoMemory) })
+	attempt.events.reader.OnGrow(func(size int) error {
+		if attempt.charge.Resize(relay.api.config.Now(), memory.Bytes(size)) != nil {
+			return errNoMemory
+		}
+		return nil
+	})
 	return relay.checkResponse(response)
 }
 
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -47,7 +47,7 @@
 	if mustNotRepeat && (serviceCall.idempotencyKey == "" || len(serviceCall.idempotencyKey) > maxKeyBytes) {
 		return rest.NotRun(http.StatusBadRequest, "missing_idempotency_key", "this call must not repeat; send "+headerIdempotencyKey+" with 1 to 255 characters")
 	}
-	body, err := api.readBody(writer, request)
+	body, err := api.readBody(writer, request, call)
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	writeAnswer(writer, answer, false)
+	defer answer.close()
+	answer.charge.Transfer(api.config.Now(), call.holder(request), nil)
+	writeAnswer(writer, answer.Answer, false)
 	return nil
 }
 
@@ -93,7 +95,7 @@
 // runRepeatable runs a call that the contract doesn't mark as not to be
 // repeated. It is retried when its method is idempotent, or when it provably
 // wasn't sent.
-func (api *API) runRepeatable(ctx context.Context, serviceCall *serviceCall) (*register.Answer, error) {
+func (api *API) runRepeatable(ctx context.Context, serviceCall *serviceCall) (*heldAnswer, error) {
 	admission, err := api.admitService(ctx, serviceCall)
 	if err != nil {
 		return nil, err
--- a/caroblined/connection/callerapi/serviceexchange.go
+++ b/caroblined/connection/callerapi/serviceexchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -20,7 +19,7 @@
 // exchange makes one attempt. The result sent is false only when no byte of the
 // request can have reached the service, or when the service's answer says that
 // the request did not run.
-func (api *API) exchange(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, attempt int, transport http.RoundTripper) (answer *register.Answer, sent bool, err error) {
+func (api *API) exchange(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, attempt int, transport http.RoundTripper) (answer *heldAnswer, sent bool, err error) {
 	endpoint := admission.Endpoint()
 	serviceCall.call.lastEndpoint = endpointName(endpoint)
 	attemptCtx, cancel, ok := admission.Attempt(ctx)
@@ -46,12 +45,18 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	watch.recordBytes()
-	body, err := io.ReadAll(io.LimitReader(&watchedReader{response.Body, watch}, maxAnswerBytes+1))
+	charge := api.config.Account.Open(endpointHolder(string(serviceCall.service), endpoint), string(serviceCall.call.id), func(bool) { cancel(errNoMemory) })
+	defer func() {
+		if answer == nil {
+			charge.Close()
+		}
+	}()
+	body, err := api.readAnswer(attemptCtx, charge, response, watch)
 	if err != nil {
 		return nil, true, errors.Wrapf(causeOf(attemptCtx, err), "read service at %s", endpoint.Address)
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, true, errors.Errorf("read service at %s: the answer is too large", endpoint.Address)
+	if !charge.Keep() {
+		return nil, true, errors.Wrapf(errNoMemory, "read service at %s", endpoint.Address)
 	}
 	if sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(body) {
 		return nil, true, errors.Wrapf(sse.ErrTruncated, "read service at %s", endpoint.Address)
@@ -62,7 +67,7 @@
 		return nil, mayHaveRun, errors.Errorf("service at %s refused without running: %s", endpoint.Address, response.Status)
 	}
 	admission.RecordAnswerTime(api.config.Now().Sub(startedAt))
-	return &register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, true, nil
+	return &heldAnswer{&register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, charge}, true, nil
 }
 
 // forwardedHeaders are the headers of the caller that are sent on to a service.
--- a/caroblined/connection/callerapi/sinks.go
+++ b/caroblined/connection/callerapi/sinks.go
@@ -11,6 +11,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/version/view"
 )
 
@@ -79,6 +80,9 @@
 
 // bufferedSink collects events into one answer.
 type bufferedSink struct {
+	// charge is for the content and the answer that is made of it.
+	charge *memory.Charge
+	now    func() time.Time
 	writer http.ResponseWriter
 	chat   bool
 
@@ -88,6 +92,13 @@
 	finish  *string
 }
 
+const (
+	// minContentBytes is the size of the first buffer of an answer that is gathered.
+	minContentBytes = 1 << 10
+	// contentFactor times the content is what the answer takes that is made of it.
+	contentFactor = 3
+)
+
 // chunk is one event of the chat or the completions protocol.
 type chunk struct {
 	ID      string        `json:"id"`
@@ -152,6 +163,9 @@
 		return nil
 	}
 	choice := part.Choices[0]
+	if err := sink.grow(len(choice.Delta.Content) + len(choice.Text)); err != nil {
+		return err
+	}
 	sink.content.WriteString(choice.Delta.Content)
 	sink.content.WriteString(choice.Text)
 	if choice.Delta.Role != "" {
@@ -166,6 +180,19 @@
 	return nil
 }
 
+// grow makes room for more content, and charges it before.
+func (sink *bufferedSink) grow(more int) error {
+	if sink.content.Len()+more <= sink.content.Cap() {
+		return nil
+	}
+	size := max(minContentBytes, 2*sink.content.Cap(), sink.content.Len()+more)
+	if sink.charge.Resize(sink.now(), memory.Bytes(contentFactor*size)) != nil {
+		return errors.New("no memory is left to gather the answer; ask for a stream")
+	}
+	sink.content.Grow(size - sink.content.Len())
+	return nil
+}
+
 func (sink *bufferedSink) end([]byte) error {
 	content := sink.content.String()
 	choice := bufferedChoice{FinishReason: sink.finish}
--- a/caroblined/process/daemon/memory_test.go
+++ b/caroblined/process/daemon/memory_test.go
@@ -25,7 +25,7 @@
 	maxGrowth     = smallMemoryMB << 20 * 60 / 100
 )
 
-// heapGrowth runs a function and returns by how much the heap has grown at its peak.
+// heapGrowth runs a function and returns by how much the heap has grown at its peak, without garbage.
 func heapGrowth(run func()) uint64 {
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(maxGrowth))
 	var stats runtime.MemStats
@@ -37,6 +37,7 @@
 		defer close(watched)
 		for {
 			var now runtime.MemStats
+			runtime.GC()
 			runtime.ReadMemStats(&now)
 			peak.Store(max(peak.Load(), now.HeapAlloc))
 			select {
--- a/core/connection/body/body.go
+++ b/core/connection/body/body.go
@@ -20,6 +20,9 @@
 // minBufferBytes is the size of the first buffer of a body whose length isn't known.
 const minBufferBytes = 4 << 10
 
+// minProgressBytes is the size from which on a buffer takes so long to fill that each read counts as progress.
+const minProgressBytes = 64 << 10
+
 // ErrTooLarge reports a body that is larger than the limit.
 var ErrTooLarge = errors.New("the body is too large")
 
@@ -31,6 +34,9 @@
 	Limit int64
 	// Waits makes the reader wait, until ctx ends, while others give way.
 	Waits bool
+	// Reserves makes it wait until a body of a stated length fits as a whole, before any of it
+	// is kept.
+	Reserves bool
 }
 
 // ReadAll reads source to its end. A stated length that isn't negative bounds the buffer. It returns what it
@@ -44,7 +50,10 @@
 	if stated >= 0 {
 		most = stated + 1
 	}
-	var data []byte
+	data, err := reader.reserve(ctx, stated)
+	if err != nil {
+		return nil, err
+	}
 	for {
 		if len(data) == cap(data) {
 			if int64(len(data)) >= most {
@@ -58,6 +67,9 @@
 		}
 		count, err := source.Read(data[len(data):cap(data)])
 		data = data[:len(data)+count]
+		if cap(data) >= minProgressBytes {
+			reader.Charge.Progress(reader.Now())
+		}
 		switch {
 		case int64(len(data)) > reader.Limit:
 			return data, ErrTooLarge
@@ -69,6 +81,19 @@
 	}
 }
 
+// reserve returns a buffer for a body of a stated length, if that is to be had before.
+func (reader *Reader) reserve(ctx context.Context, stated int64) ([]byte, error) {
+	if !reader.Reserves || stated <= 0 {
+		return nil, nil
+	}
+	// The end of a body is seen when there is room for one more byte.
+	size := stated + 1
+	if err := reader.Charge.AwaitTurn(ctx, reader.Now, memory.Bytes(size)); err != nil {
+		return nil, err
+	}
+	return make([]byte, 0, size), nil
+}
+
 // grow returns a larger buffer with the same data. Both are held while it copies.
 func (reader *Reader) grow(ctx context.Context, data []byte, most int64) ([]byte, error) {
 	size := min(most, max(minBufferBytes, 2*int64(cap(data))))
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -140,13 +140,25 @@
 	return value, nil
 }
 
+// BodyTooLarge returns the error of a body of more than limit bytes.
+func BodyTooLarge(limit int64) *Error {
+	return NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
+// NoMemory returns the error of a request that can't be kept.
+func NoMemory() *Error {
+	restError := NotRun(http.StatusServiceUnavailable, "no_memory", "no memory is left for this request; another entry host may take it")
+	restError.RetryAfter = time.Second
+	return restError
+}
+
 // ReadBody reads a request body of up to limit bytes. Its errors are of type
 // *Error.
 func ReadBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, BodyTooLarge(limit)
 	}
 	if err != nil {
 		return nil, NotRun(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error())
--- a/core/connection/sse/sse.go
+++ b/core/connection/sse/sse.go
@@ -54,6 +54,7 @@
 	source *bufio.Reader
 	buffer []byte
 	limit  int
+	onGrow func(size int) error
 }
 
 // NewReader returns a reader of events of up to limit bytes.
@@ -61,6 +62,25 @@
 	return &Reader{source: bufio.NewReaderSize(source, readBufferSize), limit: limit}
 }
 
+// OnGrow sets a function that is called before the buffer of an event grows to size bytes. Its error is
+// returned by Next.
+func (reader *Reader) OnGrow(onGrow func(size int) error) { reader.onGrow = onGrow }
+
+// add appends a part of a line to the event.
+func (reader *Reader) add(line []byte) error {
+	if needed := len(reader.buffer) + len(line); needed > cap(reader.buffer) {
+		size := max(readBufferSize, 2*cap(reader.buffer), needed)
+		if reader.onGrow != nil {
+			if err := reader.onGrow(size); err != nil {
+				return err
+			}
+		}
+		reader.buffer = append(make([]byte, 0, size), reader.buffer...)
+	}
+	reader.buffer = append(reader.buffer, line...)
+	return nil
+}
+
 // Ready reports whether the end of an event is already buffered, so that Next
 // won't block.
 func (reader *Reader) Ready() bool {
@@ -79,7 +99,9 @@
 		if emptyLines+len(reader.buffer)+len(line) > reader.limit {
 			return Event{}, ErrTooLong
 		}
-		reader.buffer = append(reader.buffer, line...)
+		if err := reader.add(line); err != nil {
+			return Event{}, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/fakeengine/process/engine/endless.go
+++ b/fakeengine/process/engine/endless.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"carobline.dev/core/connection/rest"
 )
@@ -32,6 +34,9 @@
 	missingBytes     = 10_000
 )
 
+// stalledBody is what comes of an EndlessPause. All answers share it.
+var stalledBody = sync.OnceValue(func() []byte { return bytes.Repeat([]byte("x"), stalledBodyBytes-missingBytes) })
+
 // answerEndlessly writes an answer of the given form until the caller closes the
 // connection.
 func answerEndlessly(writer http.ResponseWriter, request *http.Request, form Endless) {
@@ -48,7 +53,7 @@
 	head := "HTTP/1.1 200 OK\r\n" + rest.HeaderRequestID + ": " + request.Header.Get(rest.HeaderRequestID) + "\r\nContent-Type: text/event-stream\r\n"
 	switch form {
 	case EndlessPause:
-		head += "Content-Length: " + strconv.Itoa(stalledBodyBytes) + "\r\n\r\n" + strings.Repeat("x", stalledBodyBytes-missingBytes)
+		head += "Content-Length: " + strconv.Itoa(stalledBodyBytes) + "\r\n\r\n"
 	case EndlessHead:
 	case EndlessEvent:
 		head += "\r\ndata: "
@@ -57,6 +62,7 @@
 	}
 	_, err = io.WriteString(connection, head)
 	if form == EndlessPause {
+		_, _ = connection.Write(stalledBody())
 		_, _ = connection.Read(make([]byte, 1)) // returns when the caller closes the connection
 		return
 	}
