crashes: a crashed engine whose address still accepts connections is seen as crashed

An entry host now reports a break of an engine that was to stay as unproven when its address accepts, with the address; the leader counts it once a later process of that host or at that address announces itself within 10 s. Breaks of engines that go on prove nothing, as before; on a full list they give way to crashes.

It works since the next process is the proof that the one before has ended, whoever accepts at the address.

--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -52,6 +52,9 @@
 	entries []string
 	loops   []*control.Control
 	nodes   sync.WaitGroup
+	// proxied makes the addresses of engines that have ended accept connections, which
+	// are closed without an answer.
+	proxied bool
 
 	mutex   sync.Mutex
 	engines []*poolEngine
@@ -68,12 +71,14 @@
 	incarnation id.Incarnation
 	// server is nil while the engine is away.
 	server *http.Server
+	// away is set instead while an engine is away whose address goes on accepting connections.
+	away bool
 }
 
-func newPoolSystem(t *testing.T) *poolSystem {
+func newPoolSystem(t *testing.T, proxied bool) *poolSystem {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	system := &poolSystem{t: t}
+	system := &poolSystem{t: t, proxied: proxied}
 	t.Cleanup(func() {
 		stop()
 		system.nodes.Wait()
@@ -200,7 +205,7 @@
 func (engine *poolEngine) running() id.Incarnation {
 	engine.system.mutex.Lock()
 	defer engine.system.mutex.Unlock()
-	if engine.server == nil {
+	if engine.server == nil || engine.away {
 		return 0
 	}
 	return engine.incarnation
@@ -235,13 +240,40 @@
 
 // crash ends the engine, which is back after restartTime.
 func (engine *poolEngine) crash() {
-	if !engine.end() {
+	ended, restart := engine.end, engine.start
+	if engine.system.proxied {
+		ended, restart = engine.leave, engine.comeBack
+	}
+	if !ended() {
 		return
 	}
 	engine.system.mutex.Lock()
 	engine.system.crashedAt = append(engine.system.crashedAt, time.Now())
 	engine.system.mutex.Unlock()
-	time.AfterFunc(restartTime, engine.start)
+	time.AfterFunc(restartTime, restart)
+}
+
+// leave ends the engine behind an address that goes on accepting connections.
+func (engine *poolEngine) leave() bool {
+	engine.system.mutex.Lock()
+	defer engine.system.mutex.Unlock()
+	left := !engine.away
+	engine.away = true
+	return left
+}
+
+func (engine *poolEngine) comeBack() {
+	engine.system.mutex.Lock()
+	defer engine.system.mutex.Unlock()
+	engine.away = false
+	engine.incarnation++
+}
+
+// abortUnless closes the connection of a request that was at another incarnation.
+func (engine *poolEngine) abortUnless(incarnation id.Incarnation) {
+	if engine.running() != incarnation {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // ServeHTTP answers with three events, or ends the engine.
@@ -253,6 +285,10 @@
 		engine.system.badArrivals = append(engine.system.badArrivals, time.Now())
 		engine.system.mutex.Unlock()
 	}
+	incarnation := engine.running()
+	if incarnation == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	writer.Header().Set("Call-Id", request.Header.Get("Call-Id"))
 	writer.Header().Set("Mark", "m")
 	writer.Header().Set("Content-Type", "text/event-stream")
@@ -261,9 +297,10 @@
 	time.Sleep(work)
 	if bad {
 		engine.crash()
-		return
+		panic(http.ErrAbortHandler)
 	}
 	for number := range 3 {
+		engine.abortUnless(incarnation)
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: x\n\n", number+1)
 		_ = controller.Flush()
 		time.Sleep(eventInterval)
@@ -318,19 +355,24 @@
 // Guards against a request that ends each engine which begins its answer, and that is sent to
 // engine after engine by all entry hosts, until the sound requests find none (BUDGET and LOST).
 func TestPartThatEndsEnginesReachesNoMore(t *testing.T) {
-	for name, badParts := range map[string]string{
-		"between":  "common,topic%d," + badPart + ",own%d",
-		"in front": badPart + ",common,topic%d,own%d",
+	const between, inFront = "common,topic%d," + badPart + ",own%d", badPart + ",common,topic%d,own%d"
+	for name, test := range map[string]struct {
+		badParts string
+		proxied  bool
+	}{
+		"between":  {between, false},
+		"in front": {inFront, false},
+		"between, addresses that go on accepting connections": {between, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			system := newPoolSystem(t)
+			system := newPoolSystem(t, test.proxied)
 			var sound []*sent
 			var load sync.WaitGroup
 			load.Go(func() {
 				sound = system.load(soundInterval, func(number int) string { return fmt.Sprintf("common,topic%d,sound%d", number%7, number) })
 			})
-			system.load(badInterval, func(number int) string { return fmt.Sprintf(badParts, number%7, number) })
+			system.load(badInterval, func(number int) string { return fmt.Sprintf(test.badParts, number%7, number) })
 			load.Wait()
 			system.checkRequests(sound)
 		})
--- a/caroblined/request/partsguard/partsguard.go
+++ b/caroblined/request/partsguard/partsguard.go
@@ -190,7 +190,7 @@
 }
 
 func processOf(endpoint *view.Endpoint) suspicion.Process {
-	return suspicion.Process{Host: endpoint.Host, Incarnation: endpoint.Incarnation}
+	return suspicion.Process{Host: endpoint.Host, Incarnation: endpoint.Incarnation, Address: endpoint.Address}
 }
 
 // BrokeOff finds out whether the endpoint of a call, whose answer broke off before it had
@@ -210,7 +210,9 @@
 		guard.goroutines.Go(func() { guard.run(endpoint, started) })
 	case known.ended:
 		guard.record(broken.at, endpoint, broken)
-	case !known.finished && len(known.calls) < maxCheckedCalls:
+	case known.finished:
+		guard.recordUnproven(endpoint, broken)
+	case len(known.calls) < maxCheckedCalls:
 		known.calls = append(known.calls, broken)
 	}
 }
@@ -233,9 +235,11 @@
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	check.ended, check.finished = ended, true
-	if ended {
-		for _, broken := range check.calls {
+	for _, broken := range check.calls {
+		if ended {
 			guard.record(now, endpoint, broken)
+		} else {
+			guard.recordUnproven(endpoint, broken)
 		}
 	}
 	check.calls = nil
@@ -259,6 +263,14 @@
 	return false
 }
 
+// recordUnproven records a call that was at an endpoint which may have ended, though its address accepts
+// connections: it may have started again at once, or be behind a proxy. The caller holds the mutex.
+func (guard *Guard) recordUnproven(endpoint *view.Endpoint, broken brokenCall) {
+	if guard.wasToStay(endpoint) {
+		guard.suspicion.MayHaveEnded(broken.at, processOf(endpoint), broken.call)
+	}
+}
+
 // wasToStay reports whether an endpoint accepts calls as far as control and its own answers
 // have said.
 func (guard *Guard) wasToStay(endpoint *view.Endpoint) bool {
--- a/core/process/controller/blocks.go
+++ b/core/process/controller/blocks.go
@@ -8,6 +8,7 @@
 	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/roster"
 )
 
 // recordCrashes records what a node knows of endpoints that ended, and of the parts of
@@ -29,6 +30,7 @@
 	if leadership.blocksProposalIndex > controller.appliedIndex {
 		return
 	}
+	leadership.crashes.Confirm(now, controller.processReplaced)
 	command, ok := leadership.crashes.Decide(now, controller.register.Blocks())
 	if !ok {
 		return
@@ -38,6 +40,14 @@
 	leadership.blocksProposalIndex = controller.quorum.Status().LastIndex
 }
 
+// processReplaced reports whether a later process of a host, or at its address, has announced itself.
+func (controller *Controller) processReplaced(host id.Host, incarnation id.Incarnation, address string) bool {
+	return controller.roster.Any(func(announcement *roster.Announcement) bool {
+		sameProcess := announcement.Host == host || (address != "" && announcement.Address == address)
+		return sameProcess && announcement.Incarnation > incarnation
+	})
+}
+
 // decisionOf returns the log record of a change of the blocks.
 func decisionOf(command register.Command) action.Decision {
 	switch {
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -13,6 +13,7 @@
 //
 //	suspects := crashes.New()
 //	suspects.Record(now, request.Crashes)
+//	suspects.Confirm(now, replaced)
 //	suspects.RecordSound(now, request.SoundParts)
 //	suspects.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
 //	if command, ok := suspects.Decide(now, register.Blocks()); ok { propose(command) }
@@ -47,6 +48,11 @@
 	maxCallsPerCrash = 32
 	maxPartsPerCall  = 256
 	maxEvidenceParts = 4096
+	// unprovenRetention is how long a crash that isn't proven is kept, maxUnproven how many are, and
+	// confirmInterval the least time between two looks for processes that have replaced them.
+	unprovenRetention = 10 * time.Second
+	maxUnproven       = 64
+	confirmInterval   = 100 * time.Millisecond
 	// soundInterval is the least time between two records that a part is sound.
 	soundInterval = 100 * time.Millisecond
 	// maxSoundParts bounds the parts that are known to be sound, beside those asked about.
@@ -63,15 +69,18 @@
 
 // crash is the end of one endpoint's process.
 type crash struct {
-	key   crashKey
-	at    time.Time
-	calls []feed.CrashedCall
+	key     crashKey
+	address string
+	at      time.Time
+	calls   []feed.CrashedCall
 }
 
 // Crashes is what the leader of one term knows. It isn't safe for concurrent use.
 type Crashes struct {
-	// crashes are sorted by time.
-	crashes []*crash
+	// crashes are sorted by time. unproven are those that count once Confirm has found
+	// a later process.
+	crashes, unproven []*crash
+	confirmedAt       time.Time
 	// soundAt is when an answer was last known to have begun on a part.
 	soundAt map[id.PromptPart]time.Time
 	// weighed is the version of the blocks by which what is known was last found to call
@@ -94,23 +103,70 @@
 		if now.Sub(at) >= crashRetention {
 			continue
 		}
-		crashes.crash(crashKey{report.Host, report.Incarnation}, at).merge(at, report.Calls)
+		crashes.crash(report, at).merge(at, report.Calls)
 	}
 	crashes.changed = crashes.changed || len(reports) > 0
-	slices.SortStableFunc(crashes.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	crashes.sort()
 	crashes.prune(now)
 }
 
-// crash returns the entry of a crash, a new one if it isn't known.
-func (crashes *Crashes) crash(key crashKey, at time.Time) *crash {
-	for _, known := range crashes.crashes {
+// crash returns the entry of a reported crash, a new one if it isn't known. An unproven one becomes
+// proven with a report that is.
+func (crashes *Crashes) crash(report *feed.CrashReport, at time.Time) *crash {
+	key := crashKey{report.Host, report.Incarnation}
+	if known := find(crashes.crashes, key); known != nil {
+		return known
+	}
+	known := find(crashes.unproven, key)
+	if known != nil && report.Unproven {
+		return known
+	}
+	if known == nil {
+		known = &crash{key: key, address: report.Address, at: at}
+	}
+	if report.Unproven {
+		crashes.unproven = append(crashes.unproven, known)
+		crashes.unproven = crashes.unproven[max(0, len(crashes.unproven)-maxUnproven):]
+		return known
+	}
+	crashes.prove(known)
+	return known
+}
+
+func find(crashes []*crash, key crashKey) *crash {
+	for _, known := range crashes {
 		if known.key == key {
 			return known
 		}
 	}
-	added := &crash{key: key, at: at}
-	crashes.crashes = append(crashes.crashes, added)
-	return added
+	return nil
+}
+
+// prove makes a crash count.
+func (crashes *Crashes) prove(proven *crash) {
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return crash == proven })
+	crashes.crashes = append(crashes.crashes, proven)
+	crashes.changed = true
+}
+
+// Confirm proves the crashes of processes that a later one has replaced: of the same host, or at the same
+// address. Replaced reports that. A process that was to go isn't reported as a crash.
+func (crashes *Crashes) Confirm(now time.Time, replaced func(host id.Host, incarnation id.Incarnation, address string) bool) {
+	if len(crashes.unproven) == 0 || now.Sub(crashes.confirmedAt) < confirmInterval {
+		return
+	}
+	crashes.confirmedAt = now
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return now.Sub(crash.at) >= unprovenRetention })
+	for _, crash := range slices.Clone(crashes.unproven) {
+		if replaced(crash.key.host, crash.key.incarnation, crash.address) {
+			crashes.prove(crash)
+		}
+	}
+	crashes.sort()
+}
+
+func (crashes *Crashes) sort() {
+	slices.SortStableFunc(crashes.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 }
 
 // merge adds a node's calls. A node reports a crash again with all of its calls.
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -300,3 +300,50 @@
 		t.Errorf("nodes are asked about %d parts", suspects)
 	}
 }
+
+// Guards against crashes that count for nothing since the address of the engine accepts connections (a quick
+// restart, a proxy), and against calls that broke off at engines which go on and count as crashes.
+func TestCrashIsProvenByTheNextProcess(t *testing.T) {
+	for name, test := range map[string]struct {
+		after    time.Duration
+		replaced bool
+		want     [][]id.PromptPart
+	}{
+		"the next process has announced itself": {time.Second, true, [][]id.PromptPart{{"bad"}}},
+		"the process goes on":                   {time.Second, false, nil},
+		"another process came much later":       {time.Minute / 2, true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for number := range 3 {
+				leader.now = leader.now.Add(gap)
+				leader.crashes.Record(leader.now, []feed.CrashReport{{
+					Host: id.Host(fmt.Sprint("e", number)), Incarnation: 1, Address: fmt.Sprint("address", number), Unproven: true, Calls: []feed.CrashedCall{call("a", "bad")},
+				}})
+			}
+			leader.decide()
+			leader.check()
+			leader.now = leader.now.Add(test.after)
+			leader.crashes.Confirm(leader.now, func(_ id.Host, _ id.Incarnation, address string) bool { return test.replaced && address != "" })
+			leader.decide()
+			leader.check(test.want...)
+		})
+	}
+}
+
+// Guards against a crash that is counted twice, or never, when a report proves it after one that doesn't.
+func TestProvenReportReplacesAnUnprovenOne(t *testing.T) {
+	leader := newLeader(t)
+	for number := range 3 {
+		leader.now = leader.now.Add(gap)
+		report := feed.CrashReport{Host: id.Host(fmt.Sprint("e", number)), Incarnation: 1, Unproven: true, Calls: []feed.CrashedCall{call("a", "bad")}}
+		leader.crashes.Record(leader.now, []feed.CrashReport{report})
+		report.Unproven = false
+		leader.crashes.Record(leader.now, []feed.CrashReport{report})
+	}
+	leader.decide()
+	leader.check([]id.PromptPart{"bad"})
+	if kept, _ := leader.crashes.Size(); kept != 3 {
+		t.Errorf("%d crashes are kept, want 3", kept)
+	}
+}
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -85,6 +85,11 @@
 	Incarnation id.Incarnation `json:"incarnation"`
 	// AgeMS is how long ago the node saw it, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
+	// Unproven is set while the node has no proof that the process has ended: its address accepts
+	// connections, as after a quick restart or behind a proxy. A later process proves it.
+	Unproven bool `json:"unproven,omitempty"`
+	// Address is the endpoint's; nodes of an older release send none.
+	Address string `json:"address,omitempty"`
 	// Calls are the node's calls there whose answers hadn't begun.
 	Calls []CrashedCall `json:"calls"`
 }
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -210,6 +210,11 @@
 	return ok && member.Live(now)
 }
 
+// Any reports whether a known host's latest announcement matches.
+func (roster *Roster) Any(matches func(*Announcement) bool) bool {
+	return slices.ContainsFunc(roster.sorted, func(member *Member) bool { return matches(&member.Announcement) })
+}
+
 // Members returns the entries of all known hosts, sorted by host. They are
 // read-only.
 func (roster *Roster) Members() []*Member { return slices.Clone(roster.sorted) }
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -56,6 +56,7 @@
 type Process struct {
 	Host        id.Host
 	Incarnation id.Incarnation
+	Address     string
 }
 
 // Permit allows one call in spite of a block.
@@ -227,13 +228,27 @@
 // Ended records that an endpoint's process has ended under a call whose answer hadn't begun.
 // It returns the parts that may be the cause.
 func (suspicion *Suspicion) Ended(now time.Time, process Process, call Call) []id.PromptPart {
+	return suspicion.record(now, process, call, false)
+}
+
+// MayHaveEnded is like Ended for a process of which it isn't known whether it has ended. The leader
+// finds out by the next one at its address.
+func (suspicion *Suspicion) MayHaveEnded(now time.Time, process Process, call Call) {
+	suspicion.record(now, process, call, true)
+}
+
+func (suspicion *Suspicion) record(now time.Time, process Process, call Call, unproven bool) []id.PromptPart {
 	suspicion.rotate(now)
 	parts := suspicion.suspect(call.Parts)
 	parts = parts[:min(len(parts), maxPartsPerCall)]
 	if len(parts) == 0 {
 		return nil
 	}
-	crash := suspicion.crash(now, process)
+	crash := suspicion.crash(now, process, unproven)
+	if crash.Report.Unproven && !unproven {
+		crash.Report.Unproven = false
+		crash.Revision++
+	}
 	if len(crash.Report.Calls) < maxCallsPerCrash && crash.parts+len(parts) <= maxReportParts {
 		// The report before may be on its way, so that its calls aren't changed.
 		crash.Report.Calls = append(slices.Clone(crash.Report.Calls), feed.CrashedCall{ClientAccount: call.ClientAccount, Parts: parts})
@@ -244,19 +259,30 @@
 }
 
 // crash returns the entry of a crash, a new one if it isn't known.
-func (suspicion *Suspicion) crash(now time.Time, process Process) *observed {
+func (suspicion *Suspicion) crash(now time.Time, process Process, unproven bool) *observed {
 	suspicion.forget(now)
 	for _, known := range suspicion.crashes {
 		if known.Report.Host == process.Host && known.Report.Incarnation == process.Incarnation {
 			return known
 		}
 	}
-	added := &observed{ObservedCrash: feed.ObservedCrash{SeenAt: now, Report: feed.CrashReport{Host: process.Host, Incarnation: process.Incarnation}}}
+	added := &observed{ObservedCrash: feed.ObservedCrash{SeenAt: now, Report: feed.CrashReport{
+		Host: process.Host, Incarnation: process.Incarnation, Address: process.Address, Unproven: unproven,
+	}}}
 	suspicion.crashes = append(suspicion.crashes, added)
-	suspicion.crashes = suspicion.crashes[max(0, len(suspicion.crashes)-maxCrashes):]
+	suspicion.dropExcess()
 	return added
 }
 
+// dropExcess drops the oldest crash beyond maxCrashes, an unproven one if there is any.
+func (suspicion *Suspicion) dropExcess() {
+	if len(suspicion.crashes) <= maxCrashes {
+		return
+	}
+	oldest := max(0, slices.IndexFunc(suspicion.crashes, func(crash *observed) bool { return crash.Report.Unproven }))
+	suspicion.crashes = slices.Delete(suspicion.crashes, oldest, oldest+1)
+}
+
 func (suspicion *Suspicion) forget(now time.Time) {
 	suspicion.crashes = slices.DeleteFunc(suspicion.crashes, func(crash *observed) bool { return now.Sub(crash.SeenAt) >= reportTime })
 }
@@ -279,7 +305,7 @@
 		return false
 	}
 	for _, crash := range suspicion.crashes {
-		if crash.Report.Host == process.Host && crash.Report.Incarnation == process.Incarnation {
+		if crash.Report.Unproven || (crash.Report.Host == process.Host && crash.Report.Incarnation == process.Incarnation) {
 			continue
 		}
 		for index := range crash.Report.Calls {
