--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -77,6 +77,9 @@
 	SoundParts []id.PromptPart `json:"sound_parts,omitempty"`
 	// WantedTrials are the blocks under which this node has lately refused requests.
 	WantedTrials []WantedTrial `json:"wanted_trials,omitempty"`
+	// Run is the state of the node's run, without its calls. Nodes of an older release
+	// send none.
+	Run *RunState `json:"run,omitempty"`
 }
 
 // CrashReport is what one node knows of the end of an endpoint's process.
@@ -202,6 +205,9 @@
 	// SuspectParts are those of prompts under which endpoints have ended, and on which no
 	// answer has begun since.
 	SuspectParts []id.PromptPart `json:"suspect_parts,omitempty"`
+	// FormerRun is set if the run before this one at the node's address has ended without
+	// a stop. It is sent several times.
+	FormerRun *EndedRun `json:"former_run,omitempty"`
 }
 
 // Redirect is the answer of a node that doesn't lead. Leader is empty when unknown.
--- a/core/process/member/events.go
+++ b/core/process/member/events.go
@@ -62,8 +62,13 @@
 	// SoundParts and WantedTrials are those of feed.Request.
 	SoundParts   []id.PromptPart
 	WantedTrials []feed.WantedTrial
+	// Run is the state of the node's run, and nil where it isn't known.
+	Run *feed.RunState
 }
 
+// stopping reports whether the node's run drains or stops.
+func (report *UsageReported) stopping() bool { return report.Run != nil && report.Run.Stopping }
+
 func (Announced) event()            {}
 func (AnnouncedWithoutEcho) event() {}
 func (Departed) event()             {}
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -253,7 +253,8 @@
 
 // handleUsage records the usage. The next request is sent at once if demand has
 // risen above the quota (at most once per quotaRequestInterval), if Drained
-// changes, if an endpoint that drains becomes idle, or if more endpoints stall.
+// changes, if the node begins to stop, if an endpoint that drains becomes idle, or if more
+// endpoints stall.
 func (member *Member) handleUsage(now time.Time, report UsageReported) {
 	if now.Sub(member.quotaRequestedAt) >= quotaRequestInterval && member.needsMoreQuota(report) {
 		member.quotaRequestedAt, member.sendAtOnce = now, true
@@ -262,6 +263,7 @@
 		member.sendAtOnce = true
 	}
 	member.sendAtOnce = member.sendAtOnce || len(report.StalledEndpoints) > len(member.usage.StalledEndpoints)
+	member.sendAtOnce = member.sendAtOnce || report.stopping() != member.usage.stopping()
 	member.handleCrashes(now, &report)
 	member.usage = report
 }
@@ -353,6 +355,7 @@
 		DemandByClientAccount: member.usage.DemandByClientAccount, RunningByEndpoint: member.usage.RunningByEndpoint, ActiveCalls: member.usage.ActiveCalls, Drained: member.usage.Drained,
 		HasDisk: member.config.HasDisk, StalledEndpoints: member.usage.StalledEndpoints,
 		Crashes: crashReports, SoundParts: member.usage.SoundParts, WantedTrials: member.usage.WantedTrials,
+		Run: member.usage.Run,
 	}
 	if len(member.awaitedCursorByHost) > 0 {
 		request.AwaitedCursor = slices.Min(slices.Collect(maps.Values(member.awaitedCursorByHost)))
--- a/core/process/member/member_test.go
+++ b/core/process/member/member_test.go
@@ -263,3 +263,23 @@
 func superseded(number uint64, accepted bool) member.Event {
 	return member.Redirected{Number: number, Redirect: feed.Redirect{Leader: "leader", Superseded: true, AnnouncementsAccepted: accepted}}
 }
+
+// Guards against a node whose leader takes its stop for the end of its process, since the word
+// of it waits for the response to a request that is held back.
+func TestStopIsReportedAtOnce(t *testing.T) {
+	now := start
+	node := member.New(now, member.Config{Self: "n", Voters: []id.Node{"c1"}}, roster.New())
+	node.Step(now, member.UsageReported{Run: &feed.RunState{UptimeMS: 10}})
+	first := nextSend(t, node, &now)
+	if first.Request.Run == nil || first.Request.Run.Stopping {
+		t.Fatalf("the first request reports %+v", first.Request.Run)
+	}
+	now = now.Add(20 * time.Millisecond)
+	if send := node.Step(now, member.UsageReported{Run: &feed.RunState{UptimeMS: 30}}).Send; send != nil {
+		t.Fatalf("a second request is sent before the first is answered: %+v", send)
+	}
+	send := node.Step(now, member.UsageReported{Run: &feed.RunState{UptimeMS: 30, Stopping: true}}).Send
+	if send == nil || send.Request.Run == nil || !send.Request.Run.Stopping {
+		t.Errorf("sent %+v as the node begins to stop", send)
+	}
+}
