run: the end of a process without a stop is told by the leader and by its next start

Missing: a process that is killed, for want of memory say, leaves no line, and a node without a disk starts under a new name without a word of the run before.

Each node reports its run's state with its feed requests, and says first that it stops. The leader logs node_lost for a node that reports no more, and ended_without_stop with the last state once another run reports from the address; it tells that run, which logs ended_without_stop itself and counts runs.ended_without_stop. A control host keeps a record beside its identity: at its start, every 10 s and at its stop, without a sync, on a goroutine of its own, so that a disk that is full or hangs holds up nothing. Its next start reads it before it knows a leader. A record of an earlier run, of the same process (disk_lost) or one that can't be read says nothing.

A control host waits up to 0.3 s at its stop for the leader's answer to the report that it stops. What the leader knows of runs ends with its leadership, so that the end of an entry host while leadership moves is told by no one.

Tests through real nodes: TestEndOfAnEntryHostsProcessIsTold, TestPlannedStopIsNoEndWithoutAStop, TestEndOfAControlHostsProcessIsToldFromItsRecord. Of the record: TestNextStartTellsAnEndWithoutAStopFromItsRecord, TestFaultyDiskDoesntHoldUpARun, TestEndToldByTheLeaderIsCountedOnce. All pass with -race.

--- a/caroblined/process/control/control.go
+++ b/caroblined/process/control/control.go
@@ -27,10 +27,12 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/controller"
+	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/roster"
+	"carobline.dev/core/process/runs"
 	"carobline.dev/core/process/wal"
 	"carobline.dev/core/version/view"
 )
@@ -83,6 +85,9 @@
 	CollectUsage func(now time.Time) member.UsageReported
 	// OnViewChange is called on the event loop after a view is published.
 	OnViewChange func(*view.View)
+	// OnFormerRun is called on the event loop, possibly several times, when the leader says
+	// that the run of this node before the present one has ended without a stop.
+	OnFormerRun func(former feed.EndedRun)
 }
 
 // Contacts returns the configured voters followed by the seeds, without
@@ -126,6 +131,12 @@
 	lastTicket      controller.Ticket
 	delays          *delays
 	acceptanceWaits []acceptanceWait
+	// runs are those of the nodes that this node leads, and nil while it doesn't lead.
+	runs          *runs.Runs
+	runsCheckedAt time.Time
+	// stopReported is set once the leader has answered a request that says that this node
+	// stops.
+	stopReported atomic.Bool
 
 	stop       context.CancelFunc
 	ctx        context.Context //nolint:containedctx // bounds the event loop itself
@@ -257,6 +268,7 @@
 	if control.voter != nil {
 		control.publishLeaderLease(now)
 	}
+	control.checkRuns(now)
 }
 
 func (control *Control) publishLeaderLease(now time.Time) {
--- a/caroblined/process/control/feeds.go
+++ b/caroblined/process/control/feeds.go
@@ -15,8 +15,12 @@
 func (control *Control) sendFeed(now time.Time, send member.Send) {
 	number := send.Request.Number
 	if send.To == control.config.Self {
-		ticket := control.newTicket(func(result any) { control.postFeedReply(number, result) })
-		control.stepVoter(now, controller.FeedRequested{Ticket: ticket, Request: send.Request})
+		control.answerFeed(now, send.Request, func(result any) {
+			if reply, ok := result.(controller.Reply); ok && reply.Response != nil {
+				control.noteStopReported(&send.Request)
+			}
+			control.postFeedReply(number, result)
+		})
 		return
 	}
 	control.goroutines.Go(func() {
@@ -29,10 +33,26 @@
 			})
 			return
 		}
+		if answer.Response != nil {
+			control.noteStopReported(&send.Request)
+		}
 		control.postFeedReply(number, controller.Reply{Response: answer.Response, Redirect: answer.Redirect})
 	})
 }
 
+// answerFeed passes a feed request to the voter. resolve gets its reply, which on the leader
+// tells a new run how the one before it has ended.
+func (control *Control) answerFeed(now time.Time, request feed.Request, resolve func(result any)) {
+	former := control.observeRun(now, &request)
+	ticket := control.newTicket(func(result any) {
+		if reply, ok := result.(controller.Reply); ok && reply.Response != nil {
+			reply.Response.FormerRun = former
+		}
+		resolve(result)
+	})
+	control.stepVoter(now, controller.FeedRequested{Ticket: ticket, Request: request})
+}
+
 // postFeedReply passes the reply to a feed request to the member. It never blocks
 // on a full event queue, since its caller may be the event loop that empties it.
 func (control *Control) postFeedReply(number uint64, result any) {
@@ -42,6 +62,9 @@
 		switch {
 		case reply.Response != nil:
 			event = member.Responded{Response: *reply.Response}
+			if former := reply.Response.FormerRun; former != nil && control.config.OnFormerRun != nil {
+				control.config.OnFormerRun(*former)
+			}
 		case reply.Redirect != nil:
 			event = member.Redirected{Number: number, Redirect: *reply.Redirect}
 		default:
@@ -66,8 +89,7 @@
 			result <- controller.Reply{Redirect: &feed.Redirect{Leader: control.member.Leader(), Voters: control.member.Voters()}}
 			return
 		}
-		ticket := control.newTicket(func(reply any) { result <- reply })
-		control.stepVoter(now, controller.FeedRequested{Ticket: ticket, Request: request})
+		control.answerFeed(now, request, func(reply any) { result <- reply })
 	})
 	if !ok {
 		return peers.FeedAnswer{}, ErrClosed
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"carobline.dev/caroblined/process/accountant"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/caroblined/process/run"
 	"carobline.dev/caroblined/process/settings"
 	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
@@ -71,6 +72,9 @@
 	engineBufferBytes = 1 << 10
 	// dialTimeout bounds the setup of a connection.
 	dialTimeout = time.Second
+	// stopReportTimeout bounds the wait for the leader's answer to the report that the node
+	// stops.
+	stopReportTimeout = 300 * time.Millisecond
 	// closeTimeout bounds the transfer of leadership once calls are drained. A
 	// fifth of it bounds the shutdown of each listener.
 	closeTimeout = 5 * time.Second
@@ -101,6 +105,7 @@
 	network  Network
 	metrics  metrics.Registry
 	account  *memory.Account
+	run      *run.Run
 
 	control     atomic.Pointer[control.Control]
 	peers       *peers.Peers
@@ -160,10 +165,15 @@
 	incarnation := id.Incarnation(daemon.now().UnixNano())
 	daemon.startPeers(rest.NewClient(peerClient, peerToken), scheme)
 	daemon.startTraffic(incarnation)
+	daemon.run = run.New(run.Config{
+		Account: daemon.account, Now: daemon.now, Log: daemon.log, Metrics: daemon.metrics,
+		Folder: daemon.settings.DataFolder, Disk: wal.OS(), Incarnation: incarnation,
+	})
 	if err := daemon.startControl(incarnation, rest.NewClient(&http.Client{Transport: daemon.engineTransport}, orderToken)); err != nil {
 		daemon.traffic.Close()
 		daemon.guard.Close()
 		daemon.peers.Close()
+		daemon.run.Close()
 		return err
 	}
 	return daemon.openListeners(incarnation, peerToken)
@@ -215,6 +225,7 @@
 func (daemon *Daemon) usage(now time.Time) member.UsageReported {
 	usage := daemon.traffic.Report(now)
 	daemon.guard.Report(&usage)
+	usage.Run = daemon.run.State(now, usage.ActiveCalls)
 	return usage
 }
 
@@ -241,6 +252,7 @@
 		},
 		CollectUsage: daemon.usage,
 		OnViewChange: daemon.viewChanged,
+		OnFormerRun:  daemon.run.ToldByLeader,
 	})
 	if err != nil {
 		return err
@@ -316,6 +328,7 @@
 		case <-daemon.stopFinished:
 			daemon.log.Info().Str("step", "stop").Msg("the planned stop has finished; closing the node")
 			daemon.awaitAnswers()
+			daemon.awaitStopReport()
 			return daemon.Close()
 		case <-ctx.Done():
 			daemon.drain()
@@ -339,6 +352,7 @@
 // drain refuses new calls and waits for running calls, however long they take.
 // Then it transfers leadership to another voter, if there is one.
 func (daemon *Daemon) drain() {
+	daemon.run.Stop()
 	daemon.log.Info().Str("step", "drain").Msg("draining")
 	daemon.traffic.Stop()
 	for !daemon.traffic.Report(daemon.now()).Drained {
@@ -351,6 +365,17 @@
 	for len(daemon.settings.Voters()) > 1 && daemon.control.Load().TransferLeadership(ctx) && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
+	daemon.awaitStopReport()
+}
+
+// awaitStopReport waits until the leader knows that the node stops, so that it doesn't take
+// that for an end without a stop. Without a leader it gives up soon.
+func (daemon *Daemon) awaitStopReport() {
+	daemon.run.Stop()
+	giveUpAt := daemon.now().Add(stopReportTimeout)
+	for !daemon.control.Load().StopReported() && daemon.now().Before(giveUpAt) {
+		time.Sleep(drainPollInterval)
+	}
 }
 
 // awaitAnswers closes the callers' listener and waits until the answers of calls that
@@ -390,6 +415,7 @@
 	daemon.guard.Close()
 	err := daemon.control.Load().Close()
 	daemon.peers.Close()
+	daemon.run.Close()
 	daemon.engineTransport.CloseIdleConnections()
 	daemon.closeIdlePeerConns()
 	return err
--- a/caroblined/process/node/config.go
+++ b/caroblined/process/node/config.go
@@ -65,4 +65,6 @@
 	// Disk stores the write-ahead log and the identity of a control host.
 	Disk wal.Disk
 	Log  zerolog.Logger
+	// process is the same for all nodes that Supervise runs, one after another.
+	process string
 }
--- a/caroblined/process/node/export_test.go
+++ b/caroblined/process/node/export_test.go
@@ -1,4 +1,20 @@
 package node
 
+import "context"
+
 // FailListener reports an error of a listener to Run.
 func (node *Node) FailListener(err error) { node.reportServeError(err) }
+
+// Kill closes the node's sockets and ends its event loop without a drain, as the end of its
+// process does. The node must not run.
+func (node *Node) Kill() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, listener := range node.listeners {
+		listener.close(ctx)
+	}
+	node.serverGoroutines.Wait()
+	err := node.loop.Load().Close()
+	node.peers.Close()
+	return err
+}
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -26,6 +26,7 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/identity"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/caroblined/process/run"
 	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
@@ -59,6 +60,7 @@
 	self     identity.Identity
 	metrics  metrics.Registry
 	account  *memory.Account
+	run      *run.Run
 	peers    *peers.Peers
 	loop     atomic.Pointer[control.Control]
 	entry    *entryapi.API
@@ -119,6 +121,7 @@
 	if node.config.Entry != nil {
 		node.startEntry()
 	}
+	node.startRun()
 	if err := node.startControl(seeds); err != nil {
 		return err
 	}
@@ -153,6 +156,18 @@
 	})
 }
 
+// startRun starts the run, with a record on a control host.
+func (node *Node) startRun() {
+	config := run.Config{
+		Account: node.account, Now: node.clock.Now, Log: node.config.Log, Metrics: node.metrics, Process: node.config.process,
+		Incarnation: node.self.Incarnation, Former: node.self.Incarnation - 1,
+	}
+	if node.config.Control != nil {
+		config.Folder, config.Disk = node.config.Control.DataFolder, node.config.Disk
+	}
+	node.run = run.New(config)
+}
+
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // load balancing, not security
 }
@@ -171,6 +186,7 @@
 		Self: node.self.Node, Incarnation: node.self.Incarnation, Seeds: seedNodes(seeds), Timing: quorum.DefaultTiming(),
 		TargetVoters: node.config.TargetVoters, EngineStallTimeout: node.config.EngineStallTimeout, NodeLease: node.config.NodeLease, ControlOnly: node.config.Entry == nil, Disk: node.config.Disk, Peers: node.peers,
 		Log: node.config.Log, Now: node.clock.Now, SendOrder: node.sendOrder, CollectUsage: node.collectUsage, OnViewChange: node.viewChanged,
+		OnFormerRun: node.run.ToldByLeader,
 	}
 	if controlConfig := node.config.Control; controlConfig != nil {
 		config.DataFolder, config.Founders = controlConfig.DataFolder, node.self.Founders
@@ -210,11 +226,12 @@
 	return node.config.SendOrder(ctx, client, order)
 }
 
-func (node *Node) collectUsage(time.Time) member.UsageReported {
+func (node *Node) collectUsage(now time.Time) member.UsageReported {
 	if node.entry == nil {
-		return member.UsageReported{}
+		return member.UsageReported{Run: node.run.State(now, 0)}
 	}
 	usage := member.UsageReported{RunningByEndpoint: node.entry.RunningByEndpoint(), ActiveCalls: node.entry.ActiveCalls(), StalledEndpoints: node.entry.StalledEndpoints()}
+	usage.Run = node.run.State(now, usage.ActiveCalls)
 	node.entry.ReportParts(&usage)
 	return usage
 }
--- a/caroblined/process/node/stop.go
+++ b/caroblined/process/node/stop.go
@@ -19,6 +19,9 @@
 	// shutdownReserve is the part of the grace period that is kept for closing the
 	// node once it stops waiting for running calls.
 	shutdownReserve = 700 * time.Millisecond
+	// stopReportTimeout bounds the wait for the leader's answer to the report that the node
+	// stops.
+	stopReportTimeout = 300 * time.Millisecond
 	// closeTimeout bounds the shutdown of the listeners.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -36,9 +39,11 @@
 // that may outlast the node are refused.
 func (node *Node) drain(now time.Time) {
 	node.draining.Store(true)
+	node.run.Stop()
 	node.config.Log.Info().Str("step", "drain").Msg("draining")
 	if node.entry == nil {
 		node.transferLeadership()
+		node.awaitStopReport()
 		return
 	}
 	stopsAt := now.Add(node.config.GracePeriod - shutdownReserve)
@@ -68,6 +73,15 @@
 	}
 }
 
+// awaitStopReport waits until the leader knows that the node stops, so that it doesn't take
+// that for an end without a stop. Without a leader it gives up soon.
+func (node *Node) awaitStopReport() {
+	giveUpAt := node.clock.Now().Add(stopReportTimeout)
+	for !node.loop.Load().StopReported() && node.clock.Now().Before(giveUpAt) {
+		time.Sleep(transferPollInterval)
+	}
+}
+
 func (node *Node) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
@@ -84,6 +98,9 @@
 	if node.peers != nil {
 		node.peers.Close()
 	}
+	if node.run != nil {
+		node.run.Close()
+	}
 	node.endpointTransport.CloseIdleConnections()
 	node.config.Log.Info().Str("step", "stop").Msg("stopped")
 	return err
--- a/caroblined/process/node/supervise.go
+++ b/caroblined/process/node/supervise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -39,6 +40,7 @@
 // Supervise and is returned.
 func Supervise(ctx context.Context, config Config, reloads <-chan os.Signal) error {
 	config.ReadSeeds = keepSeeds(config)
+	config.process = rand.Text()
 	for {
 		err := runOnce(ctx, config, reloads)
 		if !errors.Is(err, errDiskWrite) || ctx.Err() != nil {
