--- a/caroblined/main.go
+++ b/caroblined/main.go
@@ -18,8 +18,10 @@
 
 	"github.com/rs/zerolog"
 
+	"carobline.dev/caroblined/process/accountant"
 	"carobline.dev/caroblined/process/daemon"
 	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/core/process/memory"
 )
 
 // The exit codes.
@@ -68,6 +70,9 @@
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(diagnostics).Level(level).With().Timestamp().Logger()
+	processMemory := memory.Bytes(nodeSettings.Limits.MemoryMB) << 20
+	log.Info().Str("step", "start").Str("node", string(nodeSettings.Node)).Int64("memory_limit_bytes", int64(processMemory)).
+		Int64("account_limit_bytes", int64(accountant.Limit(processMemory))).Msg("node is starting")
 	node, err := daemon.New(nodeSettings, log, daemon.TCP())
 	if err != nil {
 		log.Error().Err(err).Str("step", "start").Msg("starting the node failed")
--- a/caroblined/process/accountant/accountant.go
+++ b/caroblined/process/accountant/accountant.go
@@ -38,6 +38,12 @@
 	return account
 }
 
+// Limit returns the most that the account of a process with some memory gives out; zero
+// bounds nothing.
+func Limit(processMemory memory.Bytes) memory.Bytes {
+	return memory.New(memory.Config{Memory: processMemory}).State().Limit
+}
+
 // record writes the line of a shortage.
 func record(log zerolog.Logger, shortage memory.Shortage) {
 	log.Warn().Str("step", "memory").Str("verdict", string(shortage.Verdict)).Str("request", shortage.Subject).
