run: the record makes the data folder if the log hasn't yet

Missing: caroblined starts its run before its log is open, which makes the folder, so that the first start of a node wrote a warning and left no record for 10 s. By reading; TestRecordIsWrittenBeforeTheLogIsOpen fails without the change.

--- a/caroblined/process/run/record.go
+++ b/caroblined/process/run/record.go
@@ -17,6 +17,7 @@
 	// recordFile is the name of the record in the data folder.
 	recordFile = "run"
 	recordPerm = 0o600
+	folderPerm = 0o700
 	// recordInterval is how often the record is written while the run goes on.
 	recordInterval = 10 * time.Second
 )
@@ -90,6 +91,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode record")
 	}
+	// The log, which makes the folder at the first start, may not be open yet.
+	if err := os.MkdirAll(run.config.Folder, folderPerm); err != nil {
+		return errors.Wrap(err, "make data folder")
+	}
 	path := filepath.Join(run.config.Folder, recordFile)
 	file, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, recordPerm)
 	if err != nil {
--- a/caroblined/process/run/run_test.go
+++ b/caroblined/process/run/run_test.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// Guards against the first run of a node, before its log is open, that leaves no record.
+func TestRecordIsWrittenBeforeTheLogIsOpen(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	own, lines, _ := start(t, folder, 1, "", wal.OS())
+	awaitRecord(t, folder, `"incarnation":1`)
+	own.Close()
+	awaitRecord(t, folder, `"stopped":true`)
+	if got := lines.String(); got != "" {
+		t.Errorf("logged %s", got)
+	}
+}
+
 // Guards against a disk that refuses, or answers nothing, and so holds up the start or the
 // stop of a node for the sake of a record.
 func TestFaultyDiskDoesntHoldUpARun(t *testing.T) {
