--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -48,6 +48,8 @@
 	stop       context.CancelFunc
 	announcers sync.WaitGroup
 	closers    []func()
+	// log is that of the nodes that are started from now on.
+	log zerolog.Logger
 	// ended counts the engines that have ended under prompts with endingText.
 	ended atomic.Int64
 }
@@ -70,7 +72,7 @@
 func newSystemOn(t testing.TB, network *pipeNetwork, hosts int, change func(config *engine.Config)) *system {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	system := &system{t: t, network: network, folder: t.TempDir(), stop: stop}
+	system := &system{t: t, network: network, folder: t.TempDir(), stop: stop, log: zerolog.Nop()}
 	transport := &http.Transport{DialContext: system.network.dial}
 	system.client = &http.Client{Transport: transport}
 	system.closers = append(system.closers, transport.CloseIdleConnections)
@@ -147,7 +149,7 @@
 func (system *system) start(index int) {
 	system.t.Helper()
 	node := system.nodes[index]
-	started, err := daemon.New(node.settings, zerolog.Nop(), system.network.daemonNetwork())
+	started, err := daemon.New(node.settings, system.log, system.network.daemonNetwork())
 	if err != nil {
 		system.t.Fatal(err)
 	}
