step: one function that turns a panic into an error, also used by caroblined

Missing: caroblined's own goroutine that runs the node left the reason of a panic on standard error only. TestPanicIsNamedInTheLog covers the function through the platform's program; caroblined's call of it has no test of its own.

--- a/caroblined/main.go
+++ b/caroblined/main.go
@@ -22,6 +22,7 @@
 	"carobline.dev/caroblined/process/daemon"
 	"carobline.dev/caroblined/process/settings"
 	"carobline.dev/core/process/memory"
+	"carobline.dev/core/step"
 )
 
 // The exit codes.
@@ -78,7 +79,7 @@
 		log.Error().Err(err).Str("step", "start").Msg("starting the node failed")
 		return exitFailed
 	}
-	if err := node.Run(ctx); err != nil {
+	if err := step.Recover(func() error { return node.Run(ctx) }); err != nil {
 		log.Error().Err(err).Str("step", "stop").Msg("the node stopped with an error")
 		return exitFailed
 	}
