--- a/caroblined/main.go
+++ b/caroblined/main.go
@@ -18,8 +18,11 @@
 
 	"github.com/rs/zerolog"
 
+	"carobline.dev/caroblined/process/accountant"
 	"carobline.dev/caroblined/process/daemon"
 	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/core/process/memory"
+	"carobline.dev/core/step"
 )
 
 // The exit codes.
@@ -68,12 +71,15 @@
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(diagnostics).Level(level).With().Timestamp().Logger()
+	processMemory := memory.Bytes(nodeSettings.Limits.MemoryMB) << 20
+	log.Info().Str("step", "start").Str("node", string(nodeSettings.Node)).Int64("memory_limit_bytes", int64(processMemory)).
+		Int64("account_limit_bytes", int64(accountant.Limit(processMemory))).Msg("node is starting")
 	node, err := daemon.New(nodeSettings, log, daemon.TCP())
 	if err != nil {
 		log.Error().Err(err).Str("step", "start").Msg("starting the node failed")
 		return exitFailed
 	}
-	if err := node.Run(ctx); err != nil {
+	if err := step.Recover(func() error { return node.Run(ctx) }); err != nil {
 		log.Error().Err(err).Str("step", "stop").Msg("the node stopped with an error")
 		return exitFailed
 	}
--- a/caroblined/process/daemon/system_test.go
+++ b/caroblined/process/daemon/system_test.go
@@ -50,6 +50,8 @@
 	closers    []func()
 	// memoryMB is what each node may use; zero stands for the default.
 	memoryMB int64
+	// log is that of the nodes that are started from now on.
+	log zerolog.Logger
 	// ended counts the engines that have ended under prompts with endingText.
 	ended atomic.Int64
 }
@@ -83,7 +85,7 @@
 func startSystem(t testing.TB, system *system, hosts int, change func(config *engine.Config)) *system {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	system.folder, system.stop = t.TempDir(), stop
+	system.folder, system.stop, system.log = t.TempDir(), stop, zerolog.Nop()
 	transport := &http.Transport{DialContext: system.network.dial}
 	system.client = &http.Client{Transport: transport}
 	system.closers = append(system.closers, transport.CloseIdleConnections)
@@ -160,7 +162,7 @@
 func (system *system) start(index int) {
 	system.t.Helper()
 	node := system.nodes[index]
-	started, err := daemon.New(node.settings, zerolog.Nop(), system.network.daemonNetwork())
+	started, err := daemon.New(node.settings, system.log, system.network.daemonNetwork())
 	if err != nil {
 		system.t.Fatal(err)
 	}
