carobline: one step parses the arguments of a command and connects

Flags.Open does both; each verb keeps its folder, options, constructor and run.

Shown by: go test ./carobline/... passes.

--- a/carobline/command/audit/list/list.go
+++ b/carobline/command/audit/list/list.go
@@ -30,11 +30,8 @@
 	options := &Options{}
 	flags := shared.Flags("carobline audit list")
 	flags.Uint64Var(&options.After, "after", 0, "list entries that follow this `INDEX`")
-	err := flags.Parse(arguments)
-	if err != nil {
-		return nil, err
-	}
-	options.Client, options.Printer, err = flags.Connect()
+	var err error
+	options.Client, options.Printer, err = flags.Open(arguments)
 	return options, err
 }
 
--- a/carobline/command/status/status.go
+++ b/carobline/command/status/status.go
@@ -27,14 +27,8 @@
 
 // New parses the arguments into options.
 func New(shared *factory.Factory, arguments []string) (*Options, error) {
-	options := &Options{}
-	flags := shared.Flags("carobline status")
-	err := flags.Parse(arguments)
-	if err != nil {
-		return nil, err
-	}
-	options.Client, options.Printer, err = flags.Connect()
-	return options, err
+	client, printer, err := shared.Flags("carobline status").Open(arguments)
+	return &Options{Client: client, Printer: printer}, err
 }
 
 // Command parses its arguments with New and runs them with Run.
--- a/carobline/process/factory/factory.go
+++ b/carobline/process/factory/factory.go
@@ -5,9 +5,7 @@
 // # Usage
 //
 //	shared := factory.New(os.Stdin, os.Stdout, os.Stderr, os.Getenv)
-//	flags := shared.Flags("carobline status")
-//	err := flags.Parse(arguments)
-//	client, printer, err := flags.Connect()
+//	client, printer, err := shared.Flags("carobline status").Open(arguments)
 package factory
 
 import (
@@ -129,6 +127,14 @@
 	return client, printer.New(flags.factory.Out, flags.JSON), err
 }
 
+// Open parses the arguments of a command and connects, as Parse and Connect do.
+func (flags *Flags) Open(arguments []string) (*operator.Client, *printer.Printer, error) {
+	if err := flags.Parse(arguments); err != nil {
+		return nil, nil, err
+	}
+	return flags.Connect()
+}
+
 // NewCommand returns a command that parses its arguments into options and then
 // runs with them.
 func NewCommand[Options any](parse func(*Factory, []string) (*Options, error), run func(context.Context, *Options) error) func(context.Context, *Factory, []string) error {
