factory: holds what the verbs that change something share

The error for a conflict or a refusal was contract apply's, and block end, contract retire, stop create and voter set imported that command for it and then printed one row in the same lines. The factory has both now: VerdictError, and ShowOutcome for an accepted change.

--- a/carobline/command/block/end/end.go
+++ b/carobline/command/block/end/end.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 
-	"carobline.dev/carobline/command/contract/apply"
 	"carobline.dev/carobline/connection/printer"
 	"carobline.dev/carobline/process/factory"
 	"carobline.dev/core/connection/operator"
@@ -49,8 +48,5 @@
 	if err != nil {
 		return err
 	}
-	if err := apply.VerdictError(*outcome.Result, string(options.Block)); err != nil {
-		return err
-	}
-	return options.Printer.Show(outcome, []string{"BLOCK", "STATE"}, [][]string{{string(options.Block), "ended"}})
+	return factory.ShowOutcome(options.Printer, outcome, string(options.Block), []string{"BLOCK", "STATE"}, []string{string(options.Block), "ended"})
 }
--- a/carobline/command/contract/apply/apply.go
+++ b/carobline/command/contract/apply/apply.go
@@ -165,7 +165,7 @@
 		return change, errors.Wrapf(err, "contract %s", wanted.ClientAccount)
 	}
 	change.InForce, change.Lagging, change.Revision = outcome.InForce, outcome.Lagging, outcome.Result.Revision
-	return change, VerdictError(*outcome.Result, string(wanted.ClientAccount))
+	return change, factory.VerdictError(*outcome.Result, string(wanted.ClientAccount))
 }
 
 // canonicalJSON encodes a contract so that an absent and an empty list are equal.
@@ -177,26 +177,6 @@
 	return string(data)
 }
 
-// VerdictError returns the error for a result that is a conflict, with
-// ExitConflict, or a refusal, with ExitFailed. It returns nil for other results.
-// The error text starts with subject.
-func VerdictError(result register.Result, subject string) error {
-	switch result.Verdict {
-	case register.VerdictConflict:
-		winner := ""
-		if result.Winner != nil {
-			winner = "\ncurrent contract: " + canonicalJSON(result.Winner.Contract)
-		}
-		return &factory.Error{Code: factory.ExitConflict, Err: errors.Errorf(
-			"%s: conflict with another change: %s; review the current state, then run the command again%s", subject, result.Reason, winner,
-		)}
-	case register.VerdictRefused:
-		return &factory.Error{Code: factory.ExitFailed, Err: errors.Errorf("%s: refused: %s", subject, result.Reason)}
-	default:
-		return nil
-	}
-}
-
 func (options *Options) show(changes []contractChange) error {
 	var rows [][]string
 	for _, change := range changes {
--- a/carobline/command/contract/retire/retire.go
+++ b/carobline/command/contract/retire/retire.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 
-	"carobline.dev/carobline/command/contract/apply"
 	"carobline.dev/carobline/command/contract/show"
 	"carobline.dev/carobline/connection/printer"
 	"carobline.dev/carobline/process/factory"
@@ -56,8 +55,6 @@
 	if err != nil {
 		return err
 	}
-	if err := apply.VerdictError(*outcome.Result, string(options.ClientAccount)); err != nil {
-		return err
-	}
-	return options.Printer.Show(outcome, []string{"CUSTOMER", "STATE", "IN FORCE"}, [][]string{{string(options.ClientAccount), "retired", fmt.Sprint(outcome.InForce)}})
+	name := string(options.ClientAccount)
+	return factory.ShowOutcome(options.Printer, outcome, name, []string{"CUSTOMER", "STATE", "IN FORCE"}, []string{name, "retired", fmt.Sprint(outcome.InForce)})
 }
--- a/carobline/command/stop/create/create.go
+++ b/carobline/command/stop/create/create.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 
-	"carobline.dev/carobline/command/contract/apply"
 	"carobline.dev/carobline/connection/printer"
 	"carobline.dev/carobline/process/factory"
 	"carobline.dev/core/connection/operator"
@@ -66,9 +65,7 @@
 	if err != nil {
 		return err
 	}
-	if err := apply.VerdictError(*outcome.Result, string(options.Request.Stop)); err != nil {
-		return err
-	}
-	rows := [][]string{{string(options.Request.Stop), string(options.Request.Kind), options.Request.Target, fmt.Sprint(outcome.InForce)}}
-	return options.Printer.Show(outcome, []string{"STOP", "KIND", "TARGET", "IN FORCE"}, rows)
+	name := string(options.Request.Stop)
+	row := []string{name, string(options.Request.Kind), options.Request.Target, fmt.Sprint(outcome.InForce)}
+	return factory.ShowOutcome(options.Printer, outcome, name, []string{"STOP", "KIND", "TARGET", "IN FORCE"}, row)
 }
--- a/carobline/command/voter/set/set.go
+++ b/carobline/command/voter/set/set.go
@@ -9,7 +9,6 @@
 	"context"
 	"strings"
 
-	"carobline.dev/carobline/command/contract/apply"
 	"carobline.dev/carobline/connection/printer"
 	"carobline.dev/carobline/process/factory"
 	"carobline.dev/core/connection/operator"
@@ -54,12 +53,9 @@
 	if err != nil {
 		return err
 	}
-	if err := apply.VerdictError(*outcome.Result, "voters"); err != nil {
-		return err
-	}
 	names := make([]string, len(options.Voters))
 	for index, voter := range options.Voters {
 		names[index] = string(voter)
 	}
-	return options.Printer.Show(outcome, []string{"VOTERS", "STATE"}, [][]string{{strings.Join(names, " "), string(outcome.Result.Verdict)}})
+	return factory.ShowOutcome(options.Printer, outcome, "voters", []string{"VOTERS", "STATE"}, []string{strings.Join(names, " "), string(outcome.Result.Verdict)})
 }
