inventory: what the replicated state and the roster say of hosts and groups

The controller had the questions of stops, repairs, orders and new groups about hosts in five files: which hosts of a group are missing, which can be assigned, what a planned stop covers, whether a stop leaves a model without a group, which hosts take the place of others. They read the replicated state and the roster and change nothing. Package inventory answers them now, with the present time as an argument; the controller words the refusals and proposes the changes.

--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -24,6 +24,7 @@
 	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
+	"carobline.dev/core/process/inventory"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
@@ -181,6 +182,11 @@
 // Register returns the replicated state as applied so far. It is read-only.
 func (controller *Controller) Register() *register.Register { return controller.register }
 
+// inventory returns what the replicated state and the roster say of hosts and groups.
+func (controller *Controller) inventory() inventory.Inventory {
+	return inventory.New(controller.register, controller.roster, controller.config.ModelSpecs)
+}
+
 // applyQuorumActions restores a snapshot and applies the committed entries that
 // the replicated log hands over, and passes saves and messages on to the caller.
 func (controller *Controller) applyQuorumActions(now time.Time, actions *Actions, quorumActions quorum.Actions) {
--- a/core/process/controller/orders.go
+++ b/core/process/controller/orders.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"carobline.dev/core/id"
 	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/register"
 )
@@ -22,10 +21,10 @@
 	groups := controller.register.Groups()
 	slices.SortFunc(groups, func(a, b register.GroupRecord) int { return cmp.Compare(a.Fencing, b.Fencing) })
 	for _, group := range groups {
-		if group.Service != "" || group.Phase != register.PhaseServing || controller.groupReady(now, group) {
+		if group.Service != "" || group.Phase != register.PhaseServing || controller.inventory().Ready(now, group) {
 			continue
 		}
-		if loadingGroups >= controller.config.MaxLoadingGroups && !controller.hostsHoldWeights(group) {
+		if loadingGroups >= controller.config.MaxLoadingGroups && !controller.inventory().HoldWeights(group) {
 			continue
 		}
 		loadingGroups++
@@ -40,15 +39,6 @@
 	}
 }
 
-// hostsHoldWeights reports whether all hosts of a group have its model loaded
-// already, so that ordering them puts no load on the weight store.
-func (controller *Controller) hostsHoldWeights(group register.GroupRecord) bool {
-	return !slices.ContainsFunc(group.Hosts, func(host id.Host) bool {
-		member, ok := controller.roster.Member(host)
-		return !ok || member.Announcement.Serving.Model != group.Model || !member.Announcement.Serving.Ready
-	})
-}
-
 // orderGroup sends each host of a group the order to load the group's model.
 func (controller *Controller) orderGroup(now time.Time, actions *Actions, group register.GroupRecord) {
 	peers := make([]string, len(group.Hosts))
@@ -80,13 +70,3 @@
 	order.LifetimeMS = OrderLifetime.Milliseconds()
 	actions.Orders = append(actions.Orders, order)
 }
-
-// groupReady reports whether all hosts of a group have a lease and announce that
-// they are ready in it under its current fencing token.
-func (controller *Controller) groupReady(now time.Time, group register.GroupRecord) bool {
-	return !slices.ContainsFunc(group.Hosts, func(host id.Host) bool {
-		member, ok := controller.roster.Member(host)
-		serving := member.Announcement.Serving
-		return !ok || !now.Before(member.Expiry) || !serving.Ready || serving.Group != group.Group || serving.Fencing != group.Fencing
-	})
-}
--- a/core/process/controller/overview.go
+++ b/core/process/controller/overview.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		overview.Groups = append(overview.Groups, GroupOverview{
-			GroupRecord: group, Ready: controller.groupReady(now, group), Missing: controller.missingHosts(now, group),
+			GroupRecord: group, Ready: controller.inventory().Ready(now, group), Missing: controller.inventory().Missing(now, group),
 		})
 	}
 	unfreed := controller.register.Unfreed()
--- a/core/process/controller/reconcile.go
+++ b/core/process/controller/reconcile.go
@@ -9,7 +9,6 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/fleet"
-	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 )
@@ -143,58 +142,9 @@
 	return false
 }
 
-// assignableHosts lists the hosts that can be assigned to a group now: live
-// ones that no group, plain service, planned stop or pending release claims.
-func (controller *Controller) assignableHosts(now time.Time) []placer.Host {
-	stopping := controller.stoppingHosts()
-	unfreed := controller.register.Unfreed()
-	var free []placer.Host
-	for _, member := range controller.roster.Members() {
-		announcement := member.Announcement
-		if !member.Live(now) || announcement.Service != "" || stopping[announcement.Host] >= announcement.Incarnation {
-			continue
-		}
-		if _, ok := unfreed[announcement.Host]; ok {
-			continue
-		}
-		if _, ok := controller.register.GroupOf(announcement.Host); ok {
-			continue
-		}
-		free = append(free, placerHost(announcement))
-	}
-	return free
-}
-
-func placerHost(announcement roster.Announcement) placer.Host {
-	return placer.Host{
-		Host: announcement.Host, DataCentre: announcement.DataCentre, Domain: announcement.Domain,
-		Accelerators: announcement.Accelerators, Models: announcement.Models,
-	}
-}
-
-// modelSpec returns the settings of a model, or false if it has none.
-func (controller *Controller) modelSpec(model id.Model) (placer.Spec, bool) {
-	for _, spec := range controller.config.ModelSpecs {
-		if spec.Model == model {
-			return spec, true
-		}
-	}
-	return placer.Spec{}, false
-}
-
 // formGroups proposes new groups of the assignable hosts.
 func (controller *Controller) formGroups(now time.Time, actions *Actions) {
-	free := controller.assignableHosts(now)
-	if len(free) == 0 {
-		return
-	}
-	groupCountByModel := map[id.Model]int{}
-	for _, group := range controller.register.Groups() {
-		if group.Phase != register.PhaseRetired {
-			groupCountByModel[group.Model]++
-		}
-	}
-	for _, assignment := range placer.Plan(free, controller.config.ModelSpecs, groupCountByModel) {
+	for _, assignment := range controller.inventory().NewGroups(now) {
 		controller.proposeAsLeader(now, actions, register.Command{CommitGroup: &register.CommitGroup{
 			Group: controller.groupName(assignment.Model), Model: assignment.Model, Hosts: assignment.Hosts,
 		}})
--- a/core/process/controller/stops.go
+++ b/core/process/controller/stops.go
@@ -7,7 +7,6 @@
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
-	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
 )
@@ -16,25 +15,11 @@
 // new group that can take its place.
 const replacementTimeout = time.Minute
 
-// stoppingHosts returns the highest incarnation of each host that a planned
-// stop covers, whether or not the stop is finished. A later incarnation of the
-// host isn't covered, so the host is used again once it has restarted.
-func (controller *Controller) stoppingHosts() map[id.Host]id.Incarnation {
-	stopping := map[id.Host]id.Incarnation{}
-	for _, stop := range controller.register.Stops() {
-		for host, incarnation := range stop.IncarnationByHost {
-			stopping[host] = max(stopping[host], incarnation)
-		}
-	}
-	return stopping
-}
-
 // planStop fills in the hosts and nodes that a stop covers, and refuses a stop that
 // covers none. Unless the loss is accepted, it also refuses one that would leave
 // too few voters or a contract's model without a group.
 func (controller *Controller) planStop(now time.Time, stop register.CreateStop, acceptLoss bool) (register.CreateStop, *register.Result) {
-	stop.IncarnationByHost, stop.IncarnationByNode = map[id.Host]id.Incarnation{}, map[id.Node]id.Incarnation{}
-	controller.collectStopHosts(now, &stop)
+	stop.IncarnationByHost, stop.IncarnationByNode = controller.inventory().HostsUnder(now, stop), map[id.Node]id.Incarnation{}
 	if stop.Kind == register.TargetNode {
 		if node := controller.leadership.stateByNode[id.Node(stop.Target)]; node != nil && node.incarnation > 0 {
 			stop.IncarnationByNode[id.Node(stop.Target)] = node.incarnation
@@ -49,39 +34,16 @@
 	if problem := controller.checkQuorumLoss(now, stop); problem != nil {
 		return stop, problem
 	}
-	return stop, controller.checkModelLoss(now, stop)
+	if model, account, lost := controller.inventory().LostModel(now, stop.IncarnationByHost); lost {
+		return stop, refusal("the stop leaves no group for model %s of customer %s; bring spare hosts, or accept the loss", model, account)
+	}
+	return stop, nil
 }
 
 func refusal(format string, arguments ...any) *register.Result {
 	return &register.Result{Verdict: register.VerdictRefused, Reason: fmt.Sprintf(format, arguments...)}
 }
 
-// collectStopHosts adds the live hosts under a stop's target to the stop, each
-// with its incarnation.
-func (controller *Controller) collectStopHosts(now time.Time, stop *register.CreateStop) {
-	var groupHosts []id.Host
-	if group, ok := controller.register.Group(id.Group(stop.Target)); ok && stop.Kind == register.TargetGroup && group.Phase != register.PhaseRetired {
-		groupHosts = group.Hosts
-	}
-	for _, member := range controller.roster.Members() {
-		announcement := member.Announcement
-		var covered bool
-		switch stop.Kind {
-		case register.TargetEndpoint:
-			covered = string(announcement.Host) == stop.Target
-		case register.TargetGroup:
-			covered = slices.Contains(groupHosts, announcement.Host)
-		case register.TargetDomain:
-			covered = string(announcement.Domain) == stop.Target
-		case register.TargetDataCentre:
-			covered = string(announcement.DataCentre) == stop.Target
-		}
-		if covered && now.Before(member.Expiry) {
-			stop.IncarnationByHost[announcement.Host] = announcement.Incarnation
-		}
-	}
-}
-
 // checkQuorumLoss refuses a stop of voters that leaves no majority of live
 // voters which aren't stopping.
 func (controller *Controller) checkQuorumLoss(now time.Time, stop register.CreateStop) *register.Result {
@@ -113,50 +75,6 @@
 	return nil
 }
 
-// checkModelLoss refuses a stop that leaves a contract's model, which has a
-// ready group now, without any group.
-func (controller *Controller) checkModelLoss(now time.Time, stop register.CreateStop) *register.Result {
-	readyGroupsByModel := map[id.Model]int{}
-	remainingGroupsByModel := map[id.Model]int{}
-	stopping := controller.stoppingHosts()
-	for _, group := range controller.register.Groups() {
-		if group.Phase != register.PhaseServing || !controller.groupReady(now, group) {
-			continue
-		}
-		readyGroupsByModel[group.Model]++
-		if !controller.coversGroup(group, stopping) && !controller.coversGroup(group, stop.IncarnationByHost) {
-			remainingGroupsByModel[group.Model]++
-		}
-	}
-	for _, group := range controller.replacementGroups(now, stop) {
-		remainingGroupsByModel[group.Model]++
-	}
-	for _, record := range controller.register.Contracts() {
-		for _, model := range record.Contract.Models {
-			if !record.Retired && readyGroupsByModel[model] > 0 && remainingGroupsByModel[model] == 0 {
-				return refusal("the stop leaves no group for model %s of customer %s; bring spare hosts, or accept the loss", model, record.Contract.ClientAccount)
-			}
-		}
-	}
-	return nil
-}
-
-// replacementGroups returns the groups that the assignable hosts outside a stop
-// could form.
-func (controller *Controller) replacementGroups(now time.Time, stop register.CreateStop) []placer.Assignment {
-	free := slices.DeleteFunc(controller.assignableHosts(now), func(host placer.Host) bool { return stop.IncarnationByHost[host.Host] > 0 })
-	return placer.Plan(free, controller.config.ModelSpecs, nil)
-}
-
-// coversGroup reports whether a stop covers any host of a group. A host that has
-// restarted since the stop was planned isn't covered.
-func (controller *Controller) coversGroup(group register.GroupRecord, hosts map[id.Host]id.Incarnation) bool {
-	return slices.ContainsFunc(group.Hosts, func(host id.Host) bool {
-		member, ok := controller.roster.Member(host)
-		return hosts[host] > 0 && (!ok || member.Announcement.Incarnation <= hosts[host])
-	})
-}
-
 // transferLeadershipIfStopping starts a transfer of the leadership while an
 // unfinished stop covers this node. It reports whether there is such a stop.
 func (controller *Controller) transferLeadershipIfStopping(now time.Time, actions *Actions) bool {
@@ -192,7 +110,7 @@
 // change.
 func (controller *Controller) drainStoppedGroups(now time.Time, actions *Actions, stop register.StopRecord) bool {
 	for _, group := range controller.register.Groups() {
-		if group.Phase == register.PhaseRetired || !controller.coversGroup(group, stop.IncarnationByHost) {
+		if group.Phase == register.PhaseRetired || !controller.inventory().Covers(group, stop.IncarnationByHost) {
 			continue
 		}
 		if group.Phase == register.PhaseServing {
@@ -205,7 +123,7 @@
 		if !controller.endpointIdle(now, feed.Endpoint{Group: group.Group}, group.Hosts[0], group.Version) {
 			continue
 		}
-		if controller.repairGroup(now, actions, group, controller.hostsToReplace(now, group)) {
+		if controller.repairGroup(now, actions, group, controller.inventory().ToReplace(now, group)) {
 			return true
 		}
 		controller.proposeAsLeader(now, actions, register.Command{RetireGroup: &register.RetireGroup{Group: group.Group, Base: group.Fencing}})
@@ -226,29 +144,7 @@
 	if !now.Before(waitingSince.Add(replacementTimeout)) {
 		return false
 	}
-	if len(placer.Plan(controller.assignableHosts(now), controller.config.ModelSpecs, nil)) > 0 {
-		return true
-	}
-	for _, group := range controller.register.Groups() {
-		if group.Phase == register.PhaseServing && len(controller.missingHosts(now, group)) == 0 && !controller.groupReady(now, group) {
-			return true
-		}
-	}
-	return false
-}
-
-// hostsToReplace lists the hosts of a group that are missing or covered by a
-// planned stop.
-func (controller *Controller) hostsToReplace(now time.Time, group register.GroupRecord) []id.Host {
-	toReplace := controller.missingHosts(now, group)
-	stopping := controller.stoppingHosts()
-	for _, host := range group.Hosts {
-		member, ok := controller.roster.Member(host)
-		if ok && stopping[host] >= member.Announcement.Incarnation && !slices.Contains(toReplace, host) {
-			toReplace = append(toReplace, host)
-		}
-	}
-	return toReplace
+	return controller.inventory().ReplacementsComing(now)
 }
 
 // endpointIdle reports whether no call runs on an endpoint and none can begin:
@@ -275,7 +171,7 @@
 // nodes that a stop covers.
 func (controller *Controller) stopComplete(now time.Time, stop register.StopRecord) bool {
 	for _, group := range controller.register.Groups() {
-		if group.Phase != register.PhaseRetired && controller.coversGroup(group, stop.IncarnationByHost) {
+		if group.Phase != register.PhaseRetired && controller.inventory().Covers(group, stop.IncarnationByHost) {
 			return false
 		}
 	}
