register: a command encodes itself for the log

compression.go of the controller compressed commands, and controller.go put that together with their JSON in two places. Command.Encode and DecodeCommand of package register do both, with the same threshold and the same texts of errors.

--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -12,7 +12,6 @@
 package controller
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -223,12 +222,8 @@
 		controller.applyMembership(actions, entry, proposal, proposedHere)
 		return
 	}
-	var command register.Command
 	result := register.Result{Verdict: register.VerdictRefused, Reason: "unreadable command"}
-	data, err := decompressCommand(entry.Data)
-	if err == nil {
-		err = json.Unmarshal(data, &command)
-	}
+	command, err := register.DecodeCommand(entry.Data)
 	if err == nil {
 		result = controller.register.Apply(entry.Index, command)
 		if command.Declare != nil && result.Verdict == register.VerdictDone {
@@ -312,10 +307,7 @@
 	status := controller.quorum.Status()
 	command.At = now.Round(0).UTC()
 	command.Term, command.Clock = status.Term, controller.clock.Reading(now)
-	data, err := json.Marshal(command)
-	if err == nil {
-		data, err = compressCommand(data)
-	}
+	data, err := command.Encode()
 	if err != nil {
 		refused := register.Result{Verdict: register.VerdictRefused, Reason: err.Error()}
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &refused})
