stalls: keeps which endpoints nodes report as stalled

The leader's state held the time of the last report of each endpoint and the count of new ones; handleFeedRequest kept both.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"carobline.dev/core/id"
@@ -10,6 +9,7 @@
 	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/granter"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/stalls"
 )
 
 const (
@@ -20,9 +20,6 @@
 	// and urgentReconcileInterval the least time when there is something new to act on.
 	reconcileInterval       = 100 * time.Millisecond
 	urgentReconcileInterval = 20 * time.Millisecond
-	// stallBroadcastLifetime is how long the other nodes avoid an endpoint after
-	// one node has reported that its calls there are stalled.
-	stallBroadcastLifetime = 500 * time.Millisecond
 	// callCountsInterval is how old the counts of calls in a response may be, so that
 	// they are encoded for many responses at once.
 	callCountsInterval = 20 * time.Millisecond
@@ -62,12 +59,8 @@
 	callsByEndpoint   map[feed.Endpoint]int
 	callCounts        *feed.CallCounts
 	callCountsTakenAt time.Time
-	// stallReportedAtByEndpoint is when a node last reported that its calls to an
-	// endpoint are stalled.
-	stallReportedAtByEndpoint map[feed.Endpoint]time.Time
-	// newStallReports counts the reports of stalled endpoints that weren't reported
-	// within stallBroadcastLifetime before. Each is an update for all nodes.
-	newStallReports uint64
+	// stalls are the endpoints that nodes report as stalled.
+	stalls *stalls.Stalls
 	// scannedAt is when all held polls were last looked at, and scannedInputs what
 	// they were told of. liveNodes and liveCalls count the nodes with a lease, and
 	// their calls, at that time.
@@ -147,7 +140,7 @@
 		stateByNode: map[id.Node]*nodeState{}, pollByNode: map[id.Node]heldPoll{},
 		lastOrderAtByHost: map[id.Host]time.Time{}, brokenSinceByGroup: map[id.Group]time.Time{},
 		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callsByEndpoint: map[feed.Endpoint]int{},
-		stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{}, crashes: crashes.New(),
+		stalls: stalls.New(), crashes: crashes.New(),
 		fleet: fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
 	}
 	// A node that hasn't sent a request in this term may still hold a lease that
@@ -193,10 +186,7 @@
 	node.callsByEndpoint, node.totalCalls, node.drained = request.RunningByEndpoint, request.ActiveCalls, request.Drained
 	node.hasDisk, node.lastRequestAt = request.HasDisk, now
 	for _, endpoint := range request.StalledEndpoints {
-		if now.Sub(leadership.stallReportedAtByEndpoint[endpoint]) >= stallBroadcastLifetime {
-			leadership.newStallReports++
-		}
-		leadership.stallReportedAtByEndpoint[endpoint] = now
+		leadership.stalls.Report(now, endpoint)
 		leadership.fleet.Step(now, fleet.StallReported{Group: endpoint.Group})
 	}
 	if request.ActiveCalls > 0 {
@@ -235,19 +225,6 @@
 	return leadership.callCounts
 }
 
-// stalledEndpoints lists the endpoints that a node reported as stalled within
-// stallBroadcastLifetime.
-func (leadership *leadership) stalledEndpoints(now time.Time) []feed.Endpoint {
-	var stalled []feed.Endpoint
-	for endpoint, reportedAt := range leadership.stallReportedAtByEndpoint {
-		if now.Sub(reportedAt) < stallBroadcastLifetime {
-			stalled = append(stalled, endpoint)
-		}
-	}
-	slices.SortFunc(stalled, feed.Endpoint.Compare)
-	return stalled
-}
-
 func (controller *Controller) redirect() *feed.Redirect {
 	return &feed.Redirect{Leader: controller.Leader(), Voters: controller.quorum.Status().Membership.Voters}
 }
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -36,7 +36,7 @@
 }
 
 func (controller *Controller) pollInputs() pollInputs {
-	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(roster.ScopeControl), controller.leadership.newStallReports, controller.leadership.departuresKnown}
+	return pollInputs{controller.register.Version(), controller.roster.UrgentCursor(roster.ScopeControl), controller.leadership.stalls.NewReports(), controller.leadership.departuresKnown}
 }
 
 // scanPolls looks at all held polls, if something that concerns all nodes has changed
@@ -160,7 +160,7 @@
 func (controller *Controller) hasUpdate(held heldPoll) bool {
 	request := held.request
 	return request.Epoch != controller.epoch() || request.Version != controller.register.Version() ||
-		request.Cursor < controller.roster.UrgentCursor(roster.ScopeOf(request.HasDisk)) || held.stallReports < controller.leadership.newStallReports ||
+		request.Cursor < controller.roster.UrgentCursor(roster.ScopeOf(request.HasDisk)) || held.stallReports < controller.leadership.stalls.NewReports() ||
 		(held.withoutLease && controller.leadership.departuresKnown) || (request.AwaitedCursor > 0 && request.AwaitedCursor <= controller.majorityCursor())
 }
 
@@ -228,14 +228,14 @@
 	}
 	node := held.state
 	response.RunningByEndpoint = controller.leadership.callCountsAt(now)
-	response.StalledEndpoints = controller.leadership.stalledEndpoints(now)
+	response.StalledEndpoints = controller.leadership.stalls.At(now)
 	response.SuspectParts = controller.leadership.suspectParts(now, controller.register.Blocks().Blocks)
 	if response.Delta.Declared != nil {
 		response.DeclaredAgeMS = now.Sub(controller.declaredAt).Milliseconds()
 	}
 	controller.responses.count(request, response)
 	node.withoutLease = response.LeaseMS == 0
-	node.stallReports = controller.leadership.newStallReports
+	node.stallReports = controller.leadership.stalls.NewReports()
 	node.lastResponseAt, node.leaseExpiryBound = now, now.Add(leaseWithDrift(controller.config.lease()))
 	actions.Replies = append(actions.Replies, Reply{Ticket: held.ticket, Response: response})
 	return response
