callsums: sums the calls that nodes report, by endpoint

The leader's state held the sums, and the copy of them that responses share for 20 ms. Package callsums has one type that does.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/callsums"
 	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
@@ -20,9 +21,6 @@
 	// and urgentReconcileInterval the least time when there is something new to act on.
 	reconcileInterval       = 100 * time.Millisecond
 	urgentReconcileInterval = 20 * time.Millisecond
-	// callCountsInterval is how old the counts of calls in a response may be, so that
-	// they are encoded for many responses at once.
-	callCountsInterval = 20 * time.Millisecond
 	// callExpiryInterval is the time between two checks for expired call records.
 	callExpiryInterval = time.Minute
 	// suspectsInterval is how old the suspect parts of prompts in a response may be.
@@ -54,11 +52,8 @@
 	lastOrderAtByHost          map[id.Host]time.Time
 	brokenSinceByGroup         map[id.Group]time.Time
 	replacementWaitSinceByStop map[id.Stop]time.Time
-	// callsByEndpoint sums the calls in progress of all nodes. callCounts is a copy for
-	// the responses, taken at callCountsTakenAt.
-	callsByEndpoint   map[feed.Endpoint]int
-	callCounts        *feed.CallCounts
-	callCountsTakenAt time.Time
+	// callSums are the calls in progress of all nodes.
+	callSums *callsums.CallSums
 	// stalls are the endpoints that nodes report as stalled.
 	stalls *stalls.Stalls
 	// scannedAt is when all held polls were last looked at, and scannedInputs what
@@ -139,7 +134,7 @@
 		term: term, startedAt: now, granter: granter.New(now, leaseWithDrift(feed.Lease)),
 		stateByNode: map[id.Node]*nodeState{}, pollByNode: map[id.Node]heldPoll{},
 		lastOrderAtByHost: map[id.Host]time.Time{}, brokenSinceByGroup: map[id.Group]time.Time{},
-		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callsByEndpoint: map[feed.Endpoint]int{},
+		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callSums: callsums.New(),
 		stalls: stalls.New(), crashes: crashes.New(),
 		fleet: fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
 	}
@@ -182,7 +177,7 @@
 		node.cursor = request.Cursor
 		node.offered = node.offered || announcementsAccepted
 	}
-	leadership.updateNodeCalls(node.callsByEndpoint, request.RunningByEndpoint)
+	leadership.callSums.Replace(node.callsByEndpoint, request.RunningByEndpoint)
 	node.callsByEndpoint, node.totalCalls, node.drained = request.RunningByEndpoint, request.ActiveCalls, request.Drained
 	node.hasDisk, node.lastRequestAt = request.HasDisk, now
 	for _, endpoint := range request.StalledEndpoints {
@@ -203,28 +198,6 @@
 	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, state: node, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports, withoutLease: node.withoutLease}
 }
 
-// updateNodeCalls replaces a node's previous calls in progress by its current
-// ones in the sums over all nodes.
-func (leadership *leadership) updateNodeCalls(before, after map[feed.Endpoint]int) {
-	for endpoint, calls := range before {
-		leadership.callsByEndpoint[endpoint] -= calls
-		if leadership.callsByEndpoint[endpoint] <= 0 {
-			delete(leadership.callsByEndpoint, endpoint)
-		}
-	}
-	for endpoint, calls := range after {
-		leadership.callsByEndpoint[endpoint] += calls
-	}
-}
-
-// callCountsAt returns the calls in progress of all nodes, at most callCountsInterval old.
-func (leadership *leadership) callCountsAt(now time.Time) *feed.CallCounts {
-	if leadership.callCounts == nil || now.Sub(leadership.callCountsTakenAt) >= callCountsInterval {
-		leadership.callCounts, leadership.callCountsTakenAt = feed.NewCallCounts(leadership.callsByEndpoint), now
-	}
-	return leadership.callCounts
-}
-
 func (controller *Controller) redirect() *feed.Redirect {
 	return &feed.Redirect{Leader: controller.Leader(), Voters: controller.quorum.Status().Membership.Voters}
 }
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -227,7 +227,7 @@
 		Voters: controller.quorum.Status().Membership.Voters,
 	}
 	node := held.state
-	response.RunningByEndpoint = controller.leadership.callCountsAt(now)
+	response.RunningByEndpoint = controller.leadership.callSums.At(now)
 	response.StalledEndpoints = controller.leadership.stalls.At(now)
 	response.SuspectParts = controller.leadership.suspectParts(now, controller.register.Blocks().Blocks)
 	if response.Delta.Declared != nil {
