pacer: spaces the leader's responses

polls.go held when a response may be given: the pause between two to one node, how long a poll is held, the bound on those given at once, and how much a large one counts for. Package pacer has one type that decides that, with the present time as an argument and the same constants. answer, respond and the handling of a feed request keep their names and places.

--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -9,6 +9,7 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/pacer"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/stalls"
 )
@@ -63,9 +64,8 @@
 	scannedInputs pollInputs
 	liveNodes     int
 	liveCalls     int
-	// respondingUntil is when the responses given so far would be over if each took
-	// responseSpacing.
-	respondingUntil time.Time
+	// pacer spaces the responses.
+	pacer pacer.Pacer
 	// departuresKnown is set once a majority of the voters has offered the departures
 	// that it knows. Before, the roster may lack some that were acknowledged.
 	departuresKnown bool
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -11,21 +11,8 @@
 	"carobline.dev/core/process/roster"
 )
 
-const (
-	// responseSpacing times the number of nodes is the least time between two
-	// responses to one node, so that the leader gives no more than one response in
-	// each responseSpacing, however many nodes there are and whatever changes.
-	responseSpacing = time.Millisecond
-	// responseBurst bounds the responses given at once, as the time that they take at
-	// responseSpacing, so that heartbeats to the other voters don't wait behind them.
-	responseBurst = 20 * time.Millisecond
-	// largeResponseTime replaces responseSpacing for a response with the declaration or
-	// with at least largeResponseRecords announcements and groups.
-	largeResponseTime    = 2 * time.Millisecond
-	largeResponseRecords = 50
-	// minScanInterval is the least time between two looks at all held polls.
-	minScanInterval = 10 * time.Millisecond
-)
+// minScanInterval is the least time between two looks at all held polls.
+const minScanInterval = 10 * time.Millisecond
 
 // pollInputs are what every node must be told of when it changes.
 type pollInputs struct {
@@ -49,7 +36,7 @@
 		controller.answerPolls(now, actions)
 		return
 	}
-	if held, ok := leadership.pollByNode[arrived]; ok && controller.pollDue(now, held, false) && leadership.mayRespond(now, &held.request) {
+	if held, ok := leadership.pollByNode[arrived]; ok && controller.pollDue(now, held, false) && leadership.pacer.MayRespond(now, held.request.HasDisk) {
 		controller.answer(now, actions, held)
 	}
 }
@@ -66,7 +53,7 @@
 	}
 	leadership.countNodes(now)
 	for _, held := range controller.duePolls(now) {
-		if leadership.mayRespond(now, &held.request) {
+		if leadership.pacer.MayRespond(now, held.request.HasDisk) {
 			controller.answer(now, actions, held)
 		}
 	}
@@ -92,12 +79,6 @@
 	return due
 }
 
-// mayRespond reports whether a further response is within responseBurst. Nodes with a
-// disk are few, and relay what hosts announce, so that they needn't wait.
-func (leadership *leadership) mayRespond(now time.Time, request *feed.Request) bool {
-	return request.HasDisk || !leadership.respondingUntil.After(now.Add(responseBurst))
-}
-
 // countNodes counts the nodes that may act on a response, and their calls.
 func (leadership *leadership) countNodes(now time.Time) {
 	leadership.liveNodes, leadership.liveCalls = 0, 0
@@ -107,17 +88,7 @@
 			leadership.liveCalls += node.totalCalls
 		}
 	}
-}
-
-// responsePause returns the least time between two responses to one node.
-func (leadership *leadership) responsePause() time.Duration {
-	return time.Duration(leadership.liveNodes) * responseSpacing
-}
-
-// holdTime returns how long a poll without an update is held, from the last response
-// to its node.
-func (leadership *leadership) holdTime() time.Duration {
-	return max(feed.LongPollTimeout, leadership.responsePause())
+	leadership.pacer.SetNodes(leadership.liveNodes)
 }
 
 // pollDue reports whether a poll has been held for long enough, or has an update if the
@@ -125,10 +96,10 @@
 func (controller *Controller) pollDue(now time.Time, held heldPoll, quotaChanged bool) bool {
 	leadership := controller.leadership
 	sinceResponse := now.Sub(held.state.lastResponseAt)
-	if !held.announcementsAccepted || sinceResponse >= leadership.holdTime() {
+	if !held.announcementsAccepted || sinceResponse >= leadership.pacer.HoldTime() {
 		return true
 	}
-	return sinceResponse >= leadership.responsePause() && (quotaChanged || controller.hasUpdate(held))
+	return sinceResponse >= leadership.pacer.Pause() && (quotaChanged || controller.hasUpdate(held))
 }
 
 // answer answers a held poll.
@@ -136,22 +107,7 @@
 	leadership := controller.leadership
 	delete(leadership.pollByNode, held.request.Node)
 	response := controller.respond(now, actions, held)
-	leadership.respondingUntil = latest(leadership.respondingUntil, now).Add(responseTime(response))
-}
-
-// responseTime returns how much of the leader's time a response counts for.
-func responseTime(response *feed.Response) time.Duration {
-	if response.Delta.Declared != nil || len(response.Roster)+len(response.Delta.Groups) >= largeResponseRecords {
-		return largeResponseTime
-	}
-	return responseSpacing
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	leadership.pacer.Responded(now, response)
 }
 
 // hasUpdate reports whether a node doesn't know this leader's roster, or its version,
@@ -223,7 +179,7 @@
 		Stamp: controller.clock.Stamp(now), AnnouncementsAccepted: held.announcementsAccepted, LeaseMS: controller.nodeLease().Milliseconds(),
 		Delta: controller.register.Since(request.Version),
 		Epoch: controller.epoch(), Cursor: controller.roster.Cursor(), MajorityCursor: controller.majorityCursor(), Roster: relayed, Renewals: renewals,
-		Grant: grant, Share: controller.leadership.share(request), HoldMS: controller.leadership.holdTime().Milliseconds(),
+		Grant: grant, Share: controller.leadership.share(request), HoldMS: controller.leadership.pacer.HoldTime().Milliseconds(),
 		Voters: controller.quorum.Status().Membership.Voters,
 	}
 	node := held.state
