fleet: two tests of groups that wait for nodes share their check

Two tests lost a host of an open group and then checked, in the same lines, that no group opens while nodes lag behind the retirement of its hosts' last group and that one opens once they don't. checkOpensOnceNodesFollow holds both checks; the times, counts and number of groups are the same, the text of the failure is one.

Shown by: go test ./core/process/fleet passes.

--- a/core/process/fleet/fleet_test.go
+++ b/core/process/fleet/fleet_test.go
@@ -189,6 +189,19 @@
 	}
 }
 
+// checkOpensOnceNodesFollow fails unless no group is open after a time, and one soon after all
+// nodes have the present state, in which its hosts' last group is retired.
+func (world *world) checkOpensOnceNodesFollow(after time.Duration) {
+	world.t.Helper()
+	if world.run(after); len(world.openGroups("four")) != 0 {
+		world.t.Error("a group is open, though nodes lag behind the retirement of its hosts' last group")
+	}
+	world.nodesAt = world.state.Version()
+	if world.run(time.Second); len(world.openGroups("four")) != 1 {
+		world.t.Error("no group is open, though no node lags behind the retirement of its hosts' last group")
+	}
+}
+
 // Guards against a group that opens while a node still uses one of its hosts in the group
 // that it was in before.
 func TestGroupOpensOnlyOnceNoNodeUsesItsHostsElsewhere(t *testing.T) {
@@ -197,13 +210,7 @@
 	world.run(8 * time.Second)
 	first := world.openGroups("four")[0]
 	world.lose(first.Hosts[1])
-	if world.run(3 * time.Second); len(world.openGroups("four")) != 0 {
-		t.Error("a group is open, though nodes haven't heard that its hosts' last group is retired")
-	}
-	world.nodesAt = world.state.Version()
-	if world.run(time.Second); len(world.openGroups("four")) != 1 {
-		t.Error("no group is open, though all nodes have heard that its hosts' last group is retired")
-	}
+	world.checkOpensOnceNodesFollow(3 * time.Second)
 }
 
 // Guards against a new leader that opens a group of the one before, though nodes may
@@ -215,13 +222,7 @@
 	world.lose(world.openGroups("four")[0].Hosts[1])
 	world.run(3 * time.Second)
 	world.fleet = fleet.New(world.now, fleet.Config{Term: 2, EngineStallTimeout: 4 * time.Second})
-	if world.run(2 * time.Second); len(world.openGroups("four")) != 0 {
-		t.Error("a group is open, though nodes haven't heard that its hosts' last group is retired")
-	}
-	world.nodesAt = world.state.Version()
-	if world.run(time.Second); len(world.openGroups("four")) != 1 {
-		t.Error("no group is open, though all nodes know it")
-	}
+	world.checkOpensOnceNodesFollow(2 * time.Second)
 }
 
 // Guards against a new leader that lets hosts join other groups while the head of theirs
