--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -12,7 +12,6 @@
 package controller
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -24,6 +23,7 @@
 	"carobline.dev/core/process/clock"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
+	"carobline.dev/core/process/inventory"
 	"carobline.dev/core/process/placer"
 	"carobline.dev/core/process/quorum"
 	"carobline.dev/core/process/register"
@@ -181,6 +181,11 @@
 // Register returns the replicated state as applied so far. It is read-only.
 func (controller *Controller) Register() *register.Register { return controller.register }
 
+// inventory returns the hosts and groups by the replicated state and the roster.
+func (controller *Controller) inventory() inventory.Inventory {
+	return inventory.New(controller.register, controller.roster, controller.config.ModelSpecs)
+}
+
 // applyQuorumActions restores a snapshot and applies the committed entries that
 // the replicated log hands over, and passes saves and messages on to the caller.
 func (controller *Controller) applyQuorumActions(now time.Time, actions *Actions, quorumActions quorum.Actions) {
@@ -217,12 +222,8 @@
 		controller.applyMembership(actions, entry, proposal, proposedHere)
 		return
 	}
-	var command register.Command
 	result := register.Result{Verdict: register.VerdictRefused, Reason: "unreadable command"}
-	data, err := decompressCommand(entry.Data)
-	if err == nil {
-		err = json.Unmarshal(data, &command)
-	}
+	command, err := register.DecodeCommand(entry.Data)
 	if err == nil {
 		result = controller.register.Apply(entry.Index, command)
 		if command.Declare != nil && result.Verdict == register.VerdictDone {
@@ -306,10 +307,7 @@
 	status := controller.quorum.Status()
 	command.At = now.Round(0).UTC()
 	command.Term, command.Clock = status.Term, controller.clock.Reading(now)
-	data, err := json.Marshal(command)
-	if err == nil {
-		data, err = compressCommand(data)
-	}
+	data, err := command.Encode()
 	if err != nil {
 		refused := register.Result{Verdict: register.VerdictRefused, Reason: err.Error()}
 		actions.Outcomes = append(actions.Outcomes, Outcome{Ticket: ticket, Result: &refused})
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -1,15 +1,17 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/callsums"
 	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/fleet"
 	"carobline.dev/core/process/granter"
+	"carobline.dev/core/process/pacer"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/stalls"
 )
 
 const (
@@ -20,12 +22,6 @@
 	// and urgentReconcileInterval the least time when there is something new to act on.
 	reconcileInterval       = 100 * time.Millisecond
 	urgentReconcileInterval = 20 * time.Millisecond
-	// stallBroadcastLifetime is how long the other nodes avoid an endpoint after
-	// one node has reported that its calls there are stalled.
-	stallBroadcastLifetime = 500 * time.Millisecond
-	// callCountsInterval is how old the counts of calls in a response may be, so that
-	// they are encoded for many responses at once.
-	callCountsInterval = 20 * time.Millisecond
 	// callExpiryInterval is the time between two checks for expired call records.
 	callExpiryInterval = time.Minute
 	// suspectsInterval is how old the suspect parts of prompts in a response may be.
@@ -57,27 +53,19 @@
 	lastOrderAtByHost          map[id.Host]time.Time
 	brokenSinceByGroup         map[id.Group]time.Time
 	replacementWaitSinceByStop map[id.Stop]time.Time
-	// callsByEndpoint sums the calls in progress of all nodes. callCounts is a copy for
-	// the responses, taken at callCountsTakenAt.
-	callsByEndpoint   map[feed.Endpoint]int
-	callCounts        *feed.CallCounts
-	callCountsTakenAt time.Time
-	// stallReportedAtByEndpoint is when a node last reported that its calls to an
-	// endpoint are stalled.
-	stallReportedAtByEndpoint map[feed.Endpoint]time.Time
-	// newStallReports counts the reports of stalled endpoints that weren't reported
-	// within stallBroadcastLifetime before. Each is an update for all nodes.
-	newStallReports uint64
+	// callSums are the calls in progress of all nodes.
+	callSums *callsums.CallSums
+	// stalls are the endpoints that nodes report as stalled.
+	stalls *stalls.Stalls
 	// scannedAt is when all held polls were last looked at, and scannedInputs what
-	// they were told of. liveNodes and liveCalls count the nodes with a lease, and
+	// concerned all nodes then. liveNodes and liveCalls count the nodes with a lease, and
 	// their calls, at that time.
 	scannedAt     time.Time
 	scannedInputs pollInputs
 	liveNodes     int
 	liveCalls     int
-	// respondingUntil is when the responses given so far would be over if each took
-	// responseSpacing.
-	respondingUntil time.Time
+	// pacer spaces the responses.
+	pacer pacer.Pacer
 	// departuresKnown is set once a majority of the voters has offered the departures
 	// that it knows. Before, the roster may lack some that were acknowledged.
 	departuresKnown bool
@@ -85,7 +73,7 @@
 	// index of its last change.
 	crashes             *crashes.Crashes
 	blocksProposalIndex id.Index
-	// suspects are the parts that nodes are asked about, as of suspectsTakenAt.
+	// suspects are the parts that responses list as suspect, as of suspectsTakenAt.
 	suspects        []id.PromptPart
 	suspectsTakenAt time.Time
 }
@@ -127,7 +115,7 @@
 	// state is that of the node.
 	state                 *nodeState
 	announcementsAccepted bool
-	// stallReports is the number of new reports of stalls that the node was told of,
+	// stallReports is the number of new reports of stalls at the last response to the node,
 	// and withoutLease is set if it was granted no lease.
 	stallReports uint64
 	withoutLease bool
@@ -146,8 +134,8 @@
 		term: term, startedAt: now, granter: granter.New(now, leaseWithDrift(feed.Lease)),
 		stateByNode: map[id.Node]*nodeState{}, pollByNode: map[id.Node]heldPoll{},
 		lastOrderAtByHost: map[id.Host]time.Time{}, brokenSinceByGroup: map[id.Group]time.Time{},
-		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callsByEndpoint: map[feed.Endpoint]int{},
-		stallReportedAtByEndpoint: map[feed.Endpoint]time.Time{}, crashes: crashes.New(),
+		replacementWaitSinceByStop: map[id.Stop]time.Time{}, callSums: callsums.New(),
+		stalls: stalls.New(), crashes: crashes.New(),
 		fleet: fleet.New(now, fleet.Config{Term: term, EngineStallTimeout: config.EngineStallTimeout}),
 	}
 	// A node that hasn't sent a request in this term may still hold a lease that
@@ -189,14 +177,11 @@
 		node.cursor = request.Cursor
 		node.offered = node.offered || announcementsAccepted
 	}
-	leadership.updateNodeCalls(node.callsByEndpoint, request.RunningByEndpoint)
+	leadership.callSums.Replace(node.callsByEndpoint, request.RunningByEndpoint)
 	node.callsByEndpoint, node.totalCalls, node.drained = request.RunningByEndpoint, request.ActiveCalls, request.Drained
 	node.hasDisk, node.lastRequestAt = request.HasDisk, now
 	for _, endpoint := range request.StalledEndpoints {
-		if now.Sub(leadership.stallReportedAtByEndpoint[endpoint]) >= stallBroadcastLifetime {
-			leadership.newStallReports++
-		}
-		leadership.stallReportedAtByEndpoint[endpoint] = now
+		leadership.stalls.Report(now, endpoint)
 		leadership.fleet.Step(now, fleet.StallReported{Group: endpoint.Group})
 	}
 	if request.ActiveCalls > 0 {
@@ -213,41 +198,6 @@
 	leadership.pollByNode[request.Node] = heldPoll{ticket: event.Ticket, request: request, state: node, announcementsAccepted: announcementsAccepted, stallReports: node.stallReports, withoutLease: node.withoutLease}
 }
 
-// updateNodeCalls replaces a node's previous calls in progress by its current
-// ones in the sums over all nodes.
-func (leadership *leadership) updateNodeCalls(before, after map[feed.Endpoint]int) {
-	for endpoint, calls := range before {
-		leadership.callsByEndpoint[endpoint] -= calls
-		if leadership.callsByEndpoint[endpoint] <= 0 {
-			delete(leadership.callsByEndpoint, endpoint)
-		}
-	}
-	for endpoint, calls := range after {
-		leadership.callsByEndpoint[endpoint] += calls
-	}
-}
-
-// callCountsAt returns the calls in progress of all nodes, at most callCountsInterval old.
-func (leadership *leadership) callCountsAt(now time.Time) *feed.CallCounts {
-	if leadership.callCounts == nil || now.Sub(leadership.callCountsTakenAt) >= callCountsInterval {
-		leadership.callCounts, leadership.callCountsTakenAt = feed.NewCallCounts(leadership.callsByEndpoint), now
-	}
-	return leadership.callCounts
-}
-
-// stalledEndpoints lists the endpoints that a node reported as stalled within
-// stallBroadcastLifetime.
-func (leadership *leadership) stalledEndpoints(now time.Time) []feed.Endpoint {
-	var stalled []feed.Endpoint
-	for endpoint, reportedAt := range leadership.stallReportedAtByEndpoint {
-		if now.Sub(reportedAt) < stallBroadcastLifetime {
-			stalled = append(stalled, endpoint)
-		}
-	}
-	slices.SortFunc(stalled, feed.Endpoint.Compare)
-	return stalled
-}
-
 func (controller *Controller) redirect() *feed.Redirect {
 	return &feed.Redirect{Leader: controller.Leader(), Voters: controller.quorum.Status().Membership.Voters}
 }
