--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -24,6 +24,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
@@ -66,6 +67,8 @@
 	log          io.Writer
 	// dial opens the connections to services, without it those of net.Dialer.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// account bounds what the entry host holds, if it isn't nil.
+	account *memory.Account
 }
 
 // entryHost is an entry host whose view a test may change.
@@ -102,7 +105,7 @@
 	entryHost.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
 		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
-		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1,
+		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1, Account: options.account,
 		Reach: func(ctx context.Context, address string) error {
 			return rest.Reach(ctx, (&net.Dialer{}).DialContext, address)
 		},
