--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -1,16 +1,14 @@
 package entryapi
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/request/prompt"
 	"carobline.dev/core/version/routing"
@@ -18,9 +16,6 @@
 )
 
 const (
-	// defaultBodyBytes bounds a request body where the declaration sets no
-	// limit.
-	defaultBodyBytes = 4 << 20
 	// callerTimeoutSlack is the fraction of a route's timeout by which a
 	// caller's own timeout may be shorter. A caller with less time left than
 	// that has already waited in an earlier attempt.
@@ -32,9 +27,11 @@
 
 // call is the state of one request of a caller.
 type call struct {
-	request       *http.Request
-	id            id.Request
-	body          []byte
+	request *http.Request
+	id      id.Request
+	body    []byte
+	// bodyCharge is what the body holds of the account, until the call ends.
+	bodyCharge    *memory.Charge
 	route         *routing.Route
 	table         *routing.Table
 	clientAccount id.ClientAccount
@@ -87,8 +84,8 @@
 		return refusal
 	}
 	call.deadline = call.arrivedAt.Add(route.Timeout())
-	if timeLeft, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64); err == nil {
-		if callerDeadline := call.arrivedAt.Add(time.Duration(timeLeft * float64(time.Millisecond))); callerDeadline.Before(call.deadline) {
+	if timeLeft, ok := api.callerTimeLeft(call); ok {
+		if callerDeadline := call.arrivedAt.Add(timeLeft); callerDeadline.Before(call.deadline) {
 			call.deadline = callerDeadline
 			call.late = waitedPastTarget(route, callerDeadline.Sub(call.arrivedAt))
 		}
@@ -99,6 +96,13 @@
 	return api.refuseBlocked(call)
 }
 
+// callerTimeLeft returns how long the caller waits from the call's arrival on. It returns false
+// if the caller doesn't say.
+func (api *API) callerTimeLeft(call *call) (time.Duration, bool) {
+	timeLeft, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64)
+	return time.Duration(timeLeft * float64(time.Millisecond)), err == nil
+}
+
 // stateRetryAfter returns when a node without a configuration in force may have one. A
 // node that has had one is cut off, while others may serve; one that has just started
 // gets callers only if all others have too.
@@ -151,24 +155,6 @@
 	return pool
 }
 
-// readBody reads the whole body into memory, so that a retry can send it again.
-func (api *API) readBody(writer http.ResponseWriter, call *call) *refusal {
-	limit := call.table.Declaration().Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	data, err := io.ReadAll(http.MaxBytesReader(writer, call.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	}
-	if err != nil {
-		return newRefusal(http.StatusBadRequest, "body_unreadable", 0)
-	}
-	call.body = data
-	return nil
-}
-
 // parseConnectionOptions returns the names of the headers that the Connection
 // header declares as hop-by-hop.
 func parseConnectionOptions(header http.Header) map[string]bool {
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -199,12 +199,14 @@
 
 func (api *API) serve(writer http.ResponseWriter, call *call) result {
 	if refusal := api.admit(call); refusal != nil {
-		return api.refuse(writer, call, refusal)
+		return api.refuseUnread(writer, call, refusal)
 	}
 	if refusal := api.refuseBeforeStop(api.config.Now(), call); refusal != nil {
-		return api.refuse(writer, call, refusal)
+		return api.refuseUnread(writer, call, refusal)
 	}
-	if refusal := api.readBody(writer, call); refusal != nil {
+	refusal := api.readBody(writer, call)
+	defer call.bodyCharge.Close()
+	if refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
 	// Time has passed while the body came.
