--- a/core/connection/body/body.go
+++ b/core/connection/body/body.go
@@ -17,8 +17,12 @@
 	"carobline.dev/core/process/memory"
 )
 
-// minBufferBytes is the size of the first buffer of a body whose length isn't known.
-const minBufferBytes = 4 << 10
+const (
+	// minBufferBytes is the size of the first buffer of a body whose length isn't known.
+	minBufferBytes = 4 << 10
+	// progressInterval is the least time between two notes that a body still comes.
+	progressInterval = memory.StallTime / 4
+)
 
 // ErrTooLarge reports a body that is larger than the limit.
 var ErrTooLarge = errors.New("the body is too large")
@@ -31,6 +35,8 @@
 	Limit int64
 	// Waits makes the reader wait, until ctx ends, while others give way.
 	Waits bool
+	// progressAt is when the charge was last told of progress.
+	progressAt time.Time
 }
 
 // ReadAll reads source to its end. A stated length that isn't negative bounds the buffer. It returns what it
@@ -58,6 +64,7 @@
 		}
 		count, err := source.Read(data[len(data):cap(data)])
 		data = data[:len(data)+count]
+		reader.noteProgress(count)
 		switch {
 		case int64(len(data)) > reader.Limit:
 			return data, ErrTooLarge
@@ -69,6 +76,18 @@
 	}
 }
 
+// noteProgress tells the charge that count bytes have come, which it doesn't see while they fit the buffer:
+// a body that comes slowly isn't one that has stopped.
+func (reader *Reader) noteProgress(count int) {
+	if reader.Charge == nil || count == 0 {
+		return
+	}
+	if now := reader.Now(); now.Sub(reader.progressAt) >= progressInterval {
+		reader.progressAt = now
+		reader.Charge.Progress(now)
+	}
+}
+
 // grow returns a larger buffer with the same data. Both are held while it copies.
 func (reader *Reader) grow(ctx context.Context, data []byte, most int64) ([]byte, error) {
 	size := min(most, max(minBufferBytes, 2*int64(cap(data))))
@@ -78,7 +97,8 @@
 	larger := make([]byte, len(data), size)
 	copy(larger, data)
 	// A charge that becomes smaller always fits.
-	_ = reader.Charge.Resize(reader.Now(), memory.Bytes(size))
+	reader.progressAt = reader.Now()
+	_ = reader.Charge.Resize(reader.progressAt, memory.Bytes(size))
 	return larger, nil
 }
 
--- a/core/connection/body/body_test.go
+++ b/core/connection/body/body_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -64,3 +66,43 @@
 		t.Errorf("%d bytes were read and %d are left, error %v; want all bytes in one of both", len(got), len(rest), err)
 	}
 }
+
+// slowSource gives a piece of a body at each read, between which time passes.
+type slowSource struct {
+	pieces int
+	pause  func()
+}
+
+func (source *slowSource) Read(buffer []byte) (int, error) {
+	if source.pieces == 0 {
+		return 0, io.EOF
+	}
+	source.pieces--
+	source.pause()
+	return min(len(buffer), 64<<10), nil
+}
+
+// Guards against a body that comes slowly, but comes, and gives way as one that has stopped.
+func TestSlowBodyIsNotTakenForStalled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var stalled []bool
+	account := memory.New(memory.Config{Memory: 100 << 20, Report: func(shortage memory.Shortage) {
+		if shortage.Verdict == memory.VerdictEnded {
+			stalled = append(stalled, shortage.Stalled)
+		}
+	}})
+	charge := account.Open(memory.Holder{Kind: memory.Caller, Name: "slow"}, "slow", func(bool) {})
+	source := &slowSource{pieces: 60, pause: func() { now = now.Add(memory.StallTime / 2) }}
+	reader := body.Reader{Charge: charge, Now: func() time.Time { return now }, Limit: 4 << 20}
+	if _, err := reader.ReadAll(t.Context(), source, 4<<20); err != nil {
+		t.Fatal(err)
+	}
+	for number := range 40 {
+		other := account.Open(memory.Holder{Kind: memory.Caller, Name: strconv.Itoa(number)}, "other", nil)
+		_ = other.Resize(now, 1<<20)
+	}
+	// It may give way as the one that holds most.
+	if slices.Contains(stalled, true) {
+		t.Error("a slow body was ended as one that has stopped")
+	}
+}
