--- a/caroblined/process/node/listener.go
+++ b/caroblined/process/node/listener.go
@@ -8,14 +8,18 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/callerconn"
+	"carobline.dev/core/process/memory"
+	"carobline.dev/core/version/routing"
 )
 
 const (
-	// callerHeaderTimeout bounds the reading of one request's header,
-	// callerIdleTimeout the time between two requests on one connection. They
-	// apply to all listeners.
-	callerHeaderTimeout = 10 * time.Second
-	callerIdleTimeout   = 60 * time.Second
+	// headerTimeout bounds the reading of one request's header, idleTimeout the time
+	// between two requests on one connection. They apply to all listeners, on that
+	// of callers where the declaration sets no limit.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
 	// busyPollInterval is the pause between two checks whether a connection is busy.
 	busyPollInterval = 20 * time.Millisecond
 )
@@ -24,6 +28,8 @@
 type listener struct {
 	socket net.Listener
 	server *http.Server
+	// callers is nil but for the listener of callers, of which it bounds the connections.
+	callers *callerconn.Listener
 
 	mutex sync.Mutex
 	// busy holds the connections that have a request in progress, or have not had
@@ -40,12 +46,35 @@
 	}
 	listener := &listener{socket: socket, busy: map[net.Conn]struct{}{}}
 	listener.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ConnState: listener.connStateChanged,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: listener.connStateChanged,
 	}
 	return listener, nil
 }
 
+// boundCallers puts the declared limits of callers in force, in place of the constants. It is called before serve.
+func (listener *listener) boundCallers(account *memory.Account, now func() time.Time) {
+	listener.callers = callerconn.New(listener.socket, callerconn.Config{Limits: callerLimits(routing.Limits{}), Account: account, Now: now})
+	listener.socket = listener.callers
+	listener.server.ReadHeaderTimeout, listener.server.IdleTimeout, listener.server.MaxHeaderBytes = -1, -1, callerconn.NoHeadLimit
+}
+
+// callerLimits returns what bounds callers by a declaration.
+func callerLimits(declared routing.Limits) callerconn.Limits {
+	limits := callerconn.Limits{HeadBytes: http.DefaultMaxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+	if declared.HeaderBytes > 0 {
+		limits.HeadBytes = declared.HeaderBytes
+	}
+	if declared.HeaderTimeoutMS > 0 {
+		limits.HeadTime = time.Duration(declared.HeaderTimeoutMS) * time.Millisecond
+	}
+	if declared.IdleTimeoutMS > 0 {
+		limits.IdleTime = time.Duration(declared.IdleTimeoutMS) * time.Millisecond
+	}
+	return limits
+}
+
 func (listener *listener) connStateChanged(connection net.Conn, state http.ConnState) {
+	callerconn.StateChanged(connection, state)
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	if state == http.StateNew || state == http.StateActive {
--- a/caroblined/process/node/listeners.go
+++ b/caroblined/process/node/listeners.go
@@ -5,6 +5,7 @@
 
 	"carobline.dev/caroblined/connection/metricsapi"
 	"carobline.dev/caroblined/connection/peerapi"
+	"carobline.dev/core/version/view"
 )
 
 func (node *Node) openListeners() error {
@@ -16,31 +17,45 @@
 	if controlConfig := node.config.Control; controlConfig != nil {
 		handlerByAddress[controlConfig.Address] = controlConfig.Handler(loop)
 	}
-	callerHandlerByAddress := map[string]http.Handler{}
-	if entryConfig := node.config.Entry; entryConfig != nil {
-		callerHandlerByAddress[entryConfig.Address] = node.entry
-		callerHandlerByAddress[entryConfig.ReadyAddress] = node.readinessHandler(entryConfig.ReadyPath)
-	}
 	for address, handler := range handlerByAddress {
-		if _, err := node.openListener(address, handler); err != nil {
+		listener, err := listen(address, handler)
+		if err != nil {
 			return err
 		}
+		node.startListener(address, listener)
 	}
-	for address, handler := range callerHandlerByAddress {
-		listener, err := node.openListener(address, handler)
+	if node.config.Entry == nil {
+		return nil
+	}
+	return node.openCallerListeners(node.config.Entry)
+}
+
+// openCallerListeners opens those of callers and of the load balancer in front of the entry hosts.
+func (node *Node) openCallerListeners(config *Entry) error {
+	for address, handler := range map[string]http.Handler{config.Address: node.entry, config.ReadyAddress: node.readinessHandler(config.ReadyPath)} {
+		listener, err := listen(address, handler)
 		if err != nil {
 			return err
 		}
+		if address == config.Address {
+			listener.boundCallers(node.account, node.clock.Now)
+			node.boundListener.Store(listener)
+		}
+		node.startListener(address, listener)
 		node.callerListeners = append(node.callerListeners, listener)
 	}
+	node.applyCallerLimits(node.view())
 	return nil
 }
 
-func (node *Node) openListener(address string, handler http.Handler) (*listener, error) {
-	listener, err := listen(address, handler)
-	if err != nil {
-		return nil, err
+// applyCallerLimits puts the limits of a view's declaration in force, also on open connections.
+func (node *Node) applyCallerLimits(current *view.View) {
+	if listener := node.boundListener.Load(); listener != nil && current.Routing != nil {
+		listener.callers.SetLimits(callerLimits(current.Routing.Declaration().Limits))
 	}
+}
+
+func (node *Node) startListener(address string, listener *listener) {
 	node.listeners = append(node.listeners, listener)
 	node.serverGoroutines.Go(func() {
 		if err := listener.serve(); err != nil {
@@ -48,7 +63,6 @@
 		}
 	})
 	node.config.Log.Info().Str("step", "listen").Str("address", address).Msg("listening")
-	return listener, nil
 }
 
 func (node *Node) reportServeError(err error) {
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -71,7 +71,9 @@
 	singleSendTransport *endpoint.Transport
 	listeners           []*listener
 	// callerListeners are those of the entry, which stop accepting first.
-	callerListeners  []*listener
+	callerListeners []*listener
+	// boundListener is that of callers, once it is open. The event loop changes its limits.
+	boundListener    atomic.Pointer[listener]
 	serverGoroutines sync.WaitGroup
 	serveErrors      chan error
 }
@@ -227,6 +229,7 @@
 	if node.entry != nil {
 		node.entry.Update(current)
 	}
+	node.applyCallerLimits(current)
 }
 
 // Run serves until ctx ends or a listener or the voter's disk fails, then drains and
--- a/caroblined/process/node/system_test.go
+++ b/caroblined/process/node/system_test.go
@@ -160,6 +160,11 @@
 
 // declare proposes a declaration. The result is nil if the node fails first.
 func (system *system) declare(revision id.Revision) *register.Result {
+	return system.declareLimits(revision, routing.Limits{})
+}
+
+// declareLimits does so with limits.
+func (system *system) declareLimits(revision id.Revision, limits routing.Limits) *register.Result {
 	route := func(name string, repeat routing.Repeat) routing.Route {
 		return routing.Route{
 			Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Repeat: repeat, TimeoutMS: 20_000, TargetMS: 10_000,
@@ -167,7 +172,7 @@
 		}
 	}
 	declaration := routing.Declaration{
-		Revision: revision, Services: []routing.Service{{Name: "desk"}},
+		Revision: revision, Services: []routing.Service{{Name: "desk"}}, Limits: limits,
 		Routes: []routing.Route{route("safe", routing.RepeatSafe), route("once", routing.RepeatNever)},
 	}
 	for index := range declaration.Routes {
