--- a/caroblined/connection/hostapi/hostapi.go
+++ b/caroblined/connection/hostapi/hostapi.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	handler := hostapi.New(loop, credentials).Handler()
+//	handler := hostapi.New(loop, credentials, intake).Handler()
 //	err := hostapi.SendOrder(ctx, client, order)
 package hostapi
 
@@ -41,17 +41,18 @@
 type API struct {
 	control     *control.Control
 	credentials []rest.Credential
+	intake      rest.Intake
 }
 
-// New returns an API that accepts the given credentials of announcing hosts.
-func New(control *control.Control, credentials []rest.Credential) *API {
-	return &API{control: control, credentials: credentials}
+// New returns an API that accepts the given credentials of announcing hosts and reads their announcements with intake.
+func New(control *control.Control, credentials []rest.Credential, intake rest.Intake) *API {
+	return &API{control: control, credentials: credentials, intake: intake}
 }
 
 // Handler returns the HTTP handler of the hosts' listener.
 func (api *API) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /announce/v1/hosts", rest.Handle(bodyBytes, api.announce))
+	mux.Handle("POST /announce/v1/hosts", rest.HandleCharged(api.intake, bodyBytes, api.announce))
 	return rest.Require(api.credentials, mux)
 }
 
--- a/caroblined/connection/hostapi/hostapi_test.go
+++ b/caroblined/connection/hostapi/hostapi_test.go
@@ -18,7 +18,7 @@
 // Guards against an announcement that is used though no host can mean it: calls would go to
 // an address where there is none, or all calls to the host with the most slots.
 func TestOddAnnouncementsAreRefused(t *testing.T) {
-	handler := hostapi.New(nil, []rest.Credential{{Name: "hosts", TokenSHA256: rest.HashToken("token")}}).Handler()
+	handler := hostapi.New(nil, []rest.Credential{{Name: "hosts", TokenSHA256: rest.HashToken("token")}}, rest.Intake{}).Handler()
 	for name, change := range map[string]func(*roster.Announcement){
 		"port 0":              func(announcement *roster.Announcement) { announcement.Address = "10.0.0.1:0" },
 		"port 65536":          func(announcement *roster.Announcement) { announcement.Address = "10.0.0.1:65536" },
--- a/caroblined/connection/operatorapi/operatorapi.go
+++ b/caroblined/connection/operatorapi/operatorapi.go
@@ -40,6 +40,8 @@
 	Control     *control.Control
 	Credentials []rest.Credential
 	Metrics     metrics.Registry
+	// Intake reads the bodies of requests.
+	Intake rest.Intake
 }
 
 // API handles operators' requests.
@@ -53,14 +55,14 @@
 // Handler returns the HTTP handler of the operators' listener.
 func (api *API) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /operator/v1/contracts", rest.Handle(bodyBytes, api.apply))
-	mux.Handle("POST /operator/v1/contracts/retire", rest.Handle(bodyBytes, api.retire))
+	mux.Handle("POST /operator/v1/contracts", rest.HandleCharged(api.config.Intake, bodyBytes, api.apply))
+	mux.Handle("POST /operator/v1/contracts/retire", rest.HandleCharged(api.config.Intake, bodyBytes, api.retire))
 	mux.HandleFunc("GET /operator/v1/contracts", api.contracts)
-	mux.Handle("POST /operator/v1/stops", rest.Handle(bodyBytes, api.stop))
+	mux.Handle("POST /operator/v1/stops", rest.HandleCharged(api.config.Intake, bodyBytes, api.stop))
 	mux.HandleFunc("GET /operator/v1/stops", api.stops)
-	mux.Handle("POST /operator/v1/blocks/end", rest.Handle(bodyBytes, api.endBlock))
+	mux.Handle("POST /operator/v1/blocks/end", rest.HandleCharged(api.config.Intake, bodyBytes, api.endBlock))
 	mux.HandleFunc("GET /operator/v1/blocks", api.blocks)
-	mux.Handle("POST /operator/v1/voters", rest.Handle(bodyBytes, api.voters))
+	mux.Handle("POST /operator/v1/voters", rest.HandleCharged(api.config.Intake, bodyBytes, api.voters))
 	mux.HandleFunc("GET /operator/v1/status", api.status)
 	mux.HandleFunc("GET /operator/v1/audit", api.audit)
 	mux.Handle("GET /metrics", metricsapi.New(api.config.Metrics))
--- a/caroblined/connection/peerapi/peerapi.go
+++ b/caroblined/connection/peerapi/peerapi.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	handler := peerapi.New(loop, credentials).Handler()
+//	handler := peerapi.New(loop, credentials, intake).Handler()
 package peerapi
 
 import (
@@ -27,11 +27,12 @@
 type API struct {
 	control     *control.Control
 	credentials []rest.Credential
+	intake      rest.Intake
 }
 
-// New returns an API that accepts the given credentials of peers.
-func New(control *control.Control, credentials []rest.Credential) *API {
-	return &API{control: control, credentials: credentials}
+// New returns an API that accepts the given credentials of peers and reads their messages with intake.
+func New(control *control.Control, credentials []rest.Credential, intake rest.Intake) *API {
+	return &API{control: control, credentials: credentials, intake: intake}
 }
 
 // Handler returns the HTTP handler of the peers' listener.
@@ -43,9 +44,9 @@
 // networks that only nodes can reach.
 func (api *API) UnauthenticatedHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /peer/v1/quorum", rest.Handle(bodyBytes, api.quorum))
-	mux.Handle("POST /peer/v2/feed", rest.Handle(bodyBytes, api.feed))
-	mux.Handle("POST /peer/v1/propose", rest.Handle(bodyBytes, api.propose))
+	mux.Handle("POST /peer/v1/quorum", rest.HandleCharged(api.intake, bodyBytes, api.quorum))
+	mux.Handle("POST /peer/v2/feed", rest.HandleCharged(api.intake, bodyBytes, api.feed))
+	mux.Handle("POST /peer/v1/propose", rest.HandleCharged(api.intake, bodyBytes, api.propose))
 	mux.HandleFunc("GET /peer/v1/overview", api.overview)
 	mux.HandleFunc("GET /peer/v1/audit", api.audit)
 	mux.HandleFunc("GET /peer/v1/declaration", api.declaration)
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -158,7 +158,7 @@
 		return err
 	}
 	incarnation := id.Incarnation(daemon.now().UnixNano())
-	daemon.startPeers(rest.NewClient(peerClient, peerToken), scheme)
+	daemon.startPeers(rest.NewClient(peerClient, peerToken).Charged(daemon.account, daemon.now), scheme)
 	daemon.startTraffic(incarnation)
 	if err := daemon.startControl(incarnation, rest.NewClient(&http.Client{Transport: daemon.engineTransport}, orderToken)); err != nil {
 		daemon.traffic.Close()
@@ -271,17 +271,18 @@
 		callers = routerOffHandler()
 	}
 	peerCredentials := []rest.Credential{{Name: "peer", TokenSHA256: rest.HashToken(peerToken)}}
+	intake := rest.Intake{Account: daemon.account, Now: daemon.now, Timeout: rest.BodyTimeout}
 	interfaces := []struct {
 		name, address string
 		pair          settings.KeyPair
 		handler       http.Handler
 	}{
 		{callersInterface, nodeSettings.Listen.Callers, nodeSettings.TLS.Callers, callers},
-		{"hosts", nodeSettings.Listen.Hosts, nodeSettings.TLS.Hosts, hostapi.New(loop, nodeSettings.Credentials.Announcers).Handler()},
+		{"hosts", nodeSettings.Listen.Hosts, nodeSettings.TLS.Hosts, hostapi.New(loop, nodeSettings.Credentials.Announcers, intake).Handler()},
 		{"operators", nodeSettings.Listen.Operators, nodeSettings.TLS.Operators, operatorapi.New(operatorapi.Config{
-			Control: loop, Credentials: nodeSettings.Credentials.Operators, Metrics: daemon.metrics,
+			Control: loop, Credentials: nodeSettings.Credentials.Operators, Metrics: daemon.metrics, Intake: intake,
 		}).Handler()},
-		{"peers", nodeSettings.Listen.Peers, nodeSettings.TLS.Peers, peerapi.New(loop, peerCredentials).Handler()},
+		{"peers", nodeSettings.Listen.Peers, nodeSettings.TLS.Peers, peerapi.New(loop, peerCredentials, intake).Handler()},
 	}
 	for _, entry := range interfaces {
 		if err := daemon.openListener(entry.name, entry.address, entry.pair, entry.handler); err != nil {
--- a/caroblined/process/node/config.go
+++ b/caroblined/process/node/config.go
@@ -9,6 +9,7 @@
 
 	"carobline.dev/caroblined/connection/entryapi"
 	"carobline.dev/caroblined/process/control"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/process/action"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/wal"
@@ -30,8 +31,9 @@
 // Control configures a control host, which serves endpoints and operators.
 type Control struct {
 	Address string
-	// Handler returns the handler for requests of endpoints and operators.
-	Handler func(loop *control.Control) http.Handler
+	// Handler returns the handler for requests of endpoints and operators, whose bodies it reads
+	// with intake.
+	Handler func(loop *control.Control, intake rest.Intake) http.Handler
 	// DataFolder holds the write-ahead log and the node's identity.
 	DataFolder string
 	// Founder makes the node one of the first voters, together with the seeds, at
--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -19,6 +19,7 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/register"
@@ -92,7 +93,7 @@
 		if number < controlHosts {
 			config.Control = &node.Control{
 				Address: addresses.Address(number, 2), DataFolder: t.TempDir(), Founder: true,
-				Handler: func(loop *control.Control) http.Handler {
+				Handler: func(loop *control.Control, _ rest.Intake) http.Handler {
 					loops <- loop
 					return http.NotFoundHandler()
 				},
--- a/caroblined/process/node/founders_test.go
+++ b/caroblined/process/node/founders_test.go
@@ -13,6 +13,7 @@
 
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/wal"
 )
@@ -65,7 +66,7 @@
 			PeerAddress: address, ReadSeeds: func() ([]string, error) { return hosts.seeds, nil }, TargetVoters: len(hosts.addresses), Disk: wal.OS(), Log: zerolog.New(leases),
 			Control: &node.Control{
 				Address: hosts.controlAddresses[index], DataFolder: hosts.folders[index], Founder: first && index < len(hosts.seeds),
-				Handler: func(loop *control.Control) http.Handler {
+				Handler: func(loop *control.Control, _ rest.Intake) http.Handler {
 					hosts.loops <- loop
 					return http.NotFoundHandler()
 				},
--- a/caroblined/process/node/listeners.go
+++ b/caroblined/process/node/listeners.go
@@ -5,17 +5,19 @@
 
 	"carobline.dev/caroblined/connection/metricsapi"
 	"carobline.dev/caroblined/connection/peerapi"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/version/view"
 )
 
 func (node *Node) openListeners() error {
 	loop := node.loop.Load()
+	intake := rest.Intake{Account: node.account, Now: node.clock.Now, Timeout: rest.BodyTimeout}
 	internalMux := http.NewServeMux()
-	internalMux.Handle("/peer/", peerapi.New(loop, nil).UnauthenticatedHandler())
+	internalMux.Handle("/peer/", peerapi.New(loop, nil, intake).UnauthenticatedHandler())
 	internalMux.Handle("GET /metrics", metricsapi.New(node.metrics))
 	handlerByAddress := map[string]http.Handler{node.config.PeerAddress: internalMux}
 	if controlConfig := node.config.Control; controlConfig != nil {
-		handlerByAddress[controlConfig.Address] = controlConfig.Handler(loop)
+		handlerByAddress[controlConfig.Address] = controlConfig.Handler(loop, intake)
 	}
 	for address, handler := range handlerByAddress {
 		listener, err := listen(address, handler)
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -116,7 +116,7 @@
 	node.account = accountant.New(accountant.Config{Memory: node.config.Memory, Log: node.config.Log, Metrics: node.metrics})
 	node.peers = peers.New(peers.Config{
 		Self: node.self.Node, Resolve: resolve,
-		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, ""),
+		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, "").Charged(node.account, node.clock.Now),
 	})
 	if node.config.Entry != nil {
 		node.startEntry()
--- a/caroblined/process/node/supervise_test.go
+++ b/caroblined/process/node/supervise_test.go
@@ -14,6 +14,7 @@
 
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/wal"
 )
@@ -102,7 +103,7 @@
 				PeerAddress: address, ReadSeeds: func() ([]string, error) { return []string{address}, nil }, TargetVoters: 1, Disk: disk.disk(), Log: zerolog.New(logged),
 				Control: &node.Control{
 					Address: addresses.Address(0, 1), DataFolder: t.TempDir(), Founder: true,
-					Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+					Handler: func(*control.Control, rest.Intake) http.Handler { return http.NotFoundHandler() },
 				},
 			}
 			ctx, stop := context.WithCancel(context.Background())
@@ -145,7 +146,7 @@
 		},
 		Control: &node.Control{
 			Address: addresses.Address(0, 1), DataFolder: t.TempDir(), Founder: true,
-			Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+			Handler: func(*control.Control, rest.Intake) http.Handler { return http.NotFoundHandler() },
 		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/caroblined/process/node/system_test.go
+++ b/caroblined/process/node/system_test.go
@@ -18,6 +18,7 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/register"
@@ -72,7 +73,7 @@
 		},
 		Control: &node.Control{
 			Address: addresses.Address(0, 3), DataFolder: t.TempDir(), Founder: true,
-			Handler: func(loop *control.Control) http.Handler {
+			Handler: func(loop *control.Control, _ rest.Intake) http.Handler {
 				loops <- loop
 				return http.NotFoundHandler()
 			},
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -143,22 +143,21 @@
 // ReadBody reads a request body of up to limit bytes. Its errors are of type
 // *Error.
 func ReadBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if err != nil {
-		return nil, NotRun(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error())
-	}
-	return data, nil
+	data, _, err := Intake{}.Read(writer, request, limit)
+	return data, err
 }
 
 // Handle returns a handler that decodes a JSON body of up to limit bytes, calls
 // serve and answers with its result or error in JSON.
 func Handle[Request, Response any](limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
+	return HandleCharged(Intake{}, limit, serve)
+}
+
+// HandleCharged is Handle with an intake, whose account holds the body until the request is served.
+func HandleCharged[Request, Response any](intake Intake, limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		data, err := ReadBody(writer, request, limit)
+		data, charge, err := intake.Read(writer, request, limit)
+		defer charge.Close()
 		if err != nil {
 			WriteError(writer, err)
 			return
--- a/measure/process/controlhost/handler.go
+++ b/measure/process/controlhost/handler.go
@@ -39,7 +39,7 @@
 // handler serves engines and the operator.
 type handler struct{ control *control.Control }
 
-func newHandler(control *control.Control) http.Handler {
+func newHandler(control *control.Control, _ rest.Intake) http.Handler {
 	handler := handler{control: control}
 	mux := http.NewServeMux()
 	mux.Handle("POST "+AnnouncePath, rest.Handle(maxBodyBytes, handler.announce))
