callerconn: the first request has a time of its own, and a server's body limit holds

Change: Limits.FirstTime bounds the time before the first request: the declared idle timeout, or the 10 s of before. A deadline that the server sets while a head is read takes effect once it has ended. After a refusal nothing more can be written, as the server would answer what it has of the head a second time where the writing side can't be closed alone.

The second answer wasn't reproduced; it was found in reading.

--- a/caroblined/process/node/listener.go
+++ b/caroblined/process/node/listener.go
@@ -60,7 +60,7 @@
 
 // callerLimits returns what bounds callers by a declaration.
 func callerLimits(declared routing.Limits) callerconn.Limits {
-	limits := callerconn.Limits{HeadBytes: http.DefaultMaxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+	limits := callerconn.Limits{HeadBytes: http.DefaultMaxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout, FirstTime: headerTimeout}
 	if declared.HeaderBytes > 0 {
 		limits.HeadBytes = declared.HeaderBytes
 	}
@@ -69,6 +69,7 @@
 	}
 	if declared.IdleTimeoutMS > 0 {
 		limits.IdleTime = time.Duration(declared.IdleTimeoutMS) * time.Millisecond
+		limits.FirstTime = limits.IdleTime
 	}
 	return limits
 }
--- a/core/connection/callerconn/callerconn.go
+++ b/core/connection/callerconn/callerconn.go
@@ -42,8 +42,8 @@
 	// HeadBytes bounds the lines of a head after the first.
 	HeadBytes int
 	// HeadTime bounds the time from a head's first byte to its end, IdleTime that without a byte
-	// before it.
-	HeadTime, IdleTime time.Duration
+	// between two requests, and FirstTime that before the first one.
+	HeadTime, IdleTime, FirstTime time.Duration
 }
 
 // Config is fixed for the life of a listener.
@@ -86,7 +86,7 @@
 	conn.limits = listener.limits
 	listener.open[conn] = struct{}{}
 	listener.mutex.Unlock()
-	conn.await(time.Now())
+	conn.await(time.Now(), true)
 	return conn
 }
 
@@ -127,7 +127,7 @@
 	case http.StateActive:
 		conn.headEnded()
 	case http.StateIdle:
-		conn.await(time.Now())
+		conn.await(time.Now(), false)
 	case http.StateHijacked:
 		// Whoever has it may close the wrapped connection.
 		conn.release()
--- a/core/connection/callerconn/callerconn_test.go
+++ b/core/connection/callerconn/callerconn_test.go
@@ -18,11 +18,14 @@
 	"carobline.dev/core/process/memory"
 )
 
-var limits = callerconn.Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second}
+var limits = callerconn.Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second, FirstTime: 12 * time.Second}
 
 // look is for how long more a connection is looked at once its time is over.
 const look = 20 * time.Millisecond
 
+// bodyTime is the server's own limit of the time from a head's first read to the end of the body.
+const bodyTime = 40 * time.Second
+
 // pipeListener accepts the connections that are sent to it.
 type pipeListener struct {
 	connections chan net.Conn
@@ -63,7 +66,7 @@
 		}
 		host.listener = callerconn.New(host.pipes, callerconn.Config{Limits: limits, Account: host.account, Now: time.Now})
 		server := &http.Server{
-			ConnState: callerconn.StateChanged, ReadHeaderTimeout: -1, IdleTimeout: -1, MaxHeaderBytes: callerconn.NoHeadLimit,
+			ConnState: callerconn.StateChanged, ReadHeaderTimeout: -1, IdleTimeout: -1, MaxHeaderBytes: callerconn.NoHeadLimit, ReadTimeout: bodyTime,
 			Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 				_, _ = io.Copy(io.Discard, request.Body)
 				_, _ = io.WriteString(writer, "done")
@@ -177,15 +180,32 @@
 	})
 }
 
+// Guards against connections without any request that are kept as long as those between two, and against a server's own
+// limit of the time of a body that is lost.
+func TestFirstTimeAndBodyTime(t *testing.T) {
+	withHost(t, 284<<20, func(t *testing.T, host *host) {
+		openedAt, caller := time.Now(), host.connect()
+		if _, err := caller.reader.ReadByte(); !errors.Is(err, io.EOF) || time.Since(openedAt) != limits.FirstTime+look {
+			t.Errorf("error %v after %v; want the connection closed after %v", err, time.Since(openedAt), limits.FirstTime)
+		}
+		openedAt, caller = time.Now(), host.connect()
+		status := caller.call(strings.TrimSuffix(request(10), "c"))
+		if elapsed := time.Since(openedAt); elapsed != bodyTime || status != http.StatusOK {
+			t.Errorf("status %d for a body that stops after %v; want its reading ended after %v", status, elapsed, bodyTime)
+		}
+	})
+}
+
 // Guards against limits that only new connections get.
 func TestChangedLimitsAreInForceOnOpenConnections(t *testing.T) {
 	withHost(t, 284<<20, func(t *testing.T, host *host) {
-		caller, other := host.connect(), host.connect()
+		caller := host.connect()
 		if status := caller.call(request(10 << 10)); status != http.StatusOK {
 			t.Fatalf("status %d, want 200", status)
 		}
 		time.Sleep(10 * time.Second)
-		host.listener.SetLimits(callerconn.Limits{HeadBytes: 1 << 10, HeadTime: time.Second, IdleTime: 4 * time.Second})
+		other := host.connect()
+		host.listener.SetLimits(callerconn.Limits{HeadBytes: 1 << 10, HeadTime: time.Second, IdleTime: 4 * time.Second, FirstTime: 4 * time.Second})
 		changedAt := time.Now()
 		time.Sleep(3 * time.Second)
 		if status := other.call("POST /a HTT"); status != http.StatusRequestTimeout || time.Since(changedAt) != 4*time.Second+look {
@@ -197,7 +217,7 @@
 		}
 		host.listener.SetLimits(limits)
 		time.Sleep(limits.IdleTime - time.Second)
-		host.listener.SetLimits(callerconn.Limits{HeadBytes: 1 << 10, HeadTime: time.Second, IdleTime: 4 * time.Second})
+		host.listener.SetLimits(callerconn.Limits{HeadBytes: 1 << 10, HeadTime: time.Second, IdleTime: 4 * time.Second, FirstTime: 4 * time.Second})
 		time.Sleep(900 * time.Millisecond)
 		if status := caller.call(request(10 << 10)); status != http.StatusRequestHeaderFieldsTooLarge {
 			t.Errorf("status %d for a head past the changed limit, want 431", status)
--- a/core/connection/callerconn/conn.go
+++ b/core/connection/callerconn/conn.go
@@ -50,6 +50,10 @@
 	charge *memory.Charge
 	// ended reports that the charge was told to give way.
 	ended bool
+	// first reports that no request has come on the connection.
+	first bool
+	// callDeadline is the deadline that the server has set for the reads of a call.
+	callDeadline time.Time
 	// lookedAgain reports that the request's time was over once.
 	lookedAgain bool
 }
@@ -81,24 +85,26 @@
 	charge.Close()
 }
 
-// SetReadDeadline sets the deadline of reads while a call runs. Before, the limits set it.
+// SetReadDeadline sets the deadline of reads while a call runs. Before, the limits set it, and the server's
+// takes effect once the head has ended.
 func (conn *Conn) SetReadDeadline(deadline time.Time) error {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
+	conn.callDeadline = deadline
 	if conn.phase != phaseCall {
 		return nil
 	}
 	return conn.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // the connection's own error
 }
 
-// await begins the time without a request, and gives back what the last one's head held.
-func (conn *Conn) await(now time.Time) {
+// await begins the time without a request, the first one or another, and gives back what the last one's head held.
+func (conn *Conn) await(now time.Time, first bool) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.charge.Close()
 	conn.charge, conn.ended, conn.lookedAgain, conn.headBytes = nil, false, false, 0
-	conn.phase, conn.since = phaseIdle, now
-	conn.setDeadline(now.Add(conn.limits.IdleTime))
+	conn.phase, conn.since, conn.first, conn.callDeadline = phaseIdle, now, first, time.Time{}
+	conn.setDeadline(now.Add(conn.phaseTime()))
 }
 
 // headEnded leaves the reading to the server.
@@ -111,7 +117,7 @@
 	conn.phase = phaseCall
 	// A charge that was told to give way in this moment is given back by its end.
 	conn.charge.Keep()
-	conn.setDeadline(time.Time{})
+	conn.setDeadline(conn.callDeadline)
 }
 
 // setLimits puts changed limits in force.
@@ -132,10 +138,14 @@
 
 // phaseTime is how long the phase may last. The caller holds the mutex, as for all below but Read, refuse and linger.
 func (conn *Conn) phaseTime() time.Duration {
-	if conn.phase == phaseHead {
+	switch {
+	case conn.phase == phaseHead:
 		return conn.limits.HeadTime
+	case conn.first:
+		return conn.limits.FirstTime
+	default:
+		return conn.limits.IdleTime
 	}
-	return conn.limits.IdleTime
 }
 
 func (conn *Conn) setDeadline(deadline time.Time) {
@@ -248,6 +258,8 @@
 	if _, err := io.WriteString(conn.Conn, answer+"\r\n"+text); err == nil {
 		conn.linger()
 	}
+	// The server may take what it has of the head for a request that it has to answer.
+	_ = conn.SetWriteDeadline(time.Unix(1, 0))
 	return io.EOF
 }
 
