--- a/caroblined/process/daemon/listener.go
+++ b/caroblined/process/daemon/listener.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"carobline.dev/caroblined/process/settings"
+	"carobline.dev/core/connection/callerconn"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/tlsfiles"
 	"carobline.dev/core/id"
@@ -46,9 +47,12 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: daemon.settings.Limits.HeaderBytes,
 	}}
+	if pair.CertificateFile == "" {
+		opened.chargeHeads(daemon)
+	}
 	daemon.listeners = append(daemon.listeners, opened)
 	opened.serving.Go(func() {
-		if err := opened.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := opened.server.Serve(opened.socket); !errors.Is(err, http.ErrServerClosed) {
 			daemon.log.Error().Err(err).Str("step", "serve").Str("interface", name).Msg("the HTTP server failed; the interface no longer accepts connections")
 		}
 	})
@@ -56,6 +60,17 @@
 	return nil
 }
 
+// chargeHeads charges the heads of requests to the account, whose sum nothing else bounds. The limits of each stay the
+// same. It isn't for connections with TLS: net/http opens those itself, and must see them.
+func (listener *listener) chargeHeads(daemon *Daemon) {
+	listener.socket = callerconn.New(listener.socket, callerconn.Config{
+		Limits:  callerconn.Limits{HeadBytes: daemon.settings.Limits.HeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout, FirstTime: headerTimeout},
+		Account: daemon.account, Now: daemon.now,
+	})
+	server := listener.server
+	server.ConnState, server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = callerconn.StateChanged, -1, -1, callerconn.NoHeadLimit
+}
+
 // close waits up to a fifth of closeTimeout for running requests to end, then
 // breaks off the rest.
 func (listener *listener) close() {
