--- a/caroblined/connection/callerapi/held.go
+++ b/caroblined/connection/callerapi/held.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -66,19 +65,13 @@
 	})
 	reader := body.Reader{Charge: call.body.charge, Now: api.config.Now, Limit: api.config.BodyBytes, Waits: true}
 	data, err := reader.ReadAll(request.Context(), request.Body, request.ContentLength)
-	kept := call.body.charge.Keep()
-	switch {
-	case errors.Is(err, body.ErrTooLarge):
-		writer.Header().Set("Connection", "close")
-		return nil, rest.BodyTooLarge(api.config.BodyBytes)
-	case errors.Is(err, memory.ErrNoRoom) || !kept:
-		writer.Header().Set("Connection", "close")
-		return nil, rest.NoMemory()
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	if !call.body.charge.Keep() {
+		err = memory.ErrNoRoom
+	}
+	if err != nil {
+		// The rest of the body may still come.
 		writer.Header().Set("Connection", "close")
-		return nil, rest.NotRun(http.StatusRequestTimeout, "body_timeout", "the body took too long")
-	case err != nil:
-		return nil, rest.NotRun(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error())
+		return nil, rest.BodyError(err, api.config.BodyBytes)
 	}
 	err = controller.SetReadDeadline(time.Time{})
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
--- a/caroblined/connection/entryapi/parts_test.go
+++ b/caroblined/connection/entryapi/parts_test.go
@@ -34,9 +34,15 @@
 }
 
 // crashesOf returns the parts that an entry host reports, by crash and call.
-func (entryHost *entryHost) crashesOf() [][][]id.PromptPart {
+func (entryHost *entryHost) crashesOf() [][][]id.PromptPart { return entryHost.partsOf(false) }
+
+// partsOf returns the parts of the reported crashes that are proven, or of those that aren't.
+func (entryHost *entryHost) partsOf(unproven bool) [][][]id.PromptPart {
 	var parts [][][]id.PromptPart
 	for _, crash := range entryHost.reported().Crashes {
+		if crash.Report.Unproven != unproven {
+			continue
+		}
 		var calls [][]id.PromptPart
 		for _, call := range crash.Report.Calls {
 			calls = append(calls, call.Parts)
@@ -70,6 +76,8 @@
 		parts   string
 		change  func(view *view.View)
 		want    [][][]id.PromptPart
+		// unproven is what a later process of the host would prove.
+		unproven [][][]id.PromptPart
 	}{
 		"ends after the head": {respond: func(service *service, connection net.Conn, request *http.Request, _ int) {
 			_, _ = io.WriteString(connection, afterHead(request))
@@ -99,11 +107,11 @@
 		"connection closed, process goes on": {respond: func(_ *service, connection net.Conn, request *http.Request, _ int) {
 			_, _ = io.WriteString(connection, afterHead(request))
 			_ = connection.Close()
-		}, parts: parts},
+		}, parts: parts, unproven: [][][]id.PromptPart{{{"aa", "bb"}}}},
 		"connection reset, process goes on": {respond: func(_ *service, connection net.Conn, _ *http.Request, _ int) {
 			_ = connection.(*net.TCPConn).SetLinger(0)
 			_ = connection.Close()
-		}, parts: parts},
+		}, parts: parts, unproven: [][][]id.PromptPart{{{"aa", "bb"}}}},
 		"fails and ends later": {respond: func(service *service, connection net.Conn, request *http.Request, _ int) {
 			reply(connection, request, "500 Internal Server Error", "failed", "Mark: m")
 			_ = service.listener.Close()
@@ -152,6 +160,9 @@
 			if diff := cmp.Diff(test.want, entryHost.crashesOf()); diff != "" {
 				t.Error(diff)
 			}
+			if diff := cmp.Diff(test.unproven, entryHost.partsOf(true)); diff != "" {
+				t.Errorf("unproven: %s", diff)
+			}
 		})
 	}
 }
--- a/caroblined/process/node/ended_test.go
+++ b/caroblined/process/node/ended_test.go
@@ -14,6 +14,7 @@
 	"carobline.dev/caroblined/connection/entryapi"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/wal"
@@ -102,7 +103,7 @@
 	config, log := pair.config(pair.addresses.Address(0, 0))
 	config.Control = &node.Control{
 		Address: pair.addresses.Address(0, 1), DataFolder: pair.folder, Founder: true,
-		Handler: func(*control.Control) http.Handler { return http.NotFoundHandler() },
+		Handler: func(*control.Control, rest.Intake) http.Handler { return http.NotFoundHandler() },
 	}
 	started, stop := pair.start(config)
 	return started, log, stop
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -73,7 +73,9 @@
 	singleSendTransport *endpoint.Transport
 	listeners           []*listener
 	// callerListeners are those of the entry, which stop accepting first.
-	callerListeners  []*listener
+	callerListeners []*listener
+	// boundListener is that of callers, once it is open. The event loop changes its limits.
+	boundListener    atomic.Pointer[listener]
 	serverGoroutines sync.WaitGroup
 	serveErrors      chan error
 }
@@ -116,7 +118,7 @@
 	node.account = accountant.New(accountant.Config{Memory: node.config.Memory, Log: node.config.Log, Metrics: node.metrics})
 	node.peers = peers.New(peers.Config{
 		Self: node.self.Node, Resolve: resolve,
-		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, ""),
+		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, "").Charged(node.account, node.clock.Now),
 	})
 	if node.config.Entry != nil {
 		node.startEntry()
@@ -244,6 +246,7 @@
 	if node.entry != nil {
 		node.entry.Update(current)
 	}
+	node.applyCallerLimits(current)
 }
 
 // Run serves until ctx ends or a listener or the voter's disk fails, then drains and
--- a/caroblined/process/node/system_test.go
+++ b/caroblined/process/node/system_test.go
@@ -18,6 +18,7 @@
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/node"
 	"carobline.dev/caroblined/process/peers"
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/register"
@@ -72,7 +73,7 @@
 		},
 		Control: &node.Control{
 			Address: addresses.Address(0, 3), DataFolder: t.TempDir(), Founder: true,
-			Handler: func(loop *control.Control) http.Handler {
+			Handler: func(loop *control.Control, _ rest.Intake) http.Handler {
 				loops <- loop
 				return http.NotFoundHandler()
 			},
@@ -160,6 +161,11 @@
 
 // declare proposes a declaration. The result is nil if the node fails first.
 func (system *system) declare(revision id.Revision) *register.Result {
+	return system.declareLimits(revision, routing.Limits{})
+}
+
+// declareLimits does so with limits.
+func (system *system) declareLimits(revision id.Revision, limits routing.Limits) *register.Result {
 	route := func(name string, repeat routing.Repeat) routing.Route {
 		return routing.Route{
 			Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Repeat: repeat, TimeoutMS: 20_000, TargetMS: 10_000,
@@ -167,7 +173,7 @@
 		}
 	}
 	declaration := routing.Declaration{
-		Revision: revision, Services: []routing.Service{{Name: "desk"}},
+		Revision: revision, Services: []routing.Service{{Name: "desk"}}, Limits: limits,
 		Routes: []routing.Route{route("safe", routing.RepeatSafe), route("once", routing.RepeatNever)},
 	}
 	for index := range declaration.Routes {
