--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -24,6 +24,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/roster"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
@@ -66,8 +67,17 @@
 	log          io.Writer
 	// dial opens the connections to services, without it those of net.Dialer.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// account bounds what the entry host holds, if it isn't nil.
+	account *memory.Account
+	// slots is the number of slots of each service, without it defaultSlots.
+	slots int
+	// spare are the hosts of the second service.
+	spare []*service
 }
 
+// defaultSlots is the number of slots of a service.
+const defaultSlots = 8
+
 // entryHost is an entry host whose view a test may change.
 type entryHost struct {
 	server *httptest.Server
@@ -78,21 +88,15 @@
 // start starts an entry host in front of fake services.
 func (options entryHostOptions) start(t *testing.T, routes []routing.Route, services ...*service) *entryHost {
 	t.Helper()
-	var endpoints []*view.Endpoint
 	endpointByName := map[feed.Endpoint]*view.Endpoint{}
-	for index, service := range services {
-		name := id.Host(fmt.Sprintf("h%d", index))
-		endpoint := &view.Endpoint{
-			Name: feed.Endpoint{Host: name}, Host: name, Service: "desk", Address: service.listener.Addr().String(),
-			Load: roster.Load{Slots: 8}, Accepting: true, ValidUntil: time.Now().Add(time.Hour),
-		}
-		endpoints = append(endpoints, endpoint)
-		endpointByName[endpoint.Name] = endpoint
+	serviceEndpoints := map[id.Service]*view.Set{"desk": options.endpoints("desk", "h", services, endpointByName)}
+	if len(options.spare) > 0 {
+		serviceEndpoints["spare"] = options.endpoints("spare", "s", options.spare, endpointByName)
 	}
 	entryHost := &entryHost{}
 	entryHost.view.Store(&view.View{
 		LeaseUntil: options.leaseUntil, Share: 1 / float64(options.entryHosts), Routing: newTable(t, 1, routes), Endpoints: endpointByName,
-		Services: map[id.Service]*view.Set{"desk": view.NewSet(endpoints)},
+		Services: serviceEndpoints,
 	})
 	if options.dial == nil {
 		options.dial = (&net.Dialer{}).DialContext
@@ -102,7 +106,7 @@
 	entryHost.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
 		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
-		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1,
+		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1, Account: options.account,
 		Reach: func(ctx context.Context, address string) error {
 			return rest.Reach(ctx, (&net.Dialer{}).DialContext, address)
 		},
@@ -116,6 +120,28 @@
 	return entryHost
 }
 
+// endpoints returns the endpoints of one service, which it adds to byName.
+func (options entryHostOptions) endpoints(name id.Service, prefix string, services []*service, byName map[feed.Endpoint]*view.Endpoint) *view.Set {
+	var endpoints []*view.Endpoint
+	for index, service := range services {
+		host := id.Host(fmt.Sprintf("%s%d", prefix, index))
+		endpoint := &view.Endpoint{
+			Name: feed.Endpoint{Host: host}, Host: host, Service: name, Address: service.listener.Addr().String(),
+			Load: roster.Load{Slots: options.serviceSlots()}, Accepting: true, ValidUntil: time.Now().Add(time.Hour),
+		}
+		endpoints = append(endpoints, endpoint)
+		byName[endpoint.Name] = endpoint
+	}
+	return view.NewSet(endpoints)
+}
+
+func (options entryHostOptions) serviceSlots() int {
+	if options.slots == 0 {
+		return defaultSlots
+	}
+	return options.slots
+}
+
 func (options entryHostOptions) logger() zerolog.Logger {
 	if options.log == nil {
 		return zerolog.Nop()
