memory: a transferred charge counts once as giving way, a closed one stays closed

What callers would see: once a charge that had been told to give way was transferred to another holder and told so again, its bytes counted twice as those that become free soon. Others then waited for them until their deadline instead of being refused at once. Transfer of a closed charge ended the process.

Evidence: TestATransferredChargeCountsOnceAsGivingWay failed before (the wait ended with its deadline), TestAClosedChargeStaysClosed panicked.

Change: Transfer makes the charge one that hasn't been told to give way, since its new holder decides for itself, and leaves a closed charge alone. Both pass now, also with -race.

--- a/core/process/memory/charge.go
+++ b/core/process/memory/charge.go
@@ -77,16 +77,21 @@
 
 // Transfer makes the bytes those of another holder, such as the caller that an answer is being
 // written to, and replaces the function that ends the charge. The new holder may hold more than
-// it would be given.
+// it would be given. A charge that has been told to give way may be told so once more. One that is
+// closed stays closed.
 func (charge *Charge) Transfer(now time.Time, holder Holder, end func(stalled bool)) {
 	if charge == nil {
 		return
 	}
 	charge.account.mutex.Lock()
 	defer charge.account.mutex.Unlock()
+	if charge.holdings == nil {
+		return
+	}
 	usual, large, peer := charge.usual, charge.large, charge.peer
 	charge.set(0, 0, 0)
 	charge.detach()
+	charge.ended = false
 	charge.attach(holder)
 	charge.set(usual, large, peer)
 	charge.end, charge.progressAt = end, now
--- a/core/process/memory/memory_test.go
+++ b/core/process/memory/memory_test.go
@@ -164,3 +164,44 @@
 		t.Errorf("held %d, largest %d, peak %d; want nothing held and a peak of a mebibyte or more", state.Held, state.LargestHeld, state.Peak)
 	}
 }
+
+// Guards against a charge that was told to give way, is then held for a caller and told so again: its
+// bytes counted twice as those that become free, so that others waited for them for good.
+func TestATransferredChargeCountsOnceAsGivingWay(t *testing.T) {
+	fixture := newFixture()
+	now := start.Add(memory.StallTime)
+	fill := func(number int, end func(bool)) *memory.Charge {
+		charge := fixture.Open(endpoint(number), "answer", end)
+		if err := charge.Resize(start, 4*mebibyte); err != nil {
+			t.Fatal(err)
+		}
+		return charge
+	}
+	given := fill(0, func(bool) {})
+	for number := range 17 {
+		fill(number+1, nil)
+	}
+	_ = fixture.open(caller("body"), "body").Resize(now, 4*mebibyte)
+	given.Transfer(start, caller("slow"), func(bool) {})
+	_ = fixture.open(caller("body"), "body").Resize(now, 8*mebibyte)
+	given.Close()
+	fill(0, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := fixture.open(caller("last"), "body").Await(ctx, func() time.Time { return now }, 4*mebibyte)
+	if err == nil || ctx.Err() != nil {
+		t.Errorf("a body without room: %v after %v; want a refusal at once", err, ctx.Err())
+	}
+}
+
+// Guards against a panic for a charge that is closed before it would be transferred.
+func TestAClosedChargeStaysClosed(t *testing.T) {
+	fixture := newFixture()
+	charge := fixture.open(endpoint(1), "answer")
+	_ = charge.Resize(start, mebibyte)
+	charge.Close()
+	charge.Transfer(start, caller("account"), nil)
+	if err := charge.Resize(start, mebibyte); err == nil || fixture.State().Held != 0 {
+		t.Errorf("resize %v, held %d; want an error and nothing held", err, fixture.State().Held)
+	}
+}
