entryapi: the test's answers without end pause after each block

The faulty services of the test share the processor with the entry host. Without a pause 288 of them took all of it: a sound call ended once with 504 after its 5 s in a trial of the fix, so that the test told of processor time and not of memory.

--- a/caroblined/connection/entryapi/faulty_answers_test.go
+++ b/caroblined/connection/entryapi/faulty_answers_test.go
@@ -31,6 +31,9 @@
 	// a mebibyte more.
 	minLargeAnswer  = 3_000_000
 	largeAnswerStep = 100_000
+	// faultyPause is the pause after each block of an answer without end: its services share the
+	// processor with the entry host, which is to be short of memory and not of that.
+	faultyPause = 10 * time.Millisecond
 )
 
 // faultyBlock is what faulty services write repeatedly, and soundText what sound ones write.
@@ -76,6 +79,9 @@
 		}
 		written += len(block)
 		err = faulty.write(connection, block)
+		if faulty.bytes == 0 {
+			time.Sleep(faultyPause)
+		}
 	}
 	if err == nil {
 		_, _ = connection.Read(make([]byte, 1))
