--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -64,6 +64,11 @@
 	// failure is the latest answer by which an endpoint said that it has failed. The caller
 	// gets it if no other endpoint answers.
 	failure *failureAnswer
+	// seeking reports that the call is a copy, for which a replacement is sought, so that there is
+	// no caller to write to yet.
+	seeking bool
+	// memory is what a shortage of memory last meant for the call.
+	memory memoryVerdict
 }
 
 // admit looks up the route and the client account of a request in the view in
--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"carobline.dev/core/connection/body"
 	"carobline.dev/core/connection/endpoint"
 )
 
@@ -61,7 +62,7 @@
 		return breakerSilence
 	case errors.Is(err, errTrickle):
 		return breakerTrickle
-	case errors.Is(err, endpoint.ErrTooLarge):
+	case errors.Is(err, endpoint.ErrTooLarge) || errors.Is(err, body.ErrTooLarge):
 		return breakerAnswerSize
 	default:
 		return breakerEndpoint
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -93,6 +93,8 @@
 	balancer       *balancer.Balancer
 	decisionByCall map[balancer.Number]chan balancer.Decision
 	latency        metrics.Histogram
+	// passedThrough counts the answers that were passed on before they were complete.
+	passedThrough metrics.Counter
 	// answerTimeByRoute holds the routes of table.
 	answerTimeByRoute map[string]estimate.Estimate
 	table             *routing.Table
@@ -104,7 +106,8 @@
 	api := &API{
 		config: config, startedAt: config.Now(), retryBudget: budget.New(retryBudgetRatio, maxSavedRetries), balancer: balancer.New(config.Rand),
 		stopCtx: stopCtx, stop: stop, decisionByCall: map[balancer.Number]chan balancer.Decision{}, answerTimeByRoute: map[string]estimate.Estimate{},
-		latency: metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+		latency:       metrics.GetOrRegisterHistogram("entry.latency_ms", config.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+		passedThrough: metrics.GetOrRegisterCounter("entry.passed_through", config.Metrics),
 	}
 	api.guard = partsguard.New(partsguard.Config{
 		Self: config.Self, Incarnation: config.Incarnation, View: config.View, Now: config.Now, Reach: config.Reach,
@@ -214,6 +217,7 @@
 	ctx, cancel := context.WithDeadline(call.request.Context(), time.Now().Add(call.deadline.Sub(api.config.Now())))
 	defer cancel()
 	defer context.AfterFunc(api.stopCtx, cancel)()
+	defer call.dropFailure()
 	api.retryBudget.Earn()
 	result := api.forward(ctx, writer, call)
 	switch {
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -10,9 +10,11 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/body"
 	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/balancer"
 	"carobline.dev/core/version/view"
 )
@@ -28,13 +30,22 @@
 	// reasonEndpointError is that of one whose endpoint answered that it has failed. The
 	// call is sent to another one, or ends with a failure that is held.
 	reasonEndpointError = "endpoint_error"
+	// reasonNoMemory is that of one whose answer can neither be kept nor be passed on before it
+	// is complete.
+	reasonNoMemory = "no_memory"
 )
 
 // exchange is the result of sending a call to one endpoint.
 type exchange struct {
 	response *http.Response
-	// body is the whole answer. It isn't set for a stream, of which events are read.
+	// body is the whole answer, or what has been read of one that is passed through. It isn't set
+	// for a stream, of which events are read. The charge holds its bytes.
 	body   []byte
+	charge *memory.Charge
+	// passing reports that no more of the answer may be kept, so that it is passed on as it comes.
+	passing bool
+	// held reports that the answer is a failure that its call keeps.
+	held   bool
 	events *eventReader
 	cancel context.CancelFunc
 	// watch looks for a replacement until a stream's first event. It is nil for another
@@ -59,6 +70,15 @@
 		// A body that was read to its end, or is given up, isn't read further.
 		_ = exchange.response.Body.Close()
 	}
+	exchange.release()
+}
+
+// release gives back what is kept of the answer, unless that is a failure that is held.
+func (exchange *exchange) release() {
+	if !exchange.held {
+		exchange.body = nil
+		exchange.charge.Close()
+	}
 }
 
 // onClose has a function called when the exchange ends, besides what is done then.
@@ -76,7 +96,7 @@
 	switch {
 	case exchange.atCapacity:
 		return balancer.Full
-	case ctx.Err() != nil || errors.Is(exchange.err, errReplaced):
+	case ctx.Err() != nil || errors.Is(exchange.err, errReplaced) || errors.Is(exchange.err, memory.ErrNoRoom):
 		return balancer.Abandoned
 	default:
 		return balancer.Failed
@@ -105,7 +125,7 @@
 		watch.recordAnswerHead()
 	}
 	if exchange.usable() {
-		api.readResponseBody(exchange)
+		api.readResponseBody(attemptCtx, call, attempt, exchange)
 	}
 	failure := api.failureAnswer(attempt, exchange)
 	exchange.replacement = watch.stop(failed || !exchange.usable())
@@ -120,11 +140,13 @@
 	case failed && exchange.usable() && (call.repeatRefusal() == "" || call.failure != nil && call.failure != failure):
 		exchange.reason = reasonEndpointError
 	}
+	call.recordMemory(exchange)
 	if exchange.reason != "" {
 		cancel()
 		if response != nil {
 			_ = response.Body.Close()
 		}
+		exchange.release()
 	}
 	return exchange
 }
@@ -205,18 +227,63 @@
 }
 
 // readResponseBody reads an answer to its end. An answer that breaks off, or that is
-// larger than maxWholeAnswerBytes, is rejected.
-func (api *API) readResponseBody(exchange *exchange) {
-	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxWholeAnswerBytes+1))
-	_ = exchange.response.Body.Close()
+// larger than maxWholeAnswerBytes, is rejected. One that can't be kept for want of memory is
+// rejected unless it can be passed on as it comes.
+func (api *API) readResponseBody(ctx context.Context, call *call, attempt *attempt, exchange *exchange) {
+	response, stated := exchange.response, call.statedLength(exchange.response)
+	keeper := &keeper{source: response.Body, now: api.config.Now, cancel: exchange.cancel, passes: call.passes(response)}
+	if stated != 0 {
+		exchange.charge = api.config.Account.Open(endpointHolder(call, attempt), string(call.id), keeper.giveWay)
+		keeper.charge = exchange.charge
+	}
+	reader := body.Reader{Charge: exchange.charge, Now: api.config.Now, Limit: maxWholeAnswerBytes}
+	data, err := reader.ReadAll(ctx, keeper, stated)
+	ended := keeper.finish()
 	switch {
+	case err != nil && ended && keeper.passes:
+		exchange.reason, exchange.err = reasonNoMemory, errAnswerStalled
+	case err != nil && ended:
+		exchange.reason, exchange.err = reasonNoMemory, memory.ErrNoRoom
+	case errors.Is(err, memory.ErrNoRoom) && keeper.passes:
+		exchange.body, exchange.passing = data, true
+		return
+	case errors.Is(err, memory.ErrNoRoom):
+		exchange.reason, exchange.err = reasonNoMemory, err
+	case errors.Is(err, body.ErrTooLarge):
+		exchange.reason = "answer_too_large"
 	case err != nil:
 		exchange.reason, exchange.err = "answer_broken_off", err
-	case len(body) > maxWholeAnswerBytes:
-		exchange.reason = "answer_too_large"
-	case sse.Matches(exchange.response.Header.Get("Content-Type")) && sse.Truncated(body):
+	case sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(data):
 		exchange.reason, exchange.err = "answer_broken_off", sse.ErrTruncated
 	default:
-		exchange.body = body
+		exchange.body = data
+		// What is complete isn't ended for others, also if it was just told to give way.
+		exchange.charge.Keep()
+	}
+	_ = response.Body.Close()
+}
+
+// statedLength returns the length of the body that follows an answer's head, or -1 if that isn't
+// known. An answer without a body may state the length of another one.
+func (call *call) statedLength(response *http.Response) int64 {
+	if call.request.Method == http.MethodHead || response.StatusCode == http.StatusNotModified {
+		return 0
+	}
+	return response.ContentLength
+}
+
+// passes reports whether an answer can be passed on before it is complete. That a stream of events
+// was cut shows only when all of it has come.
+func (call *call) passes(response *http.Response) bool {
+	return !call.seeking && !call.streaming && !sse.Matches(response.Header.Get("Content-Type"))
+}
+
+// recordMemory records what a shortage of memory meant for an exchange of the call.
+func (call *call) recordMemory(exchange *exchange) {
+	switch {
+	case exchange.usable() && exchange.passing:
+		call.memory = memoryPassedThrough
+	case exchange.reason == reasonNoMemory:
+		call.memory = memoryEnded
 	}
 }
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -99,7 +99,7 @@
 	fork.request = call.request.WithContext(call.request.Context())
 	fork.request.Header = call.request.Header.Clone()
 	fork.tried = slices.Clone(call.tried)
-	fork.runningAt = unresponsive
+	fork.runningAt, fork.seeking = unresponsive, true
 	return &fork
 }
 
@@ -250,9 +250,9 @@
 	if replacement.call == call {
 		return replacement.attempt, replacement.exchange
 	}
-	tried, possibleRuns, failure := call.tried, call.possibleRuns, call.failure
+	tried, possibleRuns, failure, seeking := call.tried, call.possibleRuns, call.failure, call.seeking
 	*call = *replacement.call
-	call.tried, call.possibleRuns, call.runningAt = tried, possibleRuns, feed.Endpoint{}
+	call.tried, call.possibleRuns, call.runningAt, call.seeking = tried, possibleRuns, feed.Endpoint{}, seeking
 	call.hold(failure)
 	return replacement.attempt, replacement.exchange
 }
--- a/caroblined/connection/entryapi/failure.go
+++ b/caroblined/connection/entryapi/failure.go
@@ -18,7 +18,7 @@
 // which may not be the endpoint's.
 func (api *API) failureAnswer(attempt *attempt, exchange *exchange) *failureAnswer {
 	switch {
-	case !exchange.usable() || !exchange.endpointFailed():
+	case !exchange.usable() || !exchange.endpointFailed() || exchange.passing:
 		return nil
 	case exchange.response.StatusCode == http.StatusServiceUnavailable:
 		return nil
@@ -29,16 +29,37 @@
 	}
 }
 
-// hold keeps an endpoint's failure, which may be nil, unless a later one is held.
+// hold keeps an endpoint's failure, which may be nil, unless a later one is held. What isn't kept is
+// given back.
 func (call *call) hold(failure *failureAnswer) {
-	if failure != nil && (call.failure == nil || !failure.readAt.Before(call.failure.readAt)) {
-		call.failure = failure
+	if failure == nil || failure == call.failure {
+		return
 	}
+	if call.failure != nil && failure.readAt.Before(call.failure.readAt) {
+		failure.discard()
+		return
+	}
+	call.dropFailure()
+	call.failure = failure
+	failure.exchange.held = true
+}
+
+// dropFailure gives back the failure that the call holds, if it holds one.
+func (call *call) dropFailure() {
+	if call.failure != nil {
+		call.failure.discard()
+		call.failure = nil
+	}
+}
+
+func (failure *failureAnswer) discard() {
+	failure.exchange.held = false
+	failure.exchange.release()
 }
 
 // answerFailure ends a call with the failure of an endpoint, since no other one has answered.
-func (api *API) answerFailure(writer http.ResponseWriter, failure *failureAnswer, breakage breakage) result {
-	result := api.writeAnswer(writer, failure.attempt, failure.exchange)
+func (api *API) answerFailure(writer http.ResponseWriter, call *call, breakage breakage) result {
+	result := api.writeAnswer(writer, call, call.failure.attempt, call.failure.exchange)
 	result.breakage = breakage
 	return result
 }
--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -46,7 +46,7 @@
 			if exchange.events != nil {
 				return api.stream(ctx, writer, call, attempt, exchange)
 			}
-			return api.answer(writer, call, attempt, exchange)
+			return api.answer(ctx, writer, call, attempt, exchange)
 		}
 		api.finishAttempt(call, attempt, exchange.ending(ctx))
 		lastResult = attempt.result(0, exchange.reason, "", exchange.err)
@@ -79,22 +79,29 @@
 	}
 }
 
-// answer ends a call with an answer that was read to its end.
-func (api *API) answer(writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
-	result := api.writeAnswer(writer, attempt, exchange)
+// answer ends a call with an answer that was read to its end, or that is passed on as it comes.
+func (api *API) answer(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
+	if exchange.passing {
+		return api.passThrough(ctx, writer, call, attempt, exchange)
+	}
+	result := api.writeAnswer(writer, call, attempt, exchange)
 	api.recordAnswer(call, attempt, exchange)
 	api.finishAttempt(call, attempt, balancer.Served)
 	return result
 }
 
 // writeAnswer passes on an answer that was read to its end.
-func (api *API) writeAnswer(writer http.ResponseWriter, attempt *attempt, exchange *exchange) result {
+func (api *API) writeAnswer(writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
 	exchange.cancel()
+	callerWriter := api.newCallerWriter(writer, call, exchange)
+	defer callerWriter.close()
 	copyHeaders(writer.Header(), exchange.response.Header)
 	writer.WriteHeader(exchange.response.StatusCode)
-	_, err := writer.Write(exchange.body)
+	err := callerWriter.write(exchange.body)
 	result := attempt.result(exchange.response.StatusCode, "answered", "ran", err)
 	result.framing = exchange.framing()
+	// The end of the connection would complete an answer without a length.
+	result.abort = err != nil
 	return result
 }
 
@@ -106,7 +113,7 @@
 		lastResult.status, lastResult.outcome, lastResult.abort = statusClientClosedRequest, outcome, true
 		return lastResult
 	case call.failure != nil:
-		return api.answerFailure(writer, call.failure, lastResult.breakage)
+		return api.answerFailure(writer, call, lastResult.breakage)
 	case call.possibleRuns == 0 && exchange.notRun:
 		status, outcome = http.StatusServiceUnavailable, "not_run"
 	case ctx.Err() != nil:
@@ -128,7 +135,7 @@
 		return result{status: statusClientClosedRequest, reason: refusal.reason, outcome: "not_run", abort: true}
 	}
 	if call.failure != nil {
-		return api.answerFailure(writer, call.failure, breakage{retryRefusal: refusal.reason})
+		return api.answerFailure(writer, call, breakage{retryRefusal: refusal.reason})
 	}
 	if call.possibleRuns > 0 {
 		refusal.status, refusal.retryAfter = http.StatusBadGateway, 0
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -117,7 +117,7 @@
 		attempt, exchange = call.adopt(replacement)
 		api.logResume(call, attempt, &progress)
 		if exchange.events == nil {
-			return api.answer(writer, call, attempt, exchange)
+			return api.answer(ctx, writer, call, attempt, exchange)
 		}
 	}
 }
@@ -149,7 +149,7 @@
 // nothing of it gets the failed answer of another endpoint, if there was one.
 func (api *API) endBrokenOff(ctx context.Context, writer http.ResponseWriter, call *call, progress *progress, result result) result {
 	if call.failure != nil && !progress.headersSent && call.request.Context().Err() == nil {
-		return api.answerFailure(writer, call.failure, progress.breakage)
+		return api.answerFailure(writer, call, progress.breakage)
 	}
 	return progress.brokenOff(ctx, call, result)
 }
