entryapi: the test's sound route has the usual timeout of 20 s

In a run with -race, on the code with charged answers, events and whole, sound calls with answers of 3 MB ended with 504 after the 5 s that the test gave them, in three of the kinds: the detector takes the processor that 288 calls at once need. The test asks whether sound answers come whole beside faulty ones, so the sound route has the timeout of the package's other tests again (its callers wait 15 s). All sound calls must still come whole and in full length; the bounds of the heap and of the account are as they were.

--- a/caroblined/connection/entryapi/faulty_answers_test.go
+++ b/caroblined/connection/entryapi/faulty_answers_test.go
@@ -21,7 +21,8 @@
 	faultyServices = 24
 	// faultyCallsEach is the number of calls at once to each faulty service.
 	faultyCallsEach = 12
-	// faultyTimeout is the timeout of the routes of these tests.
+	// faultyTimeout is the timeout of the faulty services' route. The sound route's is longer, so that
+	// a sound call fails for want of memory and not of processor time.
 	faultyTimeout = 5 * time.Second
 	// soundCallers send small calls, and largeSoundCallers calls with large answers, one after
 	// another each.
@@ -161,8 +162,8 @@
 func faultyBesideSound(t *testing.T, faulty faultyAnswer, account *memory.Account) *entryHost {
 	t.Helper()
 	routes := route(faulty.repeat)
-	routes[0].TimeoutMS = faultyTimeout.Milliseconds()
 	sound := routes[0]
+	routes[0].TimeoutMS = faultyTimeout.Milliseconds()
 	sound.Name, sound.PathPrefix, sound.Repeat = "sound", "/sound/", routing.RepeatSafe
 	sound.Backends = []routing.Backend{{Service: "spare", Weight: 1}}
 	var services []*service
