--- a/caroblined/connection/entryapi/events.go
+++ b/caroblined/connection/entryapi/events.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/connection/sse"
+	"carobline.dev/core/process/memory"
 )
 
 const (
@@ -16,6 +17,10 @@
 	// maxEventBytes is the most of one event that is held back until the event is
 	// complete. A larger one is passed on in pieces.
 	maxEventBytes = 256 << 10
+	// maxBufferBytes is the size of the largest read buffer, and keptBufferBytes that of the largest
+	// one which a stream keeps once an event has been passed on.
+	maxBufferBytes  = maxEventBytes + readBufferBytes
+	keptBufferBytes = 64 << 10
 	// maxSeparatorBytes is the length of the longest end of an event: a line feed and an
 	// empty line.
 	maxSeparatorBytes = 3
@@ -34,6 +39,8 @@
 	body   io.Reader
 	now    func() time.Time
 	buffer []byte
+	// memory is charged for the buffer beyond its first readBufferBytes.
+	memory *bufferCharge
 	// complete is how much of the buffer can be passed on, returned how much of it next
 	// has returned, and scanned how much has been searched for the end of an event.
 	complete, returned, scanned int
@@ -41,37 +48,50 @@
 	hasEvent bool
 	// within reports that what can be passed on ends within an event.
 	within bool
-	err    error
+	// crowded reports that there was no room for the rest of the event, so that its pieces are passed
+	// on as they come.
+	crowded bool
+	// passedPieces reports that there was no room for an event so far.
+	passedPieces bool
+	err          error
 	// trickleSince and trickledAt are the times of the first and the latest read of
 	// bytes that are no event.
 	trickleSince, trickledAt time.Time
 }
 
-func newEventReader(body io.Reader, now func() time.Time) *eventReader {
-	return &eventReader{body: body, now: now, buffer: make([]byte, 0, readBufferBytes)}
+func newEventReader(body io.Reader, now func() time.Time, memory *bufferCharge) *eventReader {
+	return &eventReader{body: body, now: now, buffer: make([]byte, 0, readBufferBytes), memory: memory}
 }
 
 // next returns the next whole events, which are valid until it is called again. It returns
 // an error with the last of them, io.EOF if the endpoint ended the stream properly.
 func (reader *eventReader) next() ([]byte, error) {
+	reader.memory.setWriting(false)
 	if reader.returned > 0 {
-		reader.buffer = append(reader.buffer[:0], reader.buffer[reader.returned:]...)
+		reader.buffer = append(reader.reusedBuffer(), reader.buffer[reader.returned:]...)
 		reader.complete, reader.returned, reader.hasEvent = 0, 0, false
 		reader.scanned = len(reader.buffer)
+		reader.crowded = reader.crowded && reader.within
 	}
 	if reader.complete == 0 && reader.err == nil {
 		reader.read()
 	}
 	reader.returned = reader.complete
+	reader.memory.setWriting(reader.returned > 0)
 	return reader.buffer[:reader.complete], reader.err
 }
 
 // awaitEvent reads until next returns an event or the stream's end without blocking. It
-// reports whether the stream goes on or has ended properly.
+// reports whether the stream goes on or has ended properly. A stream that can't be kept so far has
+// failed with memory.ErrNoRoom.
 func (reader *eventReader) awaitEvent() bool {
 	for !reader.hasEvent && reader.err == nil && len(reader.buffer) <= maxEventBytes {
 		reader.read()
 	}
+	if reader.crowded {
+		reader.err = memory.ErrNoRoom
+		return false
+	}
 	return reader.hasEvent || errors.Is(reader.err, io.EOF)
 }
 
@@ -88,15 +108,24 @@
 
 // read takes what the endpoint has sent.
 func (reader *eventReader) read() {
-	reader.buffer = grow(reader.buffer)
+	if !reader.makeRoom() {
+		reader.crowded, reader.passedPieces, reader.hasEvent = true, true, true
+		reader.complete, reader.within = pieceLen(reader.buffer), true
+		return
+	}
 	count, err := reader.body.Read(reader.buffer[len(reader.buffer):cap(reader.buffer)])
 	reader.buffer = reader.buffer[:len(reader.buffer)+count]
+	if count > 0 && cap(reader.buffer) > keptBufferBytes {
+		reader.memory.charge.Progress(reader.now())
+	}
 	began := reader.within
 	reader.scan()
 	reader.within = began && reader.complete == 0
 	switch {
 	case errors.Is(err, io.EOF):
 		reader.end()
+	case err != nil && reader.memory.ended():
+		reader.err = errAnswerStalled
 	case err != nil:
 		reader.err = errors.Wrap(err, "read stream")
 	case reader.complete == 0 && len(reader.buffer) > maxEventBytes:
@@ -171,11 +200,42 @@
 	return found
 }
 
-func grow(buffer []byte) []byte {
-	if len(buffer) < cap(buffer) {
-		return buffer
+// makeRoom makes room for a read. It reports false when what has been read must be passed on first,
+// for want of memory.
+func (reader *eventReader) makeRoom() bool {
+	switch {
+	case reader.memory.mustGiveWay() && len(reader.buffer) > 0:
+		return false
+	case len(reader.buffer) < cap(reader.buffer):
+		return true
+	case reader.crowded:
+		return false
+	}
+	size := 2 * cap(reader.buffer)
+	if size >= maxEventBytes {
+		size = maxBufferBytes
+	}
+	if reader.memory.resize(reader.now(), size+cap(reader.buffer)) != nil {
+		return false
+	}
+	larger := make([]byte, len(reader.buffer), size)
+	copy(larger, reader.buffer)
+	reader.buffer = larger
+	// A charge that becomes smaller always fits.
+	_ = reader.memory.resize(reader.now(), size)
+	return true
+}
+
+// reusedBuffer returns the buffer for what remains after the latest events, without content. A large
+// one is given back once its event has gone, or when others need it.
+func (reader *eventReader) reusedBuffer() []byte {
+	large := cap(reader.buffer) > keptBufferBytes && !reader.within || reader.memory.mustGiveWay()
+	if !large || len(reader.buffer)-reader.returned > readBufferBytes {
+		return reader.buffer[:0]
 	}
-	larger := make([]byte, len(buffer), 2*cap(buffer))
-	copy(larger, buffer)
-	return larger
+	reader.memory.close()
+	return make([]byte, 0, readBufferBytes)
 }
+
+// close gives the buffer's bytes back.
+func (reader *eventReader) close() { reader.memory.close() }
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -75,9 +75,13 @@
 
 // release gives back what is kept of the answer, unless that is a failure that is held.
 func (exchange *exchange) release() {
-	if !exchange.held {
-		exchange.body = nil
-		exchange.charge.Close()
+	if exchange.held {
+		return
+	}
+	exchange.body = nil
+	exchange.charge.Close()
+	if exchange.events != nil {
+		exchange.events.close()
 	}
 }
 
@@ -116,7 +120,7 @@
 	api.recordHead(call, attempt, exchange, response, err)
 	attempt.notRun = exchange.notRun
 	if exchange.usable() && call.streams(exchange.response) && watch.recordStreamHead(api.config.Now(), call) {
-		exchange.events, exchange.watch = newEventReader(exchange.response.Body, api.config.Now), watch
+		exchange.events, exchange.watch = api.readEvents(call, attempt, exchange), watch
 		return exchange
 	}
 	failed := exchange.endpointFailed()
@@ -231,9 +235,9 @@
 // rejected unless it can be passed on as it comes.
 func (api *API) readResponseBody(ctx context.Context, call *call, attempt *attempt, exchange *exchange) {
 	response, stated := exchange.response, call.statedLength(exchange.response)
-	keeper := &keeper{source: response.Body, now: api.config.Now, cancel: exchange.cancel, passes: call.passes(response)}
+	keeper := &keeper{source: response.Body, now: api.config.Now, yielder: yielder{cancel: exchange.cancel, passes: call.passes(response)}}
 	if stated != 0 {
-		exchange.charge = api.config.Account.Open(endpointHolder(call, attempt), string(call.id), keeper.giveWay)
+		exchange.charge = api.config.Account.Open(endpointHolder(call.pool, attempt), string(call.id), keeper.giveWay)
 		keeper.charge = exchange.charge
 	}
 	reader := body.Reader{Charge: exchange.charge, Now: api.config.Now, Limit: maxWholeAnswerBytes}
@@ -278,6 +282,16 @@
 	return !call.seeking && !call.streaming && !sse.Matches(response.Header.Get("Content-Type"))
 }
 
+// recordStreamMemory records what a shortage of memory meant for a stream of the call.
+func (call *call) recordStreamMemory(events *eventReader) {
+	switch {
+	case errors.Is(events.err, errAnswerStalled):
+		call.memory = memoryEnded
+	case events.passedPieces:
+		call.memory = memoryPassedThrough
+	}
+}
+
 // recordMemory records what a shortage of memory meant for an exchange of the call.
 func (call *call) recordMemory(exchange *exchange) {
 	switch {
--- a/caroblined/connection/entryapi/failover.go
+++ b/caroblined/connection/entryapi/failover.go
@@ -220,8 +220,10 @@
 		return reasonEndpointError
 	case streaming && exchange.events == nil:
 		return refusalNoStream
-	case exchange.events != nil && !exchange.events.awaitEvent(),
-		exchange.events != nil && !exchange.events.hasEvent && exchange.framing() == framingConnection:
+	case exchange.events != nil && !exchange.events.awaitEvent():
+		exchange.err = exchange.events.failure()
+		return refusalNoEvent
+	case exchange.events != nil && !exchange.events.hasEvent && exchange.framing() == framingConnection:
 		return refusalNoEvent
 	default:
 		return ""
--- a/caroblined/connection/entryapi/passthrough_test.go
+++ b/caroblined/connection/entryapi/passthrough_test.go
@@ -231,3 +231,75 @@
 		t.Error("the line of the call says nothing of the failed write")
 	}
 }
+
+// Guards against a stalled answer that keeps its memory while others need it, and whose call isn't tried elsewhere.
+func TestStalledAnswersGiveWayAndAreTriedElsewhere(t *testing.T) {
+	t.Parallel()
+	account := memory.New(memory.Config{Memory: processMemory})
+	var sends atomic.Int64
+	respond := func(service *service, connection net.Conn, request *http.Request, number int) {
+		if sends.Add(1) > 1 {
+			respondDone(service, connection, request, number)
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 4000000\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\n\r\n"+strings.Repeat("x", 3_990_000))
+		_, _ = connection.Read(make([]byte, 1))
+	}
+	log := &logBuffer{}
+	entryHost := entryHostOptions{log: log}.withAccount(account).start(t, route(routing.RepeatSafe), newService(t, respond), newService(t, respond))
+	answers := make(chan answer, 1)
+	go func() {
+		got, _ := call(t, entryHost.server, post("/a", "x"))
+		answers <- got
+	}()
+	time.Sleep(memory.StallTime + 500*time.Millisecond)
+	if held := account.State().Held; held < 3_990_000 {
+		t.Fatalf("%d bytes are held, want the stalled answer", held)
+	}
+	var charges []*memory.Charge
+	for number := range 18 {
+		charge := account.Open(memory.Holder{Kind: memory.Endpoint, Name: fmt.Sprint("other-", number)}, "other", nil)
+		charges = append(charges, charge)
+		if err := charge.Await(t.Context(), time.Now, 4<<20); err != nil {
+			t.Fatalf("4 MiB of another holder: %v; want room", err)
+		}
+	}
+	if got := <-answers; got.status != http.StatusOK || got.body != "done" {
+		t.Errorf("status %d, body %s; want the answer of the other endpoint", got.status, shortened(got.body))
+	}
+	if line := log.awaitLine(t, "request"); line["memory"] != "ended" {
+		t.Errorf("memory %v, want ended", line["memory"])
+	}
+	for _, charge := range charges {
+		charge.Close()
+	}
+	wantNothingHeld(t, account)
+}
+
+// Guards against a replacement whose answer is passed on, or kept without room, while the first endpoint may still answer.
+func TestReplacementsWithoutMemoryAreLeft(t *testing.T) {
+	t.Parallel()
+	account, free := newExhausted(t)
+	var sends atomic.Int64
+	respond := func(service *service, connection net.Conn, request *http.Request, number int) {
+		if sends.Add(1) > 1 {
+			reply(connection, request, "200 OK", strings.Repeat("x", 1<<20), "Mark: m")
+			return
+		}
+		time.Sleep(2 * time.Second)
+		respondDone(service, connection, request, number)
+	}
+	log := &logBuffer{}
+	routes := route(routing.RepeatSafe)
+	routes[0].TargetMS, routes[0].PauseMS = 100, 100
+	entryHost := entryHostOptions{log: log}.withAccount(account).start(t, routes, newService(t, respond), newService(t, respond))
+	if got, err := call(t, entryHost.server, post("/a", "x")); err != nil || got.body != "done" {
+		t.Errorf("status %d, error %v, body %s; want the first endpoint's answer", got.status, err, shortened(got.body))
+	}
+	// A later search finds that the attempts are used up.
+	if !strings.Contains(log.String(), `"retry_refused":"no_memory"`) {
+		t.Errorf("no line says that the replacement had no memory:\n%s", log.String())
+	}
+	free()
+	wantNothingHeld(t, account)
+}
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -213,6 +213,7 @@
 	if replacement != nil {
 		err = replacedError(err)
 	}
+	call.recordStreamMemory(exchange.events)
 	if err != nil {
 		progress.unfinishedBytes = exchange.events.unfinishedBytes()
 		progress.breakage = breakage{by: breakerOf(ctx, call, err), idle: idle}
