memory: a transferred charge that gives way is told so by its new function

What callers would see: an answer that was told to give way and then transferred to its caller no longer counted as one that becomes free, although it does once it is written. The holder that waited for it had another answer ended, and then one more, until the first was written.

Evidence: TestATransferredChargeIsToldAgain failed before: the new function wasn't told, and two charges were ended where one is enough.

Change: Transfer leaves the charge one that gives way, and calls its new function at once.

--- a/core/process/memory/charge.go
+++ b/core/process/memory/charge.go
@@ -77,8 +77,8 @@
 
 // Transfer makes the bytes those of another holder, such as the caller that an answer is being
 // written to, and replaces the function that ends the charge. The new holder may hold more than
-// it would be given. A charge that has been told to give way may be told so once more. One that is
-// closed stays closed.
+// it would be given. The new function of a charge that has been told to give way is
+// called at once, on a goroutine of its own. A charge that is closed stays closed.
 func (charge *Charge) Transfer(now time.Time, holder Holder, end func(stalled bool)) {
 	if charge == nil {
 		return
@@ -91,10 +91,13 @@
 	usual, large, peer := charge.usual, charge.large, charge.peer
 	charge.set(0, 0, 0)
 	charge.detach()
-	charge.ended = false
 	charge.attach(holder)
 	charge.set(usual, large, peer)
 	charge.end, charge.progressAt = end, now
+	if charge.ended && end != nil {
+		charge.end = nil
+		go end(false)
+	}
 }
 
 // Close gives all bytes back. It may be called more than once.
--- a/core/process/memory/memory_test.go
+++ b/core/process/memory/memory_test.go
@@ -194,6 +194,36 @@
 	}
 }
 
+// Guards against bytes that no one is told to give back, since their charge was transferred after it had been
+// told so, and against others that give way instead.
+func TestATransferredChargeIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		var charges []*memory.Charge
+		for number := range 18 {
+			charge := fixture.Open(endpoint(number), "answer", func(bool) {})
+			_ = charge.Resize(start.Add(time.Duration(number)), 4*mebibyte)
+			charges = append(charges, charge)
+		}
+		now := start.Add(memory.StallTime + time.Minute)
+		asked := make(chan error, 1)
+		go func() {
+			asked <- fixture.open(caller("body"), "body").Await(t.Context(), func() time.Time { return now }, 4*mebibyte)
+		}()
+		synctest.Wait()
+		told := false
+		charges[0].Transfer(now, caller("reader"), func(stalled bool) { told = !stalled })
+		synctest.Wait()
+		if state := fixture.State(); !told || state.Ended != 1 {
+			t.Errorf("told again: %v, ended %d; want the transferred charge told and no other ended", told, state.Ended)
+		}
+		charges[0].Close()
+		if err := <-asked; err != nil {
+			t.Errorf("a body once the transferred charge is closed: %v; want room", err)
+		}
+	})
+}
+
 // Guards against a panic for a charge that is closed before it would be transferred.
 func TestAClosedChargeStaysClosed(t *testing.T) {
 	fixture := newFixture()
