--- a/caroblined/connection/entryapi/breakage.go
+++ b/caroblined/connection/entryapi/breakage.go
@@ -25,6 +25,8 @@
 	breakerSilence    breaker = "silence"
 	breakerAnswerSize breaker = "answer_size"
 	breakerTrickle    breaker = "trickle"
+	// breakerMemory is that of others which need the memory of an answer that makes no progress.
+	breakerMemory breaker = "memory"
 )
 
 // breakage is what ended an endpoint's answer early. Its zero value stands for one that
@@ -60,6 +62,8 @@
 		return breakerStop
 	case errors.Is(err, errReplaced):
 		return breakerSilence
+	case errors.Is(err, errAnswerStalled):
+		return breakerMemory
 	case errors.Is(err, errTrickle):
 		return breakerTrickle
 	case errors.Is(err, endpoint.ErrTooLarge) || errors.Is(err, body.ErrTooLarge):
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -93,7 +93,7 @@
 	balancer       *balancer.Balancer
 	decisionByCall map[balancer.Number]chan balancer.Decision
 	latency        metrics.Histogram
-	// passedThrough counts the answers that were passed on before they were complete.
+	// passedThrough counts the calls whose answer, or an event of it, was passed on before it was complete.
 	passedThrough metrics.Counter
 	// answerTimeByRoute holds the routes of table.
 	answerTimeByRoute map[string]estimate.Estimate
--- a/caroblined/connection/entryapi/largeevent_test.go
+++ b/caroblined/connection/entryapi/largeevent_test.go
@@ -1,6 +1,7 @@
 package entryapi_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -64,3 +65,42 @@
 		t.Errorf("%d bytes, want all %d", len(got.body), len(text+event(10)))
 	}
 }
+
+// Guards against an event that stops and keeps its memory while others need it.
+func TestAStalledEventGivesWay(t *testing.T) {
+	t.Parallel()
+	account := memory.New(memory.Config{Memory: processMemory})
+	log := &logBuffer{}
+	entryHost := entryHostOptions{log: log}.withAccount(account).start(t, route(routing.RepeatStream), newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+		_, _ = io.WriteString(connection, streamHead(request, "m")+chunk(event(1)+"id: 2\ndata: "+strings.Repeat("x", 250<<10)))
+		_, _ = connection.Read(make([]byte, 1))
+	}))
+	calling := make(chan error, 1)
+	go func() {
+		_, err := call(t, entryHost.server, post("/a", "x"))
+		calling <- err
+	}()
+	time.Sleep(memory.StallTime + 500*time.Millisecond)
+	var charges []*memory.Charge
+	for number := range 19 {
+		size := memory.Bytes(4 << 20)
+		if number == 18 {
+			size = 640 << 10 // more than is left beside the stalled event
+		}
+		charge := account.Open(memory.Holder{Kind: memory.Endpoint, Name: fmt.Sprint("other-", number)}, "other", nil)
+		charges = append(charges, charge)
+		if err := charge.Await(t.Context(), time.Now, size); err != nil {
+			t.Fatalf("%d bytes of another holder: %v; want room", size, err)
+		}
+	}
+	if err := <-calling; err == nil {
+		t.Error("the stream looks complete")
+	}
+	if line := log.awaitLine(t, "request"); line["memory"] != "ended" || line["broken_by"] != "memory" {
+		t.Errorf("memory %v, broken_by %v; want ended and memory", line["memory"], line["broken_by"])
+	}
+	for _, charge := range charges {
+		charge.Close()
+	}
+	wantNothingHeld(t, account)
+}
--- a/caroblined/connection/entryapi/passthrough.go
+++ b/caroblined/connection/entryapi/passthrough.go
@@ -17,7 +17,6 @@
 // has been read, and the rest as it comes. If the answer then breaks off, so does the caller's.
 func (api *API) passThrough(ctx context.Context, writer http.ResponseWriter, call *call, attempt *attempt, exchange *exchange) result {
 	defer exchange.close()
-	api.passedThrough.Inc(1)
 	err := api.copyAnswer(writer, call, exchange)
 	result := attempt.result(exchange.response.StatusCode, "answered", "ran", err)
 	result.framing = exchange.framing()
--- a/caroblined/connection/entryapi/result.go
+++ b/caroblined/connection/entryapi/result.go
@@ -71,6 +71,9 @@
 	if result.host == "" && result.limit > 0 {
 		event = event.Int("running", result.running).Int("limit", result.limit).Int("waiting", result.waiting)
 	}
+	if call.memory == memoryPassedThrough {
+		api.passedThrough.Inc(1)
+	}
 	if call.memory != "" {
 		event = event.Str("memory", string(call.memory))
 	}
