--- a/core/process/memory/memory_test.go
+++ b/core/process/memory/memory_test.go
@@ -206,3 +206,74 @@
 		}
 	})
 }
+
+// Guards against a charge that was told to give way, is then held for a caller and told so again: its
+// bytes counted twice as those that become free, so that others waited for them for good.
+func TestATransferredChargeCountsOnceAsGivingWay(t *testing.T) {
+	fixture := newFixture()
+	now := start.Add(memory.StallTime)
+	fill := func(number int, end func(bool)) *memory.Charge {
+		charge := fixture.Open(endpoint(number), "answer", end)
+		if err := charge.Resize(start, 4*mebibyte); err != nil {
+			t.Fatal(err)
+		}
+		return charge
+	}
+	given := fill(0, func(bool) {})
+	for number := range 17 {
+		fill(number+1, nil)
+	}
+	_ = fixture.open(caller("body"), "body").Resize(now, 4*mebibyte)
+	given.Transfer(start, caller("slow"), func(bool) {})
+	_ = fixture.open(caller("body"), "body").Resize(now, 8*mebibyte)
+	given.Close()
+	fill(0, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := fixture.open(caller("last"), "body").Await(ctx, func() time.Time { return now }, 4*mebibyte)
+	if err == nil || ctx.Err() != nil {
+		t.Errorf("a body without room: %v after %v; want a refusal at once", err, ctx.Err())
+	}
+}
+
+// Guards against bytes that no one is told to give back, since their charge was transferred after it had been
+// told so, and against others that give way instead.
+func TestATransferredChargeIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		var charges []*memory.Charge
+		for number := range 18 {
+			charge := fixture.Open(endpoint(number), "answer", func(bool) {})
+			_ = charge.Resize(start.Add(time.Duration(number)), 4*mebibyte)
+			charges = append(charges, charge)
+		}
+		now := start.Add(memory.StallTime + time.Minute)
+		asked := make(chan error, 1)
+		go func() {
+			asked <- fixture.open(caller("body"), "body").Await(t.Context(), func() time.Time { return now }, 4*mebibyte)
+		}()
+		synctest.Wait()
+		told := false
+		charges[0].Transfer(now, caller("reader"), func(stalled bool) { told = !stalled })
+		synctest.Wait()
+		if state := fixture.State(); !told || state.Ended != 1 {
+			t.Errorf("told again: %v, ended %d; want the transferred charge told and no other ended", told, state.Ended)
+		}
+		charges[0].Close()
+		if err := <-asked; err != nil {
+			t.Errorf("a body once the transferred charge is closed: %v; want room", err)
+		}
+	})
+}
+
+// Guards against a panic for a charge that is closed before it would be transferred.
+func TestAClosedChargeStaysClosed(t *testing.T) {
+	fixture := newFixture()
+	charge := fixture.open(endpoint(1), "answer")
+	_ = charge.Resize(start, mebibyte)
+	charge.Close()
+	charge.Transfer(start, caller("account"), nil)
+	if err := charge.Resize(start, mebibyte); err == nil || fixture.State().Held != 0 {
+		t.Errorf("resize %v, held %d; want an error and nothing held", err, fixture.State().Held)
+	}
+}
