--- a/caroblined/process/daemon/listener.go
+++ b/caroblined/process/daemon/listener.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// chargeHeads charges the heads of requests to the account, whose sum nothing else bounds. The limits of each stay the
+// chargeHeads charges the heads of requests to the account, whose sum has no other bound. The limits of each stay the
 // same. It isn't for connections with TLS: net/http opens those itself, and must see them.
 func (listener *listener) chargeHeads(daemon *Daemon) {
 	listener.socket = callerconn.New(listener.socket, callerconn.Config{
