endpoint: the heads of answers are charged to the account

Heads were bounded to 64 KiB each and their sum to nothing: 288 heads without end took 29 to 46 MiB, and an entry host may have ten times as many connections. What a head has beyond its first 4 KiB is charged to its endpoint's address now, twice for its parsed form, before net/http keeps it, until the answer's body is closed.

TestHeadsAreCharged covers small and large heads, one without room, and that nothing stays charged; it didn't compile before (there was no account in the transport). A usual head costs one lock a read.

--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -183,10 +183,14 @@
 
 // reasonOf returns the reason of an exchange that ended without an answer of its own.
 func reasonOf(err error) string {
-	if errors.Is(err, endpoint.ErrForeignAnswer) {
+	switch {
+	case errors.Is(err, endpoint.ErrForeignAnswer):
 		return reasonForeignAnswer
+	case errors.Is(err, memory.ErrNoRoom):
+		return reasonNoMemory
+	default:
+		return "no_answer"
 	}
-	return "no_answer"
 }
 
 func (api *API) request(ctx context.Context, call *call, endpoint *view.Endpoint) *http.Request {
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -136,12 +136,15 @@
 	daemon := &Daemon{
 		settings: nodeSettings, log: log.With().Str("node", string(nodeSettings.Node)).Logger(), now: time.Now, network: network,
 		metrics: metrics.NewRegistry(), stopFinished: make(chan struct{}),
-		engineTransport: endpoint.New(endpoint.Config{Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true}),
-		// Each call that must not repeat gets a new connection, since the transport
-		// may send a request again when a reused connection fails.
-		singleSendTransport: endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID}),
 	}
 	daemon.account = accountant.New(accountant.Config{Memory: memory.Bytes(nodeSettings.Limits.MemoryMB) << 20, Log: daemon.log, Metrics: daemon.metrics})
+	daemon.engineTransport = endpoint.New(endpoint.Config{
+		Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true,
+		Account: daemon.account, Now: daemon.now,
+	})
+	// Each call that must not repeat gets a new connection, since the transport
+	// may send a request again when a reused connection fails.
+	daemon.singleSendTransport = endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID, Account: daemon.account, Now: daemon.now})
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
 		return nil, errors.Wrap(err, "start")
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -86,12 +86,6 @@
 	node := &Node{
 		config: config, clock: boottime.New(time.Now()), metrics: metrics.NewRegistry(), serveErrors: make(chan error, 1),
 	}
-	transportConfig := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout}
-	if config.Entry != nil {
-		transportConfig.IDHeader = config.Entry.Dialect.RequestID
-	}
-	node.endpointTransport = endpoint.New(transportConfig)
-	node.singleSendTransport = endpoint.New(endpoint.Config{Dial: dial, SingleUse: true, IDHeader: transportConfig.IDHeader})
 	if err := node.start(); err != nil {
 		if closeErr := node.close(); closeErr != nil {
 			config.Log.Error().Err(closeErr).Str("step", "stop").Msg("closing the node after a failed start failed as well")
@@ -101,6 +95,17 @@
 	return node, nil
 }
 
+// openTransports makes the transports to endpoints. It is called once there is an account.
+func (node *Node) openTransports() {
+	config := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout, Account: node.account, Now: node.clock.Now}
+	if node.config.Entry != nil {
+		config.IDHeader = node.config.Entry.Dialect.RequestID
+	}
+	node.endpointTransport = endpoint.New(config)
+	config.SingleUse = true
+	node.singleSendTransport = endpoint.New(config)
+}
+
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return dialer.DialContext(ctx, network, address)
@@ -116,6 +121,7 @@
 	}
 	node.config.Log = node.config.Log.With().Str("node", string(node.self.Node)).Logger()
 	node.account = accountant.New(accountant.Config{Memory: node.config.Memory, Log: node.config.Log, Metrics: node.metrics})
+	node.openTransports()
 	node.peers = peers.New(peers.Config{
 		Self: node.self.Node, Resolve: resolve,
 		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, "").Charged(node.account, node.clock.Now),
--- a/caroblined/process/node/stop.go
+++ b/caroblined/process/node/stop.go
@@ -101,7 +101,9 @@
 	if node.run != nil {
 		node.run.Close()
 	}
-	node.endpointTransport.CloseIdleConnections()
+	if node.endpointTransport != nil {
+		node.endpointTransport.CloseIdleConnections()
+	}
 	node.config.Log.Info().Str("step", "stop").Msg("stopped")
 	return err
 }
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/connection/sse"
+	"carobline.dev/core/process/memory"
 )
 
 const (
@@ -67,6 +68,10 @@
 	ReaderBoundsStreams bool
 	// SingleUse gives each request a connection of its own.
 	SingleUse bool
+	// Account is charged for the heads of answers, until their bodies are closed. Nil bounds
+	// nothing. Now is its time.
+	Account *memory.Account
+	Now     func() time.Time
 }
 
 // Transport sends requests to hosts. It is safe for concurrent use.
@@ -74,12 +79,18 @@
 	transport           *http.Transport
 	idHeader            string
 	readerBoundsStreams bool
+	account             *memory.Account
+	now                 func() time.Time
 }
 
 // New returns a transport without connections.
 func New(config Config) *Transport {
-	return &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, transport: &http.Transport{
-		DialContext: config.Dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
+	dial := config.Dial
+	if config.Account != nil {
+		dial = chargeConns(dial)
+	}
+	return &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, account: config.Account, now: config.Now, transport: &http.Transport{
+		DialContext: dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
 		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
 		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
@@ -92,12 +103,23 @@
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var connection net.Conn
 	var timer headerTimer
+	head := transport.newHeadCharge(request)
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn:              func(info httptrace.GotConnInfo) { connection = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			charge(connection, nil)
+			connection = info.Conn
+			charge(connection, head)
+		},
 		GotFirstResponseByte: func() { timer.start(connection) },
 		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
 	})
 	response, err := transport.transport.RoundTrip(request.WithContext(traced))
+	charge(connection, nil)
+	if err != nil {
+		head.charge.Close()
+	} else if head.charge != nil {
+		response.Body = &closing{response.Body, head.charge}
+	}
 	if timer.stop() {
 		if err == nil {
 			_ = response.Body.Close()
