What the reviews found: parsed heads, charges that don't give way, calls without end, nodes of an older release

They are charged by bytes and by lines now, callers' and answers', and the rest of a refused call's body is awaited for a second at most, not for its call's time. - Charges that were told to give way and didn't counted as about to be free for good, so that a sound body waited until a false 408. They count for StallTime; a wait ends after it, with 503. Test: a refusal at once where nobody gives way. - A sound stream with a kept buffer was ended as without progress after 3 s; each read counts now. - A write to a caller that reads nothing outlasted its call; it ends StallTime after the call's context, in callerapi after caller_stall_ms for each 256 KiB, and an answer there can be told to give way. - callerapi: an answer whose caller left at the wrong moment stayed charged; the wait for own memory counted as the service's silence; a call at a host that is gone, or at a node that stops, never ended (6 minutes and 8, test: a minute). - Feed requests carry their new fields only to a leader that has said it takes them: one of an older release decodes strictly and would refuse the node, which then has no lease (test). A stop that an overtaken request doesn't report sticks. The memory test's fixture had a race of its own.

--- a/caroblined/connection/callerapi/held.go
+++ b/caroblined/connection/callerapi/held.go
@@ -112,6 +112,7 @@
 		bounded, cancel = context.WithTimeout(ctx, memory.StallTime)
 		defer cancel()
 	}
+	watch.waits.Store(true)
 	reader := body.Reader{Charge: charge, Now: api.config.Now, Limit: maxAnswerBytes, Waits: true, Reserves: true}
 	data, err := reader.ReadAll(bounded, &watchedReader{response.Body, watch}, response.ContentLength)
 	if errors.Is(err, memory.ErrNoRoom) {
--- a/caroblined/connection/callerapi/once.go
+++ b/caroblined/connection/callerapi/once.go
@@ -47,8 +47,7 @@
 		attempt := id.Change(string(serviceCall.call.id) + "-" + strconv.Itoa(round))
 		answer, replayed, err := api.tryOnce(ctx, serviceCall, attempt)
 		if err == nil {
-			defer answer.close()
-			writeAnswer(writer, answer.Answer, replayed)
+			api.writeAnswer(writer, answer, replayed, serviceCall.holder)
 			return nil
 		}
 		if !errors.Is(err, errInFlight) {
@@ -148,7 +147,7 @@
 		answer *heldAnswer
 		err    error
 	}
-	outcomes := make(chan outcome, 1)
+	outcomes := make(chan outcome)
 	serviceCall.call.body.uses.Add(1)
 	api.config.RunInBackground(func(background context.Context) {
 		run, cancel := context.WithCancel(background)
@@ -156,10 +155,11 @@
 		defer context.AfterFunc(ctx, func() { cancelAfter(run, cancel, abandonedTimeout) })()
 		defer serviceCall.call.body.release()
 		answer, err := api.sendOnce(run, admission, serviceCall, key, attempt)
-		if ctx.Err() != nil {
+		select {
+		case outcomes <- outcome{answer, err}:
+		case <-ctx.Done():
 			answer.close()
 		}
-		outcomes <- outcome{answer, err}
 	})
 	select {
 	case outcome := <-outcomes:
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -4,19 +4,26 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
+	"time"
 
 	"carobline.dev/caroblined/request/traffic"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
-	"carobline.dev/core/process/register"
+	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/dispatcher"
 )
 
+// maxWriteBytes is the most of an answer that is written to a caller at a time.
+const maxWriteBytes = 256 << 10
+
 // serviceCall is one call to a plain service.
 type serviceCall struct {
 	call    *call
 	service id.Service
-	method  string
+	// holder is whom its bytes are held for.
+	holder memory.Holder
+	method string
 	// target is the path and query at the service.
 	target         string
 	header         http.Header
@@ -32,7 +39,7 @@
 func (api *API) service(writer http.ResponseWriter, request *http.Request, call *call) error {
 	serviceCall := &serviceCall{
 		call: call, service: id.Service(request.PathValue("service")), method: request.Method,
-		header: request.Header, idempotencyKey: request.Header.Get(headerIdempotencyKey),
+		holder: call.holder(request), header: request.Header, idempotencyKey: request.Header.Get(headerIdempotencyKey),
 	}
 	contract := &call.clientAccount.Contract
 	if !allows(contract, serviceCall.service) {
@@ -59,24 +66,34 @@
 	if err != nil {
 		return err
 	}
-	defer answer.close()
-	answer.charge.Transfer(api.config.Now(), call.holder(request), nil)
-	writeAnswer(writer, answer.Answer, false)
+	api.writeAnswer(writer, answer, false, serviceCall.holder)
 	return nil
 }
 
-func writeAnswer(writer http.ResponseWriter, answer *register.Answer, replayed bool) {
+// writeAnswer writes an answer, which its caller holds meanwhile, and closes it. Each piece has the time of one write.
+func (api *API) writeAnswer(writer http.ResponseWriter, answer *heldAnswer, replayed bool, holder memory.Holder) {
+	defer answer.close()
+	controller := http.NewResponseController(writer)
+	answer.charge.Transfer(api.config.Now(), holder, func(bool) { _ = controller.SetWriteDeadline(time.Unix(1, 0)) })
 	header := writer.Header()
 	if answer.ContentType != "" {
 		header.Set("Content-Type", answer.ContentType)
 	}
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	if replayed {
 		header.Set(headerReplayed, "true")
 	}
 	writer.WriteHeader(answer.Status)
-	// A write fails only when the caller has disconnected. The answer of a call
-	// that must not repeat is recorded separately.
-	_, _ = writer.Write(answer.Body)
+	for piece := range slices.Chunk(answer.Body, maxWriteBytes) {
+		// Fails only for a connection without deadlines.
+		_ = controller.SetWriteDeadline(time.Now().Add(api.config.CallerWriteTimeout))
+		// A write fails only when the caller has disconnected or reads nothing. The answer of a call
+		// that must not repeat is recorded separately.
+		if _, err := writer.Write(piece); err != nil {
+			return
+		}
+	}
+	_ = controller.SetWriteDeadline(time.Time{})
 }
 
 func (api *API) admitService(ctx context.Context, serviceCall *serviceCall) (*traffic.Admission, error) {
--- a/caroblined/connection/callerapi/servicewatch.go
+++ b/caroblined/connection/callerapi/servicewatch.go
@@ -14,7 +14,7 @@
 
 // serviceWatch watches an attempt at a plain service. A service may be at work however long it sends
 // nothing, so the attempt goes on while its caller waits. It ends when the call can go on
-// at another endpoint, or when the endpoint is unresponsive and the view no longer holds it.
+// at another endpoint, or when the endpoint is unresponsive and either the view no longer holds it or this node stops.
 type serviceWatch struct {
 	api         *API
 	admission   *traffic.Admission
@@ -25,7 +25,9 @@
 	// lastBytesAt is when the attempt began or the service last sent something, in nanoseconds since
 	// the start of the call.
 	lastBytesAt atomic.Int64
-	done        chan struct{}
+	// waits is set while the answer waits for memory of this process.
+	waits atomic.Bool
+	done  chan struct{}
 }
 
 // watchService begins to watch an attempt. Call stop when the attempt has ended.
@@ -53,6 +55,9 @@
 
 // idle returns how long the service has sent nothing.
 func (watch *serviceWatch) idle() time.Duration {
+	if watch.waits.Load() {
+		watch.recordBytes()
+	}
 	return watch.sinceCallStarted() - time.Duration(watch.lastBytesAt.Load())
 }
 
@@ -70,12 +75,14 @@
 		case <-timer.C:
 		}
 		reason, idle := lost, watch.idle()
-		if reason == nil && idle >= inactivityTimeout {
-			reason = errEndpointUnresponsive
-			if !watch.endpointValid() {
-				watch.cancel(reason)
+		if idle >= inactivityTimeout {
+			if !watch.endpointValid() || watch.api.config.Traffic.Stopping() {
+				watch.cancel(errEndpointUnresponsive)
 				return
 			}
+			if reason == nil {
+				reason = errEndpointUnresponsive
+			}
 		}
 		if reason != nil && watch.reserveElsewhere(reason) {
 			watch.cancel(reason)
@@ -121,6 +128,7 @@
 
 // Read implements io.Reader.
 func (reader *watchedReader) Read(data []byte) (int, error) {
+	reader.watch.waits.Store(false)
 	count, err := reader.Reader.Read(data)
 	reader.watch.recordBytes()
 	return count, err
--- a/caroblined/connection/entryapi/buffercharge.go
+++ b/caroblined/connection/entryapi/buffercharge.go
@@ -15,8 +15,9 @@
 	subject string
 	cancel  context.CancelFunc
 
-	charge  *memory.Charge
-	yielder *yielder
+	charge     *memory.Charge
+	yielder    *yielder
+	progressAt time.Time
 }
 
 // readEvents returns the reader of a stream's events.
@@ -37,6 +38,14 @@
 	return bufferCharge.charge.Resize(now, memory.Bytes(size-readBufferBytes))
 }
 
+// recordProgress records that the stream goes on, as seldom as the account needs to know.
+func (bufferCharge *bufferCharge) recordProgress(now time.Time) {
+	if bufferCharge.charge != nil && now.Sub(bufferCharge.progressAt) >= memory.StallTime/4 {
+		bufferCharge.progressAt = now
+		bufferCharge.charge.Progress(now)
+	}
+}
+
 func (bufferCharge *bufferCharge) mustGiveWay() bool {
 	return bufferCharge.yielder != nil && bufferCharge.yielder.mustGiveWay()
 }
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -219,6 +219,7 @@
 	ctx, cancel := context.WithDeadline(call.request.Context(), time.Now().Add(call.deadline.Sub(api.config.Now())))
 	defer cancel()
 	defer context.AfterFunc(api.stopCtx, cancel)()
+	defer limitWrites(ctx, writer).close()
 	defer call.dropFailure()
 	api.retryBudget.Earn()
 	result := api.forward(ctx, writer, call)
--- a/caroblined/connection/entryapi/events.go
+++ b/caroblined/connection/entryapi/events.go
@@ -115,8 +115,8 @@
 	}
 	count, err := reader.body.Read(reader.buffer[len(reader.buffer):cap(reader.buffer)])
 	reader.buffer = reader.buffer[:len(reader.buffer)+count]
-	if count > 0 && cap(reader.buffer) > keptBufferBytes {
-		reader.memory.charge.Progress(reader.now())
+	if count > 0 {
+		reader.memory.recordProgress(reader.now())
 	}
 	began := reader.within
 	reader.scan()
--- a/caroblined/connection/entryapi/requestbody.go
+++ b/caroblined/connection/entryapi/requestbody.go
@@ -18,6 +18,8 @@
 	defaultBodyBytes = 4 << 20
 	// maxBodyTime is the longest time in which a body may come, from the arrival of its request.
 	maxBodyTime = 60 * time.Second
+	// maxUnreadBodyTime is the longest time for which the rest of a refused call's body is awaited.
+	maxUnreadBodyTime = time.Second
 )
 
 // errHostStopped reports that the host has stopped while a body came.
@@ -96,8 +98,12 @@
 // short one before it answers, so that it needs the time limit too.
 func (api *API) refuseUnread(writer http.ResponseWriter, call *call, refusal *refusal) result {
 	if call.request.ContentLength != 0 {
+		until := time.Now().Add(maxUnreadBodyTime)
+		if deadline := api.bodyDeadline(call); deadline.Before(until) {
+			until = deadline
+		}
 		// Fails only for a connection without deadlines.
-		_ = http.NewResponseController(writer).SetReadDeadline(api.bodyDeadline(call))
+		_ = http.NewResponseController(writer).SetReadDeadline(until)
 	}
 	return api.refuse(writer, call, refusal)
 }
--- a/caroblined/process/control/feeds.go
+++ b/caroblined/process/control/feeds.go
@@ -46,7 +46,7 @@
 	former := control.observeRun(now, &request)
 	ticket := control.newTicket(func(result any) {
 		if reply, ok := result.(controller.Reply); ok && reply.Response != nil {
-			reply.Response.FormerRun = former
+			reply.Response.TakesRuns, reply.Response.FormerRun = true, former
 		}
 		resolve(result)
 	})
--- a/caroblined/process/daemon/slow_service_test.go
+++ b/caroblined/process/daemon/slow_service_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"carobline.dev/core/connection/rest"
 	"carobline.dev/fakeengine/process/engine"
 )
 
@@ -70,3 +71,28 @@
 		}
 	})
 }
+
+// Guards against a call that never ends, since its host of the service has gone for good and sends nothing, or since
+// the node is to stop.
+func TestCallAtAHostThatIsGoneEnds(t *testing.T) {
+	for name, stop := range map[string]bool{"the host is gone": false, "the node stops": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newSystem(t, 2, nil)
+				defer system.close()
+				system.service.SetFaults(engine.Faults{Delay: time.Hour, Silent: !stop})
+				answers := make(chan reply, 1)
+				startedAt := time.Now()
+				go func() { answers <- system.book(context.Background(), 0, "booking-1", `{"batch":7}`) }()
+				if stop {
+					time.Sleep(5 * time.Second)
+					system.nodes[0].stop()
+				}
+				got := <-answers
+				if elapsed := time.Since(startedAt); got.header.Get(rest.HeaderOutcome) != "unknown" || elapsed > time.Minute {
+					t.Errorf("%d %s after %v; want the outcome unknown within a minute", got.status, got.body, elapsed)
+				}
+			})
+		})
+	}
+}
--- a/caroblined/process/run/run.go
+++ b/caroblined/process/run/run.go
@@ -29,7 +29,7 @@
 	// accountInterval is how old the account's part of a state may be, and heapInterval the
 	// heap's.
 	accountInterval = 200 * time.Millisecond
-	heapInterval    = time.Second
+	heapInterval    = 200 * time.Millisecond
 	// closeTimeout bounds the wait for the disk at the end of the run.
 	closeTimeout = 200 * time.Millisecond
 	// heapMetric names the runtime's figure of the bytes that objects on the heap take.
--- a/core/connection/callerconn/conn.go
+++ b/core/connection/callerconn/conn.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
@@ -46,6 +47,8 @@
 	since, deadline time.Time
 	// headBytes is what has been read of the head.
 	headBytes int
+	// headLines is the number of line feeds in it.
+	headLines int
 	// charge is what the head holds of the account, until the call ends. It is nil for a small one.
 	charge *memory.Charge
 	// ended reports that the charge was told to give way.
@@ -102,7 +105,7 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.charge.Close()
-	conn.charge, conn.ended, conn.lookedAgain, conn.headBytes = nil, false, false, 0
+	conn.charge, conn.ended, conn.lookedAgain, conn.headBytes, conn.headLines = nil, false, false, 0, 0
 	conn.phase, conn.since, conn.first, conn.callDeadline = phaseIdle, now, first, time.Time{}
 	conn.setDeadline(now.Add(conn.phaseTime()))
 }
@@ -171,7 +174,7 @@
 		count, err = conn.Conn.Read(buffer)
 	}
 	switch {
-	case conn.wasEnded() || (count > 0 && !conn.noteHead(time.Now(), count)):
+	case conn.wasEnded() || (count > 0 && !conn.noteHead(time.Now(), buffer[:count])):
 		return 0, conn.refuse(answerNoMemory)
 	case reading == phaseHead && errors.Is(err, os.ErrDeadlineExceeded):
 		return 0, conn.refuse(answerTimeout)
@@ -194,15 +197,17 @@
 }
 
 // noteHead counts bytes of a head. It returns false if they can't be kept. It takes the mutex itself.
-func (conn *Conn) noteHead(now time.Time, count int) bool {
+func (conn *Conn) noteHead(now time.Time, read []byte) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	if conn.phase == phaseIdle {
 		conn.phase, conn.since = phaseHead, now
 		conn.setDeadline(now.Add(conn.limits.HeadTime))
 	}
-	conn.headBytes += count
-	if conn.headBytes <= unchargedHeadBytes {
+	conn.headBytes += len(read)
+	conn.headLines += bytes.Count(read, []byte("\n"))
+	size := memory.HeadBytes(conn.headBytes, conn.headLines)
+	if size <= unchargedHeadBytes {
 		return true
 	}
 	config := &conn.listener.config
@@ -211,7 +216,7 @@
 		charge = config.Account.Open(conn.holder(), "head of "+conn.Conn.RemoteAddr().String(), func(bool) { conn.end(charge) })
 		conn.charge = charge
 	}
-	return conn.charge.Resize(config.Now(), memory.Bytes(conn.headBytes-unchargedHeadBytes)) == nil
+	return conn.charge.Resize(config.Now(), size-unchargedHeadBytes) == nil
 }
 
 // holder is the address that a head comes from: its client account isn't known yet.
--- a/core/connection/endpoint/headcharge.go
+++ b/core/connection/endpoint/headcharge.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -11,12 +12,8 @@
 	"carobline.dev/core/process/memory"
 )
 
-const (
-	// freeHeadBytes of an answer's head aren't charged.
-	freeHeadBytes = 4 << 10
-	// parsedHeadFactor times the bytes of a head is what it takes with its parsed form.
-	parsedHeadFactor = 2
-)
+// freeHeadBytes of what an answer's head takes aren't charged.
+const freeHeadBytes = 8 << 10
 
 // headCharge is what one answer's head holds of the account.
 type headCharge struct {
@@ -25,8 +22,8 @@
 	holder  memory.Holder
 	subject string
 
-	bytes  int
-	charge *memory.Charge
+	bytes, lines int
+	charge       *memory.Charge
 }
 
 // newHeadCharge returns the charge of the answer to a request.
@@ -37,15 +34,17 @@
 }
 
 // add charges more bytes of the head before they are kept.
-func (head *headCharge) add(count int) error {
-	head.bytes += count
-	if head.bytes <= freeHeadBytes {
+func (head *headCharge) add(read []byte) error {
+	head.bytes += len(read)
+	head.lines += bytes.Count(read, []byte("\n"))
+	size := memory.HeadBytes(head.bytes, head.lines)
+	if size <= freeHeadBytes {
 		return nil
 	}
 	if head.charge == nil {
 		head.charge = head.account.Open(head.holder, head.subject, nil)
 	}
-	return head.charge.Resize(head.now(), memory.Bytes(parsedHeadFactor*head.bytes))
+	return head.charge.Resize(head.now(), size)
 }
 
 // chargedConn charges what is read while it has a head.
@@ -76,7 +75,7 @@
 	if conn.head == nil || count == 0 {
 		return count, err
 	}
-	if chargeErr := conn.head.add(count); chargeErr != nil {
+	if chargeErr := conn.head.add(data[:count]); chargeErr != nil {
 		return 0, chargeErr
 	}
 	return count, err
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -210,6 +210,9 @@
 	// SuspectParts are those of prompts under which endpoints have ended, and on which no
 	// answer has begun since.
 	SuspectParts []id.PromptPart `json:"suspect_parts,omitempty"`
+	// TakesRuns is set by a leader that knows Request.Run, and Unproven and Address of a CrashReport. A leader
+	// of an older release refuses requests with fields that it doesn't know.
+	TakesRuns bool `json:"takes_runs,omitempty"`
 	// FormerRun is set if the run before this one at the node's address has ended without
 	// a stop. It is sent several times.
 	FormerRun *EndedRun `json:"former_run,omitempty"`
--- a/core/process/member/crashes.go
+++ b/core/process/member/crashes.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// provenCrashes returns the crashes that a leader of an older release understands, as it does.
+func provenCrashes(observed []feed.ObservedCrash) []feed.ObservedCrash {
+	var proven []feed.ObservedCrash
+	for _, crash := range observed {
+		if !crash.Report.Unproven {
+			crash.Report.Address = ""
+			proven = append(proven, crash)
+		}
+	}
+	return proven
+}
+
 // crashesInFlight returns the crashes that requests which aren't overdue take to the present
 // leader.
 func (member *Member) crashesInFlight() map[crashKey]bool {
--- a/core/process/member/exchange.go
+++ b/core/process/member/exchange.go
@@ -40,6 +40,9 @@
 	member.consecutiveFailures, member.nextSendAt = 0, now
 	member.forgetThrough(response.Number)
 	member.leader, member.contactAt = response.Leader, sentAt
+	if response.TakesRuns {
+		member.takesRuns = response.Leader
+	}
 	if !member.applyDelta(response.Delta) {
 		return
 	}
@@ -345,7 +348,11 @@
 	member.nextSendAt = now.Add(minSendInterval)
 	member.lastNumber++
 	announcements := member.unacceptedAnnouncements(now)
-	crashReports, crashes := member.crashQueue.unaccepted(now, member.usage.Crashes, member.crashesInFlight())
+	run, observed := member.usage.Run, member.usage.Crashes
+	if member.takesRuns != member.leader {
+		run, observed = nil, provenCrashes(observed)
+	}
+	crashReports, crashes := member.crashQueue.unaccepted(now, observed, member.crashesInFlight())
 	member.inFlightByNumber[member.lastNumber] = &inFlight{to: member.leader, sentAt: now, announcements: announcements, runningByEndpoint: member.usage.RunningByEndpoint, crashes: crashes}
 	request := feed.Request{
 		Node: member.config.Self, Incarnation: member.config.Incarnation, Number: member.lastNumber,
@@ -355,7 +362,7 @@
 		DemandByClientAccount: member.usage.DemandByClientAccount, RunningByEndpoint: member.usage.RunningByEndpoint, ActiveCalls: member.usage.ActiveCalls, Drained: member.usage.Drained,
 		HasDisk: member.config.HasDisk, StalledEndpoints: member.usage.StalledEndpoints,
 		Crashes: crashReports, SoundParts: member.usage.SoundParts, WantedTrials: member.usage.WantedTrials,
-		Run: member.usage.Run,
+		Run: run,
 	}
 	if len(member.awaitedCursorByHost) > 0 {
 		request.AwaitedCursor = slices.Min(slices.Collect(maps.Values(member.awaitedCursorByHost)))
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -108,8 +108,10 @@
 	awaitedCursorByHost map[id.Host]uint64
 	// sendAtOnce is true if the next request shouldn't wait for the response to
 	// the last one.
-	sendAtOnce          bool
-	leader              id.Node
+	sendAtOnce bool
+	leader     id.Node
+	// takesRuns is the last leader that has said that it does, see feed.Response.
+	takesRuns           id.Node
 	voterIndex          int
 	consecutiveFailures int
 	quotaRequestedAt    time.Time
--- a/core/process/memory/charge.go
+++ b/core/process/memory/charge.go
@@ -17,9 +17,9 @@
 	holdings           *holdings
 	usual, large, peer Bytes
 	end                func(stalled bool)
-	// ended reports that the charge was told to give way.
-	ended      bool
-	progressAt time.Time
+	// ended reports that the charge was told to give way, at endedAt.
+	ended               bool
+	progressAt, endedAt time.Time
 }
 
 // Resize makes the charge hold size bytes. If they don't fit it returns ErrNoRoom, and the charge
@@ -35,11 +35,13 @@
 	return err
 }
 
-// Await is like Resize, but waits while others give way, until ctx ends.
+// Await is like Resize, but waits while others give way, until ctx ends, and for StallTime at most.
 func (charge *Charge) Await(ctx context.Context, now func() time.Time, size Bytes) error {
 	if charge == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, StallTime)
+	defer cancel()
 	for {
 		freed, err := charge.resize(now(), size, true)
 		if !errors.Is(err, errPending) {
@@ -182,10 +184,6 @@
 	holdings.usual += usual - charge.usual
 	holdings.large += large - charge.large
 	holdings.peer += peer - charge.peer
-	if charge.ended {
-		account.pending += large - charge.large
-		holdings.pending += large - charge.large
-	}
 	freed := large < charge.large
 	charge.usual, charge.large, charge.peer = usual, large, peer
 	account.peak = max(account.peak, account.held())
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -61,6 +61,16 @@
 	StallTime = 3 * time.Second
 )
 
+const (
+	// headFactor times the bytes of a message's head, and headLineBytes for each of its lines, is what it takes
+	// while it is read and once it is parsed: each line has an entry of a map, a list and two strings.
+	headFactor    = 2
+	headLineBytes = 350
+)
+
+// HeadBytes returns what a message's head of so many bytes and lines takes of memory.
+func HeadBytes(bytes, lines int) Bytes { return Bytes(headFactor*bytes + headLineBytes*lines) }
+
 // ErrNoRoom reports that bytes can't be kept.
 var ErrNoRoom = errors.New("no memory is left for this holder")
 
@@ -132,9 +142,7 @@
 type holdings struct {
 	holder             Holder
 	usual, large, peer Bytes
-	// pending is the part of large that charges which were ended still hold.
-	pending Bytes
-	charges map[*Charge]struct{}
+	charges            map[*Charge]struct{}
 }
 
 func (holdings *holdings) total() Bytes { return holdings.usual + holdings.large + holdings.peer }
@@ -146,10 +154,8 @@
 	mutex              sync.Mutex
 	usual, large, peer section
 	byHolder           map[Holder]*holdings
-	// pending are the bytes of the large section that charges which were ended still hold.
-	pending        Bytes
-	peak           Bytes
-	refused, ended uint64
+	peak               Bytes
+	refused, ended     uint64
 	// freed is closed, and replaced, when bytes of the large section become free.
 	freed chan struct{}
 }
--- a/core/process/memory/memory_test.go
+++ b/core/process/memory/memory_test.go
@@ -27,7 +27,10 @@
 
 func newFixture() *fixture {
 	fixture := &fixture{}
+	var mutex sync.Mutex
 	fixture.Account = memory.New(memory.Config{Memory: processMemory, Report: func(shortage memory.Shortage) {
+		mutex.Lock()
+		defer mutex.Unlock()
 		fixture.shortages = append(fixture.shortages, shortage)
 	}})
 	return fixture
@@ -277,3 +280,28 @@
 		t.Errorf("resize %v, held %d; want an error and nothing held", err, fixture.State().Held)
 	}
 }
+
+// Guards against a sound request that waits for bytes which a charge that was told to give way never gives back, though
+// others make no progress.
+func TestAChargeThatDoesntGiveWayIsntAwaitedForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		fill := func(number int, end func(bool)) {
+			if err := fixture.Open(endpoint(number), "answer", end).Resize(time.Now(), 4*mebibyte); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fill(0, func(bool) {}) // never closes
+		time.Sleep(memory.StallTime)
+		for number := range 17 {
+			fill(number+1, nil)
+		}
+		if err := fixture.open(caller("first"), "body").Await(t.Context(), time.Now, 4*mebibyte); err == nil {
+			t.Error("got room that nobody gave back")
+		}
+		startedAt := time.Now()
+		if err := fixture.open(caller("second"), "body").Await(t.Context(), time.Now, 4*mebibyte); err == nil || time.Since(startedAt) > 0 {
+			t.Errorf("error %v after %v; want a refusal at once, as nobody is about to give way", err, time.Since(startedAt))
+		}
+	})
+}
--- a/core/process/memory/room.go
+++ b/core/process/memory/room.go
@@ -68,8 +68,12 @@
 // progress go first, then those of the holder that holds most, unless that is the one that asks.
 func (account *Account) makeRoom(now time.Time, asker *Charge, more Bytes) ([]Shortage, []func(), error) {
 	own := asker.holdings
-	missing := account.large.held + more - account.large.limit - account.pending
-	victims, ownMissing := takeCharges(own.stalledCharges(now, asker), own.large+more-account.large.holderLimit-own.pending)
+	pending := Bytes(0)
+	for _, holdings := range account.byHolder {
+		pending += holdings.pending(now)
+	}
+	missing := account.large.held + more - account.large.limit - pending
+	victims, ownMissing := takeCharges(own.stalledCharges(now, asker), own.large+more-account.large.holderLimit-own.pending(now))
 	if ownMissing > 0 {
 		return nil, nil, ErrNoRoom
 	}
@@ -88,12 +92,22 @@
 	return shortages, ends, errPending
 }
 
+// pending returns what charges hold that were told to give way, but for those that haven't for StallTime, such as
+// an answer whose caller reads nothing.
+func (holdings *holdings) pending(now time.Time) Bytes {
+	pending := Bytes(0)
+	for charge := range holdings.charges {
+		if charge.ended && now.Sub(charge.endedAt) < StallTime {
+			pending += charge.large
+		}
+	}
+	return pending
+}
+
 // giveWay marks the charge as ended, and returns the function that tells its owner.
 func (charge *Charge) giveWay(now time.Time) func() {
 	stalled, end := charge.stalled(now), charge.end
-	charge.ended, charge.end = true, nil
-	charge.account.pending += charge.large
-	charge.holdings.pending += charge.large
+	charge.ended, charge.endedAt, charge.end = true, now, nil
 	charge.account.ended++
 	return func() { end(stalled) }
 }
@@ -152,8 +166,10 @@
 	most := Bytes(0)
 	for _, holdings := range account.byHolder {
 		held := Bytes(0)
-		for _, charge := range holdings.endable(excluded) {
-			held += charge.large
+		for charge := range holdings.charges {
+			if charge.mayEnd() && !slices.Contains(excluded, charge) {
+				held += charge.large
+			}
 		}
 		if held > most {
 			largest, most = holdings, held
--- a/core/process/runs/runs.go
+++ b/core/process/runs/runs.go
@@ -83,8 +83,10 @@
 		return nil, false
 	}
 	if request.Run == nil {
-		// A node of an older release, which doesn't say when it stops.
-		delete(runs.byAddress, address)
+		// The first request to a leader, or a node of an older release, which never says when it stops.
+		if known != nil && known.key == key {
+			known.reportedAt = now
+		}
 		return nil, false
 	}
 	if known == nil || known.key != key {
@@ -93,8 +95,10 @@
 		isNew = known.former != nil
 	}
 	known.reportedAt, known.reportedLost = now, false
+	// A request that a later one has overtaken may not say yet that the run stops.
+	stopping := known.last.Stopping
 	known.last = *request.Run
-	known.last.Calls = request.ActiveCalls
+	known.last.Calls, known.last.Stopping = request.ActiveCalls, request.Run.Stopping || stopping
 	if now.Sub(known.firstAt) >= tellTime {
 		return nil, false
 	}
--- a/core/process/runs/runs_test.go
+++ b/core/process/runs/runs_test.go
@@ -117,3 +117,23 @@
 		}
 	}
 }
+
+// Guards against a planned stop that counts as an end without one, since a request that was overtaken comes after the one that
+// reports it, and against a run that is forgotten for the first request of the next one, which has no state.
+func TestStopOutlastsALateRequestAndTheNextRunsGreeting(t *testing.T) {
+	known := runs.New()
+	known.Report(at(0), request("a:1~x", 1, time.Second, 0))
+	known.Report(at(time.Second), stopping(request("a:1~x", 1, 2*time.Second, 0)))
+	known.Report(at(time.Second), request("a:1~x", 1, 2*time.Second, 0))
+	known.Report(at(2*time.Second), &feed.Request{Node: "a:1~y", Incarnation: 1})
+	if former, _ := known.Report(at(3*time.Second), request("a:1~y", 1, time.Second, 0)); former != nil {
+		t.Errorf("a run after a stop is told of %+v", former)
+	}
+	known.Report(at(4*time.Second), &feed.Request{Node: "a:1~z", Incarnation: 1})
+	if former, _ := known.Report(at(5*time.Second), request("a:1~z", 1, time.Second, 0)); former == nil {
+		t.Error("a run after an end without a stop isn't told of it")
+	}
+	if lost := known.Lost(at(6 * time.Second)); lost != nil {
+		t.Errorf("%+v are lost, want none", lost)
+	}
+}
