--- a/core/connection/callerconn/callerconn.go
+++ b/core/connection/callerconn/callerconn.go
@@ -27,8 +27,6 @@
 	NoHeadLimit = math.MaxInt32
 	// headSlackBytes are taken beyond HeadBytes, for the request line, which isn't a header.
 	headSlackBytes = 4 << 10
-	// unchargedHeadBytes of a head aren't charged.
-	unchargedHeadBytes = 4 << 10
 	// lingerTime is how long a connection is still read after a refusal: to close it at once would make
 	// the caller's system discard the answer.
 	lingerTime = 500 * time.Millisecond
@@ -50,7 +48,7 @@
 type Config struct {
 	// Limits are in force until SetLimits is called.
 	Limits Limits
-	// Account is charged for heads of more than 4 KiB. Nil bounds nothing.
+	// Account is charged for large heads. Nil bounds nothing.
 	Account *memory.Account
 	Now     func() time.Time
 }
--- a/core/connection/callerconn/conn.go
+++ b/core/connection/callerconn/conn.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"os"
@@ -11,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/headsize"
 	"carobline.dev/core/process/memory"
 )
 
@@ -47,8 +47,8 @@
 	since, deadline time.Time
 	// headBytes is what has been read of the head.
 	headBytes int
-	// headLines is the number of line feeds in it.
-	headLines int
+	// headSize is what it takes of memory.
+	headSize headsize.Size
 	// charge is what the head holds of the account, until the call ends. It is nil for a small one.
 	charge *memory.Charge
 	// ended reports that the charge was told to give way.
@@ -105,7 +105,7 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.charge.Close()
-	conn.charge, conn.ended, conn.lookedAgain, conn.headBytes, conn.headLines = nil, false, false, 0, 0
+	conn.charge, conn.ended, conn.lookedAgain, conn.headBytes, conn.headSize = nil, false, false, 0, headsize.Size{}
 	conn.phase, conn.since, conn.first, conn.callDeadline = phaseIdle, now, first, time.Time{}
 	conn.setDeadline(now.Add(conn.phaseTime()))
 }
@@ -205,9 +205,9 @@
 		conn.setDeadline(now.Add(conn.limits.HeadTime))
 	}
 	conn.headBytes += len(read)
-	conn.headLines += bytes.Count(read, []byte("\n"))
-	size := memory.HeadBytes(conn.headBytes, conn.headLines)
-	if size <= unchargedHeadBytes {
+	conn.headSize.Add(read)
+	size := conn.headSize.Charged()
+	if size == 0 {
 		return true
 	}
 	config := &conn.listener.config
@@ -216,7 +216,7 @@
 		charge = config.Account.Open(conn.holder(), "head of "+conn.Conn.RemoteAddr().String(), func(bool) { conn.end(charge) })
 		conn.charge = charge
 	}
-	return conn.charge.Resize(config.Now(), size-unchargedHeadBytes) == nil
+	return conn.charge.Resize(config.Now(), size) == nil
 }
 
 // holder is the address that a head comes from: its client account isn't known yet.
--- a/core/connection/endpoint/headcharge.go
+++ b/core/connection/endpoint/headcharge.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -9,12 +8,10 @@
 	"sync"
 	"time"
 
+	"carobline.dev/core/connection/headsize"
 	"carobline.dev/core/process/memory"
 )
 
-// freeHeadBytes of what an answer's head takes aren't charged.
-const freeHeadBytes = 8 << 10
-
 // headCharge is what one answer's head holds of the account.
 type headCharge struct {
 	account *memory.Account
@@ -22,8 +19,8 @@
 	holder  memory.Holder
 	subject string
 
-	bytes, lines int
-	charge       *memory.Charge
+	size   headsize.Size
+	charge *memory.Charge
 }
 
 // newHeadCharge returns the charge of the answer to a request.
@@ -35,10 +32,9 @@
 
 // add charges more bytes of the head before they are kept.
 func (head *headCharge) add(read []byte) error {
-	head.bytes += len(read)
-	head.lines += bytes.Count(read, []byte("\n"))
-	size := memory.HeadBytes(head.bytes, head.lines)
-	if size <= freeHeadBytes {
+	head.size.Add(read)
+	size := head.size.Charged()
+	if size == 0 {
 		return nil
 	}
 	if head.charge == nil {
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -61,16 +61,6 @@
 	StallTime = 3 * time.Second
 )
 
-const (
-	// headFactor times the bytes of a message's head, and headLineBytes for each of its lines, is what it takes
-	// while it is read and once it is parsed: each line has an entry of a map, a list and two strings.
-	headFactor    = 2
-	headLineBytes = 350
-)
-
-// HeadBytes returns what a message's head of so many bytes and lines takes of memory.
-func HeadBytes(bytes, lines int) Bytes { return Bytes(headFactor*bytes + headLineBytes*lines) }
-
 // ErrNoRoom reports that bytes can't be kept.
 var ErrNoRoom = errors.New("no memory is left for this holder")
 
