crashes: an engine that went on after a break and is replaced later hasn't crashed

Callers were refused with parts_blocked for sound parts: answers broke off at three engines by a disturbed link, the engines went on, and were restarted, left or were stopped by plan some seconds later. Cause: any later process of the host within 10 s proved the crash, whatever the earlier one had said since the break.

TestCrashOfAProcessThatGoesOnIsDropped failed before in three of four cases (ends later, leaves, planned stop: one block each, want none). Confirm now asks for one of three fates. A process goes on if its latest announcement was sent more than 200 ms after the break (its lease's begin bounds that: Expiry less the lease; with an echo from below, without one but for the time on its way), if it is leaving or if it is under a planned stop; its crash is dropped for good.

After: no block in these three; engines that end with the break are blocked as before. TestCrashIsProvenByTheNextProcess gives fates instead of a boolean, its three cases as strict as before, and has two more.

--- a/core/process/controller/blocks.go
+++ b/core/process/controller/blocks.go
@@ -2,25 +2,31 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/process/roster"
 )
 
+// goesOnMargin is how long after a break a process must have announced itself to have gone on. It covers
+// the time an announcement is on its way.
+const goesOnMargin = 200 * time.Millisecond
+
 // recordCrashes records what a node reports of endpoints that ended, and of the parts of
 // prompts that may have ended them.
 func (controller *Controller) recordCrashes(now time.Time, actions *Actions, request *feed.Request) {
 	if len(request.Crashes)+len(request.SoundParts)+len(request.WantedTrials) == 0 {
 		return
 	}
-	crashes := controller.leadership.crashes
-	crashes.Record(now, request.Crashes)
-	crashes.RecordSound(now, request.SoundParts)
-	crashes.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
+	known := controller.leadership.crashes
+	known.Record(now, request.Crashes)
+	known.RecordSound(now, request.SoundParts)
+	known.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
 	controller.decideBlocks(now, actions)
 }
 
@@ -30,7 +36,7 @@
 	if leadership.blocksProposalIndex > controller.appliedIndex {
 		return
 	}
-	leadership.crashes.Confirm(now, controller.processReplaced)
+	leadership.crashes.Confirm(now, func(process crashes.Process) crashes.Fate { return controller.fateOf(now, process) })
 	command, ok := leadership.crashes.Decide(now, controller.register.Blocks())
 	if !ok {
 		return
@@ -40,12 +46,31 @@
 	leadership.blocksProposalIndex = controller.quorum.Status().LastIndex
 }
 
-// processReplaced reports whether a later process of a host, or at its address, has announced itself.
-func (controller *Controller) processReplaced(host id.Host, incarnation id.Incarnation, address string) bool {
-	return controller.roster.Any(func(announcement *roster.Announcement) bool {
-		sameProcess := announcement.Host == host || (address != "" && announcement.Address == address)
-		return sameProcess && announcement.Incarnation > incarnation
+// fateOf returns what the roster and the planned stops say of a process at which an answer broke off.
+func (controller *Controller) fateOf(now time.Time, process crashes.Process) crashes.Fate {
+	underStop := func(stop register.StopRecord) bool {
+		return stop.IncarnationByHost[process.Host] == process.Incarnation
+	}
+	known, ok := controller.roster.Member(process.Host)
+	latest := &known.Announcement
+	if ok && latest.Incarnation == process.Incarnation {
+		// The lease begins no later than the announcement was sent, but for the time on its way of one without an echo.
+		sentAt := now.Add(-known.SinceLastAnnouncement(now))
+		if latest.Leaving || sentAt.After(process.BrokeOffAt.Add(goesOnMargin)) {
+			return crashes.FateGoesOn
+		}
+	}
+	if slices.ContainsFunc(controller.register.Stops(), underStop) {
+		return crashes.FateGoesOn
+	}
+	replaced := controller.roster.Any(func(announcement *roster.Announcement) bool {
+		sameProcess := announcement.Host == process.Host || (process.Address != "" && announcement.Address == process.Address)
+		return sameProcess && announcement.Incarnation > process.Incarnation
 	})
+	if replaced {
+		return crashes.FateReplaced
+	}
+	return crashes.FateUnknown
 }
 
 // decisionOf returns the log record of a change of the blocks.
--- a/core/process/controller/blocks_test.go
+++ b/core/process/controller/blocks_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carobline.dev/core/id"
+	"carobline.dev/core/process/controller"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/register"
 	"carobline.dev/core/request/suspicion"
@@ -58,6 +59,12 @@
 	suspicions.byNode[node.name].Ended(node.now(), process, suspicion.Call{ClientAccount: account, Parts: parts})
 }
 
+// breakOff lets an answer break off at a host whose process may have ended.
+func (suspicions *suspicions) breakOff(node *node, host *host, parts ...id.PromptPart) {
+	process := suspicion.Process{Host: host.name, Incarnation: host.incarnation, Address: string(host.name)}
+	suspicions.byNode[node.name].MayHaveEnded(node.now(), process, suspicion.Call{ClientAccount: "a", Parts: parts})
+}
+
 // lacking lists the nodes that take new calls and don't refuse one with the part.
 func (suspicions *suspicions) lacking(part id.PromptPart) []id.Node {
 	var lacking []id.Node
@@ -169,3 +176,64 @@
 		t.Errorf("an answer has begun on the part, and all but %v still refuse it", lacking)
 	}
 }
+
+// Guards against hosts that went on after an answer had broken off there and count as ended by it, since they
+// are restarted, leave or are stopped by plan some seconds later; and against ended ones that don't count.
+func TestCrashOfAProcessThatGoesOnIsDropped(t *testing.T) {
+	const goesOnTime, awayTime = 3 * time.Second, 1500 * time.Millisecond
+	for name, test := range map[string]struct {
+		// atBreak and later are what happens to a host with the break, and goesOnTime after it.
+		atBreak, later func(suspicions *suspicions, host *host)
+		blocked        bool
+	}{
+		"ends with the break": {atBreak: func(_ *suspicions, host *host) { host.up = false }, blocked: true},
+		"ends later":          {later: func(_ *suspicions, host *host) { host.up = false }},
+		"leaves at once and ends": {atBreak: func(suspicions *suspicions, host *host) {
+			host.leaving = true
+			host.announce(suspicions.nodes[0], 0)
+			suspicions.schedule(50*time.Millisecond, func() { host.up = false })
+		}},
+		"is under a planned stop and ends": {atBreak: func(suspicions *suspicions, host *host) {
+			leader := suspicions.leader()
+			command := register.Command{Change: id.Change("stop-" + host.name), Actor: "operator", CreateStop: &register.CreateStop{
+				Stop: id.Stop("stop-" + host.name), Kind: register.TargetEndpoint, Target: string(host.name),
+			}}
+			ticket := leader.newTicket(func(content any) {
+				if result := content.(controller.Outcome).Result; result == nil || result.Verdict != register.VerdictDone {
+					suspicions.fail("the stop of %s: %+v", host.name, result)
+				}
+			})
+			leader.step(controller.ChangeProposed{Ticket: ticket, Command: command, AcceptLoss: true})
+			host.up = false
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			suspicions := newSuspicions(t, 3)
+			for _, host := range suspicions.hosts[:4] {
+				suspicions.run(300 * time.Millisecond)
+				suspicions.breakOff(suspicions.nodes[voterCount], host, "bad")
+				if test.atBreak != nil {
+					test.atBreak(suspicions, host)
+				}
+				if test.later != nil {
+					suspicions.schedule(goesOnTime, func() { test.later(suspicions, host) })
+				} else {
+					suspicions.schedule(awayTime, host.restart)
+				}
+				suspicions.schedule(goesOnTime+awayTime, func() {
+					if !host.up {
+						host.restart()
+					}
+				})
+			}
+			suspicions.run(goesOnTime + awayTime + connectivityWindow)
+			want := 0
+			if test.blocked {
+				want = 1
+			}
+			if blocks := suspicions.leader().voter.Register().Blocks().Blocks; len(blocks) != want {
+				t.Errorf("the blocks are %+v, want %d", blocks, want)
+			}
+		})
+	}
+}
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -13,7 +13,7 @@
 //
 //	suspects := crashes.New()
 //	suspects.Record(now, request.Crashes)
-//	suspects.Confirm(now, replaced)
+//	suspects.Confirm(now, fateOf)
 //	suspects.RecordSound(now, request.SoundParts)
 //	suspects.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
 //	if command, ok := suspects.Decide(now, register.Blocks()); ok { propose(command) }
@@ -149,18 +149,47 @@
 	crashes.changed = true
 }
 
-// Confirm proves the crashes of processes that a later one has replaced: of the same host, or at the same
-// address. Replaced reports that. A process that was to go isn't reported as a crash.
-func (crashes *Crashes) Confirm(now time.Time, replaced func(host id.Host, incarnation id.Incarnation, address string) bool) {
+// Fate is what is known of a process at which an unproven crash was reported.
+type Fate string
+
+// The fates. FateGoesOn is that of a process which has announced itself since, or which goes as planned.
+const (
+	FateUnknown  Fate = "unknown"
+	FateGoesOn   Fate = "goes_on"
+	FateReplaced Fate = "replaced"
+)
+
+// Process is the process at which an answer broke off at BrokeOffAt.
+type Process struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	Address     string
+	BrokeOffAt  time.Time
+}
+
+// Confirm proves the unproven crashes of processes that a later one has replaced, and drops those of
+// processes that go on. A process that went on after the break didn't end by it, whatever replaces it later.
+func (crashes *Crashes) Confirm(now time.Time, fateOf func(Process) Fate) {
 	if len(crashes.unproven) == 0 || now.Sub(crashes.confirmedAt) < confirmInterval {
 		return
 	}
 	crashes.confirmedAt = now
-	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return now.Sub(crash.at) >= unprovenRetention })
-	for _, crash := range slices.Clone(crashes.unproven) {
-		if replaced(crash.key.host, crash.key.incarnation, crash.address) {
-			crashes.prove(crash)
+	var unknown, replaced []*crash
+	for _, crash := range crashes.unproven {
+		if now.Sub(crash.at) >= unprovenRetention {
+			continue
 		}
+		switch fateOf(Process{crash.key.host, crash.key.incarnation, crash.address, crash.at}) {
+		case FateGoesOn:
+		case FateReplaced:
+			replaced = append(replaced, crash)
+		case FateUnknown:
+			unknown = append(unknown, crash)
+		}
+	}
+	crashes.unproven = unknown
+	for _, crash := range replaced {
+		crashes.prove(crash)
 	}
 	crashes.sort()
 }
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -61,6 +61,18 @@
 	leader.t.Fatal("there is no end of what is decided")
 }
 
+// confirm tells what became of the processes of all unproven crashes.
+func (leader *leader) confirm(fate crashes.Fate) {
+	leader.t.Helper()
+	leader.crashes.Confirm(leader.now, func(process crashes.Process) crashes.Fate {
+		if process.Host == "" || process.Address == "" || process.BrokeOffAt.After(leader.now) {
+			leader.t.Errorf("asked for %+v", process)
+		}
+		return fate
+	})
+	leader.decide()
+}
+
 // sound reports that an answer has begun on parts.
 func (leader *leader) sound(after time.Duration, parts ...id.PromptPart) {
 	leader.now = leader.now.Add(after)
@@ -305,13 +317,16 @@
 // restart, a proxy), and against calls that broke off at engines which go on and count as crashes.
 func TestCrashIsProvenByTheNextProcess(t *testing.T) {
 	for name, test := range map[string]struct {
-		after    time.Duration
-		replaced bool
-		want     [][]id.PromptPart
+		after time.Duration
+		// fates are what is found one after the other.
+		fates []crashes.Fate
+		want  [][]id.PromptPart
 	}{
-		"the next process has announced itself": {time.Second, true, [][]id.PromptPart{{"bad"}}},
-		"the process goes on":                   {time.Second, false, nil},
-		"another process came much later":       {time.Minute / 2, true, nil},
+		"the next process has announced itself": {time.Second, []crashes.Fate{crashes.FateReplaced}, [][]id.PromptPart{{"bad"}}},
+		"the process has said nothing":          {time.Second, []crashes.Fate{crashes.FateUnknown}, nil},
+		"it has said nothing and is replaced":   {time.Second, []crashes.Fate{crashes.FateUnknown, crashes.FateReplaced}, [][]id.PromptPart{{"bad"}}},
+		"it goes on and is replaced later":      {time.Second, []crashes.Fate{crashes.FateGoesOn, crashes.FateReplaced}, nil},
+		"another process came much later":       {time.Minute / 2, []crashes.Fate{crashes.FateReplaced}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			leader := newLeader(t)
@@ -323,9 +338,10 @@
 			}
 			leader.decide()
 			leader.check()
-			leader.now = leader.now.Add(test.after)
-			leader.crashes.Confirm(leader.now, func(_ id.Host, _ id.Incarnation, address string) bool { return test.replaced && address != "" })
-			leader.decide()
+			for _, fate := range test.fates {
+				leader.now = leader.now.Add(test.after)
+				leader.confirm(fate)
+			}
 			leader.check(test.want...)
 		})
 	}
