crashes: nodes are asked about the parts of a replaced process before they are blocked

Callers were refused for parts in steady use at other entry hosts: parts of unproven crashes aren't suspect, so that no node was asked about them, and the tick that proved three crashes blocked their parts. Such a crash counts for blocks 500 ms after its proof now, while Suspects lists its parts from the proof on; Decide weighs again when that time has come.

TestNodesAreAskedAboutCrashesOfReplacedProcesses failed before in both cases (blocked in the tick of the proof); after, parts of which a node says within that time that they are answered aren't blocked, and others are 500 ms after the proof. TestCrashIsProvenByTheNextProcess waits these 500 ms before it looks, for the same blocks as before.

--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -53,6 +53,9 @@
 	unprovenRetention = 10 * time.Second
 	maxUnproven       = 64
 	confirmInterval   = 100 * time.Millisecond
+	// askTime is how long after Confirm has proven a crash it counts for blocks. Until then nodes are
+	// asked about its parts, for more than two rounds of the feed.
+	askTime = 500 * time.Millisecond
 	// soundInterval is the least time between two records that a part is sound.
 	soundInterval = 100 * time.Millisecond
 	// maxSoundParts bounds the parts recorded as sound, beside the suspect ones.
@@ -72,9 +75,13 @@
 	key     crashKey
 	address string
 	at      time.Time
-	calls   []feed.CrashedCall
+	// countsFrom is when the crash begins to count for blocks, zero for from the first.
+	countsFrom time.Time
+	calls      []feed.CrashedCall
 }
 
+func (crash *crash) counts(now time.Time) bool { return !now.Before(crash.countsFrom) }
+
 // Crashes is what the leader of one term knows. It isn't safe for concurrent use.
 type Crashes struct {
 	// crashes are sorted by time. unproven are those that count once Confirm has found
@@ -84,10 +91,11 @@
 	// soundAt is when an answer was last known to have begun on a part.
 	soundAt map[id.PromptPart]time.Time
 	// weighed is the version of the blocks by which what is known was last found to call
-	// for no other block, and changed reports that more has become known since.
-	weighed id.Version
-	changed bool
-	trials  map[id.PartsBlock]*trials
+	// for no other block, at weighedAt, and changed reports that more has become known since.
+	weighed   id.Version
+	weighedAt time.Time
+	changed   bool
+	trials    map[id.PartsBlock]*trials
 }
 
 // New returns a Crashes that knows of none.
@@ -189,6 +197,7 @@
 	}
 	crashes.unproven = unknown
 	for _, crash := range replaced {
+		crash.countsFrom = now.Add(askTime)
 		crashes.prove(crash)
 	}
 	crashes.sort()
@@ -257,7 +266,7 @@
 		return nil
 	}
 	crashes.prune(now)
-	counts := crashes.countByPart(blocks)
+	counts := crashes.countByPart(crashes.crashes, blocks)
 	suspects := slices.SortedFunc(maps.Keys(counts), func(a, b id.PromptPart) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
@@ -274,9 +283,9 @@
 
 // countByPart counts the crashes of each part, those within simultaneousTime once. A crash
 // that a block explains counts only for the parts of the block.
-func (crashes *Crashes) countByPart(blocks []register.PartsBlock) map[id.PromptPart]int {
+func (crashes *Crashes) countByPart(counted []*crash, blocks []register.PartsBlock) map[id.PromptPart]int {
 	counts, countedAt := map[id.PromptPart]int{}, map[id.PromptPart]time.Time{}
-	for _, crash := range crashes.crashes {
+	for _, crash := range counted {
 		for _, part := range crashes.causes(crash, blocks) {
 			if last, ok := countedAt[part]; !ok || crash.at.Sub(last) > simultaneousTime {
 				counts[part]++
@@ -310,15 +319,25 @@
 // again once that change is applied.
 func (crashes *Crashes) Decide(now time.Time, held register.PartsBlocks) (register.Command, bool) {
 	crashes.trackBlocks(now, held.Blocks)
-	if crashes.changed || crashes.weighed != held.Version {
+	if crashes.changed || crashes.weighed != held.Version || crashes.moreCount(now) {
 		if command, ok := crashes.weigh(now, held.Blocks); ok {
 			return command, true
 		}
-		crashes.changed, crashes.weighed = false, held.Version
+		crashes.changed, crashes.weighed, crashes.weighedAt = false, held.Version, now
 	}
 	return crashes.grantTrial(now, held.Blocks)
 }
 
+// moreCount reports whether crashes have begun to count since what is known was last weighed.
+func (crashes *Crashes) moreCount(now time.Time) bool {
+	return slices.ContainsFunc(crashes.crashes, func(crash *crash) bool { return crash.counts(now) && crash.countsFrom.After(crashes.weighedAt) })
+}
+
+// counting returns the crashes that count for blocks.
+func (crashes *Crashes) counting(now time.Time) []*crash {
+	return slices.DeleteFunc(slices.Clone(crashes.crashes), func(crash *crash) bool { return !crash.counts(now) })
+}
+
 // weigh returns the next change of the blocks by what is known of crashes and sound parts.
 func (crashes *Crashes) weigh(now time.Time, blocks []register.PartsBlock) (register.Command, bool) {
 	crashes.prune(now)
@@ -327,10 +346,11 @@
 			return command, true
 		}
 	}
-	if command, ok := crashes.addAccount(blocks); ok {
+	counting := crashes.counting(now)
+	if command, ok := addAccount(counting, blocks); ok {
 		return command, true
 	}
-	return crashes.newBlock(blocks)
+	return crashes.newBlock(counting, blocks)
 }
 
 // narrow ends a block of which fewer parts are blocked by now, or on one of whose parts an
@@ -357,8 +377,8 @@
 
 // addAccount returns a change that adds a client account to a block: one of its calls was at
 // an endpoint that ended.
-func (crashes *Crashes) addAccount(blocks []register.PartsBlock) (register.Command, bool) {
-	for _, crash := range crashes.crashes {
+func addAccount(counting []*crash, blocks []register.PartsBlock) (register.Command, bool) {
+	for _, crash := range counting {
 		for index := range crash.calls {
 			call := &crash.calls[index]
 			for number := range blocks {
@@ -382,12 +402,12 @@
 
 // newBlock returns a block of the parts that the most crashes have in common, if these are
 // enough and no block explains them.
-func (crashes *Crashes) newBlock(blocks []register.PartsBlock) (register.Command, bool) {
-	counts := crashes.countByPart(blocks)
+func (crashes *Crashes) newBlock(counting []*crash, blocks []register.PartsBlock) (register.Command, bool) {
+	counts := crashes.countByPart(counting, blocks)
 	maps.DeleteFunc(counts, func(_ id.PromptPart, count int) bool { return count < minCrashes })
 	var candidates []candidate
 	for part, count := range counts {
-		parts, clientAccounts := crashes.common(part)
+		parts, clientAccounts := crashes.common(counting, part)
 		if !slices.ContainsFunc(blocks, func(block register.PartsBlock) bool { return block.Covers(parts) }) {
 			candidates = append(candidates, candidate{part, count, parts, clientAccounts})
 		}
@@ -408,10 +428,10 @@
 
 // common returns the parts that all calls with a part have in common, and the client
 // accounts of these calls.
-func (crashes *Crashes) common(part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
+func (crashes *Crashes) common(counting []*crash, part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
 	var common []id.PromptPart
 	var clientAccounts []id.ClientAccount
-	for _, crash := range crashes.crashes {
+	for _, crash := range counting {
 		for index := range crash.calls {
 			parts := crashes.suspectParts(crash, &crash.calls[index])
 			if !slices.Contains(parts, part) {
