crashes, suspicion: a later break at a process takes the place of an unproven older one

Callers were refused for sound parts of calls that had broken off at three engines up to 30 s before these ended for another reason, and parts that ended engines behind a proxy weren't blocked where each had broken off an answer before. Cause: both the entry host and the leader keep one entry for each process, which went on with its first time and all calls.

Within SameBreakTime (1 s) breaks at one process are one. A later one begins an entry with its own time and calls in place of an unproven one, at both; a proof takes over only calls within that time, and unproven calls of another break aren't added to a proven crash. The revision goes on, since members tell by it what the leader has.

--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -31,6 +31,9 @@
 )
 
 const (
+	// SameBreakTime is how long after an answer broke off at a process others that break off there do so for
+	// the same reason. A later break at a process that may have ended is another one.
+	SameBreakTime = time.Second
 	// SoundTime is how long an answer that has begun on a part shows it to be sound.
 	SoundTime = 10 * time.Second
 	// crashRetention is how long a crash counts.
@@ -111,7 +114,9 @@
 		if now.Sub(at) >= crashRetention {
 			continue
 		}
-		crashes.crash(report, at).merge(at, report.Calls)
+		if crash := crashes.crash(report, at); crash != nil {
+			crash.merge(at, report.Calls)
+		}
 	}
 	crashes.changed = crashes.changed || len(reports) > 0
 	crashes.sort()
@@ -119,13 +124,24 @@
 }
 
 // crash returns the entry of a reported crash, a new one if it isn't known. An unproven one becomes
-// proven with a report that is.
+// proven with a report that is, unless that is of another break: the later one takes its place then. It
+// returns nil for an unproven report of another break than the one that is known better.
 func (crashes *Crashes) crash(report *feed.CrashReport, at time.Time) *crash {
 	key := crashKey{report.Host, report.Incarnation}
 	if known := find(crashes.crashes, key); known != nil {
+		if report.Unproven && !known.isSameBreak(at) {
+			return nil
+		}
 		return known
 	}
 	known := find(crashes.unproven, key)
+	if known != nil && !known.isSameBreak(at) {
+		if report.Unproven && at.Before(known.at) {
+			return nil
+		}
+		crashes.forgetUnproven(known)
+		known = nil
+	}
 	if known != nil && report.Unproven {
 		return known
 	}
@@ -141,6 +157,8 @@
 	return known
 }
 
+func (crash *crash) isSameBreak(at time.Time) bool { return at.Sub(crash.at).Abs() <= SameBreakTime }
+
 func find(crashes []*crash, key crashKey) *crash {
 	for _, known := range crashes {
 		if known.key == key {
@@ -150,9 +168,13 @@
 	return nil
 }
 
+func (crashes *Crashes) forgetUnproven(forgotten *crash) {
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return crash == forgotten })
+}
+
 // prove makes a crash count.
 func (crashes *Crashes) prove(proven *crash) {
-	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return crash == proven })
+	crashes.forgetUnproven(proven)
 	crashes.crashes = append(crashes.crashes, proven)
 	crashes.changed = true
 }
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -413,3 +413,38 @@
 		})
 	}
 }
+
+// Guards against a break of sound calls that makes a later one at the same process look old, or whose calls count as
+// those under which the process ended.
+func TestOlderBreakIsNoPartOfALaterCrash(t *testing.T) {
+	const sameBreak, laterBreak = 500 * time.Millisecond, 8 * time.Second
+	for name, test := range map[string]struct {
+		after    time.Duration
+		unproven bool
+	}{
+		"the next process proves the later break": {laterBreak, true},
+		"the node proves the later break":         {laterBreak, false},
+		"the next process proves the same break":  {sameBreak, true},
+		"the node proves the same break":          {sameBreak, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for _, host := range []id.Host{"e1", "e2", "e3"} {
+				first, second := call("a", "bad"), call("b", "other"+id.PromptPart(host))
+				if test.after == laterBreak {
+					first, second = call("a", "sound"), call("b", "bad")
+				}
+				leader.unproven(gap, host, first)
+				leader.now = leader.now.Add(test.after)
+				leader.crashes.Record(leader.now, []feed.CrashReport{{Host: host, Incarnation: 1, Address: "x", Unproven: test.unproven, Calls: []feed.CrashedCall{second}}})
+				// Another node tells of the earlier break late.
+				leader.crashes.Record(leader.now, []feed.CrashReport{{Host: host, Incarnation: 1, Address: "x", AgeMS: test.after.Milliseconds(), Unproven: true, Calls: []feed.CrashedCall{first}}})
+				leader.now = leader.now.Add(3 * time.Second)
+				leader.confirm(crashes.FateReplaced)
+			}
+			leader.now = leader.now.Add(askTime)
+			leader.decide()
+			leader.check([]id.PromptPart{"bad"})
+		})
+	}
+}
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -245,6 +245,9 @@
 		return nil
 	}
 	crash := suspicion.crash(now, process, unproven)
+	if unproven && !crash.Report.Unproven && !crash.isSameBreak(now) {
+		return parts
+	}
 	if crash.Report.Unproven && !unproven {
 		crash.Report.Unproven = false
 		crash.Revision++
@@ -258,15 +261,24 @@
 	return parts
 }
 
-// crash returns the entry of a crash, a new one if it isn't known.
+// crash returns the entry of a crash, a new one if it isn't known. One of another break takes the place of
+// an unproven one.
 func (suspicion *Suspicion) crash(now time.Time, process Process, unproven bool) *observed {
 	suspicion.forget(now)
-	for _, known := range suspicion.crashes {
-		if known.Report.Host == process.Host && known.Report.Incarnation == process.Incarnation {
+	// Members tell the reports of one process by their revision, which goes on from one break to the next.
+	revision := uint64(0)
+	for index, known := range suspicion.crashes {
+		if known.Report.Host != process.Host || known.Report.Incarnation != process.Incarnation {
+			continue
+		}
+		if !known.Report.Unproven || known.isSameBreak(now) {
 			return known
 		}
+		revision = known.Revision
+		suspicion.crashes = slices.Delete(suspicion.crashes, index, index+1)
+		break
 	}
-	added := &observed{ObservedCrash: feed.ObservedCrash{SeenAt: now, Report: feed.CrashReport{
+	added := &observed{ObservedCrash: feed.ObservedCrash{SeenAt: now, Revision: revision, Report: feed.CrashReport{
 		Host: process.Host, Incarnation: process.Incarnation, Address: process.Address, Unproven: unproven,
 	}}}
 	suspicion.crashes = append(suspicion.crashes, added)
@@ -274,6 +286,10 @@
 	return added
 }
 
+func (crash *observed) isSameBreak(at time.Time) bool {
+	return at.Sub(crash.SeenAt).Abs() <= crashes.SameBreakTime
+}
+
 // dropExcess drops the oldest crash beyond maxCrashes, an unproven one if there is any.
 func (suspicion *Suspicion) dropExcess() {
 	if len(suspicion.crashes) <= maxCrashes {
--- a/core/request/suspicion/suspicion_test.go
+++ b/core/request/suspicion/suspicion_test.go
@@ -119,6 +119,49 @@
 	}
 }
 
+// Guards against calls of an older break that are reported as those of a later one at the same process, or at the older
+// one's time, and against reports of the later break that pass for ones which the leader has.
+func TestLaterBreakIsReportedInPlaceOfAnOlderOne(t *testing.T) {
+	later, late := start.Add(20*time.Second), start.Add(500*time.Millisecond)
+	report := func(unproven bool, parts ...id.PromptPart) feed.CrashReport {
+		report := feed.CrashReport{Host: "e1", Incarnation: 1, Unproven: unproven}
+		for _, part := range parts {
+			report.Calls = append(report.Calls, feed.CrashedCall{ClientAccount: "a", Parts: []id.PromptPart{part}})
+		}
+		return report
+	}
+	for name, test := range map[string]struct {
+		play func(state *suspicion.Suspicion)
+		want feed.ObservedCrash
+	}{
+		"the same break": {func(state *suspicion.Suspicion) {
+			state.MayHaveEnded(late, process, call("a", "bad"))
+		}, feed.ObservedCrash{SeenAt: start, Revision: 2, Report: report(true, "sound", "bad")}},
+		"the same break, proven": {func(state *suspicion.Suspicion) {
+			state.Ended(late, process, call("a", "bad"))
+		}, feed.ObservedCrash{SeenAt: start, Revision: 3, Report: report(false, "sound", "bad")}},
+		"a later break": {func(state *suspicion.Suspicion) {
+			state.MayHaveEnded(later, process, call("a", "bad"))
+		}, feed.ObservedCrash{SeenAt: later, Revision: 2, Report: report(true, "bad")}},
+		"a later break, proven": {func(state *suspicion.Suspicion) {
+			state.Ended(later, process, call("a", "bad"))
+		}, feed.ObservedCrash{SeenAt: later, Revision: 2, Report: report(false, "bad")}},
+		"a break after the proven end": {func(state *suspicion.Suspicion) {
+			state.Ended(later, process, call("a", "bad"))
+			state.MayHaveEnded(later.Add(6*time.Second), process, call("a", "more"))
+		}, feed.ObservedCrash{SeenAt: later, Revision: 2, Report: report(false, "bad")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := suspicion.New("n1", 1)
+			state.MayHaveEnded(start, process, call("a", "sound"))
+			test.play(state)
+			if diff := cmp.Diff([]feed.ObservedCrash{test.want}, state.Crashes(later)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // Guards against a request under suspicion that is sent to the next endpoint, and against
 // sound ones that aren't.
 func TestSuspectCallsAreNotSentAgain(t *testing.T) {
