partsguard: whether an endpoint was to stay is judged when its answer breaks off

Crashes of engines that were back within 0.1 s weren't reported, so that their parts weren't blocked. Cause: an unproven break was judged after the checks, 105 ms later, by a view that showed the next process by then. It is judged when the break comes now, for unproven reports; a departure that is told of later is weighed by the leader.

TestUnprovenCrashIsJudgedByTheViewAtTheBreak failed before in two of six cases (next process, or departure, 30 ms after the break: 0 crashes reported, want 1) and passes; those of endpoints that were to go, or had been replaced before, aren't reported as before.

--- a/caroblined/request/partsguard/partsguard.go
+++ b/caroblined/request/partsguard/partsguard.go
@@ -76,6 +76,8 @@
 	request id.Request
 	call    suspicion.Call
 	at      time.Time
+	// wasToStay is whether the endpoint was to stay when the answer broke off.
+	wasToStay bool
 }
 
 // Guard is the state of one node. It is safe for concurrent use.
@@ -199,7 +201,7 @@
 	if len(call.Parts) == 0 {
 		return
 	}
-	broken := brokenCall{request, call, guard.config.Now()}
+	broken := brokenCall{request, call, guard.config.Now(), guard.wasToStay(endpoint)}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	known := guard.checkByProcess[processOf(endpoint)]
@@ -264,9 +266,10 @@
 }
 
 // recordUnproven records a call that was at an endpoint which may have ended, though its address accepts
-// connections: it may have started again at once, or be behind a proxy. The caller holds the mutex.
+// connections: it may have started again at once, or be behind a proxy. Whether it was to stay is what the node
+// knew at the break, as the view may show the next process by now. The caller holds the mutex.
 func (guard *Guard) recordUnproven(endpoint *view.Endpoint, broken brokenCall) {
-	if guard.wasToStay(endpoint) {
+	if broken.wasToStay {
 		guard.suspicion.MayHaveEnded(broken.at, processOf(endpoint), broken.call)
 	}
 }
