crashes: the parts of unproven crashes are bounded, and dropped before those of proven ones

A leader kept up to 64 unproven crashes with 32 calls of 256 parts each, over half a million parts beside the 4,096 of proven ones, by what callers list; and once proven they displaced the proof of older crashes. Their parts count in maxEvidenceParts now, and the oldest unproven ones are dropped first.

TestUnprovenReportsAreBoundedAndDroppedFirst failed before (20,004 and 24,006 parts kept, 5 crashes of 7 left after a proof) and passes: 4,096 at most, all proven ones kept. Size in export_test.go counts unproven crashes too, which makes TestReportsAreBounded and TestProvenReportReplacesAnUnprovenOne stricter.

--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -46,7 +46,7 @@
 	minCrashes      = 3
 	decisiveCrashes = 5
 	// maxCrashes, maxCallsPerCrash and maxPartsPerCall bound what is kept, and
-	// maxEvidenceParts its parts in all. The oldest crash is dropped first.
+	// maxEvidenceParts its parts in all. The oldest crash is dropped first, unproven ones before others.
 	maxCrashes       = 128
 	maxCallsPerCrash = 32
 	maxPartsPerCall  = 256
@@ -150,7 +150,6 @@
 	}
 	if report.Unproven {
 		crashes.unproven = append(crashes.unproven, known)
-		crashes.unproven = crashes.unproven[max(0, len(crashes.unproven)-maxUnproven):]
 		return known
 	}
 	crashes.prove(known)
@@ -204,11 +203,9 @@
 		return
 	}
 	crashes.confirmedAt = now
+	crashes.prune(now)
 	var unknown, replaced []*crash
 	for _, crash := range crashes.unproven {
-		if now.Sub(crash.at) >= unprovenRetention {
-			continue
-		}
 		switch fateOf(Process{crash.key.host, crash.key.incarnation, crash.address, crash.at}) {
 		case FateGoesOn:
 		case FateReplaced:
@@ -246,20 +243,36 @@
 	}
 }
 
-// prune drops what is too old or too much.
+// prune drops what is too old or too much, unproven crashes first.
 func (crashes *Crashes) prune(now time.Time) {
 	crashes.crashes = slices.DeleteFunc(crashes.crashes, func(crash *crash) bool { return now.Sub(crash.at) >= crashRetention })
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return now.Sub(crash.at) >= unprovenRetention })
 	maps.DeleteFunc(crashes.soundAt, func(_ id.PromptPart, at time.Time) bool { return now.Sub(at) >= crashRetention+SoundTime })
+	var parts int
+	crashes.crashes, parts = newest(crashes.crashes, maxCrashes, maxEvidenceParts)
+	crashes.unproven, _ = newest(crashes.unproven, maxUnproven, maxEvidenceParts-parts)
+}
+
+// newest returns the last ones of a list, at most maxCount with maxParts parts in all, and how many parts they have.
+func newest(list []*crash, maxCount, maxParts int) ([]*crash, int) {
 	parts := 0
-	for index := len(crashes.crashes) - 1; index >= 0; index-- {
-		for _, call := range crashes.crashes[index].calls {
-			parts += len(call.Parts)
-		}
-		if len(crashes.crashes)-index > maxCrashes || parts > maxEvidenceParts {
-			crashes.crashes = slices.Delete(crashes.crashes, 0, index+1)
-			return
+	for index := len(list) - 1; index >= 0; index-- {
+		added := list[index].parts()
+		if len(list)-index > maxCount || parts+added > maxParts {
+			return slices.Delete(list, 0, index+1), parts
 		}
+		parts += added
+	}
+	return list, parts
+}
+
+// parts returns how many parts the calls of a crash have.
+func (crash *crash) parts() int {
+	parts := 0
+	for _, call := range crash.calls {
+		parts += len(call.Parts)
 	}
+	return parts
 }
 
 // drop drops the crashes under calls with all of the parts.
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -448,3 +448,40 @@
 		})
 	}
 }
+
+// Guards against unproven reports that take up the leader's memory, and against ones that displace the proof of crashes.
+func TestUnprovenReportsAreBoundedAndDroppedFirst(t *testing.T) {
+	manyCalls := func(crash int) []feed.CrashedCall {
+		var calls []feed.CrashedCall
+		for number := range 4 {
+			var parts []id.PromptPart
+			for part := range 250 {
+				parts = append(parts, id.PromptPart(fmt.Sprint(crash, "-", number, "-", part)))
+			}
+			calls = append(calls, call("a", parts...))
+		}
+		return calls
+	}
+	leader := newLeader(t)
+	for number := range 2 {
+		leader.crash(gap, call("a", "bad", id.PromptPart(fmt.Sprint("topic", number))))
+	}
+	for number := range 20 {
+		leader.unproven(time.Millisecond, id.Host(fmt.Sprint("u", number)), manyCalls(number)...)
+	}
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 6 {
+		t.Errorf("%d crashes and %d parts are kept, want the 2 proven ones and the last 4 others, and at most 4096 parts", kept, parts)
+	}
+	leader.crash(gap, call("a", "bad", "topic2"))
+	leader.check([]id.PromptPart{"bad"})
+	for number := range 4 {
+		leader.crash(gap, manyCalls(100+number)...)
+	}
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 7 {
+		t.Errorf("%d crashes and %d parts are kept, want the 7 proven ones alone", kept, parts)
+	}
+	leader.confirm(crashes.FateReplaced)
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 7 {
+		t.Errorf("%d crashes and %d parts are kept once the processes of unproven ones are replaced, want 7", kept, parts)
+	}
+}
--- a/core/process/crashes/export_test.go
+++ b/core/process/crashes/export_test.go
@@ -1,11 +1,14 @@
 package crashes
 
-// Size returns the numbers of crashes and of parts that are kept.
+import "slices"
+
+// Size returns the numbers of crashes, proven or not, and of parts that are kept.
 func (crashes *Crashes) Size() (kept, parts int) {
-	for _, crash := range crashes.crashes {
+	all := slices.Concat(crashes.crashes, crashes.unproven)
+	for _, crash := range all {
 		for _, call := range crash.calls {
 			parts += len(call.Parts)
 		}
 	}
-	return len(crashes.crashes), parts
+	return len(all), parts
 }
