--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -13,7 +13,7 @@
 //
 //	suspects := crashes.New()
 //	suspects.Record(now, request.Crashes)
-//	suspects.Confirm(now, replaced)
+//	suspects.Confirm(now, fateOf)
 //	suspects.RecordSound(now, request.SoundParts)
 //	suspects.RecordWanted(now, request.Node, request.Incarnation, request.WantedTrials)
 //	if command, ok := suspects.Decide(now, register.Blocks()); ok { propose(command) }
@@ -31,6 +31,9 @@
 )
 
 const (
+	// SameBreakTime is how long after an answer broke off at a process others that break off there do so for
+	// the same reason. A later break at a process that may have ended is another one.
+	SameBreakTime = time.Second
 	// SoundTime is how long an answer that has begun on a part shows it to be sound.
 	SoundTime = 10 * time.Second
 	// crashRetention is how long a crash counts.
@@ -43,7 +46,7 @@
 	minCrashes      = 3
 	decisiveCrashes = 5
 	// maxCrashes, maxCallsPerCrash and maxPartsPerCall bound what is kept, and
-	// maxEvidenceParts its parts in all. The oldest crash is dropped first.
+	// maxEvidenceParts its parts in all. The oldest crash is dropped first, unproven ones before others.
 	maxCrashes       = 128
 	maxCallsPerCrash = 32
 	maxPartsPerCall  = 256
@@ -53,6 +56,9 @@
 	unprovenRetention = 10 * time.Second
 	maxUnproven       = 64
 	confirmInterval   = 100 * time.Millisecond
+	// askTime is how long after Confirm has proven a crash it counts for blocks. Until then nodes are
+	// asked about its parts, for more than two rounds of the feed.
+	askTime = 500 * time.Millisecond
 	// soundInterval is the least time between two records that a part is sound.
 	soundInterval = 100 * time.Millisecond
 	// maxSoundParts bounds the parts recorded as sound, beside the suspect ones.
@@ -72,9 +78,13 @@
 	key     crashKey
 	address string
 	at      time.Time
-	calls   []feed.CrashedCall
+	// countsFrom is when the crash begins to count for blocks, zero for from the first.
+	countsFrom time.Time
+	calls      []feed.CrashedCall
 }
 
+func (crash *crash) counts(now time.Time) bool { return !now.Before(crash.countsFrom) }
+
 // Crashes is what the leader of one term knows. It isn't safe for concurrent use.
 type Crashes struct {
 	// crashes are sorted by time. unproven are those that count once Confirm has found
@@ -84,10 +94,11 @@
 	// soundAt is when an answer was last known to have begun on a part.
 	soundAt map[id.PromptPart]time.Time
 	// weighed is the version of the blocks by which what is known was last found to call
-	// for no other block, and changed reports that more has become known since.
-	weighed id.Version
-	changed bool
-	trials  map[id.PartsBlock]*trials
+	// for no other block, at weighedAt, and changed reports that more has become known since.
+	weighed   id.Version
+	weighedAt time.Time
+	changed   bool
+	trials    map[id.PartsBlock]*trials
 }
 
 // New returns a Crashes that knows of none.
@@ -103,7 +114,9 @@
 		if now.Sub(at) >= crashRetention {
 			continue
 		}
-		crashes.crash(report, at).merge(at, report.Calls)
+		if crash := crashes.crash(report, at); crash != nil {
+			crash.merge(at, report.Calls)
+		}
 	}
 	crashes.changed = crashes.changed || len(reports) > 0
 	crashes.sort()
@@ -111,13 +124,24 @@
 }
 
 // crash returns the entry of a reported crash, a new one if it isn't known. An unproven one becomes
-// proven with a report that is.
+// proven with a report that is, unless that is of another break: the later one takes its place then. It
+// returns nil for an unproven report of another break than the one that is known better.
 func (crashes *Crashes) crash(report *feed.CrashReport, at time.Time) *crash {
 	key := crashKey{report.Host, report.Incarnation}
 	if known := find(crashes.crashes, key); known != nil {
+		if report.Unproven && !known.isSameBreak(at) {
+			return nil
+		}
 		return known
 	}
 	known := find(crashes.unproven, key)
+	if known != nil && !known.isSameBreak(at) {
+		if report.Unproven && at.Before(known.at) {
+			return nil
+		}
+		crashes.forgetUnproven(known)
+		known = nil
+	}
 	if known != nil && report.Unproven {
 		return known
 	}
@@ -126,13 +150,14 @@
 	}
 	if report.Unproven {
 		crashes.unproven = append(crashes.unproven, known)
-		crashes.unproven = crashes.unproven[max(0, len(crashes.unproven)-maxUnproven):]
 		return known
 	}
 	crashes.prove(known)
 	return known
 }
 
+func (crash *crash) isSameBreak(at time.Time) bool { return at.Sub(crash.at).Abs() <= SameBreakTime }
+
 func find(crashes []*crash, key crashKey) *crash {
 	for _, known := range crashes {
 		if known.key == key {
@@ -142,26 +167,58 @@
 	return nil
 }
 
+func (crashes *Crashes) forgetUnproven(forgotten *crash) {
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return crash == forgotten })
+}
+
 // prove makes a crash count.
 func (crashes *Crashes) prove(proven *crash) {
-	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return crash == proven })
+	crashes.forgetUnproven(proven)
 	crashes.crashes = append(crashes.crashes, proven)
 	crashes.changed = true
 }
 
-// Confirm proves the crashes of processes that a later one has replaced: of the same host, or at the same
-// address. Replaced reports that. A process that was to go isn't reported as a crash.
-func (crashes *Crashes) Confirm(now time.Time, replaced func(host id.Host, incarnation id.Incarnation, address string) bool) {
+// Fate is what is known of a process at which an unproven crash was reported.
+type Fate string
+
+// The fates. FateGoesOn is that of a process which has announced itself since, or which goes as planned.
+const (
+	FateUnknown  Fate = "unknown"
+	FateGoesOn   Fate = "goes_on"
+	FateReplaced Fate = "replaced"
+)
+
+// Process is the process at which an answer broke off at BrokeOffAt.
+type Process struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	Address     string
+	BrokeOffAt  time.Time
+}
+
+// Confirm proves the unproven crashes of processes that a later one has replaced, and drops those of
+// processes that go on. A process that went on after the break didn't end by it, whatever replaces it later.
+func (crashes *Crashes) Confirm(now time.Time, fateOf func(Process) Fate) {
 	if len(crashes.unproven) == 0 || now.Sub(crashes.confirmedAt) < confirmInterval {
 		return
 	}
 	crashes.confirmedAt = now
-	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return now.Sub(crash.at) >= unprovenRetention })
-	for _, crash := range slices.Clone(crashes.unproven) {
-		if replaced(crash.key.host, crash.key.incarnation, crash.address) {
-			crashes.prove(crash)
+	crashes.prune(now)
+	var unknown, replaced []*crash
+	for _, crash := range crashes.unproven {
+		switch fateOf(Process{crash.key.host, crash.key.incarnation, crash.address, crash.at}) {
+		case FateGoesOn:
+		case FateReplaced:
+			replaced = append(replaced, crash)
+		case FateUnknown:
+			unknown = append(unknown, crash)
 		}
 	}
+	crashes.unproven = unknown
+	for _, crash := range replaced {
+		crash.countsFrom = now.Add(askTime)
+		crashes.prove(crash)
+	}
 	crashes.sort()
 }
 
@@ -186,20 +243,36 @@
 	}
 }
 
-// prune drops what is too old or too much.
+// prune drops what is too old or too much, unproven crashes first.
 func (crashes *Crashes) prune(now time.Time) {
 	crashes.crashes = slices.DeleteFunc(crashes.crashes, func(crash *crash) bool { return now.Sub(crash.at) >= crashRetention })
+	crashes.unproven = slices.DeleteFunc(crashes.unproven, func(crash *crash) bool { return now.Sub(crash.at) >= unprovenRetention })
 	maps.DeleteFunc(crashes.soundAt, func(_ id.PromptPart, at time.Time) bool { return now.Sub(at) >= crashRetention+SoundTime })
+	var parts int
+	crashes.crashes, parts = newest(crashes.crashes, maxCrashes, maxEvidenceParts)
+	crashes.unproven, _ = newest(crashes.unproven, maxUnproven, maxEvidenceParts-parts)
+}
+
+// newest returns the last ones of a list, at most maxCount with maxParts parts in all, and how many parts they have.
+func newest(list []*crash, maxCount, maxParts int) ([]*crash, int) {
 	parts := 0
-	for index := len(crashes.crashes) - 1; index >= 0; index-- {
-		for _, call := range crashes.crashes[index].calls {
-			parts += len(call.Parts)
-		}
-		if len(crashes.crashes)-index > maxCrashes || parts > maxEvidenceParts {
-			crashes.crashes = slices.Delete(crashes.crashes, 0, index+1)
-			return
+	for index := len(list) - 1; index >= 0; index-- {
+		added := list[index].parts()
+		if len(list)-index > maxCount || parts+added > maxParts {
+			return slices.Delete(list, 0, index+1), parts
 		}
+		parts += added
+	}
+	return list, parts
+}
+
+// parts returns how many parts the calls of a crash have.
+func (crash *crash) parts() int {
+	parts := 0
+	for _, call := range crash.calls {
+		parts += len(call.Parts)
 	}
+	return parts
 }
 
 // drop drops the crashes under calls with all of the parts.
@@ -228,7 +301,7 @@
 		return nil
 	}
 	crashes.prune(now)
-	counts := crashes.countByPart(blocks)
+	counts := crashes.countByPart(crashes.crashes, blocks)
 	suspects := slices.SortedFunc(maps.Keys(counts), func(a, b id.PromptPart) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
@@ -245,9 +318,9 @@
 
 // countByPart counts the crashes of each part, those within simultaneousTime once. A crash
 // that a block explains counts only for the parts of the block.
-func (crashes *Crashes) countByPart(blocks []register.PartsBlock) map[id.PromptPart]int {
+func (crashes *Crashes) countByPart(counted []*crash, blocks []register.PartsBlock) map[id.PromptPart]int {
 	counts, countedAt := map[id.PromptPart]int{}, map[id.PromptPart]time.Time{}
-	for _, crash := range crashes.crashes {
+	for _, crash := range counted {
 		for _, part := range crashes.causes(crash, blocks) {
 			if last, ok := countedAt[part]; !ok || crash.at.Sub(last) > simultaneousTime {
 				counts[part]++
@@ -281,15 +354,25 @@
 // again once that change is applied.
 func (crashes *Crashes) Decide(now time.Time, held register.PartsBlocks) (register.Command, bool) {
 	crashes.trackBlocks(now, held.Blocks)
-	if crashes.changed || crashes.weighed != held.Version {
+	if crashes.changed || crashes.weighed != held.Version || crashes.moreCount(now) {
 		if command, ok := crashes.weigh(now, held.Blocks); ok {
 			return command, true
 		}
-		crashes.changed, crashes.weighed = false, held.Version
+		crashes.changed, crashes.weighed, crashes.weighedAt = false, held.Version, now
 	}
 	return crashes.grantTrial(now, held.Blocks)
 }
 
+// moreCount reports whether crashes have begun to count since what is known was last weighed.
+func (crashes *Crashes) moreCount(now time.Time) bool {
+	return slices.ContainsFunc(crashes.crashes, func(crash *crash) bool { return crash.counts(now) && crash.countsFrom.After(crashes.weighedAt) })
+}
+
+// counting returns the crashes that count for blocks.
+func (crashes *Crashes) counting(now time.Time) []*crash {
+	return slices.DeleteFunc(slices.Clone(crashes.crashes), func(crash *crash) bool { return !crash.counts(now) })
+}
+
 // weigh returns the next change of the blocks by what is known of crashes and sound parts.
 func (crashes *Crashes) weigh(now time.Time, blocks []register.PartsBlock) (register.Command, bool) {
 	crashes.prune(now)
@@ -298,10 +381,11 @@
 			return command, true
 		}
 	}
-	if command, ok := crashes.addAccount(blocks); ok {
+	counting := crashes.counting(now)
+	if command, ok := addAccount(counting, blocks); ok {
 		return command, true
 	}
-	return crashes.newBlock(blocks)
+	return crashes.newBlock(counting, blocks)
 }
 
 // narrow ends a block of which fewer parts are blocked by now, or on one of whose parts an
@@ -328,8 +412,8 @@
 
 // addAccount returns a change that adds a client account to a block: one of its calls was at
 // an endpoint that ended.
-func (crashes *Crashes) addAccount(blocks []register.PartsBlock) (register.Command, bool) {
-	for _, crash := range crashes.crashes {
+func addAccount(counting []*crash, blocks []register.PartsBlock) (register.Command, bool) {
+	for _, crash := range counting {
 		for index := range crash.calls {
 			call := &crash.calls[index]
 			for number := range blocks {
@@ -353,12 +437,12 @@
 
 // newBlock returns a block of the parts that the most crashes have in common, if these are
 // enough and no block explains them.
-func (crashes *Crashes) newBlock(blocks []register.PartsBlock) (register.Command, bool) {
-	counts := crashes.countByPart(blocks)
+func (crashes *Crashes) newBlock(counting []*crash, blocks []register.PartsBlock) (register.Command, bool) {
+	counts := crashes.countByPart(counting, blocks)
 	maps.DeleteFunc(counts, func(_ id.PromptPart, count int) bool { return count < minCrashes })
 	var candidates []candidate
 	for part, count := range counts {
-		parts, clientAccounts := crashes.common(part)
+		parts, clientAccounts := crashes.common(counting, part)
 		if !slices.ContainsFunc(blocks, func(block register.PartsBlock) bool { return block.Covers(parts) }) {
 			candidates = append(candidates, candidate{part, count, parts, clientAccounts})
 		}
@@ -379,10 +463,10 @@
 
 // common returns the parts that all calls with a part have in common, and the client
 // accounts of these calls.
-func (crashes *Crashes) common(part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
+func (crashes *Crashes) common(counting []*crash, part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
 	var common []id.PromptPart
 	var clientAccounts []id.ClientAccount
-	for _, crash := range crashes.crashes {
+	for _, crash := range counting {
 		for index := range crash.calls {
 			parts := crashes.suspectParts(crash, &crash.calls[index])
 			if !slices.Contains(parts, part) {
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -61,6 +61,18 @@
 	leader.t.Fatal("there is no end of what is decided")
 }
 
+// confirm tells what became of the processes of all unproven crashes.
+func (leader *leader) confirm(fate crashes.Fate) {
+	leader.t.Helper()
+	leader.crashes.Confirm(leader.now, func(process crashes.Process) crashes.Fate {
+		if process.Host == "" || process.Address == "" || process.BrokeOffAt.After(leader.now) {
+			leader.t.Errorf("asked for %+v", process)
+		}
+		return fate
+	})
+	leader.decide()
+}
+
 // sound reports that an answer has begun on parts.
 func (leader *leader) sound(after time.Duration, parts ...id.PromptPart) {
 	leader.now = leader.now.Add(after)
@@ -93,7 +105,11 @@
 	}
 }
 
-const gap = 100 * time.Millisecond
+const (
+	gap = 100 * time.Millisecond
+	// askTime is how long nodes are asked about the parts of a crash that the next process proves.
+	askTime = 500 * time.Millisecond
+)
 
 // Guards against a part that ends each engine and isn't blocked, or not alone, whatever other
 // parts are in the same prompts and whoever else loses the same engines.
@@ -305,13 +321,16 @@
 // restart, a proxy), and against calls that broke off at engines which go on and count as crashes.
 func TestCrashIsProvenByTheNextProcess(t *testing.T) {
 	for name, test := range map[string]struct {
-		after    time.Duration
-		replaced bool
-		want     [][]id.PromptPart
+		after time.Duration
+		// fates are what is found one after the other.
+		fates []crashes.Fate
+		want  [][]id.PromptPart
 	}{
-		"the next process has announced itself": {time.Second, true, [][]id.PromptPart{{"bad"}}},
-		"the process goes on":                   {time.Second, false, nil},
-		"another process came much later":       {time.Minute / 2, true, nil},
+		"the next process has announced itself": {time.Second, []crashes.Fate{crashes.FateReplaced}, [][]id.PromptPart{{"bad"}}},
+		"the process has said nothing":          {time.Second, []crashes.Fate{crashes.FateUnknown}, nil},
+		"it has said nothing and is replaced":   {time.Second, []crashes.Fate{crashes.FateUnknown, crashes.FateReplaced}, [][]id.PromptPart{{"bad"}}},
+		"it goes on and is replaced later":      {time.Second, []crashes.Fate{crashes.FateGoesOn, crashes.FateReplaced}, nil},
+		"another process came much later":       {time.Minute / 2, []crashes.Fate{crashes.FateReplaced}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			leader := newLeader(t)
@@ -323,8 +342,11 @@
 			}
 			leader.decide()
 			leader.check()
-			leader.now = leader.now.Add(test.after)
-			leader.crashes.Confirm(leader.now, func(_ id.Host, _ id.Incarnation, address string) bool { return test.replaced && address != "" })
+			for _, fate := range test.fates {
+				leader.now = leader.now.Add(test.after)
+				leader.confirm(fate)
+			}
+			leader.now = leader.now.Add(askTime)
 			leader.decide()
 			leader.check(test.want...)
 		})
@@ -347,3 +369,119 @@
 		t.Errorf("%d crashes are kept, want 3", kept)
 	}
 }
+
+// unproven reports, after a time, that an answer has broken off at an endpoint that may have ended.
+func (leader *leader) unproven(after time.Duration, host id.Host, calls ...feed.CrashedCall) {
+	leader.now = leader.now.Add(after)
+	leader.crashes.Record(leader.now, []feed.CrashReport{{Host: host, Incarnation: 1, Address: string(host), Unproven: true, Calls: calls}})
+	leader.decide()
+}
+
+// Guards against parts that are blocked before any node was asked whether it has seen them answered, and against
+// a block that waits for the next report once they have been.
+func TestNodesAreAskedAboutCrashesOfReplacedProcesses(t *testing.T) {
+	const round = 200 * time.Millisecond
+	for name, test := range map[string]struct {
+		sound bool
+		want  [][]id.PromptPart
+	}{
+		"answers have begun at another node": {true, nil},
+		"none have begun":                    {false, [][]id.PromptPart{{"bad"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for number := range 3 {
+				leader.unproven(gap, id.Host(fmt.Sprint("e", number)), call("a", "bad"))
+			}
+			if suspects := leader.crashes.Suspects(leader.now, nil); len(suspects) > 0 {
+				t.Errorf("nodes are asked about %v, of crashes without proof", suspects)
+			}
+			leader.now = leader.now.Add(gap)
+			leader.confirm(crashes.FateReplaced)
+			if suspects := leader.crashes.Suspects(leader.now, nil); !slices.Equal(suspects, []id.PromptPart{"bad"}) {
+				t.Errorf("nodes are asked about %v, want bad", suspects)
+			}
+			leader.now = leader.now.Add(2 * round)
+			leader.decide()
+			leader.check()
+			if test.sound {
+				leader.sound(0, "bad")
+			}
+			leader.now = leader.now.Add(askTime - 2*round)
+			leader.decide()
+			leader.check(test.want...)
+		})
+	}
+}
+
+// Guards against a break of sound calls that makes a later one at the same process look old, or whose calls count as
+// those under which the process ended.
+func TestOlderBreakIsNoPartOfALaterCrash(t *testing.T) {
+	const sameBreak, laterBreak = 500 * time.Millisecond, 8 * time.Second
+	for name, test := range map[string]struct {
+		after    time.Duration
+		unproven bool
+	}{
+		"the next process proves the later break": {laterBreak, true},
+		"the node proves the later break":         {laterBreak, false},
+		"the next process proves the same break":  {sameBreak, true},
+		"the node proves the same break":          {sameBreak, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for _, host := range []id.Host{"e1", "e2", "e3"} {
+				first, second := call("a", "bad"), call("b", "other"+id.PromptPart(host))
+				if test.after == laterBreak {
+					first, second = call("a", "sound"), call("b", "bad")
+				}
+				leader.unproven(gap, host, first)
+				leader.now = leader.now.Add(test.after)
+				leader.crashes.Record(leader.now, []feed.CrashReport{{Host: host, Incarnation: 1, Address: "x", Unproven: test.unproven, Calls: []feed.CrashedCall{second}}})
+				// Another node tells of the earlier break late.
+				leader.crashes.Record(leader.now, []feed.CrashReport{{Host: host, Incarnation: 1, Address: "x", AgeMS: test.after.Milliseconds(), Unproven: true, Calls: []feed.CrashedCall{first}}})
+				leader.now = leader.now.Add(3 * time.Second)
+				leader.confirm(crashes.FateReplaced)
+			}
+			leader.now = leader.now.Add(askTime)
+			leader.decide()
+			leader.check([]id.PromptPart{"bad"})
+		})
+	}
+}
+
+// Guards against unproven reports that take up the leader's memory, and against ones that displace the proof of crashes.
+func TestUnprovenReportsAreBoundedAndDroppedFirst(t *testing.T) {
+	manyCalls := func(crash int) []feed.CrashedCall {
+		var calls []feed.CrashedCall
+		for number := range 4 {
+			var parts []id.PromptPart
+			for part := range 250 {
+				parts = append(parts, id.PromptPart(fmt.Sprint(crash, "-", number, "-", part)))
+			}
+			calls = append(calls, call("a", parts...))
+		}
+		return calls
+	}
+	leader := newLeader(t)
+	for number := range 2 {
+		leader.crash(gap, call("a", "bad", id.PromptPart(fmt.Sprint("topic", number))))
+	}
+	for number := range 20 {
+		leader.unproven(time.Millisecond, id.Host(fmt.Sprint("u", number)), manyCalls(number)...)
+	}
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 6 {
+		t.Errorf("%d crashes and %d parts are kept, want the 2 proven ones and the last 4 others, and at most 4096 parts", kept, parts)
+	}
+	leader.crash(gap, call("a", "bad", "topic2"))
+	leader.check([]id.PromptPart{"bad"})
+	for number := range 4 {
+		leader.crash(gap, manyCalls(100+number)...)
+	}
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 7 {
+		t.Errorf("%d crashes and %d parts are kept, want the 7 proven ones alone", kept, parts)
+	}
+	leader.confirm(crashes.FateReplaced)
+	if kept, parts := leader.crashes.Size(); parts > 4096 || kept != 7 {
+		t.Errorf("%d crashes and %d parts are kept once the processes of unproven ones are replaced, want 7", kept, parts)
+	}
+}
