--- a/core/process/controller/simulation_test.go
+++ b/core/process/controller/simulation_test.go
@@ -403,7 +403,9 @@
 func (node *node) handleReply(number uint64, reply controller.Reply) {
 	switch {
 	case reply.Response != nil:
-		node.runMember(node.member.Step(node.now(), member.Responded{Response: *reply.Response}))
+		response := *reply.Response
+		response.TakesRuns = true // as the event loop around a voter says
+		node.runMember(node.member.Step(node.now(), member.Responded{Response: response}))
 	case reply.Redirect != nil:
 		node.runMember(node.member.Step(node.now(), member.Redirected{Number: number, Redirect: *reply.Redirect}))
 	}
