--- a/carobline/command/root/root.go
+++ b/carobline/command/root/root.go
@@ -85,7 +85,7 @@
 func New(shared *factory.Factory) *Root { return &Root{shared: shared} }
 
 // Run runs the command that the first one or two arguments name. Without
-// arguments, or when asked for help, it prints the usage text.
+// arguments, or when help is requested, it prints the usage text.
 func (root *Root) Run(ctx context.Context, arguments []string) factory.ExitCode {
 	if len(arguments) == 0 || arguments[0] == "help" || arguments[0] == "--help" || arguments[0] == "-h" {
 		fmt.Fprint(root.shared.Out, usage)
--- a/core/process/action/action.go
+++ b/core/process/action/action.go
@@ -1,4 +1,4 @@
-// Package action holds what the leader's deciders ask their caller to do beside
+// Package action holds what the leader's deciders request of their caller beside
 // changing the replicated state: orders to hosts, and decisions to log.
 //
 // # Usage
@@ -13,7 +13,7 @@
 	"carobline.dev/core/id"
 )
 
-// OrderKind is the operation that an order asks a host for.
+// OrderKind is the operation that an order requests of a host.
 type OrderKind string
 
 // The kinds of orders.
--- a/core/process/controller/blocks.go
+++ b/core/process/controller/blocks.go
@@ -10,7 +10,7 @@
 	"carobline.dev/core/process/register"
 )
 
-// recordCrashes records what a node knows of endpoints that ended, and of the parts of
+// recordCrashes records what a node reports of endpoints that ended, and of the parts of
 // prompts that may have ended them.
 func (controller *Controller) recordCrashes(now time.Time, actions *Actions, request *feed.Request) {
 	if len(request.Crashes)+len(request.SoundParts)+len(request.WantedTrials) == 0 {
@@ -50,7 +50,7 @@
 	}
 }
 
-// suspectParts returns the parts of prompts that a response asks its node about. They are
+// suspectParts returns the parts of prompts on which a response requests reports. They are
 // the same for all responses until suspectsInterval is over.
 func (leadership *leadership) suspectParts(now time.Time, blocks []register.PartsBlock) []id.PromptPart {
 	if now.Sub(leadership.suspectsTakenAt) >= suspectsInterval {
--- a/core/process/controller/blocks_test.go
+++ b/core/process/controller/blocks_test.go
@@ -15,7 +15,7 @@
 // with the part that caused it.
 const connectivityWindow = 3 * time.Second
 
-// suspicions are what the nodes of a simulation know of the parts of prompts.
+// suspicions are what the nodes of a simulation have recorded of the parts of prompts.
 type suspicions struct {
 	*simulation
 	byNode map[id.Node]*suspicion.Suspicion
@@ -38,7 +38,7 @@
 	suspicions.byNode[node.name] = suspicion.New(node.name, node.incarnation)
 }
 
-// report passes on what the nodes know, and what they are told, as often as they tick.
+// report passes on what the nodes have recorded, and what they receive, as often as they tick.
 func (suspicions *suspicions) report() {
 	suspicions.schedule(tickInterval, suspicions.report)
 	for _, node := range suspicions.nodes {
--- a/core/process/controller/controller.go
+++ b/core/process/controller/controller.go
@@ -181,7 +181,7 @@
 // Register returns the replicated state as applied so far. It is read-only.
 func (controller *Controller) Register() *register.Register { return controller.register }
 
-// inventory returns what the replicated state and the roster say of hosts and groups.
+// inventory returns the hosts and groups by the replicated state and the roster.
 func (controller *Controller) inventory() inventory.Inventory {
 	return inventory.New(controller.register, controller.roster, controller.config.ModelSpecs)
 }
--- a/core/process/controller/events.go
+++ b/core/process/controller/events.go
@@ -27,7 +27,7 @@
 	Request feed.Request
 }
 
-// ChangeProposed is a change that an operator or a node asks for. It is answered
+// ChangeProposed is a change that an operator or a node requests. It is answered
 // by an Outcome with the same ticket.
 type ChangeProposed struct {
 	Ticket  Ticket
@@ -37,7 +37,7 @@
 	AcceptLoss bool
 }
 
-// VotersChangeRequested asks for a new set of voters, which must differ from the
+// VotersChangeRequested requests a new set of voters, which must differ from the
 // present one by one voter. It is answered by an Outcome with the same ticket.
 type VotersChangeRequested struct {
 	Ticket     Ticket
@@ -52,7 +52,7 @@
 	Refused bool
 }
 
-// LeadershipTransferRequested asks a leader to transfer its leadership.
+// LeadershipTransferRequested requests that the leader transfers its leadership.
 type LeadershipTransferRequested struct{}
 
 func (MessageReceived) event()             {}
--- a/core/process/controller/leadership.go
+++ b/core/process/controller/leadership.go
@@ -58,7 +58,7 @@
 	// stalls are the endpoints that nodes report as stalled.
 	stalls *stalls.Stalls
 	// scannedAt is when all held polls were last looked at, and scannedInputs what
-	// they were told of. liveNodes and liveCalls count the nodes with a lease, and
+	// concerned all nodes then. liveNodes and liveCalls count the nodes with a lease, and
 	// their calls, at that time.
 	scannedAt     time.Time
 	scannedInputs pollInputs
@@ -73,7 +73,7 @@
 	// index of its last change.
 	crashes             *crashes.Crashes
 	blocksProposalIndex id.Index
-	// suspects are the parts that nodes are asked about, as of suspectsTakenAt.
+	// suspects are the parts that responses list as suspect, as of suspectsTakenAt.
 	suspects        []id.PromptPart
 	suspectsTakenAt time.Time
 }
@@ -115,7 +115,7 @@
 	// state is that of the node.
 	state                 *nodeState
 	announcementsAccepted bool
-	// stallReports is the number of new reports of stalls that the node was told of,
+	// stallReports is the number of new reports of stalls at the last response to the node,
 	// and withoutLease is set if it was granted no lease.
 	stallReports uint64
 	withoutLease bool
--- a/core/process/controller/old_state_test.go
+++ b/core/process/controller/old_state_test.go
@@ -69,8 +69,8 @@
 	try()
 }
 
-// leaveUntilAcknowledged tells one control host after another that a host leaves, until
-// one says that the leader has it, and reports it.
+// leaveUntilAcknowledged reports to one control host after another that a host leaves, until
+// one acknowledges that the leader has it, and reports that.
 func (spread *spread) leaveUntilAcknowledged(host id.Host, report func(acknowledged)) {
 	spread.leaveSeen[host] = spread.now
 	relay := spread.nodes[spread.rand.IntN(diskNodeCount)]
--- a/core/process/controller/polls.go
+++ b/core/process/controller/polls.go
@@ -14,7 +14,7 @@
 // minScanInterval is the least time between two looks at all held polls.
 const minScanInterval = 10 * time.Millisecond
 
-// pollInputs are what every node must be told of when it changes.
+// pollInputs are what every node must get when it changes.
 type pollInputs struct {
 	version      id.Version
 	urgentCursor uint64
@@ -110,7 +110,7 @@
 	leadership.pacer.Responded(now, response)
 }
 
-// hasUpdate reports whether a node doesn't know this leader's roster, or its version,
+// hasUpdate reports whether a node doesn't have this leader's roster, or its version,
 // an urgent announcement or a report of a stall is out of date, or what it awaits has
 // come.
 func (controller *Controller) hasUpdate(held heldPoll) bool {
--- a/core/process/controller/spread_test.go
+++ b/core/process/controller/spread_test.go
@@ -219,7 +219,7 @@
 }
 
 // Guards against a leader that falls behind on its heartbeats and is deposed while it
-// tells seventy entry hosts of changes, and one leader after it.
+// sends changes to seventy entry hosts, and one leader after it.
 func TestLeaderKeepsLeadingThroughRepeatedChangesAtSeventyEntryHosts(t *testing.T) {
 	t.Parallel()
 	spread := newSpread(t, 3, spreadEntryNodes)
@@ -282,7 +282,7 @@
 	}
 }
 
-// changeFacts lets one host after another change, which all nodes must be told of.
+// changeFacts lets one host after another change, which all nodes must get.
 func (spread *spread) changeFacts(interval, until time.Duration) {
 	if spread.now >= until {
 		return
--- a/core/process/controller/stats.go
+++ b/core/process/controller/stats.go
@@ -13,7 +13,7 @@
 	Declarations  int
 	Announcements int
 	Renewals      int
-	// WholeRosters counts the responses to nodes that didn't know this leader's
+	// WholeRosters counts the responses to nodes that didn't have this leader's
 	// roster.
 	WholeRosters int
 }
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	// SoundTime is how long an answer that has begun on a part speaks for it.
+	// SoundTime is how long an answer that has begun on a part shows it to be sound.
 	SoundTime = 10 * time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Minute
@@ -49,9 +49,9 @@
 	maxEvidenceParts = 4096
 	// soundInterval is the least time between two records that a part is sound.
 	soundInterval = 100 * time.Millisecond
-	// maxSoundParts bounds the parts that are known to be sound, beside those asked about.
+	// maxSoundParts bounds the parts recorded as sound, beside the suspect ones.
 	maxSoundParts = 4096
-	// maxSuspects bounds the parts that nodes are asked about.
+	// maxSuspects bounds the parts that nodes get as suspect.
 	maxSuspects = 32
 )
 
@@ -146,8 +146,8 @@
 	}
 }
 
-// forget drops the crashes under calls with all of the parts.
-func (crashes *Crashes) forget(parts []id.PromptPart) {
+// drop drops the crashes under calls with all of the parts.
+func (crashes *Crashes) drop(parts []id.PromptPart) {
 	ended := register.PartsBlock{Parts: parts}
 	crashes.crashes = slices.DeleteFunc(crashes.crashes, func(crash *crash) bool {
 		return slices.ContainsFunc(crash.calls, func(call feed.CrashedCall) bool { return ended.Covers(call.Parts) })
@@ -165,7 +165,7 @@
 	}
 }
 
-// Suspects returns the parts that nodes are asked about: those in most crashes, on which no
+// Suspects returns the parts on which nodes report: those in most crashes, on which no
 // answer has begun since.
 func (crashes *Crashes) Suspects(now time.Time, blocks []register.PartsBlock) []id.PromptPart {
 	if len(crashes.crashes) == 0 {
--- a/core/process/crashes/trials.go
+++ b/core/process/crashes/trials.go
@@ -66,13 +66,13 @@
 }
 
 // trackBlocks keeps the state of the blocks that hold. With a block that has ended, the crashes
-// that it explained are forgotten.
+// that it explained are dropped.
 func (crashes *Crashes) trackBlocks(now time.Time, blocks []register.PartsBlock) {
 	maps.DeleteFunc(crashes.trials, func(name id.PartsBlock, known *trials) bool {
 		if slices.ContainsFunc(blocks, func(block register.PartsBlock) bool { return block.Block == name }) {
 			return false
 		}
-		crashes.forget(known.parts)
+		crashes.drop(known.parts)
 		return true
 	})
 	for index := range blocks {
--- a/core/process/fleet/fleet.go
+++ b/core/process/fleet/fleet.go
@@ -126,7 +126,7 @@
 // Event is an input of a fleet: CallReported, StallReported or OrderUndelivered.
 type Event interface{ event() }
 
-// CallReported says that a node has calls in progress: the system serves.
+// CallReported reports that a node has calls in progress: the system serves.
 type CallReported struct{}
 
 // StallReported is a node's report that its calls to a group make no progress.
--- a/core/process/fleet/forming.go
+++ b/core/process/fleet/forming.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// discoveryQuietIntervals is how many announcement intervals must pass without
+	// discoveryStableIntervals is how many announcement intervals must pass without
 	// a further engine before the first plan, and discoveryTimeout how long a new
 	// leader waits for that.
-	discoveryQuietIntervals = 1.1
-	discoveryTimeout        = 6 * time.Second
+	discoveryStableIntervals = 1.1
+	discoveryTimeout         = 6 * time.Second
 	// dissolveInterval is the least time between two steps in one fabric domain in
 	// which groups are retired in favour of another model.
 	dissolveInterval = 2 * time.Second
@@ -111,17 +111,17 @@
 	if fleet.callsSeen || now.Sub(fleet.startedAt) > discoveryTimeout {
 		return false
 	}
-	count, quietPeriod := 0, time.Duration(0)
+	count, stablePeriod := 0, time.Duration(0)
 	for _, host := range fleet.state.Roster.Members() {
 		if host.Announcement.Engine && host.Announcement.Service == service.Name {
 			count++
-			quietPeriod = max(quietPeriod, announcementIntervals(host, discoveryQuietIntervals))
+			stablePeriod = max(stablePeriod, announcementIntervals(host, discoveryStableIntervals))
 		}
 	}
 	if count != fleet.engineCount {
 		fleet.engineCount, fleet.engineCountChangedAt = count, now
 	}
-	return now.Sub(fleet.engineCountChangedAt) < quietPeriod
+	return now.Sub(fleet.engineCountChangedAt) < stablePeriod
 }
 
 // dissolveGroups retires the groups whose hosts the plan needs for another model, once
--- a/core/process/fleet/late_orders_test.go
+++ b/core/process/fleet/late_orders_test.go
@@ -85,7 +85,7 @@
 	events      []delayedEvent
 	// orders are all that were sent.
 	orders []action.Order
-	// history says what happened, for a seed that fails.
+	// history lists what happened, for a seed that fails.
 	history []string
 }
 
--- a/core/process/quorum/election.go
+++ b/core/process/quorum/election.go
@@ -7,7 +7,7 @@
 	"carobline.dev/core/id"
 )
 
-// startElection asks all voters for a pre-vote or a vote. As a candidate it first
+// startElection requests a pre-vote or a vote of all voters. As a candidate it first
 // raises the term and saves a vote for itself. Forced marks a vote that the
 // leader itself caused by transferring leadership.
 func (quorum *Quorum) startElection(now time.Time, role Role, forced bool) {
@@ -244,7 +244,7 @@
 	return contactTimes[len(contactTimes)/2]
 }
 
-// transferLeadership asks a reachable voter that holds the whole log to start an
+// transferLeadership requests a reachable voter that holds the whole log to start an
 // election at once. When there is none it replicates, and the caller has to ask
 // again.
 func (quorum *Quorum) transferLeadership(now time.Time) {
--- a/core/process/quorum/messages.go
+++ b/core/process/quorum/messages.go
@@ -22,7 +22,7 @@
 	KindAppendReply   Kind = "append_reply"
 	KindSnapshot      Kind = "snapshot"
 	KindSnapshotReply Kind = "snapshot_reply"
-	// KindTimeoutNow asks a voter to start an election at once, for a leadership
+	// KindTimeoutNow requests a voter to start an election at once, for a leadership
 	// transfer.
 	KindTimeoutNow Kind = "timeout_now"
 )
@@ -164,21 +164,21 @@
 // Receive delivers a message from another voter or learner.
 type Receive struct{ Message Message }
 
-// Propose asks the leader to append Data.
+// Propose requests the leader to append Data.
 type Propose struct{ Data []byte }
 
-// Reconfigure asks the leader to append a membership that differs from the current
+// Reconfigure requests the leader to append a membership that differs from the current
 // one by at most one voter.
 type Reconfigure struct{ Membership Membership }
 
-// Compact asks the voter to drop its entries up to Index. Data is the state
+// Compact requests the voter to drop its entries up to Index. Data is the state
 // machine's state at Index.
 type Compact struct {
 	Index id.Index
 	Data  []byte
 }
 
-// TransferLeadership asks the leader to pass leadership to another voter.
+// TransferLeadership requests the leader to pass leadership to another voter.
 type TransferLeadership struct{}
 
 func (Receive) event()            {}
--- a/core/process/quorum/quorum.go
+++ b/core/process/quorum/quorum.go
@@ -89,7 +89,7 @@
 	nextHeartbeat     time.Time
 	voteGrantedBy     map[id.Node]bool
 	progressByNode    map[id.Node]*progress
-	// transferTarget is the voter that was asked to start an election at once.
+	// transferTarget is the voter that was requested to start an election at once.
 	transferTarget   id.Node
 	transferDeadline time.Time
 	termStartIndex   id.Index
--- a/core/process/quorum/quorum_test.go
+++ b/core/process/quorum/quorum_test.go
@@ -108,7 +108,7 @@
 }
 
 // TestLeadershipTransferEndsTheLease checks that a leader's lease ends as soon as it
-// asks another voter to start an election, since that voter may win at any time.
+// requests another voter to start an election, since that voter may win at any time.
 func TestLeadershipTransferEndsTheLease(t *testing.T) {
 	cluster := newCluster(t)
 	leader := cluster.elect()
--- a/core/process/roster/announcement.go
+++ b/core/process/roster/announcement.go
@@ -7,7 +7,7 @@
 	"carobline.dev/core/id"
 )
 
-// Announcement is a host's report of itself and the lease that it asks for.
+// Announcement is a host's report of itself and the lease that it requests.
 type Announcement struct {
 	Host        id.Host        `json:"host"`
 	Incarnation id.Incarnation `json:"incarnation"`
@@ -99,7 +99,7 @@
 	return announcement.Sequence > other.Sequence
 }
 
-// lateDeparture reports whether an announcement says first that the incarnation of the
+// lateDeparture reports whether an announcement reports first that the incarnation of the
 // latest one leaves, though its sequence isn't higher. A node that is told of a
 // departure may have missed the announcements that other nodes have received before.
 func (announcement *Announcement) lateDeparture(latest *Announcement) bool {
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -57,7 +57,7 @@
 	replaced bool
 }
 
-// relayable reports whether other nodes are told of the host: it has a lease, or has
+// relayable reports whether other nodes are sent the host: it has a lease, or has
 // left not long ago.
 func (member *Member) relayable(now time.Time) bool {
 	return now.Before(member.Expiry) || (member.Announcement.Leaving && now.Before(member.Expiry.Add(departureRelayTime)))
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// A node that knows a host's facts is sent a renewal, any other node the whole
+// A node that holds a host's facts is sent a renewal, any other node the whole
 // announcement. A renewal of another incarnation or an unknown host has no effect.
 func TestRenewals(t *testing.T) {
 	hosts := roster.New()
--- a/core/process/roster/validate.go
+++ b/core/process/roster/validate.go
@@ -21,7 +21,7 @@
 )
 
 // Validate returns a *field.Error for the first field that no host can mean, or that
-// other nodes couldn't be told of as it is.
+// couldn't be sent to other nodes as it is.
 func (announcement *Announcement) Validate() error {
 	address, err := netip.ParseAddrPort(announcement.Address)
 	if err != nil || address.Port() == 0 {
--- a/core/request/balancer/balancer.go
+++ b/core/request/balancer/balancer.go
@@ -64,7 +64,7 @@
 // Number identifies a call in progress at this entry host.
 type Number uint64
 
-// Call is one call that wants an endpoint.
+// Call is one call that needs an endpoint.
 type Call struct {
 	Number Number
 	Pool   Pool
@@ -337,18 +337,18 @@
 	return min(maxRetryAfter, max(minRetryAfter, wait))
 }
 
-// Leaving records that an endpoint has said that it is leaving. Its host gets no calls
+// Leaving records that an endpoint has reported that it is leaving. Its host gets no calls
 // until it starts again.
 func (balancer *Balancer) Leaving(now time.Time, endpoint *view.Endpoint) {
 	balancer.notices.Leave(now, endpoint)
 }
 
-// Declines reports whether an endpoint has said that it accepts no calls for now.
+// Declines reports whether an endpoint has reported that it accepts no calls for now.
 func (balancer *Balancer) Declines(now time.Time, endpoint *view.Endpoint) bool {
 	return len(balancer.notices.Filter(now, []*view.Endpoint{endpoint})) == 0
 }
 
-// Paused records that an endpoint wants no calls of this entry host for a time.
+// Paused records that an endpoint accepts no calls of this entry host for a time.
 func (balancer *Balancer) Paused(now time.Time, endpoint *view.Endpoint, pause time.Duration) {
 	balancer.notices.Pause(now, endpoint, pause)
 }
--- a/core/request/balancer/endpoint.go
+++ b/core/request/balancer/endpoint.go
@@ -21,7 +21,7 @@
 	// event before the endpoint gets no further calls.
 	maxEventGap = 500 * time.Millisecond
 	// maxCommonPause is for how long endpoints without calls are taken to make no progress like
-	// those with calls: half of the time after which the first callers give up.
+	// those with calls: half of the time after which the first callers end their calls.
 	maxCommonPause = time.Second
 	// failuresToStall is the number of consecutive failures after which an
 	// endpoint counts as stalled.
--- a/core/request/balancer/queue.go
+++ b/core/request/balancer/queue.go
@@ -63,7 +63,7 @@
 
 // decay reduces both counts in proportion to the part of rateWindow that has
 // passed since they were last reduced. Departures don't decay in a silence of up to
-// rateWindow, which says nothing of the rate after it.
+// rateWindow, which is no measure of the rate after it.
 func (queue *queue) decay(now time.Time, idle time.Duration) {
 	elapsed := now.Sub(queue.decayedAt)
 	queue.decayedAt = now
--- a/core/request/chooser/chooser.go
+++ b/core/request/chooser/chooser.go
@@ -159,7 +159,7 @@
 // applyReport updates an endpoint's state from its last report, once for each
 // report. Its free slots are divided between the nodes, since all nodes see the
 // same report at about the same time: this node may add its share of them to its
-// running calls, and of an overload it gives up its share.
+// running calls, and of an overload it waives its share.
 func (chooser *Chooser) applyReport(endpoint *view.Endpoint, state *state, share float64) {
 	if state.hasReport && endpoint.AnnouncementSequence == state.appliedSequence {
 		return
--- a/core/request/dispatcher/call.go
+++ b/core/request/dispatcher/call.go
@@ -12,7 +12,7 @@
 // Ticket identifies one call in a dispatcher.
 type Ticket uint64
 
-// Call is what the dispatcher needs to know of a call before it runs.
+// Call is what the dispatcher needs of a call before it runs.
 type Call struct {
 	ClientAccount id.ClientAccount
 	// Model or Service is what is called; the other one is empty.
--- a/core/request/estimate/estimate.go
+++ b/core/request/estimate/estimate.go
@@ -17,7 +17,7 @@
 // smoothing is the weight of a new sample in the moving averages.
 const smoothing = 0.05
 
-// Estimate is an estimate of a duration. Its zero value knows nothing yet. It isn't
+// Estimate is an estimate of a duration. Its zero value has no samples yet. It isn't
 // safe for concurrent use.
 type Estimate struct {
 	// mean and deviation are in seconds.
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -1,4 +1,4 @@
-// Package suspicion keeps, for one entry host, what speaks for and against the parts of
+// Package suspicion keeps, for one entry host, the evidence for and against the parts of
 // prompts: which calls without an answer were at endpoints whose process ended, and on
 // which parts answers have begun. The leader joins what all nodes report and decides which
 // parts are blocked (package crashes); this package applies that.
@@ -104,7 +104,7 @@
 	}
 }
 
-// Update takes what the leader has decided and asks about.
+// Update takes what the leader has decided and lists as suspect.
 func (suspicion *Suspicion) Update(blocks register.PartsBlocks, suspects []id.PromptPart) {
 	suspicion.suspects = suspects
 	if blocks.Version == suspicion.blocks.Version {
@@ -291,7 +291,7 @@
 	return true
 }
 
-// Crashes returns the crashes that the leader is told of.
+// Crashes returns the crashes to report to the leader.
 func (suspicion *Suspicion) Crashes(now time.Time) []feed.ObservedCrash {
 	suspicion.forget(now)
 	if len(suspicion.crashes) == 0 {
@@ -304,7 +304,7 @@
 	return reported
 }
 
-// SoundParts returns those of the parts that the leader asks about, or has blocked, on which
+// SoundParts returns those of the parts that the leader lists as suspect, or has blocked, on which
 // an answer has begun lately.
 func (suspicion *Suspicion) SoundParts(now time.Time) []id.PromptPart {
 	if len(suspicion.suspects)+len(suspicion.blocks.Blocks) == 0 {
--- a/core/version/view/view.go
+++ b/core/version/view/view.go
@@ -117,7 +117,7 @@
 	// Routing, at most.
 	RoutingDelay time.Duration
 	// Blocks are the parts of prompts that requests are blocked for, and SuspectParts
-	// those that the leader asks about.
+	// those that the leader lists as suspect.
 	Blocks       register.PartsBlocks
 	SuspectParts []id.PromptPart
 
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -52,7 +52,7 @@
 	stream.run(request.Context(), lastEventID)
 }
 
-// refuseAsFault refuses a call as the faults say and returns false when they don't. Other
+// refuseAsFault refuses a call as the faults require and returns false when they don't. Other
 // answers repeat the request's id.
 func (engine *Engine) refuseAsFault(writer http.ResponseWriter, request *http.Request) bool {
 	header, faults := writer.Header(), engine.currentFaults()
@@ -115,7 +115,7 @@
 		_, _ = io.WriteString(stream.writer, "data: this is no JSON\n\n")
 		return
 	}
-	// The headers say that the request is accepted. A write fails only when its caller
+	// The headers report that the request is accepted. A write fails only when its caller
 	// has gone, which cancels ctx.
 	stream.writer.WriteHeader(http.StatusOK)
 	_ = stream.control.Flush()
--- a/measure/process/admission/calls.go
+++ b/measure/process/admission/calls.go
@@ -121,7 +121,7 @@
 	return simulation.hostByClient[simulation.rand.IntN(len(simulation.hostByClient))]
 }
 
-// submit asks the call's entry host for a group.
+// submit requests a group of the call's entry host.
 func (simulation *simulation) submit(call *call, failover bool) {
 	simulation.lastNumber++
 	call.number = simulation.lastNumber
@@ -176,7 +176,7 @@
 	simulation.sendAgain(call, rejectedRetryAfter)
 }
 
-// refuse tells the caller of a call that it wasn't run, and when to come back. The caller
+// refuse reports to the caller of a call that it wasn't run, and when to come back. The caller
 // of a call that may have run is told that it failed.
 func (simulation *simulation) refuse(call *call, retryAfter time.Duration) {
 	if call.runs > 0 {
@@ -219,7 +219,7 @@
 	}
 }
 
-// observeEvent tells the balancer of an event of a stream.
+// observeEvent reports to the balancer an event of a stream.
 func (simulation *simulation) observeEvent(call *call, group int) {
 	if !simulation.knowledge.Leader {
 		return
--- a/measure/process/admission/groups.go
+++ b/measure/process/admission/groups.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// listed reports whether entry hosts are told of a group.
+// listed reports whether entry hosts get a group.
 func (simulation *simulation) listed(group *group) bool {
 	return !group.lost || simulation.now < group.brokenAt-simulation.scenario.Stall+simulation.scenario.LossKnown
 }
--- a/measure/process/admission/simulation.go
+++ b/measure/process/admission/simulation.go
@@ -35,7 +35,7 @@
 	returns []returning
 	// counts are the calls of each entry host at each group, by report.
 	counts [][][]int
-	// reported is what each entry host last told the leader, and total the sum.
+	// reported is what each entry host last reported to the leader, and total the sum.
 	reported [][]int
 	total    []int
 	// stalled are the groups that entry hosts lately reported as stalled, by entry host.
--- a/measure/process/child/child.go
+++ b/measure/process/child/child.go
@@ -1,5 +1,5 @@
 // Package child runs child processes that end with this one: a child's standard input is
-// a pipe that nobody writes to, and whose end tells the child that this process is gone.
+// a pipe that nobody writes to, and whose end shows the child that this process has ended.
 //
 // # Usage
 //
--- a/measure/process/controlhost/handler.go
+++ b/measure/process/controlhost/handler.go
@@ -22,7 +22,7 @@
 	AnnouncePath = "/announce"
 	// DeclarePath takes a routing.Declaration.
 	DeclarePath = "/declare"
-	// ProfilePath returns a processor profile over the seconds that the query asks for.
+	// ProfilePath returns a processor profile over the seconds that the query names.
 	ProfilePath = "/profile"
 )
 
--- a/measure/process/engines/engine.go
+++ b/measure/process/engines/engine.go
@@ -70,7 +70,7 @@
 	// that is on the host from stagedAt on.
 	loaded, staged, staging id.Model
 	stagedAt                time.Time
-	// breaksAt is when the head of a group that has lost a member says so.
+	// breaksAt is when the head of a group that has lost a member reports it.
 	breaksAt   time.Time
 	failed     bool
 	announceAt time.Time
@@ -159,7 +159,7 @@
 
 func due(now, at time.Time) bool { return !at.IsZero() && !now.Before(at) }
 
-// memberLost tells the head of a group that a member is lost.
+// memberLost reports to the head of a group that a member is lost.
 func (engine *engine) memberLost(now time.Time) {
 	if engine.breaksAt.IsZero() {
 		engine.breaksAt = now.Add(memberLossTimeout)
--- a/measure/process/nodes/node.go
+++ b/measure/process/nodes/node.go
@@ -106,7 +106,7 @@
 	return usage
 }
 
-// execute does what the state machine asks for. The caller holds the mutex.
+// execute does what the state machine requests. The caller holds the mutex.
 func (node *node) execute(now time.Time, actions member.Actions) {
 	if actions.Changed {
 		node.view.Store(node.member.View(now))
