--- a/review/standins/lab/system.go
+++ b/review/standins/lab/system.go
@@ -257,17 +257,16 @@
 	return process.startLocked()
 }
 
-// LogTail returns the last lines of the process's output that hold a text, and the one after each.
+// LogTail returns the last lines of the process's output that hold a text.
 func (process *Process) LogTail(text string, lines int) []string {
 	data, err := os.ReadFile(process.log)
 	if err != nil {
 		return nil
 	}
 	var found []string
-	all := strings.Split(string(data), "\n")
-	for index, line := range all {
+	for line := range strings.Lines(string(data)) {
 		if strings.Contains(line, text) {
-			found = append(found, strings.Join(all[index:min(index+2, len(all))], " "))
+			found = append(found, strings.TrimSpace(line))
 		}
 	}
 	return found[max(0, len(found)-lines):]
