grouper: engines of a service without models leave the leader running

Cause: mostServedModel took specs[0] as its first candidate. It runs for each free engine without weights once calls have come and the weight store takes loads.

Change: a service without models has no weights to stage.

It works since no decision of the planner but that one assumed a model.

--- a/core/process/grouper/staging.go
+++ b/core/process/grouper/staging.go
@@ -35,8 +35,11 @@
 
 // stageHostsWithoutWeights assigns the remaining loads to engines that hold no
 // weights and complete no group now, so that they can complete one when another
-// engine of their domain is lost.
+// engine of their domain is lost. A service without models has none to stage.
 func (grouper *Grouper) stageHostsWithoutWeights() {
+	if len(grouper.specs) == 0 {
+		return
+	}
 	for _, domain := range grouper.domains() {
 		for _, host := range grouper.freeHostsByDomain[domain] {
 			if grouper.constraints.MaxLoads <= 0 {
@@ -51,7 +54,7 @@
 	}
 }
 
-// mostServedModel returns the model that most engines of a domain serve. Its
+// mostServedModel returns the model that most engines of a domain serve, of at least one. Its
 // groups are the most likely to need a replacement host there.
 func (grouper *Grouper) mostServedModel(domain id.Domain) id.Model {
 	enginesByModel := map[id.Model]int{}
