entryapi: credentials that nobody holds are refused on anonymous routes

Cause: authenticate took "no client account has this token" for "there is no token". Other schemes, unreadable headers and two headers fell into the same case; and a declared empty key made every request without credentials that client account's.

Change: credentials says whether there is an Authorization header; a request that has one is judged by it on every route. An empty token is nobody's.

It works since only a request without the header is anonymous now, whatever the header holds.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -126,15 +126,18 @@
 	return route.Timeout()-timeLeft > max(route.Target(), slack)
 }
 
+// authenticate finds the client account of a call. A call without credentials has none, and is
+// refused unless its route is open to all; one with credentials is judged by them on every route.
 func (api *API) authenticate(call *call) *refusal {
 	if !call.table.RequiresToken() {
 		return nil
 	}
-	clientAccount, ok := call.table.Authenticate(api.config.Dialect.token(call.request))
-	if !ok {
-		if call.route.Anonymous {
-			return nil
-		}
+	token, given := api.config.Dialect.credentials(call.request)
+	if !given && call.route.Anonymous {
+		return nil
+	}
+	clientAccount, ok := call.table.Authenticate(token)
+	if token == "" || !ok {
 		return newRefusal(http.StatusUnauthorized, "unknown_token", 0)
 	}
 	call.clientAccount = clientAccount.Name
--- a/caroblined/connection/entryapi/dialect.go
+++ b/caroblined/connection/entryapi/dialect.go
@@ -82,16 +82,16 @@
 	}
 }
 
-// token returns the caller's token, or an empty string when the Authorization
-// header holds none of the dialect's scheme.
-func (dialect *Dialect) token(request *http.Request) string {
+// credentials returns the caller's token, and whether the request has an Authorization header
+// at all. The token is empty unless there is one header, of the dialect's scheme.
+func (dialect *Dialect) credentials(request *http.Request) (token string, given bool) {
 	const separator = " "
-	value := request.Header.Get("Authorization")
+	values := request.Header["Authorization"]
 	prefix := dialect.TokenScheme + separator
-	if len(value) <= len(prefix) || !equalFold(value[:len(prefix)], prefix) {
-		return ""
+	if len(values) != 1 || len(values[0]) <= len(prefix) || !equalFold(values[0][:len(prefix)], prefix) {
+		return "", len(values) > 0
 	}
-	return value[len(prefix):]
+	return values[0][len(prefix):], true
 }
 
 func (dialect *Dialect) requestID(request *http.Request) id.Request {
