entryapi: a caller's time left is the same on every processor

A time left of NaN counted as said: on arm64 as 0, so that the request was refused, on x86-64 as a time in the past. Numbers outside the range of a Duration convert to what the processor makes of them; one that ParseFloat reports as out of range counted as not said.

Cause: the header was converted without a look at its value.

Evidence: the new test failed before for -1, +-1e300, +-1e999, +-Inf and NaN.

Change: what isn't a number isn't said; the rest is held between 0 and an hour.

It works since the conversion now only gets values that a Duration holds.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -1,11 +1,14 @@
 package entryapi
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/memory"
@@ -23,6 +26,8 @@
 	// startupTime is within how long of its start an entry host gets a configuration in
 	// force when the whole system starts at once.
 	startupTime = 2 * time.Second
+	// maxCallerTimeLeft stands for any longer time that a caller says that it waits.
+	maxCallerTimeLeft = time.Hour
 )
 
 // call is the state of one request of a caller.
@@ -102,10 +107,18 @@
 }
 
 // callerTimeLeft returns how long the caller waits from the call's arrival on. It returns false
-// if the caller doesn't say.
+// if the caller doesn't say, or says what isn't a number.
 func (api *API) callerTimeLeft(call *call) (time.Duration, bool) {
 	timeLeft, err := strconv.ParseFloat(call.request.Header.Get(api.config.Dialect.TimeLeftMS), 64)
-	return time.Duration(timeLeft * float64(time.Millisecond)), err == nil
+	if errors.Is(err, strconv.ErrRange) {
+		err = nil // timeLeft is infinite
+	}
+	if err != nil || math.IsNaN(timeLeft) {
+		return 0, false
+	}
+	// The conversion of a number outside the range of a Duration depends on the processor.
+	longest := float64(maxCallerTimeLeft.Milliseconds())
+	return time.Duration(max(0, min(timeLeft, longest)) * float64(time.Millisecond)), true
 }
 
 // stateRetryAfter returns when a node without a configuration in force may have one. A
--- a/caroblined/connection/entryapi/late_test.go
+++ b/caroblined/connection/entryapi/late_test.go
@@ -1,6 +1,7 @@
 package entryapi
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -31,3 +32,25 @@
 		}
 	}
 }
+
+// Guards against a caller's time left outside the range of a Duration, or that is no number: what
+// it converts to depends on the processor.
+func TestCallerTimeLeftIsTheSameOnEveryProcessor(t *testing.T) {
+	const longest = time.Hour
+	api := &API{config: Config{Dialect: Dialect{TimeLeftMS: "Left-Ms"}}}
+	tests := map[string]struct {
+		want time.Duration
+		said bool
+	}{
+		"1500": {1500 * time.Millisecond, true}, "0.5": {500 * time.Microsecond, true}, "-1": {0, true}, "9000": {9 * time.Second, true},
+		"1e300": {longest, true}, "-1e300": {0, true}, "1e999": {longest, true}, "-1e999": {0, true}, "Inf": {longest, true}, "-Inf": {0, true},
+		"NaN": {0, false}, "": {0, false}, "soon": {0, false}, "1e": {0, false},
+	}
+	for text, test := range tests {
+		request := &http.Request{Header: http.Header{"Left-Ms": {text}}}
+		got, said := api.callerTimeLeft(&call{request: request})
+		if got != test.want || said != test.said {
+			t.Errorf("%q: %v, %v; want %v, %v", text, got, said, test.want, test.said)
+		}
+	}
+}
