routing: no call goes to a backend with a weight of 0

What callers saw: none reported. A call of a split route could go to its last backend though that has a weight of 0 (ROUTE: a service to which no configuration sends it).

Cause: Pick returned the last backend when rounding, or weights whose sum is infinite, left none.

Evidence: the new test failed before for weights with an infinite sum at every number drawn, and for the least weights at the highest two.

Change: backends without weight are passed over, also as the last.

Result: the test passes.

--- a/core/version/routing/routing.go
+++ b/core/version/routing/routing.go
@@ -296,18 +296,25 @@
 	return clientAccount, ok
 }
 
-// Pick chooses a backend at random by weight; random is uniform in [0, 1).
+// Pick chooses a backend at random by weight; random is uniform in [0, 1). A backend with a weight
+// of 0 is never chosen.
 func (route *Route) Pick(random float64) id.Service {
 	total := 0.0
 	for _, backend := range route.Backends {
 		total += backend.Weight
 	}
 	remaining := random * total
+	var last id.Service
 	for _, backend := range route.Backends {
+		if backend.Weight == 0 {
+			continue
+		}
 		if remaining < backend.Weight {
 			return backend.Service
 		}
 		remaining -= backend.Weight
+		last = backend.Service
 	}
-	return route.Backends[len(route.Backends)-1].Service
+	// Rounding, or a sum beyond the range of a float64, left no backend.
+	return last
 }
--- a/core/version/routing/routing_test.go
+++ b/core/version/routing/routing_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 
+	"carobline.dev/core/id"
 	"carobline.dev/core/version/routing"
 )
 
@@ -89,3 +92,22 @@
 		t.Errorf("picked %v, want a 75 times and c 25 times", counts)
 	}
 }
+
+// Guards against calls that go to a backend whose weight is 0: rounding, or weights whose sum
+// overflows, left only the last backend to choose.
+func TestPickNeverTakesABackendWithoutWeight(t *testing.T) {
+	for name, weights := range map[string][]float64{
+		"rounding": {0.1, 0.2, 0.7, 0.3, 0}, "an infinite sum": {math.MaxFloat64, math.MaxFloat64, 0}, "only one": {0, 1, 0}, "least weights": {5e-324, 0},
+	} {
+		route := routing.Route{}
+		for index, weight := range weights {
+			route.Backends = append(route.Backends, routing.Backend{Service: id.Service(fmt.Sprint(index)), Weight: weight})
+		}
+		for _, random := range []float64{0, 0.1, 0.3, 0.5, 1 - 1.0/(1<<53), 1 - 1.0/(1<<52)} {
+			picked, err := strconv.Atoi(string(route.Pick(random)))
+			if err != nil || weights[picked] == 0 {
+				t.Errorf("%s: random %v picks backend %d of %v, error %v", name, random, picked, weights, err)
+			}
+		}
+	}
+}
