routing, declaration: an empty list of client accounts lets nobody in

Cause: an empty list was taken for none, in the decoding, in the stored form, which left it out, and where a request is admitted.

Change: nil means that callers need no token, and an empty list stays one on every way. A call that is admitted anew starts without a client account.

It works since the difference is kept from the operator's text to the check of the request.

--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -142,6 +142,7 @@
 // authenticate finds the client account of a call. A call without credentials has none, and is
 // refused unless its route is open to all; one with credentials is judged by them on every route.
 func (api *API) authenticate(call *call) *refusal {
+	call.clientAccount = ""
 	if !call.table.RequiresToken() {
 		return nil
 	}
--- a/caroblined/connection/entryapi/credentials_test.go
+++ b/caroblined/connection/entryapi/credentials_test.go
@@ -75,6 +75,30 @@
 	}
 }
 
+// Guards against a declaration whose list of client accounts is empty being taken for one without
+// the list: every request ran (review/5).
+func TestNobodyHasATokenOfAnEmptyListOfClientAccounts(t *testing.T) {
+	service := newService(t, respondDone)
+	entryHost := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}.start(t, openAndClosedRoutes(), service)
+	entryHost.change(func(changed *view.View) {
+		declared := *changed.Routing.Declaration()
+		declared.ClientAccounts = []routing.ClientAccount{}
+		changed.Routing = routing.NewTable(&declared)
+	})
+	cases := map[string]map[string]int{
+		"":                                       {"/open/": http.StatusOK, "/closed/": http.StatusUnauthorized},
+		"Authorization: Token " + token + "\r\n": {"/open/": http.StatusUnauthorized, "/closed/": http.StatusUnauthorized},
+	}
+	for lines, statusByPath := range cases {
+		for path, want := range statusByPath {
+			got, err := call(t, entryHost.server, "POST "+path+" HTTP/1.1\r\nHost: shop.example\r\nCall-Id: c1\r\nLeft-Ms: 5000\r\n"+lines+"Content-Length: 0\r\n\r\n")
+			if err != nil || got.status != want {
+				t.Errorf("%s, %q: status %d, error %v; want %d", path, lines, got.status, err, want)
+			}
+		}
+	}
+}
+
 // Guards against a token that was taken away and still opens a route on a connection on which
 // it was known.
 func TestTokenTakenAwayIsUnknownOnAKeptConnection(t *testing.T) {
--- a/core/process/register/packed_test.go
+++ b/core/process/register/packed_test.go
@@ -55,3 +55,44 @@
 		}
 	}
 }
+
+// Guards against an empty list of client accounts that a node takes for none, after the log, a
+// snapshot or the leader's feed: it would ask no caller for a token (review/5).
+func TestEmptyClientAccountsStayAListOnEveryWay(t *testing.T) {
+	for name, accounts := range map[string][]routing.ClientAccount{"none": nil, "empty": {}, "one": {{Name: "k", TokenSHA256: []string{}}}} {
+		command := register.Command{Change: "c", Declare: &register.Declare{Declaration: routing.Declaration{Revision: 1, ClientAccounts: accounts}}}
+		entry, err := command.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		logged, err := register.DecodeCommand(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state := register.New()
+		state.Apply(1, logged)
+		snapshot, err := state.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := register.Restore(snapshot)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := json.Marshal(restored.Since(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fed register.Delta
+		if err := json.Unmarshal(data, &fed); err != nil {
+			t.Fatal(err)
+		}
+		for way, declared := range map[string]routing.Declaration{
+			"log": state.Declared().Declaration, "snapshot": restored.Declared().Declaration, "feed": fed.Declared.Record().Declaration,
+		} {
+			if got, want := routing.NewTable(&declared).RequiresToken(), accounts != nil; got != want {
+				t.Errorf("%s, after the %s: a token is required: %v, want %v", name, way, got, want)
+			}
+		}
+	}
+}
--- a/core/version/routing/routing.go
+++ b/core/version/routing/routing.go
@@ -40,11 +40,13 @@
 
 // Declaration is one complete set of routes and what they refer to.
 type Declaration struct {
-	Revision       id.Revision     `json:"revision"`
-	Routes         []Route         `json:"routes"`
-	Services       []Service       `json:"services"`
-	Limits         Limits          `json:"limits"`
-	ClientAccounts []ClientAccount `json:"customers,omitempty"`
+	Revision id.Revision `json:"revision"`
+	Routes   []Route     `json:"routes"`
+	Services []Service   `json:"services"`
+	Limits   Limits      `json:"limits"`
+	// ClientAccounts is nil where callers need no token. An empty list is another thing:
+	// callers need one, and nobody has any.
+	ClientAccounts []ClientAccount `json:"customers,omitzero"`
 	// Source is the text as the operator sent it, which reads of the declaration
 	// return. The deltas that nodes get from the leader leave it out.
 	Source json.RawMessage `json:"source,omitempty"`
@@ -285,9 +287,9 @@
 	return nil, false
 }
 
-// RequiresToken reports whether a call needs the token of a client account, since
-// the declaration names some.
-func (table *Table) RequiresToken() bool { return len(table.declaration.ClientAccounts) > 0 }
+// RequiresToken reports whether a call needs the token of a client account, since the
+// declaration lists them, if only as none.
+func (table *Table) RequiresToken() bool { return table.declaration.ClientAccounts != nil }
 
 // Authenticate returns the client account that holds a token, or false when there
 // is none.
