suspicion: a request that ends its engines is known under any id

Cause: a crash was described by the shared parts of the prompts of its calls. What is the request's own had no name that survives its id.

Change: a request's name, a hash of what is sent again unchanged with the client account, counts as one more part. Of a request and a part in as many crashes the request is blocked.

It works since the ends of one request have its name in common, and those of bystanders don't.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -10,6 +10,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/request/dispatcher"
+	"carobline.dev/core/request/fingerprint"
 	"carobline.dev/core/request/prompt"
 	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/step"
@@ -67,7 +68,10 @@
 		return err
 	}
 	decoded()
-	parts := suspicion.Call{ClientAccount: call.clientAccount.Contract.ClientAccount, Parts: prompt.Messages(completion.Messages)}
+	parts := suspicion.Call{
+		ClientAccount: call.clientAccount.Contract.ClientAccount, Parts: prompt.Messages(completion.Messages),
+		Request: fingerprint.Of(call.clientAccount.Contract.ClientAccount, []byte(request.URL.Path), callerBody),
+	}
 	if err := blockedError(api.config.Guard.Check(parts)); err != nil {
 		return err
 	}
--- a/caroblined/connection/callerapi/parts.go
+++ b/caroblined/connection/callerapi/parts.go
@@ -10,13 +10,14 @@
 	"carobline.dev/core/request/suspicion"
 )
 
-// blockedError returns the error for a caller whose prompt has parts that are blocked, or nil.
+// blockedError returns the error for a caller whose request, or parts of whose prompt, are
+// blocked, or nil.
 func blockedError(blocked suspicion.Refusal, refused bool) *rest.Error {
 	if !refused {
 		return nil
 	}
 	restError := rest.NotRun(http.StatusServiceUnavailable, "parts_blocked", fmt.Sprintf(
-		"engines have ended as they began to answer on messages of this prompt before the last (block %s); leave these out, or ask your operator", blocked.Block))
+		"engines have ended as they began to answer this request, or others with the same messages (block %s); change it, or ask your operator", blocked.Block))
 	restError.RetryAfter = blocked.RetryAfter
 	return restError
 }
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -42,6 +42,7 @@
 	clientAccount id.ClientAccount
 	// sharedParts are the parts of the prompt that other requests may have too.
 	sharedParts []id.PromptPart
+	requestName *requestName
 	// brokenAt is the endpoint at which an answer to the call last broke off, or nil.
 	// breaks counts those that have before the answer had begun.
 	brokenAt  *view.Endpoint
--- a/caroblined/connection/entryapi/credentials_test.go
+++ b/caroblined/connection/entryapi/credentials_test.go
@@ -26,20 +26,20 @@
 // Guards against credentials that nobody holds, or that can't be read, being taken for none: on
 // an anonymous route their requests ran (review/3).
 func TestUnknownCredentialsAreRefusedOnEveryRoute(t *testing.T) {
-	const unauthorized = http.StatusUnauthorized
+	const refused = http.StatusUnauthorized
 	cases := map[string]struct {
 		lines        string
 		open, closed int
 	}{
-		"none":                    {"", http.StatusOK, unauthorized},
+		"none":                    {"", http.StatusOK, refused},
 		"a known token":           {"Authorization: Token " + token + "\r\n", http.StatusOK, http.StatusOK},
-		"a token that nobody has": {"Authorization: Token other\r\n", unauthorized, unauthorized},
-		"another scheme":          {"Authorization: Basic " + token + "\r\n", unauthorized, unauthorized},
-		"a scheme alone":          {"Authorization: Token \r\n", unauthorized, unauthorized},
-		"no scheme":               {"Authorization: " + token + "\r\n", unauthorized, unauthorized},
-		"an empty header":         {"Authorization:\r\n", unauthorized, unauthorized},
-		"an unknown one first":    {"Authorization: Token other\r\nAuthorization: Token " + token + "\r\n", unauthorized, unauthorized},
-		"an unknown one second":   {"Authorization: Token " + token + "\r\nAuthorization: Token other\r\n", unauthorized, unauthorized},
+		"a token that nobody has": {"Authorization: Token other\r\n", refused, refused},
+		"another scheme":          {"Authorization: Basic " + token + "\r\n", refused, refused},
+		"a scheme alone":          {"Authorization: Token \r\n", refused, refused},
+		"no scheme":               {"Authorization: " + token + "\r\n", refused, refused},
+		"an empty header":         {"Authorization:\r\n", refused, refused},
+		"an unknown one first":    {"Authorization: Token other\r\nAuthorization: Token " + token + "\r\n", refused, refused},
+		"an unknown one second":   {"Authorization: Token " + token + "\r\nAuthorization: Token other\r\n", refused, refused},
 	}
 	service := newService(t, respondDone)
 	server := newEntryHost(t, openAndClosedRoutes(), service)
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -192,7 +192,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	now := api.config.Now()
-	call := &call{request: request, id: api.config.Dialect.requestID(request), arrivedAt: now}
+	call := &call{request: request, id: api.config.Dialect.requestID(request), arrivedAt: now, requestName: &requestName{}}
 	result := api.serve(writer, call)
 	api.record(call, result)
 	if result.abort {
@@ -216,6 +216,9 @@
 	if refusal := api.refuseBeforeStop(api.config.Now(), call); refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
+	if refusal := api.refuseBlockedRequest(call); refusal != nil {
+		return api.refuse(writer, call, refusal)
+	}
 	ctx, cancel := context.WithDeadline(call.request.Context(), time.Now().Add(call.deadline.Sub(api.config.Now())))
 	defer cancel()
 	defer context.AfterFunc(api.stopCtx, cancel)()
--- a/caroblined/connection/entryapi/parts_test.go
+++ b/caroblined/connection/entryapi/parts_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/fingerprint"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
@@ -36,7 +39,8 @@
 // crashesOf returns the parts that an entry host reports, by crash and call.
 func (entryHost *entryHost) crashesOf() [][][]id.PromptPart { return entryHost.partsOf(false) }
 
-// partsOf returns the parts of the reported crashes that are proven, or of those that aren't.
+// partsOf returns the parts of prompts of the reported crashes that are proven, or of those that
+// aren't. Calls without a suspect part are left out.
 func (entryHost *entryHost) partsOf(unproven bool) [][][]id.PromptPart {
 	var parts [][][]id.PromptPart
 	for _, crash := range entryHost.reported().Crashes {
@@ -45,13 +49,30 @@
 		}
 		var calls [][]id.PromptPart
 		for _, call := range crash.Report.Calls {
-			calls = append(calls, call.Parts)
+			if shared := slices.DeleteFunc(slices.Clone(call.Parts), fingerprint.Is); len(shared) > 0 {
+				calls = append(calls, shared)
+			}
+		}
+		if len(calls) > 0 {
+			parts = append(parts, calls)
 		}
-		parts = append(parts, calls)
 	}
 	return parts
 }
 
+// awaitRequestName waits until an entry host reports a crash, and returns the name of the request of its
+// first call.
+func (entryHost *entryHost) awaitRequestName(t *testing.T) id.PromptPart {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if reports := entryHost.reported().Crashes; len(reports) > 0 && fingerprint.Is(reports[0].Report.Calls[0].Parts[0]) {
+			return reports[0].Report.Calls[0].Parts[0]
+		}
+	}
+	t.Fatal("no request is reported beside a crash")
+	return ""
+}
+
 // awaitCrashes waits until an entry host reports a number of crashes.
 func (entryHost *entryHost) awaitCrashes(t *testing.T, count int) {
 	t.Helper()
@@ -315,3 +336,38 @@
 		t.Errorf("the leader is told of the sound parts %v, want bad and topic", sound)
 	}
 }
+
+// Guards against a request that is blocked and goes on under a new id, and against others that
+// are refused with it.
+func TestBlockedRequestIsRefusedUnderAnyID(t *testing.T) {
+	crash := func(service *service, connection net.Conn, _ *http.Request, _ int) { end(service, connection) }
+	reached := newService(t, respondDone)
+	entryHost := loggedOptions(nil).start(t, route(routing.RepeatNever), newService(t, crash))
+	if got, err := call(t, entryHost.server, post("/a", "deadly")); err != nil || got.status != http.StatusBadGateway {
+		t.Fatalf("answer %+v, %v; want 502 for a call that ended its endpoint", got, err)
+	}
+	name := entryHost.awaitRequestName(t)
+	entryHost.change(func(changed *view.View) {
+		byName := map[feed.Endpoint]*view.Endpoint{}
+		changed.Services = map[id.Service]*view.Set{"desk": entryHostOptions{}.endpoints("desk", "n", []*service{reached}, byName)}
+		changed.Endpoints = byName
+		changed.Blocks = register.PartsBlocks{Version: 1, Blocks: []register.PartsBlock{{Block: "parts-7", Parts: []id.PromptPart{name}, ClientAccounts: []id.ClientAccount{"kathmandu"}}}}
+	})
+	for raw, want := range map[string]int{
+		post("/a", "deadly"): http.StatusServiceUnavailable,
+		strings.Replace(post("/a", "deadly"), "Call-Id: c1", "Call-Id: c2", 1): http.StatusServiceUnavailable,
+		post("/a", "deadly", "Last-Event-Id: 3"):                               http.StatusServiceUnavailable,
+		post("/a", "sound"):                                                    http.StatusOK,
+		post("/b", "deadly"):                                                   http.StatusOK,
+		post("/a", "deadly", "Parts: aa:1"):                                    http.StatusOK,
+		strings.Replace(post("/a", "deadly"), "POST", "PUT", 1):                http.StatusOK,
+	} {
+		got, err := call(t, entryHost.server, raw)
+		if err != nil || got.status != want {
+			t.Errorf("%q: answer %+v, %v; want status %d", raw, got, err, want)
+		}
+	}
+	if count := len(reached.requests()); count != 4 {
+		t.Errorf("%d requests reached the endpoint, want the 4 others", count)
+	}
+}
--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -32,12 +33,9 @@
 	controlHosts, entryHosts, engineCount = 3, 4, 24
 	// restartTime is how long an engine that has ended is away.
 	restartTime = 1500 * time.Millisecond
-	// crashes is the number of ended engines after which the operators count, and
-	// crashWindow how long after that requests with the part may still reach engines.
-	crashes     = 5
+	// crashWindow is how long after the ended engines of sendBounds requests may still reach
+	// engines.
 	crashWindow = 3 * time.Second
-	// lateSends is how many may reach engines later.
-	lateSends = 3
 	// loadTime is how long requests with the part come, one each badInterval; sound ones come
 	// one each soundInterval.
 	loadTime      = 10 * time.Second
@@ -46,6 +44,17 @@
 	badPart       = "bad0"
 )
 
+// sendBounds are the operators' bounds on what reaches engines: late sends after crashWindow,
+// which begins with an ended engine, and soon ones within it.
+type sendBounds struct {
+	crashes, soon, late int
+}
+
+var (
+	partBounds    = sendBounds{crashes: 5, soon: math.MaxInt, late: 3}
+	requestBounds = sendBounds{crashes: 3, soon: 3, late: 0}
+)
+
 // poolSystem is several entry hosts and control hosts in front of one pool of engines. An
 // engine ends as it begins an answer on badPart.
 type poolSystem struct {
@@ -376,31 +385,47 @@
 	newPoolSystem(t, true).checkPartThatEndsEngines(badPartBetween)
 }
 
+// Guards against a request that its client sends again under new ids, at other entry hosts, and that ends
+// two engines each time: what it shares with others is proven by them (BUDGET).
+func TestRequestThatEndsEnginesReachesNoMore(t *testing.T) {
+	t.Parallel()
+	newPoolSystem(t, false).checkLoad(400*time.Millisecond, func(int) string { return "common,topic1," + badPart }, requestBounds)
+}
+
 // checkPartThatEndsEngines sends requests with badPart beside sound ones, and checks what becomes of both.
 func (system *poolSystem) checkPartThatEndsEngines(badParts string) {
+	system.t.Helper()
+	system.checkLoad(badInterval, func(number int) string { return fmt.Sprintf(badParts, number%7, number) }, partBounds)
+}
+
+// checkLoad sends requests with the bad parts, one each interval, beside sound ones.
+func (system *poolSystem) checkLoad(interval time.Duration, badParts func(number int) string, bounds sendBounds) {
 	system.t.Helper()
 	var sound []*sent
 	var load sync.WaitGroup
 	load.Go(func() {
 		sound = system.load(soundInterval, func(number int) string { return fmt.Sprintf("common,topic%d,sound%d", number%7, number) })
 	})
-	system.load(badInterval, func(number int) string { return fmt.Sprintf(badParts, number%7, number) })
+	system.load(interval, badParts)
 	load.Wait()
-	system.checkRequests(sound)
+	system.checkRequests(sound, bounds)
 }
 
-// checkRequests checks what reached engines after the fifth one had ended, and what became of
-// the sound requests.
-func (system *poolSystem) checkRequests(sound []*sent) {
+// checkRequests checks what reached engines after so many had ended, and what became of the
+// sound requests.
+func (system *poolSystem) checkRequests(sound []*sent, bounds sendBounds) {
 	system.t.Helper()
 	if len(system.crashedAt) == 0 {
 		system.t.Fatal("no engine ended")
 	}
-	last := system.crashedAt[min(crashes, len(system.crashedAt))-1]
-	late := 0
+	last := system.crashedAt[min(bounds.crashes, len(system.crashedAt))-1]
+	soon, late := 0, 0
 	for _, at := range system.badArrivals {
-		if at.Sub(last) > crashWindow {
+		switch after := at.Sub(last); {
+		case after > crashWindow:
 			late++
+		case after > 0:
+			soon++
 		}
 	}
 	count, begun := 0, 0
@@ -412,9 +437,9 @@
 			}
 		}
 	}
-	system.t.Logf("%d engines ended, %d requests with the part reached one, %d of them late; of %d sound ones %d began", len(system.crashedAt), len(system.badArrivals), late, count, begun)
-	if late > lateSends {
-		system.t.Errorf("%d requests with the part reached engines later than %v after engine %d had ended, want at most %d", late, crashWindow, crashes, lateSends)
+	system.t.Logf("%d engines ended, %d requests with the part reached one, %d of them soon after engine %d, %d late; of %d sound ones %d began", len(system.crashedAt), len(system.badArrivals), soon, bounds.crashes, late, count, begun)
+	if late > bounds.late || soon > bounds.soon {
+		system.t.Errorf("%d bad requests reached engines within %v after engine %d had ended and %d later, want at most %d and %d", soon, crashWindow, bounds.crashes, late, bounds.soon, bounds.late)
 	}
 	if count < 20 || 2*begun < count {
 		system.t.Errorf("of %d sound requests %d began, want at least half of 20 or more", count, begun)
--- a/caroblined/request/partsguard/partsguard.go
+++ b/caroblined/request/partsguard/partsguard.go
@@ -16,7 +16,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -25,6 +27,7 @@
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/member"
+	"carobline.dev/core/request/fingerprint"
 	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/view"
 )
@@ -90,6 +93,8 @@
 	crashedCalls, blockedCalls metrics.Counter
 	blocks                     metrics.Gauge
 
+	watches atomic.Bool
+
 	mutex          sync.Mutex
 	suspicion      *suspicion.Suspicion
 	checkByProcess map[suspicion.Process]*check
@@ -119,12 +124,18 @@
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	guard.suspicion.Update(current.Blocks, current.SuspectParts)
+	guard.watches.Store(guard.suspicion.Watches())
 }
 
+// Watches reports whether the requests of calls matter now: an endpoint has ended lately, or
+// something is suspect or blocked. Until then a call may be checked, and said to have begun,
+// without its Request, which takes the time to hash it.
+func (guard *Guard) Watches() bool { return guard.watches.Load() }
+
 // Check returns the refusal of a call that a block holds for, unless it may be the block's
 // trial.
 func (guard *Guard) Check(call suspicion.Call) (suspicion.Refusal, bool) {
-	if len(call.Parts) == 0 {
+	if call.Empty() {
 		return suspicion.Refusal{}, false
 	}
 	guard.mutex.Lock()
@@ -143,7 +154,7 @@
 
 // Take is Check as the last step before a send. A call that is a block's trial uses it up.
 func (guard *Guard) Take(call suspicion.Call) (suspicion.Refusal, bool) {
-	if len(call.Parts) == 0 {
+	if call.Empty() {
 		return suspicion.Refusal{}, false
 	}
 	guard.mutex.Lock()
@@ -156,19 +167,19 @@
 
 // Began records that the answer to a call has begun.
 func (guard *Guard) Began(call suspicion.Call) {
-	if len(call.Parts) == 0 {
+	if call.Empty() {
 		return
 	}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	guard.suspicion.Began(guard.config.Now(), call.Parts)
+	guard.suspicion.Began(guard.config.Now(), call)
 }
 
 // MayResend reports whether a call whose answer last broke off at an endpoint, before it had
 // begun, may be sent to another one. The endpoint is nil if none has broken it off, and breaks
 // counts those that have.
 func (guard *Guard) MayResend(endpoint *view.Endpoint, call suspicion.Call, breaks int) bool {
-	if len(call.Parts) == 0 {
+	if call.Empty() {
 		return true
 	}
 	process := suspicion.Process{}
@@ -198,7 +209,7 @@
 // BrokeOff finds out whether the endpoint of a call, whose answer broke off before it had
 // begun, has ended.
 func (guard *Guard) BrokeOff(request id.Request, call suspicion.Call, endpoint *view.Endpoint) {
-	if len(call.Parts) == 0 {
+	if call.Empty() {
 		return
 	}
 	broken := brokenCall{request, call, guard.config.Now(), guard.wasToStay(endpoint)}
@@ -271,6 +282,7 @@
 func (guard *Guard) recordUnproven(endpoint *view.Endpoint, broken brokenCall) {
 	if broken.wasToStay {
 		guard.suspicion.MayHaveEnded(broken.at, processOf(endpoint), broken.call)
+		guard.watches.Store(guard.suspicion.Watches())
 	}
 }
 
@@ -296,9 +308,11 @@
 
 // record records a call that was at an endpoint which has ended. The caller holds the mutex.
 func (guard *Guard) record(now time.Time, endpoint *view.Endpoint, broken brokenCall) {
-	parts := guard.suspicion.Ended(now, processOf(endpoint), broken.call)
+	parts := slices.DeleteFunc(slices.Clone(guard.suspicion.Ended(now, processOf(endpoint), broken.call)), fingerprint.Is)
+	guard.watches.Store(guard.suspicion.Watches())
 	guard.crashedCalls.Inc(1)
 	guard.config.Log.Info().Str("step", "crash").Str("request", string(broken.request)).Str("host", string(endpoint.Host)).
-		Int64("age_ms", now.Sub(broken.at).Milliseconds()).Interface("suspect_parts", parts[:min(len(parts), maxLoggedParts)]).
+		Str("request_name", string(broken.call.Request)).Int64("age_ms", now.Sub(broken.at).Milliseconds()).
+		Interface("suspect_parts", parts[:min(len(parts), maxLoggedParts)]).
 		Msg("the endpoint's process has ended before the call's answer began")
 }
--- a/core/process/controller/blocks_test.go
+++ b/core/process/controller/blocks_test.go
@@ -170,7 +170,7 @@
 	if len(record) != 1 || len(record[0].ClientAccounts) != register.MaxBlockAccounts {
 		t.Errorf("the blocks are %+v; want one that names two client accounts", record)
 	}
-	suspicions.byNode[suspicions.nodes[5].name].Began(suspicions.nodes[5].now(), []id.PromptPart{"others"})
+	suspicions.byNode[suspicions.nodes[5].name].Began(suspicions.nodes[5].now(), suspicion.Call{Parts: []id.PromptPart{"others"}})
 	suspicions.run(time.Second)
 	if lacking := suspicions.lacking("others"); len(lacking) != nodeCount {
 		t.Errorf("an answer has begun on the part, and all but %v still refuse it", lacking)
--- a/core/process/crashes/crashes.go
+++ b/core/process/crashes/crashes.go
@@ -28,6 +28,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/fingerprint"
 )
 
 const (
@@ -64,7 +65,7 @@
 	// maxSoundParts bounds the parts recorded as sound, beside the suspect ones.
 	maxSoundParts = 4096
 	// maxSuspects bounds the parts that nodes get as suspect.
-	maxSuspects = 32
+	maxSuspects = 64
 )
 
 // crashKey identifies the process that ended.
@@ -450,7 +451,11 @@
 	if len(candidates) == 0 {
 		return register.Command{}, false
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.part, b.part)) })
+	// Of a request and a part in as many crashes the request goes first: its block leaves all
+	// other requests with the part alone.
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.count, a.count), compareKinds(a.part, b.part), cmp.Compare(a.part, b.part))
+	})
 	best := candidates[0]
 	rival := slices.ContainsFunc(candidates, func(other candidate) bool {
 		return other.count == best.count && !slices.Contains(best.parts, other.part)
@@ -461,6 +466,18 @@
 	return register.Command{BlockParts: &register.BlockParts{Parts: best.parts, ClientAccounts: best.clientAccounts}}, true
 }
 
+// compareKinds sorts requests before parts of prompts.
+func compareKinds(a, b id.PromptPart) int {
+	switch {
+	case fingerprint.Is(a) == fingerprint.Is(b):
+		return 0
+	case fingerprint.Is(a):
+		return -1
+	default:
+		return 1
+	}
+}
+
 // common returns the parts that all calls with a part have in common, and the client
 // accounts of these calls.
 func (crashes *Crashes) common(counting []*crash, part id.PromptPart) ([]id.PromptPart, []id.ClientAccount) {
--- a/core/process/crashes/crashes_test.go
+++ b/core/process/crashes/crashes_test.go
@@ -12,6 +12,7 @@
 	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/fingerprint"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -485,3 +486,66 @@
 		t.Errorf("%d crashes and %d parts are kept once the processes of unproven ones are replaced, want 7", kept, parts)
 	}
 }
+
+// Guards against a request whose own part ends each engine that begins it, and that is sent on under new
+// ids since the parts which it shares with others are proven by them; and against a block for others.
+func TestRequestUnderWhichEndpointsEndIsBlockedAlone(t *testing.T) {
+	bad := fingerprint.Of("a", []byte("bad"))
+	for name, shared := range map[string]struct {
+		sound bool
+		want  []id.PromptPart
+	}{
+		"its shared part is proven": {true, []id.PromptPart{bad}},
+		"it alone has that part":    {false, []id.PromptPart{bad, "topic"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeader(t)
+			for number := range 3 {
+				beside := fingerprint.Of("a", []byte(fmt.Sprint(number)))
+				calls := []feed.CrashedCall{call("a", bad, "topic"), call("a", beside, "common"), call("b", fingerprint.Of("b", []byte("twice")), "common")}
+				if number == 2 {
+					calls = calls[:2]
+				}
+				leader.crash(time.Second, calls...)
+				if shared.sound {
+					leader.crashes.RecordSound(leader.now, []id.PromptPart{"topic", "common"})
+				}
+				leader.crashes.RecordSound(leader.now, []id.PromptPart{beside, "common"})
+				leader.decide()
+			}
+			blocks := leader.state.Blocks().Blocks
+			if len(blocks) != 1 || !cmp.Equal(blocks[0].Parts, shared.want) || !cmp.Equal(blocks[0].ClientAccounts, []id.ClientAccount{"a"}) {
+				t.Errorf("the blocks are %+v, want one of %v for a", blocks, shared.want)
+			}
+		})
+	}
+}
+
+// Guards against a part that ends engines and stays free since the request that was first seen to
+// end them is blocked.
+func TestBlockOfARequestGivesWayToThatOfItsPart(t *testing.T) {
+	leader, bad := newLeader(t), fingerprint.Of("a", []byte("bad"))
+	for range 3 {
+		leader.crash(time.Second, call("a", bad, "topic"))
+	}
+	leader.crash(time.Second, call("b", fingerprint.Of("b", []byte("other")), "topic"))
+	blocks := leader.state.Blocks().Blocks
+	if len(blocks) != 1 || !cmp.Equal(blocks[0].Parts, []id.PromptPart{"topic"}) {
+		t.Errorf("the blocks are %+v, want one of topic alone", blocks)
+	}
+}
+
+// Guards against sound requests that are blocked since racks lost power under them, as often as
+// they were sent.
+func TestRequestsUnderLostRacksAreNotBlocked(t *testing.T) {
+	leader := newLeader(t)
+	for range 2 {
+		for number := range 6 {
+			leader.crash(5*time.Millisecond, call("a", fingerprint.Of("a", []byte("same")), "common"), call("a", fingerprint.Of("a", []byte(fmt.Sprint(number))), "common"))
+		}
+		leader.now = leader.now.Add(2 * time.Second)
+	}
+	if blocks := leader.state.Blocks().Blocks; len(blocks) > 0 {
+		t.Errorf("the blocks are %+v, want none after two racks", blocks)
+	}
+}
--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -8,7 +8,7 @@
 //	suspicion := suspicion.New(self, incarnation)
 //	suspicion.Update(view.Blocks, view.SuspectParts)
 //	if refusal, ok := suspicion.Check(now, call); ok { refuse }
-//	suspicion.Began(now, call.Parts)          // an answer has begun
+//	suspicion.Began(now, call)                // an answer has begun
 //	suspicion.Ended(now, process, calls)      // an endpoint's process has ended
 //	reports := suspicion.Crashes(now)         // for the leader
 package suspicion
@@ -21,6 +21,7 @@
 	"carobline.dev/core/process/crashes"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/fingerprint"
 )
 
 const (
@@ -32,7 +33,8 @@
 	maxCallsPerCrash = 16
 	maxPartsPerCall  = 256
 	maxReportParts   = 1024
-	// maxSoundParts bounds the parts of each of the two generations that are kept.
+	// maxSoundParts bounds the parts of each of the two generations that are kept, and likewise
+	// the requests.
 	maxSoundParts = 2048
 	// wantedTime is how long a refusal under a block is reported.
 	wantedTime = time.Second
@@ -50,6 +52,20 @@
 	ClientAccount id.ClientAccount
 	// Parts are those of its prompt that other calls may share.
 	Parts []id.PromptPart
+	// Request is the name of the request itself (package fingerprint), which it keeps when its
+	// caller sends it again. It may be left empty while the node has nothing to Watch for.
+	Request id.PromptPart
+}
+
+// Empty reports whether nothing is known by which the call could be told from others.
+func (call *Call) Empty() bool { return len(call.Parts) == 0 && call.Request == "" }
+
+// all returns the parts and the request, first the request.
+func (call *Call) all() []id.PromptPart {
+	if call.Request == "" {
+		return call.Parts
+	}
+	return append([]id.PromptPart{call.Request}, call.Parts...)
 }
 
 // Process is one process of an endpoint.
@@ -82,6 +98,35 @@
 	at, otherAt time.Time
 }
 
+// generation holds what answers have begun on within half of crashes.SoundTime.
+type generation struct {
+	parts, requests map[id.PromptPart]bool
+}
+
+func newGeneration() generation {
+	return generation{parts: map[id.PromptPart]bool{}, requests: map[id.PromptPart]bool{}}
+}
+
+// add records a part or a request, unless there are too many of its kind.
+func (generation generation) add(part id.PromptPart) {
+	kind := generation.parts
+	if fingerprint.Is(part) {
+		kind = generation.requests
+	}
+	if len(kind) < maxSoundParts {
+		kind[part] = true
+	}
+}
+
+func (generation generation) has(part id.PromptPart) bool {
+	return generation.parts[part] || generation.requests[part]
+}
+
+func (generation generation) clear() {
+	clear(generation.parts)
+	clear(generation.requests)
+}
+
 // Suspicion is the state of one entry host. It isn't safe for concurrent use.
 type Suspicion struct {
 	self        id.Node
@@ -90,7 +135,7 @@
 	suspects    []id.PromptPart
 	// sound and soundBefore are the parts on which answers have begun within
 	// crashes.SoundTime, in two halves. soundSince is when the first half began.
-	sound, soundBefore map[id.PromptPart]bool
+	sound, soundBefore generation
 	soundSince         time.Time
 	crashes            []*observed
 	refusedByBlock     map[id.PartsBlock]refused
@@ -100,7 +145,7 @@
 // New returns the state of a node that knows of no crash.
 func New(self id.Node, incarnation id.Incarnation) *Suspicion {
 	return &Suspicion{
-		self: self, incarnation: incarnation, sound: map[id.PromptPart]bool{}, soundBefore: map[id.PromptPart]bool{},
+		self: self, incarnation: incarnation, sound: newGeneration(), soundBefore: newGeneration(),
 		refusedByBlock: map[id.PartsBlock]refused{}, usedPermits: map[Permit]bool{},
 	}
 }
@@ -161,9 +206,10 @@
 func (suspicion *Suspicion) blockOf(call Call) (*register.PartsBlock, Permit) {
 	var found *register.PartsBlock
 	var permit Permit
+	parts := call.all()
 	for index := range suspicion.blocks.Blocks {
 		block := &suspicion.blocks.Blocks[index]
-		if !block.Covers(call.Parts) {
+		if !block.Covers(parts) {
 			continue
 		}
 		if found != nil {
@@ -187,29 +233,32 @@
 	}
 }
 
-// Began records that an answer has begun on a call with these parts.
-func (suspicion *Suspicion) Began(now time.Time, parts []id.PromptPart) {
-	if len(parts) == 0 {
+// Began records that an answer to a call has begun.
+func (suspicion *Suspicion) Began(now time.Time, call Call) {
+	if call.Empty() {
 		return
 	}
 	suspicion.rotate(now)
-	for _, part := range parts {
-		if len(suspicion.sound) < maxSoundParts {
-			suspicion.sound[part] = true
-		}
+	for _, part := range call.all() {
+		suspicion.sound.add(part)
 	}
 }
 
+// Watches reports whether there is anything that a call's Request may have part in.
+func (suspicion *Suspicion) Watches() bool {
+	return len(suspicion.crashes)+len(suspicion.suspects)+len(suspicion.blocks.Blocks) > 0
+}
+
 // rotate drops the older half of the sound parts once the later one is as old.
 func (suspicion *Suspicion) rotate(now time.Time) {
 	const half = crashes.SoundTime / 2
 	switch age := now.Sub(suspicion.soundSince); {
 	case age >= 2*half:
-		clear(suspicion.soundBefore)
-		clear(suspicion.sound)
+		suspicion.soundBefore.clear()
+		suspicion.sound.clear()
 	case age >= half:
 		suspicion.sound, suspicion.soundBefore = suspicion.soundBefore, suspicion.sound
-		clear(suspicion.sound)
+		suspicion.sound.clear()
 	default:
 		return
 	}
@@ -217,12 +266,12 @@
 }
 
 func (suspicion *Suspicion) isSound(part id.PromptPart) bool {
-	return suspicion.sound[part] || suspicion.soundBefore[part]
+	return suspicion.sound.has(part) || suspicion.soundBefore.has(part)
 }
 
-// suspect returns the parts of a call on which no answer has begun lately.
-func (suspicion *Suspicion) suspect(parts []id.PromptPart) []id.PromptPart {
-	return slices.DeleteFunc(slices.Clone(parts), suspicion.isSound)
+// suspect returns what of a call no answer has begun on lately.
+func (suspicion *Suspicion) suspect(call Call) []id.PromptPart {
+	return slices.DeleteFunc(slices.Clone(call.all()), suspicion.isSound)
 }
 
 // Ended records that an endpoint's process has ended under a call whose answer hadn't begun.
@@ -239,7 +288,7 @@
 
 func (suspicion *Suspicion) record(now time.Time, process Process, call Call, unproven bool) []id.PromptPart {
 	suspicion.rotate(now)
-	parts := suspicion.suspect(call.Parts)
+	parts := suspicion.suspect(call)
 	parts = parts[:min(len(parts), maxPartsPerCall)]
 	if len(parts) == 0 {
 		return nil
@@ -309,7 +358,7 @@
 func (suspicion *Suspicion) MayResend(now time.Time, process Process, call Call, breaks int) bool {
 	suspicion.rotate(now)
 	suspicion.forget(now)
-	parts := suspicion.suspect(call.Parts)
+	parts := suspicion.suspect(call)
 	if len(parts) == 0 {
 		return true
 	}
--- a/core/request/suspicion/suspicion_test.go
+++ b/core/request/suspicion/suspicion_test.go
@@ -92,7 +92,7 @@
 // kept for ever.
 func TestAnswersSpeakForTheirParts(t *testing.T) {
 	state := suspicion.New("n1", 1)
-	state.Began(start, []id.PromptPart{"common", "topic"})
+	state.Began(start, suspicion.Call{Parts: []id.PromptPart{"common", "topic"}})
 	now := start.Add(4 * time.Second)
 	if got := state.Ended(now, process, call("a", "common", "bad")); !cmp.Equal(got, []id.PromptPart{"bad"}) {
 		t.Errorf("suspect parts %v, want bad alone", got)
@@ -166,7 +166,7 @@
 // sound ones that aren't.
 func TestSuspectCallsAreNotSentAgain(t *testing.T) {
 	state := suspicion.New("n1", 1)
-	state.Began(start, []id.PromptPart{"common"})
+	state.Began(start, suspicion.Call{Parts: []id.PromptPart{"common"}})
 	state.Ended(start, process, call("a", "bad", "common"))
 	for name, test := range map[string]struct {
 		process suspicion.Process
@@ -196,7 +196,7 @@
 	for number := range 100_000 {
 		parts = append(parts, id.PromptPart(fmt.Sprint(number)))
 	}
-	state.Began(start, parts)
+	state.Began(start, suspicion.Call{Parts: parts})
 	const bound = 4096
 	state.Update(register.PartsBlocks{}, parts)
 	if sound := len(state.SoundParts(start)); sound > bound {
