entryapi: a caller that has got nothing of a stream gets an answer

Cause: endBrokenOff took the head of the endpoint's stream for a part of the answer that the caller has. Our head goes out with the first event.

Change: until something has gone to the caller, the end is 504 when the time is over and 502 otherwise; both may have run. One function decides the status for all calls of entryapi.

It works since the decision asks what the caller has got, not what the engine has sent.

--- a/caroblined/connection/entryapi/forward.go
+++ b/caroblined/connection/entryapi/forward.go
@@ -107,7 +107,7 @@
 
 // fail answers a call whose last attempt gave no answer that can be passed on.
 func (api *API) fail(ctx context.Context, writer http.ResponseWriter, call *call, lastResult result, exchange *exchange) result {
-	status, outcome := http.StatusBadGateway, "unknown"
+	status, outcome := possibleRunStatus(ctx), "unknown"
 	switch {
 	case call.request.Context().Err() != nil:
 		lastResult.status, lastResult.outcome, lastResult.abort = statusClientClosedRequest, outcome, true
@@ -116,14 +116,21 @@
 		return api.answerFailure(writer, call, lastResult.breakage)
 	case call.possibleRuns == 0 && exchange.notRun:
 		status, outcome = http.StatusServiceUnavailable, "not_run"
-	case ctx.Err() != nil:
-		status = http.StatusGatewayTimeout
 	}
 	refused := api.refuse(writer, call, newRefusal(status, lastResult.reason, defaultRetryAfter))
 	lastResult.status, lastResult.outcome = refused.status, outcome
 	return lastResult
 }
 
+// possibleRunStatus returns the status for a call that may have run and whose caller has got
+// nothing yet. Neither of the two says that it hasn't.
+func possibleRunStatus(ctx context.Context) int {
+	if ctx.Err() != nil {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
 // statusClientClosedRequest is the customary status in logs for a caller that
 // closed its connection.
 const statusClientClosedRequest = 499
@@ -138,10 +145,7 @@
 		return api.answerFailure(writer, call, breakage{retryRefusal: refusal.reason})
 	}
 	if call.possibleRuns > 0 {
-		refusal.status, refusal.retryAfter = http.StatusBadGateway, 0
-		if ctx.Err() != nil {
-			refusal.status = http.StatusGatewayTimeout
-		}
+		refusal.status, refusal.retryAfter = possibleRunStatus(ctx), 0
 	}
 	refused := api.refuse(writer, call, refusal)
 	if call.possibleRuns > 0 {
--- a/caroblined/connection/entryapi/stream.go
+++ b/caroblined/connection/entryapi/stream.go
@@ -146,12 +146,19 @@
 }
 
 // endBrokenOff ends a call whose stream broke off and doesn't go on. A caller that has got
-// nothing of it gets the failed answer of another endpoint, if there was one.
+// nothing of it gets an answer all the same: the failed one of another endpoint, if there was
+// one, or else one that says that the call may have run.
 func (api *API) endBrokenOff(ctx context.Context, writer http.ResponseWriter, call *call, progress *progress, result result) result {
-	if call.failure != nil && !progress.headersSent && call.request.Context().Err() == nil {
+	switch {
+	case progress.headersSent || call.request.Context().Err() != nil:
+		return progress.brokenOff(ctx, call, result)
+	case call.failure != nil:
 		return api.answerFailure(writer, call, progress.breakage)
 	}
-	return progress.brokenOff(ctx, call, result)
+	result = progress.brokenOff(ctx, call, result)
+	refused := api.refuse(writer, call, newRefusal(possibleRunStatus(ctx), result.reason, 0))
+	result.status, result.abort = refused.status, false
+	return result
 }
 
 // brokenOff makes result that of a stream which broke off and doesn't go on.
