roster: an entry that names another service displaces no live host

Cause: Merge took any announcement with a later start for the host's next process, whatever service it names.

Change: while a host's lease holds, an announcement of another service under its name is dropped, at each node and on each way. After the lease it is taken, as the host may have started again for another service.

It works since the head stays known with its group and address, and its own heartbeats go on counting.

--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -97,7 +97,8 @@
 
 // The changes.
 const (
-	// ChangeNone is an old announcement, which was dropped.
+	// ChangeNone is an announcement that was dropped: it is old, or names another service
+	// than that of the host, whose lease holds.
 	ChangeNone Change = "none"
 	// ChangeRenewed is an announcement that changed only the lease, the load or the
 	// cached prefixes.
@@ -110,6 +111,10 @@
 // Merge merges an announcement whose lease ends at expiry and returns its effect.
 func (roster *Roster) Merge(now time.Time, announcement Announcement, expiry time.Time) Change {
 	old := roster.memberByHost[announcement.Host]
+	if old != nil && old.Live(now) && announcement.Service != old.Announcement.Service {
+		// No host changes its service while it has a lease: another writer has taken its name.
+		return ChangeNone
+	}
 	if old != nil && announcement.lateDeparture(&old.Announcement) {
 		// The last announcement stays as it is, but for the departure.
 		announcement, expiry = old.Announcement, old.Expiry
--- a/core/process/roster/roster_test.go
+++ b/core/process/roster/roster_test.go
@@ -283,3 +283,36 @@
 		t.Errorf("an update with one change takes %v with %d hosts and %v with %d", small, few, large, many)
 	}
 }
+
+// Guards against an entry of another writer, under the name of a host that serves, that takes the
+// host's place: the leader then took it for gone, and its group's other hosts joined another (review/1).
+func TestEntryOfAnotherServiceDisplacesNoLiveHost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	own := roster.Announcement{
+		Host: "e1", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:1", Engine: true, Service: "pool", LeaseMS: 4000,
+		Serving: roster.Serving{Group: "g1", Fencing: 1, Ready: true, Open: true},
+	}
+	for name, foreign := range map[string]roster.Announcement{
+		"a later start":       {Host: "e1", Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Service: "none", LeaseMS: 4000},
+		"the same start":      {Host: "e1", Incarnation: 1, Sequence: 99, Address: "10.0.0.1:1", Service: "none", LeaseMS: 4000},
+		"without a service":   {Host: "e1", Incarnation: 9, Sequence: 1, Address: "10.0.0.1:1", LeaseMS: 4000},
+		"one that is leaving": {Host: "e1", Incarnation: 9, Sequence: 1, Address: "10.0.0.1:1", Service: "none", LeaseMS: 4000, Leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hosts := roster.New()
+			hosts.Merge(now, own, now.Add(own.Lease()))
+			if change := hosts.Merge(now, foreign, now.Add(foreign.Lease())); change != roster.ChangeNone {
+				t.Errorf("the entry is %s, want it dropped", change)
+			}
+			later := own
+			later.Sequence = 2
+			if change := hosts.Merge(now.Add(time.Second), later, now.Add(time.Second+own.Lease())); change != roster.ChangeRenewed {
+				t.Errorf("the host's own next announcement is %s, want it renewed", change)
+			}
+			afterLease := now.Add(time.Second + own.Lease())
+			if change := hosts.Merge(afterLease, foreign, afterLease.Add(foreign.Lease())); change != roster.ChangeUrgent {
+				t.Errorf("the entry is %s after the host's lease, want it taken: the host may have started again for another service", change)
+			}
+		})
+	}
+}
