entryapi: the test of callers that read nothing waits from the last progress

Cause, in the test: it waited StallTime from the moment at which the caller was the largest holder, while the answer was still coming and its charge made progress.

Change: the wait begins once the endpoint has sent all, with 0.5 s for what the entry host then writes. What is checked is unchanged.

--- a/caroblined/connection/entryapi/passthrough_test.go
+++ b/caroblined/connection/entryapi/passthrough_test.go
@@ -190,9 +190,10 @@
 func TestCallersThatReadNothingGiveWay(t *testing.T) {
 	t.Parallel()
 	account := memory.New(memory.Config{Memory: processMemory})
-	log := &logBuffer{}
+	log, sent := &logBuffer{}, make(chan struct{})
 	entryHost := entryHostOptions{log: log}.withAccount(account).start(t, route(routing.RepeatSafe), newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
 		reply(connection, request, "200 OK", strings.Repeat("x", 4<<20), "Mark: m")
+		close(sent)
 	}))
 	connection, err := net.Dial("tcp", entryHost.server.Listener.Addr().String())
 	if err != nil {
@@ -211,7 +212,9 @@
 			t.Fatalf("the largest holder is %v, want %v", account.State().Largest, holder)
 		}
 	}
-	time.Sleep(memory.StallTime + 100*time.Millisecond)
+	// The charge makes progress until the answer has come and the caller's socket is full.
+	<-sent
+	time.Sleep(memory.StallTime + 500*time.Millisecond)
 	var charges []*memory.Charge
 	for number := range 18 {
 		charge := account.Open(memory.Holder{Kind: memory.Endpoint, Name: fmt.Sprint("other-", number)}, "other", nil)
