--- a/caroblined/process/node/crashing_parts_test.go
+++ b/caroblined/process/node/crashing_parts_test.go
@@ -399,7 +399,7 @@
 }
 
 // checkLoad sends requests with the bad parts, one each interval, beside sound ones.
-func (system *poolSystem) checkLoad(interval time.Duration, badParts func(number int) string, bounds sendBounds) {
+func (system *poolSystem) checkLoad(interval time.Duration, badParts func(number int) string, allowed sendBounds) {
 	system.t.Helper()
 	var sound []*sent
 	var load sync.WaitGroup
@@ -408,17 +408,17 @@
 	})
 	system.load(interval, badParts)
 	load.Wait()
-	system.checkRequests(sound, bounds)
+	system.checkRequests(sound, allowed)
 }
 
 // checkRequests checks what reached engines after so many had ended, and what became of the
 // sound requests.
-func (system *poolSystem) checkRequests(sound []*sent, bounds sendBounds) {
+func (system *poolSystem) checkRequests(sound []*sent, allowed sendBounds) {
 	system.t.Helper()
 	if len(system.crashedAt) == 0 {
 		system.t.Fatal("no engine ended")
 	}
-	last := system.crashedAt[min(bounds.crashes, len(system.crashedAt))-1]
+	last := system.crashedAt[min(allowed.crashes, len(system.crashedAt))-1]
 	soon, late := 0, 0
 	for _, at := range system.badArrivals {
 		switch after := at.Sub(last); {
@@ -437,9 +437,9 @@
 			}
 		}
 	}
-	system.t.Logf("%d engines ended, %d requests with the part reached one, %d of them soon after engine %d, %d late; of %d sound ones %d began", len(system.crashedAt), len(system.badArrivals), soon, bounds.crashes, late, count, begun)
-	if late > bounds.late || soon > bounds.soon {
-		system.t.Errorf("%d bad requests reached engines within %v after engine %d had ended and %d later, want at most %d and %d", soon, crashWindow, bounds.crashes, late, bounds.soon, bounds.late)
+	system.t.Logf("%d engines ended, %d requests with the part reached one, %d of them soon after engine %d, %d late; of %d sound ones %d began", len(system.crashedAt), len(system.badArrivals), soon, allowed.crashes, late, count, begun)
+	if late > allowed.late || soon > allowed.soon {
+		system.t.Errorf("%d bad requests reached engines within %v after engine %d had ended and %d later, want at most %d and %d", soon, crashWindow, allowed.crashes, late, allowed.soon, allowed.late)
 	}
 	if count < 20 || 2*begun < count {
 		system.t.Errorf("of %d sound requests %d began, want at least half of 20 or more", count, begun)
