--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -147,7 +147,7 @@
 }
 
 // recordAnswer is recordAnswerTime for an answer that was read to its end. One by which the
-// endpoint says that it has failed speaks for no part of the prompt.
+// endpoint says that it has failed proves no part of the prompt sound.
 func (api *API) recordAnswer(call *call, attempt *attempt, exchange *exchange) {
 	if !exchange.endpointFailed() {
 		api.recordAnswerTime(call, attempt)
--- a/caroblined/connection/entryapi/credentials_test.go
+++ b/caroblined/connection/entryapi/credentials_test.go
@@ -23,6 +23,15 @@
 	return []routing.Route{open, closed}
 }
 
+// declareClientAccounts puts a declaration with these client accounts in force.
+func (entryHost *entryHost) declareClientAccounts(clientAccounts []routing.ClientAccount) {
+	entryHost.change(func(changed *view.View) {
+		declared := *changed.Routing.Declaration()
+		declared.ClientAccounts = clientAccounts
+		changed.Routing = routing.NewTable(&declared)
+	})
+}
+
 // Guards against credentials that nobody holds, or that can't be read, being taken for none: on
 // an anonymous route their requests ran (review/3).
 func TestUnknownCredentialsAreRefusedOnEveryRoute(t *testing.T) {
@@ -62,11 +71,7 @@
 func TestNoCredentialsAreNobodysToken(t *testing.T) {
 	service := newService(t, respondDone)
 	entryHost := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}.start(t, openAndClosedRoutes(), service)
-	entryHost.change(func(changed *view.View) {
-		declared := *changed.Routing.Declaration()
-		declared.ClientAccounts = []routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken("")}}}
-		changed.Routing = routing.NewTable(&declared)
-	})
+	entryHost.declareClientAccounts([]routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken("")}}})
 	for _, lines := range []string{"", "Authorization: Token \r\n", "Authorization: Token\r\n"} {
 		got, err := call(t, entryHost.server, "POST /closed/ HTTP/1.1\r\nHost: shop.example\r\nCall-Id: c1\r\nLeft-Ms: 5000\r\n"+lines+"Content-Length: 0\r\n\r\n")
 		if err != nil || got.status != http.StatusUnauthorized {
@@ -80,11 +85,7 @@
 func TestNobodyHasATokenOfAnEmptyListOfClientAccounts(t *testing.T) {
 	service := newService(t, respondDone)
 	entryHost := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), savedRetries: savedRetries}.start(t, openAndClosedRoutes(), service)
-	entryHost.change(func(changed *view.View) {
-		declared := *changed.Routing.Declaration()
-		declared.ClientAccounts = []routing.ClientAccount{}
-		changed.Routing = routing.NewTable(&declared)
-	})
+	entryHost.declareClientAccounts([]routing.ClientAccount{})
 	cases := map[string]map[string]int{
 		"":                                       {"/open/": http.StatusOK, "/closed/": http.StatusUnauthorized},
 		"Authorization: Token " + token + "\r\n": {"/open/": http.StatusUnauthorized, "/closed/": http.StatusUnauthorized},
@@ -130,11 +131,7 @@
 			t.Errorf("%s before the change: status %d, want 200", path, status)
 		}
 	}
-	entryHost.change(func(changed *view.View) {
-		declared := *changed.Routing.Declaration()
-		declared.ClientAccounts = []routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken("another")}}}
-		changed.Routing = routing.NewTable(&declared)
-	})
+	entryHost.declareClientAccounts([]routing.ClientAccount{{Name: "kathmandu", TokenSHA256: []string{rest.HashToken("another")}}})
 	for _, path := range []string{"/open/", "/closed/"} {
 		if status := send(path); status != http.StatusUnauthorized {
 			t.Errorf("%s after the change: status %d, want 401", path, status)
