suspicion: a sound request is sent as often as its route allows

What callers would have seen: since requests have names, a call whose parts are proven, or a plain one, was not sent a third time once two connections had broken off, on routes that allow three sends or more.

Cause: the bound on breaks of calls with suspect parts held for the request's own name, on which no answer has begun either.

Evidence: the new test failed before (after 2 breaks a request whose parts are proven may be sent: false). Found in the reading of the diff.

Change: where nothing but the request is suspect, the bound is three breaks, which is when no further engine may be reached.

--- a/core/request/suspicion/suspicion.go
+++ b/core/request/suspicion/suspicion.go
@@ -39,8 +39,10 @@
 	// wantedTime is how long a refusal under a block is reported.
 	wantedTime = time.Second
 	// maxBreaks is how many endpoints may break off the answer to a call with suspect parts
-	// before it begins.
-	maxBreaks = 2
+	// before it begins, and maxRequestBreaks that for a call of which nothing but the request
+	// itself is suspect.
+	maxBreaks        = 2
+	maxRequestBreaks = 3
 	// blockedRetryAfter is when a trial may be granted to a client account that a block
 	// names, and otherRetryAfter to any other.
 	blockedRetryAfter = 10 * time.Minute
@@ -53,7 +55,7 @@
 	// Parts are those of its prompt that other calls may share.
 	Parts []id.PromptPart
 	// Request is the name of the request itself (package fingerprint), which it keeps when its
-	// caller sends it again. It may be left empty while the node has nothing to Watch for.
+	// caller sends it again. It may be left empty while nothing Watches for it.
 	Request id.PromptPart
 }
 
@@ -353,8 +355,8 @@
 }
 
 // MayResend reports whether a call that was at an endpoint whose answer broke off before it
-// began may be sent to another one: not if the leader suspects one of its parts, a crash of
-// another process has been seen under one, or maxBreaks endpoints have broken off.
+// began may be sent to another one: not if the leader suspects one of its parts or its request,
+// a crash of another process has been seen under one, or too many endpoints have broken off.
 func (suspicion *Suspicion) MayResend(now time.Time, process Process, call Call, breaks int) bool {
 	suspicion.rotate(now)
 	suspicion.forget(now)
@@ -362,7 +364,11 @@
 	if len(parts) == 0 {
 		return true
 	}
-	if breaks >= maxBreaks {
+	mostBreaks := maxBreaks
+	if len(parts) == 1 && fingerprint.Is(parts[0]) {
+		mostBreaks = maxRequestBreaks
+	}
+	if breaks >= mostBreaks {
 		return false
 	}
 	among := func(part id.PromptPart) bool { return slices.Contains(parts, part) }
--- a/core/request/suspicion/suspicion_test.go
+++ b/core/request/suspicion/suspicion_test.go
@@ -10,6 +10,7 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/register"
+	"carobline.dev/core/request/fingerprint"
 	"carobline.dev/core/request/suspicion"
 )
 
@@ -215,3 +216,27 @@
 		t.Errorf("%d parts are reported, want at most 16 crashes of 1024", reported)
 	}
 }
+
+// Guards against a sound request without suspect parts that loses the sends which its route allows since
+// its connections were reset, and against one that goes on once three endpoints have broken it off.
+func TestRequestAloneIsSentAgainUpToItsThirdBreak(t *testing.T) {
+	request := fingerprint.Of("a", []byte("body"))
+	alone := suspicion.Call{ClientAccount: "a", Parts: []id.PromptPart{"common"}, Request: request}
+	withPart := suspicion.Call{ClientAccount: "a", Parts: []id.PromptPart{"topic"}, Request: request}
+	state := suspicion.New("n1", 1)
+	state.Began(start, suspicion.Call{Parts: []id.PromptPart{"common"}})
+	for breaks, want := range []struct{ alone, withPart bool }{{true, true}, {true, true}, {true, false}, {false, false}} {
+		if got := state.MayResend(start, process, alone, breaks); got != want.alone {
+			t.Errorf("after %d breaks a request whose parts are proven may be sent: %v", breaks, got)
+		}
+		if got := state.MayResend(start, process, withPart, breaks); got != want.withPart {
+			t.Errorf("after %d breaks a request with a suspect part may be sent: %v", breaks, got)
+		}
+	}
+	other := process
+	other.Host = "another"
+	state.Ended(start, other, alone)
+	if state.MayResend(start, process, alone, 1) {
+		t.Error("a request is sent again though another endpoint has ended under it")
+	}
+}
