crashes, fingerprint: two small functions say what they do in one line

A three-way comparison of kinds was an order of two, and the test of a prefix was written out by hand.

--- a/core/process/crashes/blocks.go
+++ b/core/process/crashes/blocks.go
@@ -114,7 +114,7 @@
 	// Of a request and a part in as many crashes the request goes first: its block leaves all
 	// other requests with the part alone.
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.count, a.count), compareKinds(a.part, b.part), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(kindOrder(a.part), kindOrder(b.part)), cmp.Compare(a.part, b.part))
 	})
 	best := candidates[0]
 	rival := slices.ContainsFunc(candidates, func(other candidate) bool {
@@ -126,16 +126,12 @@
 	return register.Command{BlockParts: &register.BlockParts{Parts: best.parts, ClientAccounts: best.clientAccounts}}, true
 }
 
-// compareKinds sorts requests before parts of prompts.
-func compareKinds(a, b id.PromptPart) int {
-	switch {
-	case fingerprint.Is(a) == fingerprint.Is(b):
+// kindOrder sorts requests before parts of prompts.
+func kindOrder(part id.PromptPart) int {
+	if fingerprint.Is(part) {
 		return 0
-	case fingerprint.Is(a):
-		return -1
-	default:
-		return 1
 	}
+	return 1
 }
 
 // common returns the parts that all calls with a part have in common, and the client
--- a/core/request/fingerprint/fingerprint.go
+++ b/core/request/fingerprint/fingerprint.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"carobline.dev/core/id"
 )
@@ -40,6 +41,4 @@
 }
 
 // Is reports whether a part is the name of a request, and not a part of prompts.
-func Is(part id.PromptPart) bool {
-	return len(part) > len(prefix) && part[:len(prefix)] == prefix
-}
+func Is(part id.PromptPart) bool { return strings.HasPrefix(string(part), prefix) }
