partsguard: the guard decides when a request's name is needed

Cause: whether a request is hashed was decided in entryapi, by three forms of one call and an exported Watches. callerapi had no part in it and hashed the body of each completion, though docs/design/parts.md says that nothing is hashed until an endpoint has ended. Check and Take took the guard's mutex for each call, also while nothing is blocked.

Change: a call hands the guard a function for its name. The guard calls it, outside its mutex, when something is suspect or blocked or an endpoint has ended, and refuses nothing and takes no mutex before. entryapi has one form of a call; the check that follows the body is the one that precedes it.

--- a/caroblined/connection/callerapi/completions.go
+++ b/caroblined/connection/callerapi/completions.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/request/dispatcher"
 	"carobline.dev/core/request/fingerprint"
 	"carobline.dev/core/request/prompt"
-	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/step"
 )
 
@@ -68,9 +69,11 @@
 		return err
 	}
 	decoded()
-	parts := suspicion.Call{
+	parts := partsguard.Call{
 		ClientAccount: call.clientAccount.Contract.ClientAccount, Parts: prompt.Messages(completion.Messages),
-		Request: fingerprint.Of(call.clientAccount.Contract.ClientAccount, []byte(request.URL.Path), callerBody),
+		Name: sync.OnceValue(func() id.PromptPart {
+			return fingerprint.Of(call.clientAccount.Contract.ClientAccount, []byte(request.URL.Path), callerBody)
+		}),
 	}
 	if err := blockedError(api.config.Guard.Check(parts)); err != nil {
 		return err
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -12,13 +12,13 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/attained"
-	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/view"
 )
 
@@ -31,8 +31,8 @@
 	path      string
 	model     id.Model
 	body      []byte
-	// parts are those of the prompt that other calls may share.
-	parts suspicion.Call
+	// parts is what the guard is told of the call.
+	parts partsguard.Call
 	// breaks counts the attempts that broke off before the answer had begun.
 	breaks    int
 	prefix    uint64
--- a/caroblined/connection/entryapi/admission.go
+++ b/caroblined/connection/entryapi/admission.go
@@ -42,7 +42,8 @@
 	clientAccount id.ClientAccount
 	// sharedParts are the parts of the prompt that other requests may have too.
 	sharedParts []id.PromptPart
-	requestName *requestName
+	// requestName returns the name of the request. It is nil until the body has come.
+	requestName func() id.PromptPart
 	// brokenAt is the endpoint at which an answer to the call last broke off, or nil.
 	// breaks counts those that have before the answer had begun.
 	brokenAt  *view.Endpoint
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -192,7 +192,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	now := api.config.Now()
-	call := &call{request: request, id: api.config.Dialect.requestID(request), arrivedAt: now, requestName: &requestName{}}
+	call := &call{request: request, id: api.config.Dialect.requestID(request), arrivedAt: now}
 	result := api.serve(writer, call)
 	api.record(call, result)
 	if result.abort {
@@ -212,11 +212,12 @@
 	if refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
+	call.requestName = api.config.Dialect.requestName(call)
 	// Time has passed while the body came.
 	if refusal := api.refuseBeforeStop(api.config.Now(), call); refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
-	if refusal := api.refuseBlockedRequest(call); refusal != nil {
+	if refusal := api.refuseBlocked(call); refusal != nil {
 		return api.refuse(writer, call, refusal)
 	}
 	ctx, cancel := context.WithDeadline(call.request.Context(), time.Now().Add(call.deadline.Sub(api.config.Now())))
--- a/caroblined/connection/entryapi/parts.go
+++ b/caroblined/connection/entryapi/parts.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/member"
 	"carobline.dev/core/request/fingerprint"
@@ -19,43 +20,20 @@
 	refusalSuspectParts = "suspect_parts"
 )
 
-// requestName is the name of a call's request (package fingerprint), which is found out once.
-type requestName struct {
-	once sync.Once
-	name id.PromptPart
-}
-
-// of returns the name. It is made of what the caller sends again unchanged with a new id; the
-// body must have been read.
-func (name *requestName) of(call *call, dialect *Dialect) id.PromptPart {
-	name.once.Do(func() {
-		header := call.request.Header
-		name.name = fingerprint.Of(
-			call.clientAccount, []byte(call.request.Method), []byte(call.request.Host), []byte(call.request.RequestURI), []byte(header.Get(dialect.Model)),
-			[]byte(strings.Join(header.Values(dialect.PromptParts), ",")), call.body,
-		)
+// requestName returns a function that finds out, once, the name of a call's request: of what the
+// caller sends again unchanged with a new id. The body must have been read. The function may run
+// beside a search that goes on with a copy of the call, so that it reads nothing that changes.
+func (dialect *Dialect) requestName(call *call) func() id.PromptPart {
+	clientAccount, method, host, target, body := call.clientAccount, call.request.Method, call.request.Host, call.request.RequestURI, call.body
+	model, parts := call.request.Header.Get(dialect.Model), call.request.Header.Values(dialect.PromptParts)
+	return sync.OnceValue(func() id.PromptPart {
+		return fingerprint.Of(clientAccount, []byte(method), []byte(host), []byte(target), []byte(model), []byte(strings.Join(parts, ",")), body)
 	})
-	return name.name
 }
 
-// parts is what is known of a call before its body has come.
-func (call *call) parts() suspicion.Call {
-	return suspicion.Call{ClientAccount: call.clientAccount, Parts: call.sharedParts}
-}
-
-// suspicion is what is known of a call whose answer has broken off.
-func (api *API) suspicion(call *call) suspicion.Call {
-	known := call.parts()
-	known.Request = call.requestName.of(call, &api.config.Dialect)
-	return known
-}
-
-// watched is what is known of a call, with its request only while that matters.
-func (api *API) watched(call *call) suspicion.Call {
-	if !api.guard.Watches() {
-		return call.parts()
-	}
-	return api.suspicion(call)
+// guarded is what the guard is told of a call.
+func (call *call) guarded() partsguard.Call {
+	return partsguard.Call{ClientAccount: call.clientAccount, Parts: call.sharedParts, Name: call.requestName}
 }
 
 // ReportParts adds what the leader is told of the parts of prompts.
@@ -68,21 +46,16 @@
 	return api.balancer.Declines(api.config.Now(), endpoint)
 }
 
-// refuseBlocked refuses a call whose prompt has parts that are blocked.
+// refuseBlocked refuses a call of whose prompt parts are blocked, or, once its body has come, whose
+// request is.
 func (api *API) refuseBlocked(call *call) *refusal {
-	return blockedRefusal(api.guard.Check(call.parts()))
-}
-
-// refuseBlockedRequest refuses a call whose request is blocked, as is known once its body has
-// come.
-func (api *API) refuseBlockedRequest(call *call) *refusal {
-	return blockedRefusal(api.guard.Check(api.watched(call)))
+	return blockedRefusal(api.guard.Check(call.guarded()))
 }
 
 // takePermit is refuseBlocked as the last step before a send: a call that is the trial of a
 // block uses it up.
 func (api *API) takePermit(call *call) *refusal {
-	return blockedRefusal(api.guard.Take(api.watched(call)))
+	return blockedRefusal(api.guard.Take(call.guarded()))
 }
 
 func blockedRefusal(blocked suspicion.Refusal, refused bool) *refusal {
@@ -97,7 +70,7 @@
 // recordBegun records that an endpoint has begun to answer a call.
 func (api *API) recordBegun(call *call, attempt *attempt) {
 	attempt.begun = true
-	api.guard.Began(api.watched(call))
+	api.guard.Began(call.guarded())
 }
 
 // recordFailed records that an endpoint's answer broke off.
@@ -105,12 +78,12 @@
 	call.brokenAt = attempt.endpoint
 	if !attempt.begun && !attempt.notRun {
 		call.breaks++
-		api.guard.BrokeOff(call.id, api.suspicion(call), attempt.endpoint)
+		api.guard.BrokeOff(call.id, call.guarded(), attempt.endpoint)
 	}
 }
 
 // mayResend reports whether a call that may have run may be sent once more as far as its
 // parts are concerned.
 func (api *API) mayResend(call *call) bool {
-	return call.possibleRuns == 0 || api.guard.MayResend(call.brokenAt, api.suspicion(call), call.breaks)
+	return call.possibleRuns == 0 || api.guard.MayResend(call.brokenAt, call.guarded(), call.breaks)
 }
--- a/caroblined/request/partsguard/partsguard.go
+++ b/caroblined/request/partsguard/partsguard.go
@@ -49,6 +49,25 @@
 	maxLoggedParts = 8
 )
 
+// Call is a call as its handler knows it.
+type Call struct {
+	ClientAccount id.ClientAccount
+	// Parts are those of its prompt that other calls may share.
+	Parts []id.PromptPart
+	// Name returns the name of its request (package fingerprint). It hashes the body, and so is
+	// called only when the name matters. It is nil until the body has come.
+	Name func() id.PromptPart
+}
+
+// known is what the guard judges a call by.
+func (call *Call) known() suspicion.Call {
+	known := suspicion.Call{ClientAccount: call.ClientAccount, Parts: call.Parts}
+	if call.Name != nil {
+		known.Request = call.Name()
+	}
+	return known
+}
+
 // Config is fixed for the life of a process.
 type Config struct {
 	// Self and Incarnation are those of the node.
@@ -93,6 +112,8 @@
 	crashedCalls, blockedCalls metrics.Counter
 	blocks                     metrics.Gauge
 
+	// watches is whether anything is suspect or blocked, or an endpoint has ended lately. Until
+	// then no call is refused, and none needs the name of its request.
 	watches atomic.Bool
 
 	mutex          sync.Mutex
@@ -127,20 +148,16 @@
 	guard.watches.Store(guard.suspicion.Watches())
 }
 
-// Watches reports whether the requests of calls matter now: an endpoint has ended lately, or
-// something is suspect or blocked. Until then a call may be checked, and said to have begun,
-// without its Request, which takes the time to hash it.
-func (guard *Guard) Watches() bool { return guard.watches.Load() }
-
 // Check returns the refusal of a call that a block holds for, unless it may be the block's
 // trial.
-func (guard *Guard) Check(call suspicion.Call) (suspicion.Refusal, bool) {
-	if call.Empty() {
+func (guard *Guard) Check(call Call) (suspicion.Refusal, bool) {
+	if !guard.watches.Load() {
 		return suspicion.Refusal{}, false
 	}
+	known := call.known()
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	return guard.check(call)
+	return guard.check(known)
 }
 
 // check is Check for a caller that holds the mutex.
@@ -153,42 +170,45 @@
 }
 
 // Take is Check as the last step before a send. A call that is a block's trial uses it up.
-func (guard *Guard) Take(call suspicion.Call) (suspicion.Refusal, bool) {
-	if call.Empty() {
+func (guard *Guard) Take(call Call) (suspicion.Refusal, bool) {
+	if !guard.watches.Load() {
 		return suspicion.Refusal{}, false
 	}
+	known := call.known()
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	if guard.suspicion.Use(call) {
+	if guard.suspicion.Use(known) {
 		return suspicion.Refusal{}, false
 	}
-	return guard.check(call)
+	return guard.check(known)
 }
 
 // Began records that the answer to a call has begun.
-func (guard *Guard) Began(call suspicion.Call) {
-	if call.Empty() {
+func (guard *Guard) Began(call Call) {
+	if !guard.watches.Load() {
+		call.Name = nil
+	}
+	known := call.known()
+	if known.Empty() {
 		return
 	}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	guard.suspicion.Began(guard.config.Now(), call)
+	guard.suspicion.Began(guard.config.Now(), known)
 }
 
 // MayResend reports whether a call whose answer last broke off at an endpoint, before it had
 // begun, may be sent to another one. The endpoint is nil if none has broken it off, and breaks
 // counts those that have.
-func (guard *Guard) MayResend(endpoint *view.Endpoint, call suspicion.Call, breaks int) bool {
-	if call.Empty() {
-		return true
-	}
+func (guard *Guard) MayResend(endpoint *view.Endpoint, call Call, breaks int) bool {
+	known := call.known()
 	process := suspicion.Process{}
 	if endpoint != nil {
 		process = processOf(endpoint)
 	}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
-	return guard.suspicion.MayResend(guard.config.Now(), process, call, breaks)
+	return guard.suspicion.MayResend(guard.config.Now(), process, known, breaks)
 }
 
 // Report adds what the leader is told of endpoints that ended, of the parts that it asks
@@ -208,11 +228,11 @@
 
 // BrokeOff finds out whether the endpoint of a call, whose answer broke off before it had
 // begun, has ended.
-func (guard *Guard) BrokeOff(request id.Request, call suspicion.Call, endpoint *view.Endpoint) {
-	if call.Empty() {
+func (guard *Guard) BrokeOff(request id.Request, call Call, endpoint *view.Endpoint) {
+	broken := brokenCall{request, call.known(), guard.config.Now(), guard.wasToStay(endpoint)}
+	if broken.call.Empty() {
 		return
 	}
-	broken := brokenCall{request, call, guard.config.Now(), guard.wasToStay(endpoint)}
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	known := guard.checkByProcess[processOf(endpoint)]
--- a/caroblined/request/partsguard/partsguard_test.go
+++ b/caroblined/request/partsguard/partsguard_test.go
@@ -13,7 +13,6 @@
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/member"
-	"carobline.dev/core/request/suspicion"
 	"carobline.dev/core/version/view"
 )
 
@@ -51,7 +50,7 @@
 				Reach: func(context.Context, string) error { return nil },
 			})
 			defer guard.Close()
-			guard.BrokeOff("r", suspicion.Call{ClientAccount: "a", Parts: []id.PromptPart{"bad"}}, endpoint(1, true))
+			guard.BrokeOff("r", partsguard.Call{ClientAccount: "a", Parts: []id.PromptPart{"bad"}}, endpoint(1, true))
 			time.Sleep(30 * time.Millisecond)
 			current.Store(viewOf(test.after))
 			time.Sleep(checkTime)
