entryapi: benchmarks may start the entry hosts of tests

entryHostOptions.start and newTable take a testing.TB, and maxIdle sets how many unused connections a host keeps to a service.

--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -71,6 +71,9 @@
 	account *memory.Account
 	// slots is the number of slots of each service, without it defaultSlots.
 	slots int
+	// maxIdle is the number of unused connections kept to a service, without it
+	// defaultMaxIdle.
+	maxIdle int
 	// spare are the hosts of the second service.
 	spare []*service
 }
@@ -78,6 +81,9 @@
 // defaultSlots is the number of slots of a service.
 const defaultSlots = 8
 
+// defaultMaxIdle is the number of unused connections that an entry host keeps to a service.
+const defaultMaxIdle = 2
+
 // entryHost is an entry host whose view a test may change.
 type entryHost struct {
 	server *httptest.Server
@@ -86,7 +92,7 @@
 }
 
 // start starts an entry host in front of fake services.
-func (options entryHostOptions) start(t *testing.T, routes []routing.Route, services ...*service) *entryHost {
+func (options entryHostOptions) start(t testing.TB, routes []routing.Route, services ...*service) *entryHost {
 	t.Helper()
 	endpointByName := map[feed.Endpoint]*view.Endpoint{}
 	serviceEndpoints := map[id.Service]*view.Set{"desk": options.endpoints("desk", "h", services, endpointByName)}
@@ -101,7 +107,7 @@
 	if options.dial == nil {
 		options.dial = (&net.Dialer{}).DialContext
 	}
-	transport := endpoint.New(endpoint.Config{Dial: options.dial, MaxIdlePerHost: 2, IDHeader: dialect.RequestID, Account: options.account, Now: time.Now})
+	transport := endpoint.New(endpoint.Config{Dial: options.dial, MaxIdlePerHost: options.maxIdlePerService(), IDHeader: dialect.RequestID, Account: options.account, Now: time.Now})
 	singleSendTransport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, IDHeader: dialect.RequestID, Account: options.account, Now: time.Now})
 	entryHost.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
@@ -142,6 +148,13 @@
 	return options.slots
 }
 
+func (options entryHostOptions) maxIdlePerService() int {
+	if options.maxIdle == 0 {
+		return defaultMaxIdle
+	}
+	return options.maxIdle
+}
+
 func (options entryHostOptions) logger() zerolog.Logger {
 	if options.log == nil {
 		return zerolog.Nop()
@@ -157,7 +170,7 @@
 	entryHost.api.Update(&changed)
 }
 
-func newTable(t *testing.T, revision id.Revision, routes []routing.Route) *routing.Table {
+func newTable(t testing.TB, revision id.Revision, routes []routing.Route) *routing.Table {
 	t.Helper()
 	declaration := &routing.Declaration{
 		Revision: revision, Routes: routes, Services: []routing.Service{{Name: "desk"}, {Name: "spare"}},
