endpoint: log what connections to endpoints carry beyond one answer to each request

Neither logs nor metrics could tell the hypotheses apart: an answer to another request was logged without the id that it bore, a request that came to one connection twice wasn't logged at all, and bytes on an unused connection were a line of net/http without an address.

Each connection now knows which ids it has carried and how they were answered. The transport observes second_send, copied_refusal, copied_answer, foreign_answer, unnamed_answer and unsolicited_answer; answerlog writes a line and a counter for each, for entry hosts, callers' hosts and the leader's orders. No decision changes.

--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"carobline.dev/caroblined/connection/operatorapi"
 	"carobline.dev/caroblined/connection/peerapi"
 	"carobline.dev/caroblined/process/accountant"
+	"carobline.dev/caroblined/process/answerlog"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/peers"
 	"carobline.dev/caroblined/process/run"
@@ -138,13 +139,14 @@
 		metrics: metrics.NewRegistry(), stopFinished: make(chan struct{}),
 	}
 	daemon.account = accountant.New(accountant.Config{Memory: memory.Bytes(nodeSettings.Limits.MemoryMB) << 20, Log: daemon.log, Metrics: daemon.metrics})
+	observe := answerlog.New(daemon.log, daemon.metrics).Record
 	daemon.engineTransport = endpoint.New(endpoint.Config{
 		Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true,
-		Account: daemon.account, Now: daemon.now,
+		Account: daemon.account, Now: daemon.now, Observe: observe,
 	})
 	// Each call that must not repeat gets a new connection, since the transport
 	// may send a request again when a reused connection fails.
-	daemon.singleSendTransport = endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID, Account: daemon.account, Now: daemon.now})
+	daemon.singleSendTransport = endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID, Account: daemon.account, Now: daemon.now, Observe: observe})
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
 		return nil, errors.Wrap(err, "start")
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -23,6 +23,7 @@
 
 	"carobline.dev/caroblined/connection/entryapi"
 	"carobline.dev/caroblined/process/accountant"
+	"carobline.dev/caroblined/process/answerlog"
 	"carobline.dev/caroblined/process/control"
 	"carobline.dev/caroblined/process/identity"
 	"carobline.dev/caroblined/process/peers"
@@ -97,7 +98,7 @@
 
 // openTransports makes the transports to endpoints. It is called once there is an account.
 func (node *Node) openTransports() {
-	config := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout, Account: node.account, Now: node.clock.Now}
+	config := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout, Account: node.account, Now: node.clock.Now, Observe: answerlog.New(node.config.Log, node.metrics).Record}
 	if node.config.Entry != nil {
 		config.IDHeader = node.config.Entry.Dialect.RequestID
 	}
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -72,6 +72,9 @@
 	// nothing. Now is its time.
 	Account *memory.Account
 	Now     func() time.Time
+	// Observe is told of answers that belong to no request, and of requests that come to an address again. Nil tells
+	// nobody.
+	Observe func(Observation)
 }
 
 // Transport sends requests to hosts. It is safe for concurrent use.
@@ -81,19 +84,21 @@
 	readerBoundsStreams bool
 	account             *memory.Account
 	now                 func() time.Time
+	observe             func(Observation)
 }
 
 // New returns a transport without connections.
 func New(config Config) *Transport {
-	dial := config.Dial
-	if config.Account != nil {
-		dial = chargeConns(dial)
+	transport := &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, account: config.Account, now: config.Now, observe: config.Observe}
+	if transport.observe == nil {
+		transport.observe = func(Observation) {}
 	}
-	return &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, account: config.Account, now: config.Now, transport: &http.Transport{
-		DialContext: dial, DisableCompression: true, DisableKeepAlives: config.SingleUse,
+	transport.transport = &http.Transport{
+		DialContext: transport.wires(config.Dial), DisableCompression: true, DisableKeepAlives: config.SingleUse,
 		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
 		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+	return transport
 }
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
@@ -101,20 +106,25 @@
 // end, and ErrForeignAnswer for one that belongs to another request. The connection of the
 // latter is closed: the answer to this request would come as that to the next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var connection net.Conn
+	var conn *wire
 	var timer headerTimer
-	head := transport.newHeadCharge(request)
+	id, head := request.Header.Get(transport.idHeader), transport.newHeadCharge(request)
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			charge(connection, nil)
-			connection = info.Conn
-			charge(connection, head)
+			if conn != nil {
+				conn.setHead(nil)
+			}
+			conn = info.Conn.(*wire)
+			transport.begin(conn, request.URL.Host, id, head)
 		},
-		GotFirstResponseByte: func() { timer.start(connection) },
+		PutIdleConn:          func(error) { conn.end() },
+		GotFirstResponseByte: func() { timer.start(conn) },
 		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
 	})
 	response, err := transport.transport.RoundTrip(request.WithContext(traced))
-	charge(connection, nil)
+	if conn != nil {
+		conn.setHead(nil)
+	}
 	if err != nil {
 		head.charge.Close()
 	} else if head.charge != nil {
@@ -129,11 +139,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if transport.foreign(request, response) {
+	if answered := response.Header.Get(transport.idHeader); transport.foreign(request, response) {
+		transport.observe(Observation{
+			Oddity: oddityOf(conn.history, answered), Address: request.URL.Host, Request: id, Answered: answered, Status: response.StatusCode,
+		})
 		_ = response.Body.Close()
-		_ = connection.Close()
+		_ = conn.Close()
 		return nil, ErrForeignAnswer
 	}
+	conn.answered(response.StatusCode)
 	if transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type")) {
 		return response, nil
 	}
@@ -145,6 +159,13 @@
 	return response, nil
 }
 
+// begin records that a request is sent on a connection.
+func (transport *Transport) begin(conn *wire, address, id string, head *headCharge) {
+	if earlier := conn.begin(id, head); earlier != nil && id != "" {
+		transport.observe(Observation{Oddity: SecondSend, Address: address, Request: id, Status: earlier.status})
+	}
+}
+
 // foreign reports whether an answer names another request. One that names none may still
 // be this request's.
 func (transport *Transport) foreign(request *http.Request, response *http.Response) bool {
