--- a/caroblined/process/node/export_test.go
+++ b/caroblined/process/node/export_test.go
@@ -1,6 +1,20 @@
 package node
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"carobline.dev/core/process/action"
+	"carobline.dev/core/process/boottime"
+)
+
+// OrderSender returns what sends orders as a node of a configuration does, and what ends its
+// connections.
+func OrderSender(config Config) (send func(ctx context.Context, order action.Order) error, closeIdle func()) {
+	node := &Node{config: config, clock: boottime.New(time.Now())}
+	node.openTransports()
+	return node.sendOrder, node.endpointTransport.CloseIdleConnections
+}
 
 // FailListener reports an error of a listener to Run.
 func (node *Node) FailListener(err error) { node.reportServeError(err) }
