--- a/caroblined/connection/entryapi/copied_refusal_test.go
+++ b/caroblined/connection/entryapi/copied_refusal_test.go
@@ -61,6 +61,8 @@
 	repeat  routing.Repeat
 	raw     string
 	refusal refusalForm
+	// attempts is how often the call may run, without it two times.
+	attempts int
 }
 
 // copiedCalls returns the calls of the routes, with and without a body, by each refusal.
@@ -306,6 +308,9 @@
 	t.Helper()
 	routes := route(copied.repeat)
 	routes[0].TargetMS = 300
+	if copied.attempts > 0 {
+		routes[0].Attempts = copied.attempts
+	}
 	host := &namedHost{}
 	var services []*service
 	for range copiers {
@@ -394,6 +399,19 @@
 	})
 }
 
+// Guards against a call that may be repeated and runs more often than its route allows, since
+// the run whose answer was the copy of a refusal isn't counted.
+func TestCopiedRefusalAtAnotherNameOfTheAddressIsCountedAsARun(t *testing.T) {
+	calls := copiedCalls(routing.RepeatSafe, routing.RepeatStream)
+	for name, copied := range calls {
+		copied.attempts = 1
+		calls[name] = copied
+	}
+	eachCopied(t, calls, func(t *testing.T, copied copiedCall) {
+		copied.startNamed(t, 1, 3).send(t, copied.raw).wantNoSecondRun(t)
+	})
+}
+
 // Guards against a call whose answer is lost for the copy of a refusal by the same address.
 func TestCopiedRefusalAtAnotherNameOfTheAddressHidesNoAnswer(t *testing.T) {
 	eachCopied(t, copiedCalls(allRepeats()...), func(t *testing.T, copied copiedCall) {
