endpoint: a request's id goes on one connection once, so an answer with it is the request's own

Orders counted as begun or refused by the answer to the order before.

Cause: an answer was taken for a request's own if it bore the request's id, and one without an id was taken as well. An endpoint may write the copy of a refusal where the next answer is due, and the id proves nothing where the connection has carried it before: under a caller's repeat, at one address of two names, where callerapi moves back and forth between two endpoints, or where net/http chose another kept connection by itself. Orders bear no id at all. The class: a proof of identity that holds only while each id is used once, on a connection that outlives its request.

Change: the transport keeps its connections itself (http.ClientConn) in place of http.Transport's pool, with one rule for entryapi, callerapi and orders. A connection knows the ids that it has carried; a request goes on one that hasn't carried its id. A request without an id, or with Close set, has a connection of its own. An answer that bears another id, two, or none on a used connection is ErrForeignAnswer. A request goes on a second connection by itself only if no byte of it was written; so net/http resends nothing, and the transport for single sends and its lists of methods and headers are gone.

Why it works: a copy on a connection bears an id that this connection has carried, and no request under way there can have that id. Nothing is concluded from a status, so a full endpoint's refusals cost no connection.

--- a/caroblined/connection/callerapi/callerapi.go
+++ b/caroblined/connection/callerapi/callerapi.go
@@ -64,11 +64,8 @@
 	Guard *partsguard.Guard
 	// Account is charged for what is held for callers and endpoints. Nil bounds nothing.
 	Account *memory.Account
-	// EngineTransport sends requests to engines over keep-alive connections.
+	// EngineTransport sends requests to engines and services.
 	EngineTransport http.RoundTripper
-	// SingleSendTransport sends calls that must not repeat. It opens a new
-	// connection for each, so that the transport never retries one by itself.
-	SingleSendTransport http.RoundTripper
 }
 
 // API serves callers.
--- a/caroblined/connection/callerapi/copied_refusal_test.go
+++ b/caroblined/connection/callerapi/copied_refusal_test.go
@@ -238,7 +238,6 @@
 		RunInBackground: func(work func(context.Context)) { background.Go(func() { work(context.Background()) }) },
 		Log:             zerolog.Nop(), Metrics: metrics.NewRegistry(), BodyBytes: 1 << 20, InactivityTimeout: 10 * time.Second, CallerWriteTimeout: 10 * time.Second,
 		PriorityLevels: attained.New(attained.DefaultThresholds()), RetryBudget: retryBudget, Guard: guard, EngineTransport: transport,
-		SingleSendTransport: endpoint.New(endpoint.Config{Dial: dial, SingleUse: true, IDHeader: rest.HeaderRequestID, Now: time.Now}),
 	})
 }
 
--- a/caroblined/connection/callerapi/once.go
+++ b/caroblined/connection/callerapi/once.go
@@ -184,7 +184,7 @@
 // only while the call provably hasn't been sent.
 func (api *API) sendOnce(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, key register.CallKey, attempt id.Change) (*heldAnswer, error) {
 	for attemptNumber := 1; ; attemptNumber++ {
-		answer, sent, err := api.exchange(ctx, admission, serviceCall, attemptNumber, api.config.SingleSendTransport)
+		answer, sent, err := api.exchange(ctx, admission, serviceCall, attemptNumber, ownConnection)
 		switch {
 		case err == nil:
 			admission.Finish(0, false)
--- a/caroblined/connection/callerapi/parts.go
+++ b/caroblined/connection/callerapi/parts.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/request/suspicion"
 )
@@ -31,7 +32,7 @@
 // recordBrokenOff records an attempt whose engine broke off before the answer had begun.
 func (relay *relay) recordBrokenOff(attempt *attempt, err error) {
 	var engineError *engineError
-	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || rest.DialFailed(err) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
+	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || endpoint.Unsent(err) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
 		return
 	}
 	relay.breaks++
--- a/caroblined/connection/callerapi/service.go
+++ b/caroblined/connection/callerapi/service.go
@@ -121,7 +121,7 @@
 	serviceCall.mayMove = repeatable(serviceCall.method)
 	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
-		answer, sent, err := api.exchange(ctx, admission, serviceCall, attempt, api.config.EngineTransport)
+		answer, sent, err := api.exchange(ctx, admission, serviceCall, attempt, anyConnection)
 		if err == nil {
 			admission.Finish(0, false)
 			return answer, nil
--- a/caroblined/connection/callerapi/serviceexchange.go
+++ b/caroblined/connection/callerapi/serviceexchange.go
@@ -4,22 +4,31 @@
 	"bytes"
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
 	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/process/register"
 )
 
+// connectionUse says on which connections a call to a service may be sent.
+type connectionUse bool
+
+// ownConnection is that of calls that must not repeat: an unused connection may be closed just as a call is written, and
+// whether that call has run is then unknown for good.
+const (
+	anyConnection connectionUse = false
+	ownConnection connectionUse = true
+)
+
 // exchange makes one attempt. The result sent is false only when no byte of the
 // request can have reached the service, or when the service's answer says that
 // the request did not run.
-func (api *API) exchange(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, attempt int, transport http.RoundTripper) (answer *heldAnswer, sent bool, err error) {
+func (api *API) exchange(ctx context.Context, admission *traffic.Admission, serviceCall *serviceCall, attempt int, use connectionUse) (answer *heldAnswer, sent bool, err error) {
 	endpoint := admission.Endpoint()
 	serviceCall.call.lastEndpoint = endpointName(endpoint)
 	attemptCtx, cancel, ok := admission.Attempt(ctx)
@@ -29,19 +38,16 @@
 	defer cancel(nil)
 	watch := api.watchService(attemptCtx, cancel, admission, serviceCall)
 	defer watch.stop()
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := http.NewRequestWithContext(traced, serviceCall.method, "http://"+endpoint.Address+serviceCall.target, bytes.NewReader(serviceCall.body))
+	request, err := http.NewRequestWithContext(attemptCtx, serviceCall.method, "http://"+endpoint.Address+serviceCall.target, bytes.NewReader(serviceCall.body))
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "request to %s", endpoint.Address)
 	}
 	serviceCall.setHeaders(request, attempt)
+	request.Close = use == ownConnection
 	startedAt := api.config.Now()
-	response, err := transport.RoundTrip(request)
+	response, err := api.config.EngineTransport.RoundTrip(request)
 	if err != nil {
-		return nil, connected.Load(), errors.Wrapf(causeOf(attemptCtx, err), "call service at %s", endpoint.Address)
+		return nil, reached(err), errors.Wrapf(causeOf(attemptCtx, err), "call service at %s", endpoint.Address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	watch.recordBytes()
@@ -70,6 +76,9 @@
 	return &heldAnswer{&register.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, charge}, true, nil
 }
 
+// reached reports whether a request that failed may have reached its endpoint.
+func reached(err error) bool { return !endpoint.Unsent(err) }
+
 // forwardedHeaders are the headers of the caller that are sent on to a service.
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", headerIdempotencyKey}
 
--- a/caroblined/connection/entryapi/entryapi.go
+++ b/caroblined/connection/entryapi/entryapi.go
@@ -58,12 +58,9 @@
 	Now     func() time.Time
 	// Transport sends requests to endpoints.
 	Transport http.RoundTripper
-	// SingleSendTransport opens a new connection for each request. It sends those that
-	// must not repeat and that net/http might send again over a kept connection.
-	SingleSendTransport http.RoundTripper
-	Log                 zerolog.Logger
-	Metrics             metrics.Registry
-	Rand                *rand.Rand
+	Log       zerolog.Logger
+	Metrics   metrics.Registry
+	Rand      *rand.Rand
 	// Reach opens a connection to an endpoint's address and closes it.
 	Reach func(ctx context.Context, address string) error
 	// Self and Incarnation are those of the node.
--- a/caroblined/connection/entryapi/entryapi_test.go
+++ b/caroblined/connection/entryapi/entryapi_test.go
@@ -102,9 +102,8 @@
 		options.dial = (&net.Dialer{}).DialContext
 	}
 	transport := endpoint.New(endpoint.Config{Dial: options.dial, MaxIdlePerHost: 2, IDHeader: dialect.RequestID, Account: options.account, Now: time.Now})
-	singleSendTransport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, IDHeader: dialect.RequestID, Account: options.account, Now: time.Now})
 	entryHost.api = entryapi.New(entryapi.Config{
-		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport, SingleSendTransport: singleSendTransport,
+		Dialect: dialect, View: entryHost.view.Load, Now: time.Now, Transport: transport,
 		Log: options.logger(), Metrics: metrics.NewRegistry(), Rand: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a seeded test
 		SavedRetries: options.savedRetries, Self: "n1", Incarnation: 1, Account: options.account,
 		Reach: func(ctx context.Context, address string) error {
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -12,7 +12,6 @@
 
 	"carobline.dev/core/connection/body"
 	"carobline.dev/core/connection/endpoint"
-	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/request/balancer"
@@ -116,7 +115,7 @@
 	request := api.request(attemptCtx, call, attempt.endpoint)
 	call.tried = append(call.tried, attempt.endpoint.Name)
 	watch := api.watchAnswerStart(ctx, call, attempt, cancel)
-	response, err := api.transport(call, request).RoundTrip(request)
+	response, err := api.config.Transport.RoundTrip(request)
 	api.recordHead(call, attempt, exchange, response, err)
 	attempt.notRun = exchange.notRun
 	if exchange.usable() && call.streams(exchange.response) && watch.recordStreamHead(api.config.Now(), call) {
@@ -159,7 +158,7 @@
 func (api *API) recordHead(call *call, attempt *attempt, exchange *exchange, response *http.Response, err error) {
 	if err != nil {
 		exchange.err, exchange.reason = err, reasonOf(err)
-		exchange.notRun = rest.DialFailed(err)
+		exchange.notRun = endpoint.Unsent(err)
 		return
 	}
 	exchange.response = response
@@ -204,11 +203,7 @@
 	if len(call.body) > 0 {
 		body := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(call.body)), nil }
 		request.Body, _ = body()
-		if !replayable(request) {
-			// net/http then sends it on another connection only if it has written nothing
-			// of it on a kept one that turns out to be closed.
-			request.GetBody = body
-		}
+		request.GetBody = body
 	} else {
 		request.Body = http.NoBody
 	}
--- a/caroblined/process/daemon/daemon.go
+++ b/caroblined/process/daemon/daemon.go
@@ -114,10 +114,9 @@
 	retryBudget *budget.Budget
 	guard       *partsguard.Guard
 
-	listeners           []*listener
-	tlsFiles            []*tlsfiles.Files
-	engineTransport     *endpoint.Transport
-	singleSendTransport *endpoint.Transport
+	listeners       []*listener
+	tlsFiles        []*tlsfiles.Files
+	engineTransport *endpoint.Transport
 
 	// background tracks work that outlives the call that started it.
 	background       sync.WaitGroup
@@ -139,14 +138,10 @@
 		metrics: metrics.NewRegistry(), stopFinished: make(chan struct{}),
 	}
 	daemon.account = accountant.New(accountant.Config{Memory: memory.Bytes(nodeSettings.Limits.MemoryMB) << 20, Log: daemon.log, Metrics: daemon.metrics})
-	observe := answerlog.New(daemon.log, daemon.metrics).Record
 	daemon.engineTransport = endpoint.New(endpoint.Config{
 		Dial: network.Dial, MaxIdlePerHost: 256, IdleTimeout: idleTimeout, BufferBytes: engineBufferBytes, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true,
-		Account: daemon.account, Now: daemon.now, Observe: observe,
+		Account: daemon.account, Now: daemon.now, Observe: answerlog.New(daemon.log, daemon.metrics).Record,
 	})
-	// Each call that must not repeat gets a new connection, since the transport
-	// may send a request again when a reused connection fails.
-	daemon.singleSendTransport = endpoint.New(endpoint.Config{Dial: network.Dial, SingleUse: true, IDHeader: rest.HeaderRequestID, Account: daemon.account, Now: daemon.now, Observe: observe})
 	daemon.backgroundCtx, daemon.cancelBackground = context.WithCancel(context.Background())
 	if err := daemon.start(); err != nil {
 		return nil, errors.Wrap(err, "start")
@@ -282,7 +277,7 @@
 		Propose: loop.Propose, RunInBackground: daemon.runInBackground, Log: daemon.log, Metrics: daemon.metrics,
 		BodyBytes: nodeSettings.Limits.BodyBytes, InactivityTimeout: time.Duration(nodeSettings.Limits.InactivityTimeoutMS) * time.Millisecond,
 		CallerWriteTimeout: daemon.callerWriteTimeout(),
-		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, Guard: daemon.guard, Account: daemon.account, EngineTransport: daemon.engineTransport, SingleSendTransport: daemon.singleSendTransport,
+		PriorityLevels:     attained.New(attained.DefaultThresholds()), RetryBudget: daemon.retryBudget, Guard: daemon.guard, Account: daemon.account, EngineTransport: daemon.engineTransport,
 	}).Handler()
 	if nodeSettings.RouterOff {
 		callers = routerOffHandler()
--- a/caroblined/process/node/export_test.go
+++ b/caroblined/process/node/export_test.go
@@ -12,7 +12,7 @@
 // connections.
 func OrderSender(config Config) (send func(ctx context.Context, order action.Order) error, closeIdle func()) {
 	node := &Node{config: config, clock: boottime.New(time.Now())}
-	node.openTransports()
+	node.openTransport()
 	return node.sendOrder, node.endpointTransport.CloseIdleConnections
 }
 
--- a/caroblined/process/node/node.go
+++ b/caroblined/process/node/node.go
@@ -68,11 +68,10 @@
 	draining atomic.Bool
 	// loggedRevision and loggedLeaseHeld are the last logged values. Only the event
 	// loop uses the first, only Run the second.
-	loggedRevision      id.Revision
-	loggedLeaseHeld     bool
-	endpointTransport   *endpoint.Transport
-	singleSendTransport *endpoint.Transport
-	listeners           []*listener
+	loggedRevision    id.Revision
+	loggedLeaseHeld   bool
+	endpointTransport *endpoint.Transport
+	listeners         []*listener
 	// callerListeners are those of the entry, which stop accepting first.
 	callerListeners []*listener
 	// boundListener is that of callers, once it is open. The event loop changes its limits.
@@ -96,15 +95,13 @@
 	return node, nil
 }
 
-// openTransports makes the transports to endpoints. It is called once there is an account.
-func (node *Node) openTransports() {
+// openTransport makes the transport to endpoints. It is called once there is an account.
+func (node *Node) openTransport() {
 	config := endpoint.Config{Dial: dial, MaxIdlePerHost: maxIdlePerEndpoint, IdleTimeout: endpointIdleTimeout, Account: node.account, Now: node.clock.Now, Observe: answerlog.New(node.config.Log, node.metrics).Record}
 	if node.config.Entry != nil {
 		config.IDHeader = node.config.Entry.Dialect.RequestID
 	}
 	node.endpointTransport = endpoint.New(config)
-	config.SingleUse = true
-	node.singleSendTransport = endpoint.New(config)
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -122,7 +119,7 @@
 	}
 	node.config.Log = node.config.Log.With().Str("node", string(node.self.Node)).Logger()
 	node.account = accountant.New(accountant.Config{Memory: node.config.Memory, Log: node.config.Log, Metrics: node.metrics})
-	node.openTransports()
+	node.openTransport()
 	node.peers = peers.New(peers.Config{
 		Self: node.self.Node, Resolve: resolve,
 		Client: rest.NewClient(&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}, "").Charged(node.account, node.clock.Now),
@@ -159,7 +156,7 @@
 func (node *Node) startEntry() {
 	node.entry = entryapi.New(entryapi.Config{
 		Dialect: node.config.Entry.Dialect, View: node.view, Now: node.clock.Now, Transport: node.endpointTransport,
-		SingleSendTransport: node.singleSendTransport, Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
+		Log: node.config.Log, Metrics: node.metrics, Rand: newRand(), SavedRetries: node.config.Entry.SavedRetries,
 		Self: node.self.Node, Incarnation: node.self.Incarnation, Account: node.account,
 		Reach: func(ctx context.Context, address string) error { return rest.Reach(ctx, dial, address) },
 	})
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -1,12 +1,18 @@
 // Package endpoint is the HTTP transport to the hosts of engines and services. A
 // faulty host may send bytes that are no answer and never end, so heads and bodies are
-// bounded, and an answer to another request isn't taken for that to this one. Either costs
-// the connection, which isn't used again.
+// bounded. It may also write an answer too many, which comes when the next one is due and may
+// bear the id of any request that the connection has carried. An answer proves only what it can:
+//
+//   - A request's id goes on one connection once. An answer with this id is then the request's own. A request that has
+//     none, or whose Close is set, has a connection of its own.
+//   - An answer that bears another id belongs to another request. One without an id is taken only if the connection
+//     has carried no other request, and ends it.
+//   - A request goes on a second connection by itself only if no byte of it was written on the first.
 //
 // # Usage
 //
 //	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second, IDHeader: "X-Request-Id"})
-//	response, err := transport.RoundTrip(request) // ErrForeignAnswer for an answer to another request
+//	response, err := transport.RoundTrip(request) // ErrForeignAnswer for an answer to another request; see Unsent
 //	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes
 //	transport.CloseIdleConnections()
 package endpoint
@@ -18,6 +24,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -54,20 +61,17 @@
 // Config is fixed for the life of a process.
 type Config struct {
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// MaxIdlePerHost and IdleTimeout bound the unused connections that are kept.
+	// MaxIdlePerHost and IdleTimeout bound the unused connections that are kept. Zero keeps none, and for any time.
 	MaxIdlePerHost int
 	IdleTimeout    time.Duration
 	// BufferBytes is the size of a connection's buffers. Zero stands for the
 	// default of net/http.
 	BufferBytes int
-	// IDHeader names the header of a request that its answer repeats. An answer with
-	// another value belongs to another request.
+	// IDHeader names the header of a request that its answer repeats.
 	IDHeader string
 	// ReaderBoundsStreams is set where the reader of a stream of events that a request
 	// accepts bounds it by what it asked for, so that its bytes needn't be bounded here.
 	ReaderBoundsStreams bool
-	// SingleUse gives each request a connection of its own.
-	SingleUse bool
 	// Account is charged for the heads of answers, until their bodies are closed. Nil bounds
 	// nothing. Now is its time.
 	Account *memory.Account
@@ -79,7 +83,7 @@
 
 // Transport sends requests to hosts. It is safe for concurrent use.
 type Transport struct {
-	transport           *http.Transport
+	pool                *pool
 	idHeader            string
 	readerBoundsStreams bool
 	account             *memory.Account
@@ -89,95 +93,171 @@
 
 // New returns a transport without connections.
 func New(config Config) *Transport {
-	transport := &Transport{idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, account: config.Account, now: config.Now, observe: config.Observe}
-	if transport.observe == nil {
-		transport.observe = func(Observation) {}
+	observe := config.Observe
+	if observe == nil {
+		observe = func(Observation) {}
 	}
-	transport.transport = &http.Transport{
-		DialContext: transport.wires(config.Dial), DisableCompression: true, DisableKeepAlives: config.SingleUse,
-		MaxIdleConnsPerHost: config.MaxIdlePerHost, IdleConnTimeout: config.IdleTimeout,
+	dialer := &http.Transport{
+		DialContext: dialWire(config.Dial), DisableCompression: true,
 		ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return transport
+	return &Transport{
+		pool:     &pool{dialer: dialer, maxIdle: config.MaxIdlePerHost, idleTimeout: config.IdleTimeout, observe: observe, idleByAddress: map[string][]*conn{}},
+		idHeader: config.IDHeader, readerBoundsStreams: config.ReaderBoundsStreams, account: config.Account, now: config.Now, observe: observe,
+	}
 }
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
 // says that it is larger than MaxAnswerBytes, ErrHeaderTimeout for one whose headers don't
-// end, and ErrForeignAnswer for one that belongs to another request. The connection of the
-// latter is closed: the answer to this request would come as that to the next one.
+// end, and ErrForeignAnswer for one that belongs to another request, or can't be told from
+// one. The connection of the latter is closed: the answer to this request would come as that to the next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *wire
+	for {
+		conn, err := transport.connect(request)
+		if err != nil {
+			closeBody(request)
+			return nil, err
+		}
+		response, err := transport.exchange(conn, request)
+		if err == nil || !Unsent(err) || !conn.reused() || request.Context().Err() != nil {
+			return response, err
+		}
+		again, rewound := rewind(request)
+		if !rewound {
+			return nil, err
+		}
+		request = again
+	}
+}
+
+// connect returns a connection for a request.
+func (transport *Transport) connect(request *http.Request) (*conn, error) {
+	id, address := request.Header.Get(transport.idHeader), request.URL.Host
+	if id != "" && !request.Close {
+		return transport.pool.take(request.Context(), address, id)
+	}
+	conn, err := transport.pool.open(request.Context(), address)
+	if err == nil {
+		conn.singleUse = true
+	}
+	return conn, err
+}
+
+// exchange sends a request on a connection and returns its own answer. With an error the connection is closed.
+func (transport *Transport) exchange(conn *conn, request *http.Request) (*http.Response, error) {
 	var timer headerTimer
-	id, head := request.Header.Get(transport.idHeader), transport.newHeadCharge(request)
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if conn != nil {
-				conn.setHead(nil)
-			}
-			conn = info.Conn.(*wire)
-			transport.begin(conn, request.URL.Host, id, head)
-		},
-		PutIdleConn:          func(error) { conn.end() },
-		GotFirstResponseByte: func() { timer.start(conn) },
+	head := transport.newHeadCharge(request)
+	sent := request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { timer.start(conn.wire) },
 		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
-	})
-	response, err := transport.transport.RoundTrip(request.WithContext(traced))
-	if conn != nil {
-		conn.setHead(nil)
-	}
+	}))
+	sent.Close = conn.singleUse
+	conn.begin(request.Header.Get(transport.idHeader), head)
+	response, err := conn.client.RoundTrip(sent)
+	conn.wire.setHead(nil)
+	expired := timer.stop()
 	if err != nil {
 		head.charge.Close()
-	} else if head.charge != nil {
-		response.Body = &closing{response.Body, head.charge}
-	}
-	if timer.stop() {
-		if err == nil {
-			_ = response.Body.Close()
+		_ = conn.client.Close()
+		switch {
+		case expired:
+			return nil, ErrHeaderTimeout
+		case conn.unsent():
+			return nil, &unsentError{err}
+		default:
+			return nil, err
 		}
-		return nil, ErrHeaderTimeout
 	}
-	if err != nil {
-		return nil, err
+	if head.charge != nil {
+		response.Body = &closing{response.Body, head.charge}
 	}
-	if answered := response.Header.Get(transport.idHeader); transport.foreign(request, response) {
-		transport.observe(Observation{
-			Oddity: oddityOf(conn.history, answered), Address: request.URL.Host, Request: id, Answered: answered, Status: response.StatusCode,
-		})
+	if err := transport.check(conn, request, response, expired); err != nil {
 		_ = response.Body.Close()
-		_ = conn.Close()
-		return nil, ErrForeignAnswer
-	}
-	conn.answered(response.StatusCode)
-	if transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type")) {
-		return response, nil
+		_ = conn.client.Close()
+		return nil, err
 	}
-	if response.ContentLength > MaxAnswerBytes {
-		_ = response.Body.Close()
-		return nil, ErrTooLarge
+	transport.pool.settle(conn)
+	if !transport.readerBounds(request, response) {
+		response.Body = &boundedBody{ReadCloser: response.Body, remaining: MaxAnswerBytes}
 	}
-	response.Body = &boundedBody{ReadCloser: response.Body, remaining: MaxAnswerBytes}
 	return response, nil
 }
 
-// begin records that a request is sent on a connection.
-func (transport *Transport) begin(conn *wire, address, id string, head *headCharge) {
-	if earlier := conn.begin(id, head); earlier != nil && id != "" {
-		transport.observe(Observation{Oddity: SecondSend, Address: address, Request: id, Status: earlier.status})
+// check returns why an answer's head can't be passed on, nil if it can.
+func (transport *Transport) check(conn *conn, request *http.Request, response *http.Response, expired bool) error {
+	switch {
+	case expired:
+		return ErrHeaderTimeout
+	case !transport.attribute(conn, request, response):
+		return ErrForeignAnswer
+	case response.ContentLength > MaxAnswerBytes && !transport.readerBounds(request, response):
+		return ErrTooLarge
+	default:
+		return nil
 	}
 }
 
-// foreign reports whether an answer names another request. One that names none may still
-// be this request's.
-func (transport *Transport) foreign(request *http.Request, response *http.Response) bool {
-	if transport.idHeader == "" {
+// attribute reports whether an answer is certainly that to a request, and records it.
+func (transport *Transport) attribute(conn *conn, request *http.Request, response *http.Response) bool {
+	id, names := request.Header.Get(transport.idHeader), response.Header.Values(transport.idHeader)
+	other := slices.IndexFunc(names, func(name string) bool { return name != id })
+	answered := ""
+	switch {
+	case id == "":
+	case other >= 0:
+		answered = names[other]
+		transport.observeForeign(conn, request, response, answered)
 		return false
+	case len(names) == 0 && conn.reused():
+		transport.observeForeign(conn, request, response, answered)
+		return false
+	case len(names) == 0:
+		conn.singleUse = true
 	}
-	answered := response.Header.Get(transport.idHeader)
-	return answered != "" && answered != request.Header.Get(transport.idHeader)
+	conn.recordAnswer(response.StatusCode)
+	return true
+}
+
+// observeForeign tells of an answer that isn't certainly that to a request.
+func (transport *Transport) observeForeign(conn *conn, request *http.Request, response *http.Response, answered string) {
+	transport.observe(Observation{
+		Oddity: oddityOf(conn.history, answered), Address: conn.address, Request: request.Header.Get(transport.idHeader),
+		Answered: answered, Status: response.StatusCode,
+	})
+}
+
+// readerBounds reports whether the reader of an answer bounds its bytes.
+func (transport *Transport) readerBounds(request *http.Request, response *http.Response) bool {
+	return transport.readerBoundsStreams && sse.Matches(request.Header.Get("Accept")) && sse.Matches(response.Header.Get("Content-Type"))
 }
 
 // CloseIdleConnections closes the connections that aren't in use.
-func (transport *Transport) CloseIdleConnections() { transport.transport.CloseIdleConnections() }
+func (transport *Transport) CloseIdleConnections() { transport.pool.closeIdle() }
+
+// rewind returns a request of which nothing was sent, with its body from the start. It returns false where that can't be
+// read again.
+func rewind(request *http.Request) (*http.Request, bool) {
+	if request.Body == nil || request.Body == http.NoBody {
+		return request, true
+	}
+	if request.GetBody == nil {
+		return nil, false
+	}
+	body, err := request.GetBody()
+	if err != nil {
+		return nil, false
+	}
+	again := *request
+	again.Body = body
+	return &again, true
+}
+
+// closeBody closes the body of a request that isn't sent, as http.RoundTripper demands.
+func closeBody(request *http.Request) {
+	if request.Body != nil {
+		_ = request.Body.Close()
+	}
+}
 
 // boundedBody fails with ErrTooLarge once more than remaining bytes come.
 type boundedBody struct {
--- a/core/connection/endpoint/endpoint_test.go
+++ b/core/connection/endpoint/endpoint_test.go
@@ -25,7 +25,7 @@
 // newTransport returns a transport whose idle connections end soon.
 func newTransport(t *testing.T, readerBoundsStreams bool) *endpoint.Transport {
 	transport := endpoint.New(endpoint.Config{
-		Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 1, IdleTimeout: idleTimeout, ReaderBoundsStreams: readerBoundsStreams,
+		Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 1, IdleTimeout: idleTimeout, IDHeader: idHeader, ReaderBoundsStreams: readerBoundsStreams,
 	})
 	t.Cleanup(transport.CloseIdleConnections)
 	return transport
@@ -37,6 +37,7 @@
 		return "", err
 	}
 	request.Header.Set("Accept", "text/event-stream")
+	request.Header.Set(idHeader, "c1")
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return "", err
@@ -49,7 +50,8 @@
 // Guards against a transport that closes a connection in use: when it drops idle ones, or
 // when an answer pauses for longer than idle ones are kept.
 func TestConnectionInUseIsNotIdle(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(idHeader, request.Header.Get(idHeader))
 		for range pieces {
 			time.Sleep(pause)
 			_, _ = io.WriteString(writer, "x")
--- a/core/connection/endpoint/headcharge_test.go
+++ b/core/connection/endpoint/headcharge_test.go
@@ -59,7 +59,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			account := memory.New(memory.Config{Memory: max(test.processMB<<20, 64<<10)})
-			transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, Account: account, Now: time.Now})
+			transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, Account: account, Now: time.Now})
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, serveHeads(t, test.headBytes, true), http.NoBody)
 			if err != nil {
 				t.Fatal(err)
--- a/core/connection/endpoint/wire.go
+++ b/core/connection/endpoint/wire.go
@@ -6,29 +6,30 @@
 	"sync"
 )
 
-// wire is the network connection to an endpoint. It charges the heads of answers and knows which requests it has carried.
+// wire is the network connection below one to an endpoint. It counts what is written, and charges the heads of answers.
 type wire struct {
 	net.Conn
 
-	mutex sync.Mutex
+	mutex   sync.Mutex
+	written int64
+	readErr error
 	// head is charged for what is read. It is nil while no head is read.
-	head    *headCharge
-	history history
-	// idle is set while no request is under way, and unsolicited once bytes have come then.
-	idle, unsolicited bool
-	onUnsolicited     func()
+	head *headCharge
 }
 
-// wires returns a dial function whose connections are wires.
-func (transport *Transport) wires(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+// wireKey is the key of the *wire in a dial's context, into which the dialled connection is put.
+type wireKey struct{}
+
+// dialWire returns a dial function that puts what it dials into the wire of the context.
+func dialWire(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &wire{Conn: connection, onUnsolicited: func() {
-			transport.observe(Observation{Oddity: UnsolicitedAnswer, Address: address})
-		}}, nil
+		wire := ctx.Value(wireKey{}).(*wire)
+		wire.Conn = connection
+		return wire, nil
 	}
 }
 
@@ -37,28 +38,24 @@
 	count, err := wire.Conn.Read(data)
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
-	if wire.idle && count > 0 && !wire.unsolicited {
-		wire.unsolicited = true
-		wire.onUnsolicited()
-	}
+	wire.readErr = err
 	if wire.head == nil || count == 0 {
 		return count, err
 	}
 	if chargeErr := wire.head.add(data[:count]); chargeErr != nil {
+		wire.readErr = chargeErr
 		return 0, chargeErr
 	}
 	return count, err
 }
 
-// begin records that a request is sent, whose answer's head is charged, and returns how the latest one with its id
-// was answered, or nil where there was none.
-func (wire *wire) begin(id string, head *headCharge) *sentRequest {
+// Write implements io.Writer.
+func (wire *wire) Write(data []byte) (int, error) {
+	count, err := wire.Conn.Write(data)
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
-	earlier := wire.history.find(id)
-	wire.idle, wire.head = false, head
-	wire.history = append(wire.history, sentRequest{id: hashOf(id)})
-	return earlier
+	wire.written += int64(count)
+	return count, err
 }
 
 // setHead makes the wire charge what it reads from now on, nothing with a nil head.
@@ -68,16 +65,15 @@
 	wire.head = head
 }
 
-// answered records the status of the answer to the latest request.
-func (wire *wire) answered(status int) {
+// writtenBytes returns the number of bytes that were written, and readFailed whether the last read failed.
+func (wire *wire) writtenBytes() int64 {
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
-	wire.history[len(wire.history)-1].status = status
+	return wire.written
 }
 
-// end records that no request is under way.
-func (wire *wire) end() {
+func (wire *wire) readFailed() bool {
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
-	wire.idle = true
+	return wire.readErr != nil
 }
