endpoint: a request that gets no connection is unsent, however that fails

What callers saw: a call that must not repeat was told that its outcome is unknown, and wasn't tried at another endpoint, though no byte of it was written.

Cause: only a failed dial counted. A connection that is reset as soon as it is open, as by an endpoint that is at its limit of connections, fails to be reserved; an address without a port fails before the dial.

Change: RoundTrip reports every failure to get a connection as unsent.

--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -116,7 +116,7 @@
 		conn, err := transport.connect(request)
 		if err != nil {
 			closeBody(request)
-			return nil, err
+			return nil, &unsentError{err}
 		}
 		response, err := transport.exchange(conn, request)
 		if err == nil || !Unsent(err) || !conn.reused() || request.Context().Err() != nil {
