--- a/core/connection/endpoint/conn.go
+++ b/core/connection/endpoint/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -23,8 +24,9 @@
 	singleUse bool
 
 	// settled is set once the request under way has its own answer, and idle while the pool keeps the connection.
-	// The pool's mutex guards both.
+	// expiry ends the time for which it is kept, and is nil while it is used. The pool's mutex guards all three.
 	settled, idle bool
+	expiry        *time.Timer
 }
 
 // open dials an address.
--- a/core/connection/endpoint/pool.go
+++ b/core/connection/endpoint/pool.go
@@ -103,7 +103,7 @@
 	pool.idleByAddress[conn.address] = append(idle, conn)
 	if pool.idleTimeout > 0 {
 		requests := len(conn.history)
-		time.AfterFunc(pool.idleTimeout, func() { pool.expire(conn, requests) })
+		conn.expiry = time.AfterFunc(pool.idleTimeout, func() { pool.expire(conn, requests) })
 	}
 	return true
 }
@@ -124,6 +124,11 @@
 // remove takes a connection from the unused ones. The caller holds the mutex.
 func (pool *pool) remove(conn *conn) {
 	conn.idle = false
+	if conn.expiry != nil {
+		// A timer that isn't stopped keeps the connection in memory until it ends.
+		conn.expiry.Stop()
+		conn.expiry = nil
+	}
 	idle := pool.idleByAddress[conn.address]
 	index := slices.Index(idle, conn)
 	idle = slices.Delete(idle, index, index+1)
