crashes, roster: the last announcement of an ended process may come in late

Callers saw: requests with a part that ends engines reached more of them before the part was blocked, where the addresses of ended engines go on accepting connections.

Cause: an announcement without an echo counted as sent when it was received. One that an engine had sent before its end, and that came in more than 0.2 s after the break, made the engine a process that goes on: its crash was dropped for good.

Evidence: TestLateAnnouncementOfAnEndedProcessIsNoSignOfLife (simulation, no sockets) failed before in three of four cases: announcements 300 ms, 900 ms and 1.4 s late gave no block, one 50 ms late gave one.

Change: a host sends an announcement after the one before was received, so the receipt of the one before bounds from below when the last was sent. The roster keeps that time (Member.SentAfter) and the leader judges by it: a process goes on once one announcement came in later than 0.2 s after the break and a further one followed. Two announcements in a row that are late may still mislead it. roster.Member has a file of its own now.

Measured: all four cases pass, as do the cases of TestCrashOfAProcessThatGoesOnIsDropped, and the tests of roster, controller and crashes.

--- a/core/process/controller/blocks.go
+++ b/core/process/controller/blocks.go
@@ -13,8 +13,8 @@
 	"carobline.dev/core/process/roster"
 )
 
-// goesOnMargin is how long after a break a process must have announced itself to have gone on. It covers
-// the time an announcement is on its way.
+// goesOnMargin is how long after a break a process must have announced itself twice to have gone on: it may have sent
+// the first of these before the break.
 const goesOnMargin = 200 * time.Millisecond
 
 // recordCrashes records what a node reports of endpoints that ended, and of the parts of
@@ -36,7 +36,7 @@
 	if leadership.blocksProposalIndex > controller.appliedIndex {
 		return
 	}
-	leadership.crashes.Confirm(now, func(process crashes.Process) crashes.Fate { return controller.fateOf(now, process) })
+	leadership.crashes.Confirm(now, controller.fateOf)
 	command, ok := leadership.crashes.Decide(now, controller.register.Blocks())
 	if !ok {
 		return
@@ -47,16 +47,14 @@
 }
 
 // fateOf returns what the roster and the planned stops say of a process at which an answer broke off.
-func (controller *Controller) fateOf(now time.Time, process crashes.Process) crashes.Fate {
+func (controller *Controller) fateOf(process crashes.Process) crashes.Fate {
 	underStop := func(stop register.StopRecord) bool {
 		return stop.IncarnationByHost[process.Host] == process.Incarnation
 	}
 	known, ok := controller.roster.Member(process.Host)
 	latest := &known.Announcement
 	if ok && latest.Incarnation == process.Incarnation {
-		// The lease begins no later than the announcement was sent, but for the time on its way of one without an echo.
-		sentAt := now.Add(-known.SinceLastAnnouncement(now))
-		if latest.Leaving || sentAt.After(process.BrokeOffAt.Add(goesOnMargin)) {
+		if latest.Leaving || known.SentAfter().After(process.BrokeOffAt.Add(goesOnMargin)) {
 			return crashes.FateGoesOn
 		}
 	}
--- a/core/process/controller/blocks_test.go
+++ b/core/process/controller/blocks_test.go
@@ -237,3 +237,28 @@
 		})
 	}
 }
+
+// Guards against a process that counts as going on, so that its crash is dropped, since the last announcement that
+// it sent before its end arrived late. Its age isn't known, as it bears no echo.
+func TestLateAnnouncementOfAnEndedProcessIsNoSignOfLife(t *testing.T) {
+	const awayTime = 1500 * time.Millisecond
+	for _, lateness := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond, 1400 * time.Millisecond} {
+		t.Run(lateness.String(), func(t *testing.T) {
+			suspicions := newSuspicions(t, 3)
+			for number, host := range suspicions.hosts[:4] {
+				suspicions.run(300 * time.Millisecond)
+				last, entry := host.nextAnnouncement(), suspicions.nodes[number%voterCount]
+				suspicions.breakOff(suspicions.nodes[voterCount], host, "bad")
+				host.up = false
+				suspicions.schedule(lateness, func() {
+					entry.runMember(entry.member.Step(entry.now(), member.AnnouncedWithoutEcho{Announcement: last}))
+				})
+				suspicions.schedule(awayTime, host.restart)
+			}
+			suspicions.run(awayTime + connectivityWindow)
+			if blocks := suspicions.leader().voter.Register().Blocks().Blocks; len(blocks) != 1 {
+				t.Errorf("the blocks are %+v, want one", blocks)
+			}
+		})
+	}
+}
--- a/core/process/controller/host_test.go
+++ b/core/process/controller/host_test.go
@@ -55,16 +55,21 @@
 	}
 }
 
-func (host *host) announce(entry *node, retries int) {
-	simulation := host.simulation
+// nextAnnouncement returns what the host says of itself now.
+func (host *host) nextAnnouncement() roster.Announcement {
 	host.sequence++
-	announcement := roster.Announcement{
+	host.announcedAtByServing[host.serving] = host.simulation.now
+	return roster.Announcement{
 		Host: host.name, Incarnation: host.incarnation, Sequence: host.sequence, Address: string(host.name),
 		DataCentre: "dc", Domain: host.domain, Accelerators: 2, Models: []id.Model{fakeModel},
 		ChecksFencing: host.checksFencing, Resumes: true, LeaseMS: hostLease.Milliseconds(),
 		Load: roster.Load{Slots: 8}, Serving: host.serving, Leaving: host.leaving,
 	}
-	host.announcedAtByServing[host.serving] = simulation.now
+}
+
+func (host *host) announce(entry *node, retries int) {
+	simulation := host.simulation
+	announcement := host.nextAnnouncement()
 	echo := host.stamp
 	if echo.Node != "" {
 		echo = echo.Advance(host.clock.at(simulation.now).Sub(host.stampReceivedAt))
--- a/core/process/roster/roster.go
+++ b/core/process/roster/roster.go
@@ -36,45 +36,6 @@
 // prefixes, if nothing else about it has changed.
 const prefixUpdateInterval = 5 * time.Second
 
-// Member is the roster's entry for one host.
-type Member struct {
-	Announcement Announcement
-	// Expiry is when the lease ends.
-	Expiry time.Time
-	// Cursor is the roster's cursor at the last change of this entry, FactsCursor
-	// that at the last change of more than the lease and the load.
-	Cursor      uint64
-	FactsCursor uint64
-	// EntryCursor is the roster's cursor at the last change of what ScopeEntry holds
-	// of this entry, or 0 if that is nothing and always was.
-	EntryCursor uint64
-	// prefixesUpdatedAt is when the prefixes were last updated.
-	prefixesUpdatedAt time.Time
-	// factsHash is the hash of the announcement's facts, and entryHash that of what
-	// ScopeEntry holds of it, or 0 for nothing.
-	factsHash, entryHash uint64
-	// replaced is set once the roster has a later entry for the host, or none.
-	replaced bool
-}
-
-// relayable reports whether other nodes are sent the host: it has a lease, or has
-// left not long ago.
-func (member *Member) relayable(now time.Time) bool {
-	return now.Before(member.Expiry) || (member.Announcement.Leaving && now.Before(member.Expiry.Add(departureRelayTime)))
-}
-
-// Live reports whether the host may be used now: its lease holds and it isn't
-// leaving.
-func (member *Member) Live(now time.Time) bool {
-	return now.Before(member.Expiry) && !member.Announcement.Leaving
-}
-
-// SinceLastAnnouncement returns how long ago the lease of the host's last
-// announcement began.
-func (member *Member) SinceLastAnnouncement(now time.Time) time.Duration {
-	return now.Sub(member.Expiry.Add(-member.Announcement.Lease()))
-}
-
 // Roster holds the known hosts. It isn't safe for concurrent use.
 type Roster struct {
 	memberByHost map[id.Host]*Member
@@ -135,7 +96,7 @@
 		change = ChangeRenewed
 	}
 	roster.cursor++
-	updated := &Member{Announcement: announcement, Expiry: expiry, Cursor: roster.cursor, FactsCursor: roster.cursor, prefixesUpdatedAt: now}
+	updated := &Member{Announcement: announcement, Expiry: expiry, formerAt: formerAt(announcement, old), Cursor: roster.cursor, FactsCursor: roster.cursor, prefixesUpdatedAt: now}
 	switch {
 	case change == ChangeUrgent:
 		roster.urgentCursor = roster.cursor
@@ -270,22 +231,6 @@
 	return relayed
 }
 
-func (member *Member) relayed(now time.Time) RelayedAnnouncement {
-	return RelayedAnnouncement{Announcement: member.Announcement, RemainingMS: member.remainingMS(now)}
-}
-
-func (member *Member) renewal(now time.Time) Renewal {
-	announcement := &member.Announcement
-	return Renewal{
-		Host: announcement.Host, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, RemainingMS: member.remainingMS(now),
-		Running: announcement.Load.Running, Queued: announcement.Load.Queued, HighestPriorityRequests: announcement.Load.HighestPriorityRequests,
-	}
-}
-
-func (member *Member) remainingMS(now time.Time) int64 {
-	return max(0, member.Expiry.Sub(now)).Milliseconds()
-}
-
 // Tick drops hosts whose lease ended more than deadHostRetention ago.
 func (roster *Roster) Tick(now time.Time) {
 	dead := func(member *Member) bool { return now.Sub(member.Expiry) > deadHostRetention }
