--- a/caroblined/connection/callerapi/held.go
+++ b/caroblined/connection/callerapi/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -43,11 +42,7 @@
 	if call.clientAccount != nil {
 		return memory.Holder{Kind: memory.Caller, Name: string(call.clientAccount.Contract.ClientAccount)}
 	}
-	host, _, err := net.SplitHostPort(request.RemoteAddr)
-	if err != nil {
-		host = request.RemoteAddr
-	}
-	return memory.Holder{Kind: memory.Caller, Name: host}
+	return memory.HolderAt(memory.Caller, request.RemoteAddr)
 }
 
 // endpointHolder returns who the bytes of an endpoint's answer are held for.
--- a/core/connection/callerconn/conn.go
+++ b/core/connection/callerconn/conn.go
@@ -221,11 +221,7 @@
 
 // holder is the address that a head comes from: its client account isn't known yet.
 func (conn *Conn) holder() memory.Holder {
-	address := conn.Conn.RemoteAddr().String()
-	if host, _, err := net.SplitHostPort(address); err == nil {
-		address = host
-	}
-	return memory.Holder{Kind: memory.Caller, Name: address}
+	return memory.HolderAt(memory.Caller, conn.Conn.RemoteAddr().String())
 }
 
 // end stops the reading of the head that a charge is for, which has to give way. Once the head is whole, its call goes
--- a/core/connection/rest/intake.go
+++ b/core/connection/rest/intake.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -96,14 +95,10 @@
 
 // peerHolder is the credential that a request was authenticated with, or the address without its port.
 func peerHolder(request *http.Request) memory.Holder {
-	name := Actor(request.Context())
-	if name == "" {
-		name = request.RemoteAddr
-		if host, _, err := net.SplitHostPort(name); err == nil {
-			name = host
-		}
+	if name := Actor(request.Context()); name != "" {
+		return memory.Holder{Kind: memory.Peer, Name: name}
 	}
-	return memory.Holder{Kind: memory.Peer, Name: name}
+	return memory.HolderAt(memory.Peer, request.RemoteAddr)
 }
 
 // Charged returns a client whose answers are charged to the account before they are kept, with the peer's
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -19,6 +19,7 @@
 package memory
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -45,6 +46,14 @@
 	Name string
 }
 
+// HolderAt is the holder of a kind at an address, whatever the port.
+func HolderAt(kind Kind, address string) Holder {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		address = host
+	}
+	return Holder{Kind: kind, Name: address}
+}
+
 const (
 	// accountPercent is the part of the process's memory that the account gives out. The rest
 	// is for the process's own state and for garbage that isn't collected yet.
