feed: an endpoint gives its bare name

callerapi and entryapi each took it from the group or the host. callerapi keeps its short form for the endpoint of a view. Behaviour is unchanged.

--- a/caroblined/connection/callerapi/sinks.go
+++ b/caroblined/connection/callerapi/sinks.go
@@ -219,9 +219,4 @@
 	return rest.Unknown(http.StatusInternalServerError, "internal", err.Error())
 }
 
-func endpointName(endpoint *view.Endpoint) string {
-	if endpoint.Name.Group != "" {
-		return string(endpoint.Name.Group)
-	}
-	return string(endpoint.Name.Host)
-}
+func endpointName(endpoint *view.Endpoint) string { return endpoint.Name.BareName() }
--- a/caroblined/connection/entryapi/keeper.go
+++ b/caroblined/connection/entryapi/keeper.go
@@ -24,11 +24,7 @@
 
 // endpointHolder is whom the bytes of an endpoint's answer are held for.
 func endpointHolder(pool balancer.Pool, attempt *attempt) memory.Holder {
-	name := string(attempt.endpoint.Name.Group)
-	if name == "" {
-		name = string(attempt.endpoint.Name.Host)
-	}
-	return memory.Holder{Kind: memory.Endpoint, Name: string(pool.Service) + "/" + name}
+	return memory.Holder{Kind: memory.Endpoint, Name: string(pool.Service) + "/" + attempt.endpoint.Name.BareName()}
 }
 
 // keeper reads an answer that is kept, until it is told that others need the bytes. Its Read then
--- a/core/process/feed/feed.go
+++ b/core/process/feed/feed.go
@@ -133,6 +133,14 @@
 	return cmp.Or(cmp.Compare(endpoint.Group, other.Group), cmp.Compare(endpoint.Host, other.Host))
 }
 
+// BareName returns the name of the group or of the host.
+func (endpoint Endpoint) BareName() string {
+	if endpoint.Group != "" {
+		return string(endpoint.Group)
+	}
+	return string(endpoint.Host)
+}
+
 // MarshalText encodes an Endpoint as "group:NAME" or "host:NAME", so that it can be a
 // key in JSON.
 func (endpoint Endpoint) MarshalText() ([]byte, error) {
