--- a/caroblined/connection/entryapi/acquire.go
+++ b/caroblined/connection/entryapi/acquire.go
@@ -141,6 +141,10 @@
 // event of a stream, or to the end of any other answer.
 func (api *API) recordAnswerTime(call *call, attempt *attempt) {
 	api.recordBegun(call, attempt)
+	api.observeAnswerTime(call, attempt)
+}
+
+func (api *API) observeAnswerTime(call *call, attempt *attempt) {
 	api.mutex.Lock()
 	defer api.mutex.Unlock()
 	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
@@ -150,12 +154,9 @@
 // endpoint says that it has failed proves no part of the prompt sound.
 func (api *API) recordAnswer(call *call, attempt *attempt, exchange *exchange) {
 	if !exchange.endpointFailed() {
-		api.recordAnswerTime(call, attempt)
-		return
+		api.recordBegun(call, attempt)
 	}
-	api.mutex.Lock()
-	defer api.mutex.Unlock()
-	api.balancer.ObserveTimeToFirstEvent(call.pool, api.config.Now().Sub(attempt.sentAt))
+	api.observeAnswerTime(call, attempt)
 }
 
 func (api *API) finishAttempt(call *call, attempt *attempt, ending balancer.Ending) {
