rest: one Handle, with an intake

Handle and HandleCharged differed in the intake alone, and ReadBody had no caller. Those that charge nothing hand over the zero Intake. Behaviour is unchanged; the tests of rest, hostapi, controlhost and engines pass.

--- a/caroblined/connection/hostapi/hostapi.go
+++ b/caroblined/connection/hostapi/hostapi.go
@@ -52,7 +52,7 @@
 // Handler returns the HTTP handler of the hosts' listener.
 func (api *API) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /announce/v1/hosts", rest.HandleCharged(api.intake, bodyBytes, api.announce))
+	mux.Handle("POST /announce/v1/hosts", rest.Handle(api.intake, bodyBytes, api.announce))
 	return rest.Require(api.credentials, mux)
 }
 
--- a/caroblined/connection/peerapi/peerapi.go
+++ b/caroblined/connection/peerapi/peerapi.go
@@ -44,9 +44,9 @@
 // networks that only nodes can reach.
 func (api *API) UnauthenticatedHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /peer/v1/quorum", rest.HandleCharged(api.intake, bodyBytes, api.quorum))
-	mux.Handle("POST /peer/v2/feed", rest.HandleCharged(api.intake, bodyBytes, api.feed))
-	mux.Handle("POST /peer/v1/propose", rest.HandleCharged(api.intake, bodyBytes, api.propose))
+	mux.Handle("POST /peer/v1/quorum", rest.Handle(api.intake, bodyBytes, api.quorum))
+	mux.Handle("POST /peer/v2/feed", rest.Handle(api.intake, bodyBytes, api.feed))
+	mux.Handle("POST /peer/v1/propose", rest.Handle(api.intake, bodyBytes, api.propose))
 	mux.HandleFunc("GET /peer/v1/overview", api.overview)
 	mux.HandleFunc("GET /peer/v1/audit", api.audit)
 	mux.HandleFunc("GET /peer/v1/declaration", api.declaration)
--- a/core/connection/rest/intake_test.go
+++ b/core/connection/rest/intake_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	const limit = 16 << 20
 	intake := rest.Intake{Account: account, Now: time.Now, Timeout: timeout}
-	server := httptest.NewServer(rest.HandleCharged(intake, limit, func(_ context.Context, message message) (message, error) {
+	server := httptest.NewServer(rest.Handle(intake, limit, func(_ context.Context, message message) (message, error) {
 		held(account.State().Held)
 		return message, nil
 	}))
--- a/core/connection/rest/rest.go
+++ b/core/connection/rest/rest.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	mux.Handle("POST /peer/v2/feed", rest.Handle(maxBody, server.feed))
+//	mux.Handle("POST /peer/v2/feed", rest.Handle(intake, maxBody, server.feed))
 //	func (server *Server) feed(ctx context.Context, request feed.Request) (feed.Response, error)
 package rest
 
@@ -140,21 +140,10 @@
 	return value, nil
 }
 
-// ReadBody reads a request body of up to limit bytes. Its errors are of type
-// *Error.
-func ReadBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
-	data, _, err := Intake{}.Read(writer, request, limit)
-	return data, err
-}
-
 // Handle returns a handler that decodes a JSON body of up to limit bytes, calls
-// serve and answers with its result or error in JSON.
-func Handle[Request, Response any](limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
-	return HandleCharged(Intake{}, limit, serve)
-}
-
-// HandleCharged is Handle with an intake, whose account holds the body until the request is served.
-func HandleCharged[Request, Response any](intake Intake, limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
+// serve and answers with its result or error in JSON. The account of the intake holds
+// the body until the request is served.
+func Handle[Request, Response any](intake Intake, limit int64, serve func(context.Context, Request) (Response, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		data, charge, err := intake.Read(writer, request, limit)
 		defer charge.Close()
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -131,7 +131,7 @@
 // runs; a host has one listener for all of them.
 func (engine *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /engine/v1/orders", rest.Handle(1<<20, engine.handleOrder))
+	mux.Handle("POST /engine/v1/orders", rest.Handle(rest.Intake{}, 1<<20, engine.handleOrder))
 	mux.HandleFunc("POST /v1/chat/completions", engine.complete)
 	mux.HandleFunc("POST /v1/completions", engine.complete)
 	mux.HandleFunc("POST /fault", engine.handleFault)
--- a/measure/process/controlhost/handler.go
+++ b/measure/process/controlhost/handler.go
@@ -42,8 +42,8 @@
 func newHandler(control *control.Control, _ rest.Intake) http.Handler {
 	handler := handler{control: control}
 	mux := http.NewServeMux()
-	mux.Handle("POST "+AnnouncePath, rest.Handle(maxBodyBytes, handler.announce))
-	mux.Handle("POST "+DeclarePath, rest.Handle(maxBodyBytes, handler.declare))
+	mux.Handle("POST "+AnnouncePath, rest.Handle(rest.Intake{}, maxBodyBytes, handler.announce))
+	mux.Handle("POST "+DeclarePath, rest.Handle(rest.Intake{}, maxBodyBytes, handler.declare))
 	mux.HandleFunc("GET "+ProfilePath, pprof.Profile)
 	return mux
 }
--- a/measure/process/engines/engines.go
+++ b/measure/process/engines/engines.go
@@ -114,7 +114,7 @@
 		client: rest.NewClient(&http.Client{Transport: transport, Timeout: announceTimeout}, ""), idle: transport.CloseIdleConnections,
 	}
 	mux := http.NewServeMux()
-	mux.Handle("POST "+ordersPath, rest.Handle(maxOrderBytes, fleet.handleOrder))
+	mux.Handle("POST "+ordersPath, rest.Handle(rest.Intake{}, maxOrderBytes, fleet.handleOrder))
 	fleet.server = &http.Server{Handler: fleet.answerAsEngine(mux), ReadHeaderTimeout: headerTimeout}
 	return fleet, nil
 }
