memory: a refusal doesn't walk all charges

Cause: each refusal summed over all charges three times, under the mutex that each read of a body or an answer takes.

Change: each holder keeps what its charges that can be ended hold, which charges were told to give way, and a time before which none of them made progress. A refusal walks the holders, and the charges of those of which some may be without progress.

All tests of memory pass, under the race detector too.

--- a/core/process/memory/charge.go
+++ b/core/process/memory/charge.go
@@ -101,7 +101,7 @@
 	}
 	charge.account.mutex.Lock()
 	defer charge.account.mutex.Unlock()
-	charge.progressAt = now
+	charge.recordProgress(now)
 }
 
 // Keep tells that the bytes are complete, so that the charge isn't ended any more. It returns
@@ -112,7 +112,7 @@
 	}
 	charge.account.mutex.Lock()
 	defer charge.account.mutex.Unlock()
-	charge.end = nil
+	charge.setEnd(nil)
 	return !charge.ended
 }
 
@@ -134,9 +134,10 @@
 	charge.detach()
 	charge.attach(holder)
 	charge.set(usual, large, peer)
-	charge.end, charge.progressAt = end, now
+	charge.setEnd(end)
+	charge.recordProgress(now)
 	if charge.ended && end != nil {
-		charge.end = nil
+		charge.setEnd(nil)
 		go end(false)
 	}
 }
@@ -160,21 +161,46 @@
 func (charge *Charge) attach(holder Holder) {
 	known := charge.account.byHolder[holder]
 	if known == nil {
-		known = &holdings{holder: holder, charges: map[*Charge]struct{}{}}
+		known = &holdings{holder: holder, charges: map[*Charge]struct{}{}, ending: map[*Charge]struct{}{}}
 		charge.account.byHolder[holder] = known
 	}
 	known.charges[charge] = struct{}{}
+	if charge.ended {
+		known.ending[charge] = struct{}{}
+	}
 	charge.holdings = known
 }
 
 func (charge *Charge) detach() {
 	delete(charge.holdings.charges, charge)
+	delete(charge.holdings.ending, charge)
 	if len(charge.holdings.charges) == 0 {
 		delete(charge.account.byHolder, charge.holdings.holder)
 	}
 	charge.holdings = nil
 }
 
+// setEnd replaces the function that ends the charge.
+func (charge *Charge) setEnd(end func(stalled bool)) {
+	if holdings := charge.holdings; holdings != nil {
+		if charge.end != nil {
+			holdings.mayFree -= charge.large
+		}
+		if end != nil {
+			holdings.mayFree += charge.large
+		}
+	}
+	charge.end = end
+}
+
+// recordProgress records progress. The times of several callers may come out of order.
+func (charge *Charge) recordProgress(now time.Time) {
+	charge.progressAt = now
+	if charge.holdings != nil {
+		charge.holdings.lowerOldestProgress(now)
+	}
+}
+
 // set makes the charge hold so much of each section.
 func (charge *Charge) set(usual, large, peer Bytes) {
 	account, holdings := charge.account, charge.holdings
@@ -184,6 +210,12 @@
 	holdings.usual += usual - charge.usual
 	holdings.large += large - charge.large
 	holdings.peer += peer - charge.peer
+	if charge.end != nil {
+		holdings.mayFree += large - charge.large
+	}
+	if large > 0 {
+		holdings.lowerOldestProgress(charge.progressAt)
+	}
 	freed := large < charge.large
 	charge.usual, charge.large, charge.peer = usual, large, peer
 	account.peak = max(account.peak, account.held())
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -137,15 +137,6 @@
 	return section.held+more <= section.limit && holderHeld+more <= section.holderLimit
 }
 
-// holdings are what one holder holds of each section, and its charges.
-type holdings struct {
-	holder             Holder
-	usual, large, peer Bytes
-	charges            map[*Charge]struct{}
-}
-
-func (holdings *holdings) total() Bytes { return holdings.usual + holdings.large + holdings.peer }
-
 // Account is safe for concurrent use. A nil Account bounds nothing.
 type Account struct {
 	report func(Shortage)
--- a/core/process/memory/room.go
+++ b/core/process/memory/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -25,7 +24,7 @@
 		return nil, ErrNoRoom
 	}
 	// A charge that waits for others isn't without progress by its own fault.
-	charge.progressAt = now
+	charge.recordProgress(now)
 	if more <= 0 || account.large.fits(charge.holdings.large, more) {
 		charge.set(usual, large, peer)
 		account.mutex.Unlock()
@@ -92,22 +91,12 @@
 	return shortages, ends, errPending
 }
 
-// pending returns what charges hold that were told to give way, but for those that haven't for StallTime, such as
-// an answer whose caller reads nothing.
-func (holdings *holdings) pending(now time.Time) Bytes {
-	pending := Bytes(0)
-	for charge := range holdings.charges {
-		if charge.ended && now.Sub(charge.endedAt) < StallTime {
-			pending += charge.large
-		}
-	}
-	return pending
-}
-
 // giveWay marks the charge as ended, and returns the function that tells its owner.
 func (charge *Charge) giveWay(now time.Time) func() {
 	stalled, end := charge.stalled(now), charge.end
-	charge.ended, charge.endedAt, charge.end = true, now, nil
+	charge.setEnd(nil)
+	charge.ended, charge.endedAt = true, now
+	charge.holdings.ending[charge] = struct{}{}
 	charge.account.ended++
 	return func() { end(stalled) }
 }
@@ -144,51 +133,26 @@
 	return append(victims, taken...), missing
 }
 
-// stalledCharges returns the holder's charges without progress, the longest without first.
-func (holdings *holdings) stalledCharges(now time.Time, asker *Charge) []*Charge {
-	var stalled []*Charge
-	for charge := range holdings.charges {
-		if charge != asker && charge.mayEnd() && charge.stalled(now) {
-			stalled = append(stalled, charge)
-		}
-	}
-	slices.SortFunc(stalled, compareStalled)
-	return stalled
-}
-
 func compareStalled(a, b *Charge) int {
 	return cmp.Or(a.progressAt.Compare(b.progressAt), cmp.Compare(b.large, a.large), cmp.Compare(a.subject, b.subject))
 }
 
-// largestEndable returns the holder whose charges that can be ended hold most, or nil.
+// largestEndable returns the holder whose charges that can be ended hold most, or nil. The excluded ones can be ended.
 func (account *Account) largestEndable(excluded []*Charge) *holdings {
 	var largest *holdings
 	most := Bytes(0)
+	excludedOf := map[*holdings]Bytes{}
+	for _, charge := range excluded {
+		excludedOf[charge.holdings] += charge.large
+	}
 	for _, holdings := range account.byHolder {
-		held := Bytes(0)
-		for charge := range holdings.charges {
-			if charge.mayEnd() && !slices.Contains(excluded, charge) {
-				held += charge.large
-			}
-		}
-		if held > most {
+		if held := holdings.mayFree - excludedOf[holdings]; held > most {
 			largest, most = holdings, held
 		}
 	}
 	return largest
 }
 
-// endable returns the holder's charges that can be ended, the largest first.
-func (holdings *holdings) endable(excluded []*Charge) []*Charge {
-	charges := slices.DeleteFunc(slices.Collect(maps.Keys(holdings.charges)), func(charge *Charge) bool {
-		return !charge.mayEnd() || slices.Contains(excluded, charge)
-	})
-	slices.SortFunc(charges, func(a, b *Charge) int {
-		return cmp.Or(cmp.Compare(b.large, a.large), a.progressAt.Compare(b.progressAt), cmp.Compare(a.subject, b.subject))
-	})
-	return charges
-}
-
 // mayEnd reports whether ending the charge frees bytes of the large section.
 func (charge *Charge) mayEnd() bool { return charge.end != nil && charge.large > 0 }
 
