textlog: the logs that tests read while they are written are one type

entryapi, node, daemon and run each had a buffer with a mutex for it. It can't live in a test file, as four packages' tests use it. The assertions stay as they were.

--- a/caroblined/connection/entryapi/log_test.go
+++ b/caroblined/connection/entryapi/log_test.go
@@ -6,42 +6,24 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"carobline.dev/core/textlog"
 	"carobline.dev/core/version/routing"
 	"carobline.dev/core/version/view"
 )
 
 // logBuffer holds the lines that an entry host has written. It is safe for concurrent use.
-type logBuffer struct {
-	mutex sync.Mutex
-	bytes bytes.Buffer
-}
-
-func (log *logBuffer) Write(line []byte) (int, error) {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
-	return log.bytes.Write(line)
-}
-
-// String returns all lines.
-func (log *logBuffer) String() string {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
-	return log.bytes.String()
-}
+type logBuffer struct{ textlog.Log }
 
 // line returns the fields of the latest line with the given step.
 func (log *logBuffer) line(t *testing.T, step string) map[string]any {
 	t.Helper()
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
 	var found map[string]any
-	for line := range bytes.Lines(log.bytes.Bytes()) {
+	for line := range bytes.Lines([]byte(log.String())) {
 		var fields map[string]any
 		if err := json.Unmarshal(line, &fields); err != nil {
 			t.Fatal(err)
--- a/caroblined/process/daemon/ended_test.go
+++ b/caroblined/process/daemon/ended_test.go
@@ -1,33 +1,15 @@
 package daemon_test
 
 import (
-	"bytes"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
-)
-
-// textLog is a log that may be read while it is written.
-type textLog struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
 
-func (log *textLog) Write(line []byte) (int, error) {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
-	return log.text.Write(line)
-}
-
-func (log *textLog) String() string {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
-	return log.text.String()
-}
+	"carobline.dev/core/textlog"
+)
 
 // Guards against a node whose process has ended and that isn't told so at its next start, or
 // that is told so after a planned stop.
@@ -37,7 +19,7 @@
 		defer system.close()
 		follower := (system.leader() + 1) % len(system.nodes)
 		restart := func() string {
-			log := &textLog{}
+			log := &textlog.Log{}
 			system.log = zerolog.New(log)
 			time.Sleep(time.Second)
 			system.start(follower)
--- a/caroblined/process/node/ended_test.go
+++ b/caroblined/process/node/ended_test.go
@@ -1,11 +1,9 @@
 package node_test
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,26 +16,15 @@
 	"carobline.dev/core/process/loopback"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/wal"
+	"carobline.dev/core/textlog"
 )
 
-// textLog is a log that may be read while it is written.
-type textLog struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-func (log *textLog) Write(line []byte) (int, error) {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
-	return log.text.Write(line)
-}
+type textLog struct{ textlog.Log }
 
 // lines returns the lines that hold all of the texts.
 func (log *textLog) lines(texts ...string) []string {
-	log.mutex.Lock()
-	defer log.mutex.Unlock()
 	var found []string
-	for line := range strings.Lines(log.text.String()) {
+	for line := range strings.Lines(log.String()) {
 		holdsAll := true
 		for _, text := range texts {
 			holdsAll = holdsAll && strings.Contains(line, text)
--- a/caroblined/process/run/run_test.go
+++ b/caroblined/process/run/run_test.go
@@ -1,11 +1,9 @@
 package run_test
 
 import (
-	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -18,37 +16,20 @@
 	"carobline.dev/core/process/feed"
 	"carobline.dev/core/process/memory"
 	"carobline.dev/core/process/wal"
+	"carobline.dev/core/textlog"
 )
 
 const endedStep = `"step":"ended_without_stop"`
 
-// logged is a log that may be read while it is written.
-type logged struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-func (logged *logged) Write(line []byte) (int, error) {
-	logged.mutex.Lock()
-	defer logged.mutex.Unlock()
-	return logged.text.Write(line)
-}
-
-func (logged *logged) String() string {
-	logged.mutex.Lock()
-	defer logged.mutex.Unlock()
-	return logged.text.String()
-}
-
 // start starts the run of an incarnation whose account holds some bytes.
-func start(t *testing.T, folder string, incarnation id.Incarnation, process string, disk wal.Disk) (*run.Run, *logged, metrics.Registry) {
+func start(t *testing.T, folder string, incarnation id.Incarnation, process string, disk wal.Disk) (*run.Run, *textlog.Log, metrics.Registry) {
 	t.Helper()
 	account := memory.New(memory.Config{Memory: 100 << 20})
 	charge := account.Open(memory.Holder{Kind: memory.Endpoint, Name: "desk-1"}, "call", nil)
 	if err := charge.Resize(time.Now(), 5000); err != nil {
 		t.Fatal(err)
 	}
-	lines, registry := &logged{}, metrics.NewRegistry()
+	lines, registry := &textlog.Log{}, metrics.NewRegistry()
 	own := run.New(run.Config{
 		Account: account, Now: time.Now, Log: zerolog.New(lines), Metrics: registry, Folder: folder, Disk: disk,
 		Incarnation: incarnation, Former: incarnation - 1, Process: process,
