entryapi: tests of hundreds of faulty answers and bodies share their bounds

Both checked in the same words by how much the heap grew, what the account held and that all was given back.

--- a/caroblined/connection/entryapi/faulty_answers_test.go
+++ b/caroblined/connection/entryapi/faulty_answers_test.go
@@ -215,14 +215,26 @@
 	close(stopped)
 	sound.Wait()
 	growth, state := stopHeap(), account.State()
-	t.Logf("heap: %d MiB; account: peak %d of %d MiB, refused %d, ended %d", growth>>20, state.Peak>>20, state.Limit>>20, state.Refused, state.Ended)
 	wantNoneComplete(t, answers)
+	checkBounded(t, growth, state)
+	wantAllGivenBack(t, entryHost, account)
+}
+
+// checkBounded checks by how much the heap has grown, and what the account has held.
+func checkBounded(t *testing.T, growth int64, state memory.State) {
+	t.Helper()
+	t.Logf("heap: %d MiB; account: peak %d of %d MiB, refused %d, ended %d", growth>>20, state.Peak>>20, state.Limit>>20, state.Refused, state.Ended)
 	if growth > maxHeapGrowth {
 		t.Errorf("the heap grew by %d MiB, want %d at most", growth>>20, maxHeapGrowth>>20)
 	}
 	if state.Peak > state.Limit || state.Peak == 0 {
 		t.Errorf("the account held up to %d bytes, want above 0 and %d at most", state.Peak, state.Limit)
 	}
+}
+
+// wantAllGivenBack ends an entry host and checks that nothing is held any more.
+func wantAllGivenBack(t *testing.T, entryHost *entryHost, account *memory.Account) {
+	t.Helper()
 	entryHost.server.Close()
 	if held := account.State().Held; held != 0 {
 		t.Errorf("%d bytes are held once all calls have ended, want none", held)
