--- a/fakeengine/main.go
+++ b/fakeengine/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -31,10 +32,15 @@
 	exitUsage  = 2
 )
 
+// runsFileMode is the mode of the file of accepted requests.
+const runsFileMode = 0o600
+
 // options are the values of the command line's flags.
 type options struct {
 	engine           engine.Config
 	listen           string
+	advertise        string
+	runsFile         string
 	entryURLs        string
 	models           string
 	tokenFile        string
@@ -54,6 +60,8 @@
 	flags.SetOutput(diagnostics)
 	flags.StringVar((*string)(&options.engine.Host), "host", "", "the host's `NAME`")
 	flags.StringVar(&options.listen, "listen", "", "the `ADDRESS` to listen on, as IP:PORT")
+	flags.StringVar(&options.advertise, "advertise", "", "the `ADDRESS` to announce, if it isn't that of -listen")
+	flags.StringVar(&options.runsFile, "runs-file", "", "the `FILE` to which the request id of each accepted completion is appended")
 	flags.StringVar(&options.entryURLs, "announce", "", "base `URLS` of the entry hosts' host interfaces, separated by commas")
 	flags.StringVar(&options.tokenFile, "token-file", "", "the `FILE` that holds the announcer's token")
 	flags.StringVar((*string)(&options.engine.DataCentre), "data-centre", "", "the data centre's `NAME`")
@@ -99,7 +107,15 @@
 		fmt.Fprintf(diagnostics, "fakeengine: %v\n", err)
 		return exitFailed
 	}
-	options.engine.Address = socket.Addr().String()
+	options.engine.Address = cmp.Or(options.advertise, socket.Addr().String())
+	if options.runsFile != "" {
+		runs, err := os.OpenFile(options.runsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, runsFileMode)
+		if err != nil {
+			fmt.Fprintf(diagnostics, "fakeengine: %v\n", err)
+			return exitUsage
+		}
+		options.engine.Accepted = func(requestID string) { fmt.Fprintln(runs, requestID) }
+	}
 	host := engine.New(options.engine, time.Now)
 	server := &http.Server{Handler: host.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(socket) }()
--- a/fakeengine/process/engine/engine.go
+++ b/fakeengine/process/engine/engine.go
@@ -54,6 +54,9 @@
 	ReportLag time.Duration
 	// Lease is how long an announcement is valid from when it was sent.
 	Lease time.Duration
+	// Accepted, if set, is called with the request id of each completion that the host
+	// begins to run. It is safe for concurrent use.
+	Accepted func(requestID string)
 }
 
 // Faults are the faults to inject. The zero value injects none.
--- a/fakeengine/process/engine/stream.go
+++ b/fakeengine/process/engine/stream.go
@@ -38,6 +38,9 @@
 		rest.WriteError(writer, err)
 		return
 	}
+	if engine.config.Accepted != nil {
+		engine.config.Accepted(request.Header.Get(rest.HeaderRequestID))
+	}
 	priority, _ := strconv.Atoi(request.Header.Get("Carobline-Priority"))
 	lastEventID, _ := strconv.Atoi(request.Header.Get("Last-Event-ID"))
 	prefix, _ := strconv.ParseUint(request.Header.Get("Carobline-Prefix"), 10, 64)
