--- a/soak/process/callers/callers.go
+++ b/soak/process/callers/callers.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -100,6 +101,27 @@
 	return answered
 }
 
+// Resend sends the bookings whose answer isn't known once more, at most limit of them.
+func (callers *Callers) Resend(limit int) {
+	unresolved := map[string]judge.Call{}
+	for _, call := range callers.Calls() {
+		if call.Kind == judge.Booking {
+			unresolved[call.Key] = judge.Call{Kind: call.Kind, Key: call.Key, Nonce: call.Nonce}
+		}
+	}
+	for _, call := range callers.Calls() {
+		if call.Status == http.StatusOK {
+			delete(unresolved, call.Key)
+		}
+	}
+	again := &caller{callers: callers, random: rand.New(rand.NewPCG(callers.config.Seed, 0)), transport: &http.Transport{DisableKeepAlives: true}}
+	for _, key := range slices.Sorted(maps.Keys(unresolved))[:min(limit, len(unresolved))] {
+		again.entry = ""
+		again.chooseEntry()
+		again.send(unresolved[key])
+	}
+}
+
 // Calls returns what was called so far.
 func (callers *Callers) Calls() []judge.Call {
 	callers.mutex.Lock()
--- a/soak/process/cluster/prepare.go
+++ b/soak/process/cluster/prepare.go
@@ -17,8 +17,9 @@
 	// OperatorToken is the operators' token.
 	OperatorToken  = "operator-soak-token"
 	announcerToken = "announcer-soak-token"
-	// Model and Service are what the system serves.
-	Model        = "pulp-7b"
+	// Model is the model that the engines serve.
+	Model = "pulp-7b"
+	// Service is the plain service.
 	Service      = "orders"
 	nodeMemoryMB = 128
 	fileMode     = 0o600
--- a/soak/process/falsehost/connection.go
+++ b/soak/process/falsehost/connection.go
@@ -19,10 +19,8 @@
 	maxBodyBytes = 1 << 20
 	// maxWork is the longest that a run takes, and maxIdleCopy the longest until a copy is
 	// written on an idle connection.
-	maxWork     = 60 * time.Millisecond
+	maxWork     = 40 * time.Millisecond
 	maxIdleCopy = 30 * time.Millisecond
-	// refusedPart is the part of the requests that are refused, by sound hosts too.
-	refusedPart = 0.15
 )
 
 // connection is one connection from an entry host.
@@ -30,8 +28,9 @@
 	host   *Host
 	socket net.Conn
 	random *rand.Rand
-	// late is written once the next request has been read.
-	late []byte
+	// late is written once the next request has been read, and lateByID once one with that id has.
+	late     []byte
+	lateByID map[string][]byte
 	// former are the answers so far.
 	former [][]byte
 
@@ -42,9 +41,11 @@
 // lie is one way in which an answer misleads.
 type lie int
 
+// The lies. A copy comes with the next request, with the next one of the same id, or before.
 const (
 	sound lie = iota
 	copyWithNext
+	copyWithSame
 	copyWhileIdle
 	copyAtOnce
 	formerWithNext
@@ -84,10 +85,13 @@
 	if connection.random.Float64() < connection.host.falsePart {
 		lie = 1 + connection.drawLie()
 	}
-	refuses := connection.random.Float64() < refusedPart
+	refuses := connection.random.Float64() < connection.host.refusedPart
 	work := time.Duration(connection.random.Int64N(int64(maxWork)))
+	id := request.Header.Get(rest.HeaderRequestID)
 	connection.write(connection.late)
+	connection.write(connection.lateByID[id])
 	connection.late = nil
+	delete(connection.lateByID, id)
 	if !refuses {
 		connection.host.record(request)
 	}
@@ -119,6 +123,8 @@
 		connection.write([]byte("HTTP/1.1 103 Early Hints\r\n\r\n"))
 	case copyWithNext:
 		connection.late = answer
+	case copyWithSame:
+		connection.lateByID[request.Header.Get(rest.HeaderRequestID)] = answer
 	}
 	connection.write(answer)
 	switch lie {
--- a/soak/process/falsehost/falsehost.go
+++ b/soak/process/falsehost/falsehost.go
@@ -45,23 +45,23 @@
 	Key   string `json:"key,omitempty"`
 }
 
-// HeaderNonce is a header that callers can't set and Accept-Language, which is passed on, bears
-// the caller's own name of a request.
+// HeaderNonce bears the caller's own name of a request: a header that entry hosts pass on.
 const HeaderNonce = "Accept-Language"
 
 // Host answers requests. It is safe for concurrent use.
 type Host struct {
 	config      Config
 	falsePart   float64
+	refusedPart float64
 	busy        atomic.Int64
 	connections atomic.Uint64
 }
 
-// New returns a host. How often it answers falsely is drawn too.
+// New returns a host. How often it refuses, and how often it answers falsely, is drawn too.
 func New(config Config) *Host {
 	random := rand.New(rand.NewPCG(config.Seed, config.Incarnation))
-	falseParts := []float64{0.05, 0.3, 0.6}
-	return &Host{config: config, falsePart: falseParts[random.IntN(len(falseParts))]}
+	falseParts, refusedParts := []float64{0.05, 0.2, 0.5}, []float64{0.05, 0.3, 0.7}
+	return &Host{config: config, falsePart: falseParts[random.IntN(len(falseParts))], refusedPart: refusedParts[random.IntN(len(refusedParts))]}
 }
 
 // Busy returns how many requests are in progress.
@@ -75,7 +75,7 @@
 			return
 		}
 		number := host.connections.Add(1)
-		connection := &connection{host: host, socket: socket, random: rand.New(rand.NewPCG(host.config.Seed, number))}
+		connection := &connection{host: host, socket: socket, random: rand.New(rand.NewPCG(host.config.Seed, number)), lateByID: map[string][]byte{}}
 		go connection.serve()
 	}
 }
--- a/soak/process/plan/plan.go
+++ b/soak/process/plan/plan.go
@@ -42,8 +42,13 @@
 	lastMargin = 3 * time.Second
 	// repeatChance is the part of the events that come in a series.
 	repeatChance = 0.2
+	// maxSeries is the most repeats of an event.
+	maxSeries = 3
 )
 
+// gapFactors are by how much the events of a kind may be rarer or more frequent than usual.
+var gapFactors = []float64{0.5, 1, 2, 4}
+
 // Shape names what a system consists of. Fronts are the links to engines and services.
 type Shape struct {
 	Nodes, Engines, Services        []string
@@ -77,8 +82,10 @@
 // New draws a plan.
 func New(seed uint64, length time.Duration, shape Shape) *Plan {
 	plan := &Plan{}
+	intensity := rand.New(rand.NewPCG(seed, 0))
 	for index, stream := range streams(shape) {
-		random := rand.New(rand.NewPCG(seed, uint64(index)))
+		random := rand.New(rand.NewPCG(seed, uint64(1+index)))
+		stream.meanGap = time.Duration(float64(stream.meanGap) * pick(intensity, gapFactors))
 		plan.drawStream(random, stream, length-lastMargin)
 	}
 	slices.SortStableFunc(plan.Events, func(a, b Event) int { return int(a.At - b.At) })
@@ -118,7 +125,7 @@
 
 // addSeries adds the same event a few times more, each soon after the one before has ended.
 func (plan *Plan) addSeries(random *rand.Rand, event Event, until time.Duration) {
-	for range 1 + random.IntN(3) {
+	for range 1 + random.IntN(maxSeries) {
 		event.At += event.For + between(random, 0, 500*time.Millisecond)
 		if event.At >= until {
 			return
--- a/soak/process/run/soak.go
+++ b/soak/process/run/soak.go
@@ -28,7 +28,9 @@
 	// after the last fault. It is far above what a busy machine needs.
 	readyTimeout = 2 * time.Minute
 	// lateWait is how long the processes go on after the last call, so that what runs late shows.
-	lateWait    = 2 * time.Second
+	lateWait = 2 * time.Second
+	// maxResends is how many bookings without an answer are sent once more at the end.
+	maxResends  = 40
 	logFileMode = 0o600
 )
 
@@ -67,6 +69,7 @@
 	if err := soak.awaitService(ctx); err != nil {
 		return nil, errors.Wrap(err, "after the last fault")
 	}
+	soak.callers.Resend(maxResends)
 	time.Sleep(lateWait)
 	records, err := soak.records()
 	if err != nil {
