--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -19,6 +19,7 @@
 package memory
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -45,6 +46,14 @@
 	Name string
 }
 
+// HolderAt is the holder of a kind at an address, whatever the port.
+func HolderAt(kind Kind, address string) Holder {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		address = host
+	}
+	return Holder{Kind: kind, Name: address}
+}
+
 const (
 	// accountPercent is the part of the process's memory that the account gives out. The rest
 	// is for the process's own state and for garbage that isn't collected yet.
@@ -128,15 +137,6 @@
 	return section.held+more <= section.limit && holderHeld+more <= section.holderLimit
 }
 
-// holdings are what one holder holds of each section, and its charges.
-type holdings struct {
-	holder             Holder
-	usual, large, peer Bytes
-	charges            map[*Charge]struct{}
-}
-
-func (holdings *holdings) total() Bytes { return holdings.usual + holdings.large + holdings.peer }
-
 // Account is safe for concurrent use. A nil Account bounds nothing.
 type Account struct {
 	report func(Shortage)
