--- a/soak/process/cluster/cluster.go
+++ b/soak/process/cluster/cluster.go
@@ -83,7 +83,7 @@
 // Link returns the proxy of a link by its name.
 func (cluster *Cluster) Link(name string) *proxy.Proxy { return cluster.links[name] }
 
-// CallerURLs and OperatorURLs return the base URLs of the entry hosts.
+// CallerURLs returns the base URLs of the callers' interfaces.
 func (cluster *Cluster) CallerURLs() []string { return cluster.urls(callersPort) }
 
 // OperatorURLs returns the base URLs of the operators' interfaces.
--- a/soak/process/cluster/prepare.go
+++ b/soak/process/cluster/prepare.go
@@ -22,7 +22,9 @@
 	// Service is the plain service.
 	Service      = "orders"
 	nodeMemoryMB = 128
-	fileMode     = 0o600
+	// hostBits keep the seeds of a run's hosts apart from those of other runs.
+	hostBits = 8
+	fileMode = 0o600
 )
 
 // object is a part of a settings file.
@@ -137,7 +139,8 @@
 		}
 		cluster.shape.Services = append(cluster.shape.Services, name)
 		cluster.shape.ServiceFronts = append(cluster.shape.ServiceFronts, "front>"+name)
-		cluster.addProcess(name, "standin", append(arguments, "-seed", fmt.Sprint(cluster.config.Seed+uint64(index)))...)
+		seed := cluster.config.Seed<<hostBits + uint64(index)
+		cluster.addProcess(name, "standin", append(arguments, "-seed", fmt.Sprint(seed))...)
 	}
 	return nil
 }
--- a/soak/process/falsehost/falsehost.go
+++ b/soak/process/falsehost/falsehost.go
@@ -59,7 +59,7 @@
 
 // New returns a host. How often it refuses, and how often it answers falsely, is drawn too.
 func New(config Config) *Host {
-	random := rand.New(rand.NewPCG(config.Seed, config.Incarnation))
+	random := rand.New(rand.NewPCG(config.Seed, 0))
 	falseParts, refusedParts := []float64{0.05, 0.2, 0.5}, []float64{0.05, 0.3, 0.7}
 	return &Host{config: config, falsePart: falseParts[random.IntN(len(falseParts))], refusedPart: refusedParts[random.IntN(len(refusedParts))]}
 }
--- a/soak/process/run/main.go
+++ b/soak/process/run/main.go
@@ -38,7 +38,7 @@
 // minMinutes is the shortest run, and maxMinutes the longest, whose calls are all kept in memory.
 const (
 	minMinutes = 0.1
-	maxMinutes = 60
+	maxMinutes = 30
 )
 
 func parse(arguments []string, diagnostics io.Writer) (options, error) {
