callerapi: a refusal says not run only if no other send of the call may have run

Cause: the relay took an engine's refusal for that of the whole call while it was in its first attempt. The successor that a handover sends to another engine is no attempt. When the first engine refused after the successor had been accepted, the successor was dropped and the call told as not run.

Change: each send that may have run is counted, attempt or successor, unless no byte of it was written or its engine refused it. A refusal is passed on as such only if none is counted. So a call whose first engine couldn't be reached and whose second refuses it is now told as not run, which is true, in place of unknown.

--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -14,6 +14,7 @@
 
 	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
@@ -40,6 +41,8 @@
 	sink      sink
 
 	attempt int
+	// possibleRuns counts the attempts and successors that may have run the call.
+	possibleRuns atomic.Int64
 	// deliveredTokens is the id of the last event that the sink has taken.
 	// Engines number the events of an answer from 1, one a token.
 	deliveredTokens atomic.Int64
@@ -125,10 +128,10 @@
 	var engineError *engineError
 	if errors.As(err, &engineError) && engineError.callerError != nil {
 		refusal := engineError.callerError
-		if relay.attempt == 1 {
+		if relay.possibleRuns.Load() == 0 {
 			return refusal
 		}
-		// Another engine, which got the call in an earlier attempt, may have run it.
+		// Another engine, which got the call in another attempt or as a successor, may have run it.
 		return rest.Unknown(refusal.Status, refusal.Code, refusal.Message)
 	}
 	restError := rest.Unknown(http.StatusBadGateway, "upstream_failed", "the answer could not be completed: "+err.Error())
@@ -228,8 +231,19 @@
 	return err
 }
 
-// send sends an attempt and waits for the headers of its answer.
+// send sends an attempt, waits for the headers of its answer, and counts it unless it certainly hasn't run.
 func (relay *relay) send(attempt *attempt) error {
+	err := relay.request(attempt)
+	var engineError *engineError
+	refused := errors.As(err, &engineError) && engineError.callerError != nil
+	if !refused && !endpoint.Unsent(err) {
+		relay.possibleRuns.Add(1)
+	}
+	return err
+}
+
+// request sends an attempt and waits for the headers of its answer.
+func (relay *relay) request(attempt *attempt) error {
 	address := attempt.endpoint.Address
 	request, err := http.NewRequestWithContext(attempt.ctx, http.MethodPost, "http://"+address+relay.path, bytes.NewReader(relay.body))
 	if err != nil {
