entryapi, callerapi: an answer to another request is no sign of a crash

What was seen: after an endpoint's answer too many, the parts of the prompt of the request that it met were reported to the leader as those under which the endpoint's process may have ended, and the request counted one break, of which two or three forbid that it be sent elsewhere.

Cause: every failed attempt without an answer of its own counts as a break. An answer to another request shows that the process runs.

The change in callerapi has no test of its own.

Change: such an attempt isn't one that broke off. The endpoint still counts as failed in the balancer.

--- a/caroblined/connection/callerapi/parts.go
+++ b/caroblined/connection/callerapi/parts.go
@@ -29,10 +29,11 @@
 	return relay.breaks == 0 || relay.delivered() > 0 || relay.api.config.Guard.MayResend(relay.admission.Endpoint(), relay.parts, relay.breaks)
 }
 
-// recordBrokenOff records an attempt whose engine broke off before the answer had begun.
+// recordBrokenOff records an attempt whose engine broke off before the answer had begun. One that answered another
+// request hasn't: its process runs.
 func (relay *relay) recordBrokenOff(attempt *attempt, err error) {
 	var engineError *engineError
-	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || endpoint.Unsent(err) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
+	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || endpoint.Unsent(err) || errors.Is(err, endpoint.ErrForeignAnswer) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
 		return
 	}
 	relay.breaks++
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -14,6 +14,7 @@
 
 	"carobline.dev/caroblined/request/partsguard"
 	"carobline.dev/caroblined/request/traffic"
+	"carobline.dev/core/connection/endpoint"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/id"
@@ -282,7 +283,7 @@
 // status 200.
 func (relay *relay) checkResponse(response *http.Response) error {
 	if got := response.Header.Get(rest.HeaderRequestID); got != string(relay.call.id) {
-		return errors.Errorf("engine answered request %q with %s, not this one", got, response.Status)
+		return errors.Wrapf(endpoint.ErrForeignAnswer, "engine answered request %q with %s, not this one", got, response.Status)
 	}
 	if response.StatusCode != http.StatusOK {
 		return readEngineError(response)
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -123,7 +123,8 @@
 		return exchange
 	}
 	failed := exchange.endpointFailed()
-	attempt.begun = attempt.begun || failed
+	// An answer to another request shows that the endpoint's process runs, as one that says that it has failed does.
+	attempt.begun = attempt.begun || failed || exchange.reason == reasonForeignAnswer
 	if !failed {
 		watch.recordAnswerHead()
 	}
