endpoint: the connections of the pool's trial leave no port in use

Runs of the test beside others used up the machine's ports: the whole tests of entryapi, at the same time, failed to listen at 127.0.0.1:0 (address already in use). A connection that the test's transport closes is now reset.

--- a/core/connection/endpoint/stress_test.go
+++ b/core/connection/endpoint/stress_test.go
@@ -59,6 +59,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// A connection that is reset when it is closed keeps no port for a minute.
+	_ = connection.(*net.TCPConn).SetLinger(0)
 	load.open.Add(1)
 	return &countedConn{Conn: connection, open: &load.open}, nil
 }
