endpoint: a request that can't be written closes one connection, not all unused ones

What was seen: a request with an invalid header closed each unused connection to its address and a new one, since it failed unsent on each. No caller is known that lets one through; both interfaces check what they forward.

Evidence: TestInvalidRequestClosesNoUnusedConnections kept none of two connections before, and keeps one now.

Change: a request goes on a second connection by itself only if its first one broke.

--- a/core/connection/endpoint/conn.go
+++ b/core/connection/endpoint/conn.go
@@ -20,6 +20,8 @@
 	history history
 	// startBytes is what had been written when the request under way began.
 	startBytes int64
+	// broke is set if the request under way failed with its connection, not by itself.
+	broke bool
 	// singleUse is set for a connection that isn't kept.
 	singleUse bool
 
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -119,7 +119,7 @@
 			return nil, &unsentError{err}
 		}
 		response, err := transport.exchange(conn, request)
-		if err == nil || !Unsent(err) || !conn.reused() || request.Context().Err() != nil {
+		if err == nil || !Unsent(err) || !conn.reused() || !conn.broke || request.Context().Err() != nil {
 			return response, err
 		}
 		again, rewound := rewind(request)
@@ -158,6 +158,7 @@
 	expired := timer.stop()
 	if err != nil {
 		head.charge.Close()
+		conn.broke = conn.client.Err() != nil
 		_ = conn.client.Close()
 		switch {
 		case expired:
