--- /dev/null
+++ b/caroblined/connection/drawnendpoint/extra.go
@@ -0,0 +1,93 @@
+package drawnendpoint
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Extra is something that an endpoint writes though nothing asks for it.
+type Extra string
+
+const (
+	// CopyRefusal is a copy of the latest refusal on the connection, CopySame of the latest answer to
+	// the id of the request that is due, if one is, CopyLatest of the latest answer, and CopyHead of the
+	// latest answer's head.
+	CopyRefusal Extra = "copy of the latest refusal"
+	CopySame    Extra = "copy of an answer to the same id"
+	CopyLatest  Extra = "copy of the latest answer"
+	CopyHead    Extra = "copy of the latest head"
+	// AnswerWithoutID and RefusalWithoutID name no request, AnswerToAnother and RefusalOfAnother
+	// one that isn't under way.
+	AnswerWithoutID  Extra = "answer without an id"
+	RefusalWithoutID Extra = "refusal without an id"
+	AnswerToAnother  Extra = "answer to another"
+	RefusalOfAnother Extra = "refusal of another"
+	// InterimAnswer is an interim answer, and SwitchedProtocol one that ends HTTP.
+	InterimAnswer    Extra = "interim answer"
+	SwitchedProtocol Extra = "switched protocol"
+	// NoHTTP is bytes that are no answer.
+	NoHTTP Extra = "bytes that are no answer"
+)
+
+// anotherID names no request.
+const anotherID = "another"
+
+// DrawExtra draws what is written though nothing asks for it.
+func DrawExtra(random *rand.Rand) Extra {
+	return pick(random, CopyRefusal, CopyRefusal, CopyRefusal, CopySame, CopySame, CopyLatest, CopyLatest, CopyHead,
+		AnswerWithoutID, RefusalWithoutID, AnswerToAnother, RefusalOfAnother, InterimAnswer, SwitchedProtocol, NoHTTP)
+}
+
+// drawExtras draws some extras, none in most of oneIn cases.
+func drawExtras(random *rand.Rand, oneIn int) []Extra {
+	if random.IntN(oneIn) > 0 {
+		return nil
+	}
+	var extras []Extra
+	for range 1 + random.IntN(8)/6 {
+		extras = append(extras, DrawExtra(random))
+	}
+	return extras
+}
+
+// extraText returns the bytes of an extra, none if there is nothing to copy. The id is that of the
+// request that is due, if there is one. The caller holds the mutex.
+func (conn *Conn) extraText(extra Extra, id string) string {
+	names := &conn.endpoint.config.Names
+	switch extra {
+	case CopyRefusal:
+		return conn.copyOf(func(answer answer) bool { return answer.refusal }).text()
+	case CopySame:
+		return conn.copyOf(func(answer answer) bool { return id == "" || answer.id == id }).text()
+	case CopyLatest:
+		return conn.copyOf(func(answer) bool { return true }).text()
+	case CopyHead:
+		return conn.copyOf(func(answer) bool { return true }).head
+	case AnswerWithoutID:
+		return "HTTP/1.1 200 OK\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\nextra"
+	case RefusalWithoutID:
+		return "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	case AnswerToAnother:
+		return "HTTP/1.1 200 OK\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\nextra"
+	case RefusalOfAnother:
+		return "HTTP/1.1 503 Service Unavailable\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	case InterimAnswer:
+		return "HTTP/1.1 103 Early Hints\r\n\r\n"
+	case SwitchedProtocol:
+		return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"
+	case NoHTTP:
+		return "\x00\x01 these bytes are no answer \r\n\r\n"
+	default:
+		return ""
+	}
+}
+
+// copyOf returns the latest answer on the connection that is wanted, or an empty one.
+func (conn *Conn) copyOf(wanted func(answer) bool) answer {
+	for _, answer := range slices.Backward(conn.history) {
+		if wanted(answer) {
+			return answer
+		}
+	}
+	return answer{}
+}
