--- a/caroblined/connection/drawnendpoint/answer.go
+++ b/caroblined/connection/drawnendpoint/answer.go
@@ -116,7 +116,7 @@
 		text += conn.extraText(extra, arrival.ID)
 	}
 	conn.write(text)
-	conn.onNext = script.OnNext
+	conn.onNext, conn.endingOnNext = script.OnNext, script.EndingOnNext
 	return conn.end(script.Ending)
 }
 
@@ -127,6 +127,8 @@
 		return ""
 	case CutHead:
 		return answer.head[:len(answer.head)/2]
+	case HeadOnly:
+		return answer.head
 	case CutBody:
 		return answer.head + answer.framed[:len(answer.framed)/2]
 	case Sound, Refuse:
--- a/caroblined/connection/drawnendpoint/conn.go
+++ b/caroblined/connection/drawnendpoint/conn.go
@@ -32,6 +32,8 @@
 	history []answer
 	// onNext is written when the first byte of the next request comes.
 	onNext []Extra
+	// endingOnNext is what becomes of the connection then.
+	endingOnNext Ending
 	// disturbed reports that something else than an interim answer was written when the latest
 	// request began.
 	disturbed bool
@@ -52,6 +54,16 @@
 	conn.write(conn.extraText(extra, ""))
 }
 
+// End ends a connection that waits for a request.
+func (conn *Conn) End(ending Ending) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.tidy = conn.tidy && ending == Keep
+	if !conn.end(ending) {
+		_ = conn.socket.Close()
+	}
+}
+
 // waits reports whether the connection waits for a request that isn't its first.
 func (conn *Conn) waits() bool {
 	conn.mutex.Lock()
@@ -62,11 +74,10 @@
 // serve reads requests, and plays the scripts of each, until the connection ends.
 func (conn *Conn) serve() {
 	defer close(conn.gone)
-	defer func() { _ = conn.socket.Close() }()
+	defer conn.leave()
 	for {
 		_, err := conn.reader.Peek(1)
-		conn.begin(err)
-		if err != nil {
+		if err != nil || !conn.begin() {
 			return
 		}
 		request, err := http.ReadRequest(conn.reader)
@@ -80,22 +91,31 @@
 	}
 }
 
-// begin records that a connection isn't idle any more, and writes what was to come with the
-// next request.
-func (conn *Conn) begin(err error) {
+// leave closes the connection, which is idle no more.
+func (conn *Conn) leave() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.idle = false
-	if err != nil {
-		return
-	}
-	conn.disturbed = false
+	_ = conn.socket.Close()
+}
+
+// begin records that a connection isn't idle any more, and writes what was to come with the
+// next request. It reports whether that request is read.
+func (conn *Conn) begin() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.idle, conn.disturbed = false, false
 	for _, extra := range conn.onNext {
 		text := conn.extraText(extra, "")
 		conn.write(text)
 		conn.disturbed = conn.disturbed || text != "" && extra != InterimAnswer
 	}
 	conn.onNext = nil
+	if conn.endingOnNext == "" {
+		return true
+	}
+	conn.disturbed = conn.disturbed || conn.endingOnNext == HalfClose
+	return conn.end(conn.endingOnNext)
 }
 
 // answer hands a request over and plays its script. It reports whether the connection goes on.
--- a/caroblined/connection/drawnendpoint/script.go
+++ b/caroblined/connection/drawnendpoint/script.go
@@ -14,10 +14,11 @@
 	Sound Outcome = "sound"
 	// Refuse doesn't run it, and says so.
 	Refuse Outcome = "refuse"
-	// NoAnswer, CutHead and CutBody run it, and end the connection before the answer, within its
-	// head or within its body.
+	// NoAnswer, CutHead, HeadOnly and CutBody run it, and end the connection before the answer,
+	// within its head, after it or within the body.
 	NoAnswer Outcome = "no answer"
 	CutHead  Outcome = "cut head"
+	HeadOnly Outcome = "head only"
 	CutBody  Outcome = "cut body"
 )
 
@@ -60,6 +61,8 @@
 	// Due is written before the answer, After directly after it, and OnNext when the next request
 	// on the connection begins.
 	Due, After, OnNext []Extra
+	// EndingOnNext is what becomes of the connection then, before the request is read.
+	EndingOnNext Ending
 }
 
 // String implements fmt.Stringer.
@@ -73,7 +76,7 @@
 			text += ", " + part.name
 		}
 	}
-	return text + fmt.Sprintf(", due %v, after %v, on next %v", script.Due, script.After, script.OnNext)
+	return text + fmt.Sprintf(", due %v, after %v, on next %v, %s", script.Due, script.After, script.OnNext, script.EndingOnNext)
 }
 
 // clean reports whether the request is answered soundly, and nothing keeps the answer from being read.
@@ -84,7 +87,7 @@
 // tidy reports whether the connection is as good as new after the script.
 func (script *Script) tidy() bool {
 	whole := script.Outcome == Sound || script.Outcome == Refuse
-	return whole && !script.Early && !script.SaysClose && script.Ending == Keep && len(script.Due)+len(script.After)+len(script.OnNext) == 0
+	return whole && !script.Early && !script.SaysClose && script.Ending == Keep && script.EndingOnNext == Keep && len(script.Due)+len(script.After)+len(script.OnNext) == 0
 }
 
 // promisingStatuses are the statuses that say that a request hasn't run.
@@ -92,11 +95,8 @@
 
 // DrawScript draws a script.
 func DrawScript(random *rand.Rand) Script {
-	script := Script{Status: http.StatusOK, Framing: pick(random, NoBody, Length, Length, Length, Chunked, Chunked, Chunked, UntilClose), Ending: Keep}
-	if random.IntN(6) == 0 {
-		script.Ending = pick(random, Close, Reset, HalfClose)
-	}
-	script.Outcome = pick(random, Sound, Sound, Sound, Sound, Sound, Sound, Refuse, Refuse, Refuse, Refuse, Refuse, pick(random, NoAnswer, CutHead, CutBody))
+	script := Script{Status: http.StatusOK, Framing: pick(random, NoBody, Length, Length, Length, Chunked, Chunked, Chunked, UntilClose), Ending: DrawEnding(random, 6), EndingOnNext: DrawEnding(random, 16)}
+	script.Outcome = pick(random, Sound, Sound, Sound, Sound, Sound, Sound, Refuse, Refuse, Refuse, Refuse, Refuse, pick(random, NoAnswer, CutHead, HeadOnly, CutBody))
 	script.SaysClose = random.IntN(16) == 0
 	script.Early = random.IntN(8) == 0
 	if random.IntN(6) == 0 {
@@ -113,11 +113,19 @@
 	return script
 }
 
+// DrawEnding draws what becomes of a connection. It isn't kept in one of oneIn cases.
+func DrawEnding(random *rand.Rand, oneIn int) Ending {
+	if random.IntN(oneIn) > 0 {
+		return Keep
+	}
+	return pick(random, Close, Reset, HalfClose)
+}
+
 // settle makes a script one that can be told from another: what has no length ends with its
 // connection, and is whole unless that is reset.
 func (script *Script) settle(random *rand.Rand) {
 	switch script.Outcome {
-	case NoAnswer, CutHead, CutBody:
+	case NoAnswer, CutHead, HeadOnly, CutBody:
 		if script.Ending == Keep {
 			script.Ending = pick(random, Close, Reset, HalfClose)
 		}
@@ -129,7 +137,7 @@
 	}
 	script.After, script.OnNext = nil, nil
 	switch {
-	case script.Outcome == CutBody:
+	case script.Outcome == HeadOnly || script.Outcome == CutBody:
 		script.Ending = Reset
 	case script.Ending == Keep:
 		script.Ending = pick(random, Close, HalfClose)
--- a/caroblined/connection/entryapi/drawn_plan_test.go
+++ b/caroblined/connection/entryapi/drawn_plan_test.go
@@ -26,8 +26,8 @@
 
 const (
 	// stepSend sends a request, stepPlay lets an endpoint answer one, stepLeave closes a caller's
-	// connection, stepExtra writes on a connection that waits for a request, and stepMove gives a
-	// name another address.
+	// connection, stepExtra writes on a connection that waits for a request, or ends it, and
+	// stepMove gives a name another address.
 	stepSend  stepKind = "send"
 	stepPlay  stepKind = "play"
 	stepLeave stepKind = "leave"
@@ -45,6 +45,7 @@
 	request           drawnRequest
 	pick              int
 	extra             drawnendpoint.Extra
+	ending            drawnendpoint.Ending
 	// unnoticed goes on at once after an extra, when the connection may still be used.
 	unnoticed     bool
 	name, address int
@@ -98,7 +99,7 @@
 			step.request = drawRequest(random, sent)
 			sent = append(sent, step.request)
 		case stepExtra:
-			step.extra, step.unnoticed = drawnendpoint.DrawExtra(random), random.IntN(3) == 0
+			step.extra, step.ending, step.unnoticed = drawnendpoint.DrawExtra(random), drawnendpoint.DrawEnding(random, 3), random.IntN(3) == 0
 		case stepMove:
 			step.name, step.address = random.IntN(drawnNames), random.IntN(drawnAddresses)
 		case stepPlay, stepLeave:
--- a/caroblined/connection/entryapi/drawn_steps_test.go
+++ b/caroblined/connection/entryapi/drawn_steps_test.go
@@ -107,7 +107,7 @@
 	play.awaitUntil(func() bool { return api.ActiveCalls() < before })
 }
 
-// writeExtra writes what isn't asked for on a connection that waits for a request.
+// writeExtra writes what isn't asked for on a connection that waits for a request, or ends it.
 func (play *drawnPlay) writeExtra(step drawnStep) {
 	var idle []*drawnendpoint.Conn
 	for _, endpoint := range play.endpoints {
@@ -117,7 +117,11 @@
 		return
 	}
 	conn := idle[step.pick%len(idle)]
-	conn.WriteExtra(step.extra)
+	if step.ending == drawnendpoint.Keep {
+		conn.WriteExtra(step.extra)
+	} else {
+		conn.End(step.ending)
+	}
 	if step.unnoticed {
 		return
 	}
