--- a/caroblined/connection/entryapi/drawn_caller_test.go
+++ b/caroblined/connection/entryapi/drawn_caller_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 
 	"carobline.dev/caroblined/connection/drawnendpoint"
 )
@@ -27,7 +26,9 @@
 	// arrivals are the requests at endpoints, in their order.
 	arrivals []*drawnendpoint.Arrival
 	// left reports that the caller has closed its connection.
-	left atomic.Bool
+	left bool
+	// handled is closed when its entry host has done with it.
+	handled <-chan struct{}
 	// got is set once the caller has an answer, or none.
 	got *drawnAnswer
 }
--- a/caroblined/connection/entryapi/drawn_judge_test.go
+++ b/caroblined/connection/entryapi/drawn_judge_test.go
@@ -126,7 +126,7 @@
 func gotAnswer(send *drawnSend) string {
 	got := send.got
 	switch {
-	case send.left.Load() || got.broken == nil:
+	case send.left || got.broken == nil:
 		return ""
 	case got.status == 0:
 		return fmt.Sprintf("no answer: %v", got.broken)
@@ -140,7 +140,7 @@
 // soundAnswerReached checks that a request whose only endpoint answered it soundly, on a
 // connection without a fault, has that answer.
 func soundAnswerReached(send *drawnSend) string {
-	if send.left.Load() || len(send.arrivals) != 1 || !send.arrivals[0].Clean() {
+	if send.left || len(send.arrivals) != 1 || !send.arrivals[0].Clean() {
 		return ""
 	}
 	if got := send.got; got.status != http.StatusOK || got.own() || got.broken != nil {
--- a/caroblined/connection/entryapi/drawn_play_test.go
+++ b/caroblined/connection/entryapi/drawn_play_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -67,6 +68,7 @@
 	mutex          sync.Mutex
 	now            time.Time
 	arrivalsBySend map[string]int
+	handledBySend  map[string]chan struct{}
 	unreadable     []error
 }
 
@@ -80,7 +82,7 @@
 	t.Helper()
 	play := &drawnPlay{
 		t: t, plan: plan, addressByName: plan.addressByName, events: make(chan drawnEvent, 1<<10), now: time.Unix(1_700_000_000, 0),
-		sendNames: map[string]*drawnSend{}, arrivalsBySend: map[string]int{}, settled: map[*drawnendpoint.Arrival]bool{},
+		sendNames: map[string]*drawnSend{}, arrivalsBySend: map[string]int{}, handledBySend: map[string]chan struct{}{}, settled: map[*drawnendpoint.Arrival]bool{},
 	}
 	for range drawnAddresses {
 		endpoint, err := drawnendpoint.New(drawnendpoint.Config{
@@ -108,12 +110,11 @@
 	host.view.Store(play.view())
 	host.api = entryapi.New(entryapi.Config{
 		Dialect: dialect, View: host.view.Load, Now: play.clock, Transport: host.transport, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
-		SingleSendTransport: endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, SingleUse: true, IDHeader: dialect.RequestID, Now: play.clock}),
-		Rand:                rand.New(rand.NewPCG(play.plan.seed, number)), //nolint:gosec // a seeded test
-		Self:                "n1", Incarnation: 1, Reach: func(context.Context, string) error { return nil },
+		Rand: rand.New(rand.NewPCG(play.plan.seed, number)), //nolint:gosec // a seeded test
+		Self: "n1", Incarnation: 1, Reach: func(context.Context, string) error { return nil },
 	})
 	host.api.Update(host.view.Load())
-	host.server = httptest.NewServer(host.api)
+	host.server = httptest.NewServer(play.closeHandled(host.api))
 	return host
 }
 
@@ -156,6 +157,25 @@
 	return play.plan.script(sent, play.arrivalsBySend[sent]-1)
 }
 
+// openHandled returns what is closed when an entry host has done with a send.
+func (play *drawnPlay) openHandled(send string) <-chan struct{} {
+	play.mutex.Lock()
+	defer play.mutex.Unlock()
+	handled := make(chan struct{})
+	play.handledBySend[send] = handled
+	return handled
+}
+
+func (play *drawnPlay) closeHandled(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		play.mutex.Lock()
+		handled := play.handledBySend[request.Header.Get("Sent")]
+		play.mutex.Unlock()
+		defer close(handled)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 func (play *drawnPlay) recordUnreadable(err error) {
 	play.mutex.Lock()
 	defer play.mutex.Unlock()
--- a/caroblined/connection/entryapi/drawn_steps_test.go
+++ b/caroblined/connection/entryapi/drawn_steps_test.go
@@ -73,7 +73,7 @@
 	if err := caller.connect(step.entryHost, play.entry[step.entryHost].server.Listener.Addr().String(), step.fresh); err != nil {
 		play.t.Fatal(err)
 	}
-	send := &drawnSend{name: fmt.Sprintf("s%d", len(play.sends)), request: step.request, caller: caller}
+	send := &drawnSend{name: fmt.Sprintf("s%d", len(play.sends)), request: step.request, caller: caller, handled: play.openHandled(fmt.Sprintf("s%d", len(play.sends)))}
 	play.sends, play.sendNames[send.name], caller.busy = append(play.sends, send), send, send
 	connection, reader := caller.connection, caller.reader
 	play.callerReads.Go(func() { play.events <- drawnEvent{send: send.name, got: exchange(connection, reader, send)} })
@@ -93,18 +93,15 @@
 	play.await(send.name, func() bool { return !send.worksAt(arrival) })
 }
 
-// leave closes the connection of a caller that waits, and waits until its entry host has noticed.
+// leave closes the connection of a caller that waits.
 func (play *drawnPlay) leave(pick int) {
 	if len(play.waiting) == 0 {
 		return
 	}
 	send := play.sendNames[play.waiting[pick%len(play.waiting)].Sent]
-	api := play.entry[send.caller.entryHost].api
-	before := api.ActiveCalls()
-	send.left.Store(true)
+	send.left = true
 	send.caller.close()
 	play.await(send.name, func() bool { return !send.underWay() })
-	play.awaitUntil(func() bool { return api.ActiveCalls() < before })
 }
 
 // writeExtra writes what isn't asked for on a connection that waits for a request, or ends it.
@@ -167,6 +164,7 @@
 		play.waiting = append(play.waiting, event.arrival)
 	default:
 		send.got, send.caller.busy = event.got, nil
+		play.awaitHandled(send)
 		if event.got.broken != nil || event.got.closes {
 			send.caller.close()
 		}
@@ -185,13 +183,13 @@
 	return true
 }
 
-// awaitUntil waits until something is so.
-func (play *drawnPlay) awaitUntil(so func() bool) {
+// awaitHandled waits until the entry host has done with a send.
+func (play *drawnPlay) awaitHandled(send *drawnSend) {
 	play.t.Helper()
-	for deadline := time.Now().Add(stuckAfter); !so(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			play.t.Fatalf("seed %d: the entry host goes on for %v after its caller has left\n%s", play.plan.seed, stuckAfter, play.trace())
-		}
+	select {
+	case <-send.handled:
+	case <-time.After(stuckAfter):
+		play.t.Fatalf("seed %d: the entry host goes on with %s for %v after its caller's end\n%s", play.plan.seed, send.name, stuckAfter, play.trace())
 	}
 }
 
@@ -203,7 +201,7 @@
 		for _, arrival := range send.arrivals {
 			text += fmt.Sprintf("    at %s, address %d, connection %d, reused %v, tidy %v: %v\n", arrival.Request.Header.Get(dialect.ExpectedHost), play.addressOf(arrival), arrival.Conn.Number, arrival.Reused, arrival.Tidy, arrival.Script)
 		}
-		if send.left.Load() {
+		if send.left {
 			text += "    the caller left\n"
 		}
 		if got := send.got; got != nil {
