--- a/caroblined/connection/callerapi/copied_refusal_test.go
+++ b/caroblined/connection/callerapi/copied_refusal_test.go
@@ -209,16 +209,22 @@
 
 // newAPI returns the API of an entry host, with transports as a daemon has them.
 func newAPI(t *testing.T, current *view.View, dial func(ctx context.Context, network, address string) (net.Conn, error)) *callerapi.API {
+	t.Helper()
+	return newAPIAt(t, current, dial, time.Now)
+}
+
+// newAPIAt is newAPI with a clock.
+func newAPIAt(t *testing.T, current *view.View, dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time) *callerapi.API {
 	t.Helper()
 	latest := func() *view.View { return current }
-	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 256, IdleTimeout: time.Minute, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true, Now: time.Now})
+	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 256, IdleTimeout: time.Minute, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true, Now: now})
 	retryBudget := budget.New(0.1, 128)
 	work := traffic.New(traffic.Config{
-		RetryBudget: retryBudget, View: latest, Now: time.Now,
+		RetryBudget: retryBudget, View: latest, Now: now,
 		Dispatcher: dispatcher.Config{Node: "n1", Rand: rand.New(rand.NewPCG(1, 1))}, //nolint:gosec // a seeded test
 	})
 	guard := partsguard.New(partsguard.Config{
-		Self: "n1", Incarnation: 1, View: latest, Now: time.Now, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
+		Self: "n1", Incarnation: 1, View: latest, Now: now, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
 		Reach: func(ctx context.Context, address string) error { return rest.Reach(ctx, dial, address) },
 	})
 	var background sync.WaitGroup
@@ -230,7 +236,7 @@
 	})
 	var calls atomic.Int64
 	return callerapi.New(callerapi.Config{
-		Owner: register.Owner{Node: "n1", Incarnation: 1}, Traffic: work, View: latest, Now: time.Now,
+		Owner: register.Owner{Node: "n1", Incarnation: 1}, Traffic: work, View: latest, Now: now,
 		RequestID: func() id.Request { return id.Request(fmt.Sprintf("q%d", calls.Add(1))) },
 		Propose: func(context.Context, peers.Proposal) (controller.Outcome, error) {
 			return controller.Outcome{Result: &register.Result{Verdict: register.VerdictGranted}}, nil
--- a/caroblined/connection/drawnendpoint/answer.go
+++ b/caroblined/connection/drawnendpoint/answer.go
@@ -25,6 +25,9 @@
 
 func (answer answer) text() string { return answer.head + answer.framed }
 
+// notRun returns the header line of a refusal.
+func (names *Names) notRun() string { return names.NotRun + ": " + names.NotRunValue }
+
 // Event returns an event of the stream that answers a send.
 func Event(sent string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", number, number, sent)
@@ -34,9 +37,12 @@
 func newAnswer(arrival *Arrival) *answer {
 	script, names := &arrival.Script, &arrival.Conn.endpoint.config.Names
 	answer := &answer{id: arrival.ID, status: script.Status, refusal: script.Outcome == Refuse, body: bodyOf(arrival)}
-	lines := []string{fmt.Sprintf("HTTP/1.1 %d %s", script.Status, http.StatusText(script.Status)), names.RequestID + ": " + arrival.ID, names.Mark + ": m", names.Sent + ": " + arrival.Sent}
+	lines := []string{fmt.Sprintf("HTTP/1.1 %d %s", script.Status, http.StatusText(script.Status)), names.RequestID + ": " + arrival.ID, names.Mark + ": m"}
+	if names.Sent != names.RequestID {
+		lines = append(lines, names.Sent+": "+arrival.Sent)
+	}
 	if script.Marked {
-		lines = append(lines, names.NotRun+": 1")
+		lines = append(lines, names.notRun())
 	}
 	if script.SaysClose {
 		lines = append(lines, "Connection: close")
--- a/caroblined/connection/drawnendpoint/drawnendpoint.go
+++ b/caroblined/connection/drawnendpoint/drawnendpoint.go
@@ -23,11 +23,12 @@
 type Names struct {
 	// RequestID identifies a request, and is repeated in its answer.
 	RequestID string
-	// NotRun says that the endpoint hasn't run the request.
-	NotRun string
+	// NotRun says that the endpoint hasn't run the request, if its value is NotRunValue.
+	NotRun, NotRunValue string
 	// Mark marks an answer as the endpoint's own.
 	Mark string
-	// Sent identifies one send of a caller. Several may have the same id.
+	// Sent identifies one send of a caller. Several may have the same id. It may be the header of the
+	// id where no two have.
 	Sent string
 	// LastEventID is the id of the event after which a stream resumes.
 	LastEventID string
--- a/caroblined/connection/drawnendpoint/extra.go
+++ b/caroblined/connection/drawnendpoint/extra.go
@@ -28,6 +28,9 @@
 	NoHTTP           Extra = "bytes that are no answer"
 )
 
+// ExtraBody is the body of an answer that is no copy.
+const ExtraBody = "extra"
+
 // anotherID names no request.
 const anotherID = "another"
 
@@ -63,13 +66,13 @@
 	case CopyHead:
 		return conn.copyOf(func(answer) bool { return true }).head
 	case AnswerWithoutID:
-		return "HTTP/1.1 200 OK\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\nextra"
+		return "HTTP/1.1 200 OK\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\n" + ExtraBody
 	case RefusalWithoutID:
-		return "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + names.notRun() + "\r\nContent-Length: 0\r\n\r\n"
 	case AnswerToAnother:
-		return "HTTP/1.1 200 OK\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\nextra"
+		return "HTTP/1.1 200 OK\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\n" + ExtraBody
 	case RefusalOfAnother:
-		return "HTTP/1.1 503 Service Unavailable\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.notRun() + "\r\nContent-Length: 0\r\n\r\n"
 	case InterimAnswer:
 		return "HTTP/1.1 103 Early Hints\r\n\r\n"
 	case SwitchedProtocol:
--- a/caroblined/connection/entryapi/drawn_play_test.go
+++ b/caroblined/connection/entryapi/drawn_play_test.go
@@ -86,7 +86,7 @@
 	}
 	for range drawnAddresses {
 		endpoint, err := drawnendpoint.New(drawnendpoint.Config{
-			Names:  drawnendpoint.Names{RequestID: dialect.RequestID, NotRun: dialect.NotRun, Mark: dialect.EndpointMark, Sent: "Sent", LastEventID: dialect.LastEventID},
+			Names:  drawnendpoint.Names{RequestID: dialect.RequestID, NotRun: dialect.NotRun, NotRunValue: "1", Mark: dialect.EndpointMark, Sent: "Sent", LastEventID: dialect.LastEventID},
 			Script: play.script, Arrived: func(arrival *drawnendpoint.Arrival) { play.events <- drawnEvent{send: arrival.Sent, arrival: arrival} },
 			Unreadable: play.recordUnreadable,
 		})
