endpoint: a 101 that nobody asked for is no answer

What callers saw: an endpoint that answers 101 Switching Protocols and sends nothing after it had this passed on as the answer, status 101. The caller's HTTP connection then counts as one of another protocol.

Cause: a 101 is a final answer for net/http, and no request of ours asks for another protocol (Upgrade isn't forwarded), so nothing looked at the status.

Both cases of the new test failed before.

Change: the transport reports it as an error that may have run, and closes the connection.

--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -52,6 +52,9 @@
 // ErrHeaderTimeout reports an answer whose headers don't end within maxHeaderTime.
 var ErrHeaderTimeout = errors.New("the answer's headers don't end")
 
+// errSwitchedProtocol reports an answer by which the endpoint leaves HTTP. No request asks for that.
+var errSwitchedProtocol = errors.New("the endpoint switched to another protocol")
+
 // errInterimAnswers reports more interim answers than maxInterimAnswers.
 var errInterimAnswers = errors.New("the interim answers don't end")
 
@@ -188,6 +191,8 @@
 	switch {
 	case expired:
 		return ErrHeaderTimeout
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errSwitchedProtocol
 	case !transport.attribute(conn, request, response):
 		return ErrForeignAnswer
 	case response.ContentLength > MaxAnswerBytes && !transport.readerBounds(request, response):
