--- a/caroblined/connection/drawnendpoint/extra.go
+++ b/caroblined/connection/drawnendpoint/extra.go
@@ -23,9 +23,12 @@
 	RefusalOfAnother Extra = "refusal of another"
 
 	InterimAnswer Extra = "interim answer"
-	// SwitchedProtocol ends HTTP on the connection.
-	SwitchedProtocol Extra = "switched protocol"
-	NoHTTP           Extra = "bytes that are no answer"
+	// SwitchedProtocol ends HTTP on the connection, and OwnSwitchedProtocol names the request that is due.
+	SwitchedProtocol    Extra = "switched protocol"
+	OwnSwitchedProtocol Extra = "switched protocol for the request"
+	// TwoIDs names the request that is due, and another.
+	TwoIDs Extra = "answer with two ids"
+	NoHTTP Extra = "bytes that are no answer"
 )
 
 // ExtraBody is the body of an answer that is no copy.
@@ -37,7 +40,7 @@
 // DrawExtra draws what is written though nothing asks for it.
 func DrawExtra(random *rand.Rand) Extra {
 	return pick(random, CopyRefusal, CopyRefusal, CopyRefusal, CopySame, CopySame, CopyLatest, CopyLatest, CopyHead,
-		AnswerWithoutID, RefusalWithoutID, AnswerToAnother, RefusalOfAnother, InterimAnswer, SwitchedProtocol, NoHTTP)
+		AnswerWithoutID, RefusalWithoutID, AnswerToAnother, RefusalOfAnother, TwoIDs, InterimAnswer, SwitchedProtocol, OwnSwitchedProtocol, NoHTTP)
 }
 
 // drawExtras draws some extras, none in most of oneIn cases.
@@ -77,6 +80,10 @@
 		return "HTTP/1.1 103 Early Hints\r\n\r\n"
 	case SwitchedProtocol:
 		return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"
+	case OwnSwitchedProtocol:
+		return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n" + names.RequestID + ": " + id + "\r\n" + names.Mark + ": m\r\n\r\n"
+	case TwoIDs:
+		return "HTTP/1.1 200 OK\r\n" + names.RequestID + ": " + id + "\r\n" + names.RequestID + ": " + anotherID + "\r\n" + names.Mark + ": m\r\nContent-Length: 5\r\n\r\n" + ExtraBody
 	case NoHTTP:
 		return "\x00\x01 these bytes are no answer \r\n\r\n"
 	default:
