--- a/caroblined/connection/callerapi/copied_refusal_test.go
+++ b/caroblined/connection/callerapi/copied_refusal_test.go
@@ -210,11 +210,12 @@
 // newAPI returns the API of an entry host, with transports as a daemon has them.
 func newAPI(t *testing.T, current *view.View, dial func(ctx context.Context, network, address string) (net.Conn, error)) *callerapi.API {
 	t.Helper()
-	return newAPIAt(t, current, dial, time.Now)
+	api, _ := newAPIAt(t, current, dial, time.Now)
+	return api
 }
 
-// newAPIAt is newAPI with a clock.
-func newAPIAt(t *testing.T, current *view.View, dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time) *callerapi.API {
+// newAPIAt is newAPI with a clock. It also returns the guard of prompts' parts.
+func newAPIAt(t *testing.T, current *view.View, dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time) (*callerapi.API, *partsguard.Guard) {
 	t.Helper()
 	latest := func() *view.View { return current }
 	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 256, IdleTimeout: time.Minute, IDHeader: rest.HeaderRequestID, ReaderBoundsStreams: true, Now: now})
@@ -235,7 +236,7 @@
 		transport.CloseIdleConnections()
 	})
 	var calls atomic.Int64
-	return callerapi.New(callerapi.Config{
+	api := callerapi.New(callerapi.Config{
 		Owner: register.Owner{Node: "n1", Incarnation: 1}, Traffic: work, View: latest, Now: now,
 		RequestID: func() id.Request { return id.Request(fmt.Sprintf("q%d", calls.Add(1))) },
 		Propose: func(context.Context, peers.Proposal) (controller.Outcome, error) {
@@ -245,6 +246,7 @@
 		Log:             zerolog.Nop(), Metrics: metrics.NewRegistry(), BodyBytes: 1 << 20, InactivityTimeout: 10 * time.Second, CallerWriteTimeout: 10 * time.Second,
 		PriorityLevels: attained.New(attained.DefaultThresholds()), RetryBudget: retryBudget, Guard: guard, EngineTransport: transport,
 	})
+	return api, guard
 }
 
 // called is what a caller got, and what the hosts did.
--- a/caroblined/connection/callerapi/drawn_test.go
+++ b/caroblined/connection/callerapi/drawn_test.go
@@ -135,7 +135,8 @@
 		endpoints, current.Endpoints[named.Name] = append(endpoints, named), named
 	}
 	current.Services = map[id.Service]*view.Set{"desk": view.NewSet(endpoints)}
-	play.server = httptest.NewServer(newAPIAt(play.t, current, drawnendpoint.Dial, play.clock).Handler())
+	api, _ := newAPIAt(play.t, current, drawnendpoint.Dial, play.clock)
+	play.server = httptest.NewServer(api.Handler())
 }
 
 func drawDrawnCall(random *rand.Rand, number int) *drawnCall {
--- /dev/null
+++ b/caroblined/connection/callerapi/foreign_answer_test.go
@@ -0,0 +1,47 @@
+package callerapi_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"carobline.dev/core/connection/rest"
+	"carobline.dev/core/id"
+	"carobline.dev/core/process/feed"
+	"carobline.dev/core/process/member"
+	"carobline.dev/core/process/roster"
+	"carobline.dev/core/version/view"
+)
+
+// Guards against messages that come under suspicion of having ended an engine's process, since that wrote an answer to
+// another request, which shows that it runs.
+func TestAnswerToAnotherCompletionIsNoCrash(t *testing.T) {
+	const checkTime = 300 * time.Millisecond // longer than it takes to find out whether a process has ended
+	engine := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(rest.HeaderRequestID, "other")
+		_, _ = io.WriteString(writer, "data: [DONE]\n\n")
+	}))
+	t.Cleanup(engine.Close)
+	group := &view.Endpoint{
+		Name: feed.Endpoint{Group: "g1"}, Model: "pulp", Host: "h1", Address: engine.Listener.Addr().String(), Load: roster.Load{Slots: 8},
+		Accepting: true, ValidUntil: time.Now().Add(time.Hour),
+	}
+	current := newView()
+	current.Endpoints[group.Name] = group
+	current.Models = map[id.Model]*view.Set{"pulp": view.NewSet([]*view.Endpoint{group})}
+	api, guard := newAPIAt(t, current, (&net.Dialer{}).DialContext, time.Now)
+	host := &entryHost{server: httptest.NewServer(api.Handler())}
+	t.Cleanup(host.server.Close)
+	got := host.call(t, http.MethodPost, "/v1/chat/completions", `{"model":"pulp","messages":[{"content":"a"},{"content":"b"}],"max_tokens":1}`)
+	if got.status != http.StatusBadGateway {
+		t.Errorf("%+v; want 502", got)
+	}
+	time.Sleep(checkTime)
+	var usage member.UsageReported
+	if guard.Report(&usage); len(usage.Crashes) != 0 {
+		t.Errorf("%d crashes are reported, want none", len(usage.Crashes))
+	}
+}
