--- a/core/connection/endpoint/copied_refusal_test.go
+++ b/core/connection/endpoint/copied_refusal_test.go
@@ -17,7 +17,7 @@
 	"carobline.dev/core/connection/endpoint"
 )
 
-const copiedIDHeader = "Call-Id"
+const idHeader = "Call-Id"
 
 // answerBytes writes what an endpoint writes for the nth request of a connection, from 1 on.
 type answerBytes func(number int, request *http.Request) string
@@ -72,7 +72,7 @@
 // newKeeping returns a transport that keeps connections and knows requests by their ids.
 func newKeeping(t *testing.T) *endpoint.Transport {
 	t.Helper()
-	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: copiedIDHeader})
+	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: idHeader})
 	t.Cleanup(transport.CloseIdleConnections)
 	return transport
 }
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	if id != "" {
-		request.Header.Set(copiedIDHeader, id)
+		request.Header.Set(idHeader, id)
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -105,7 +105,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := newAnswering(t, func(number int, request *http.Request) string {
-				own := answerWith("200 OK", "done", copiedIDHeader+": "+request.Header.Get(copiedIDHeader))
+				own := answerWith("200 OK", "done", idHeader+": "+request.Header.Get(idHeader))
 				if number == 1 {
 					return own
 				}
@@ -174,7 +174,7 @@
 func wantForeign(t *testing.T, first, second string) {
 	t.Helper()
 	url := newAnswering(t, func(int, *http.Request) string {
-		return answerWith("503 Service Unavailable", "", copiedIDHeader+": "+first, copiedIDHeader+": "+second)
+		return answerWith("503 Service Unavailable", "", idHeader+": "+first, idHeader+": "+second)
 	})
 	if got, err := sendCopied(t, newKeeping(t), url, "r1"); !errors.Is(err, endpoint.ErrForeignAnswer) {
 		t.Errorf("%q, %v; want that it is another request's", got, err)
--- a/core/connection/endpoint/invalid_test.go
+++ b/core/connection/endpoint/invalid_test.go
@@ -19,7 +19,7 @@
 			together.Done()
 			together.Wait()
 		}
-		return answerWith("200 OK", "done", copiedIDHeader+": "+request.Header.Get(copiedIDHeader))
+		return answerWith("200 OK", "done", idHeader+": "+request.Header.Get(idHeader))
 	})
 	transport := newKeeping(t)
 	var sends sync.WaitGroup
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	request.Header.Set(copiedIDHeader, "r1")
+	request.Header.Set(idHeader, "r1")
 	request.Header.Set("Invalid", "a\nb")
 	response, err := transport.RoundTrip(request)
 	if err == nil {
--- a/core/connection/endpoint/observation_test.go
+++ b/core/connection/endpoint/observation_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -14,92 +13,46 @@
 	"carobline.dev/core/connection/endpoint"
 )
 
-const idHeader = "Call-Id"
-
-// refusal and sound are whole answers that bear an id.
-func refusal(id string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\n" + idHeader + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
-}
-
-func sound(id string) string {
-	return "HTTP/1.1 200 OK\r\n" + idHeader + ": " + id + "\r\nContent-Length: 2\r\n\r\nok"
-}
-
-// serveScript serves connections, each of which writes the next answers of a script, one string a request.
-func serveScript(t *testing.T, scripts ...[]string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for _, script := range scripts {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = connection.Close() }()
-				reader := bufio.NewReader(connection)
-				for _, answer := range script {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(connection, answer)
-				}
-				_, _ = reader.ReadByte()
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// send sends a request with an id and returns the status of its answer, 0 for an error.
-func send(t *testing.T, transport *endpoint.Transport, address, id string) (int, error) {
+// newObserved returns a transport of one kept connection and what it observes.
+func newObserved(t *testing.T) (*endpoint.Transport, <-chan endpoint.Observation) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if id != "" {
-		request.Header.Set(idHeader, id)
-	}
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return 0, err
-	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Body.Close()
+	observed := make(chan endpoint.Observation, 8)
+	transport := endpoint.New(endpoint.Config{
+		Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 1, IDHeader: idHeader,
+		Observe: func(observation endpoint.Observation) { observed <- observation },
+	})
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport, observed
 }
 
-// Guards against logs that don't tell a copied refusal, another's answer, one without an id and bytes that nobody
-// asked for from each other.
+// Guards against logs that don't tell a copied refusal, another copied answer, another's answer, one without an id and
+// a second send to one address from each other.
 func TestObservationsTellAnswersApart(t *testing.T) {
+	refusal := func(id string) string { return answerWith("503 Service Unavailable", "", idHeader+": "+id) }
+	sound := func(id string) string { return answerWith("200 OK", "ok", idHeader+": "+id) }
 	for name, test := range map[string]struct {
-		script []string
-		ids    []string
-		want   endpoint.Observation
+		answers []string
+		ids     []string
+		want    endpoint.Observation
 	}{
-		"copied refusal": {[]string{refusal("r"), refusal("r")}, []string{"r", "b"}, endpoint.Observation{Oddity: endpoint.CopiedRefusal, Request: "b", Answered: "r", Status: 503}},
+		"copied refusal": {[]string{refusal("a"), refusal("a")}, []string{"a", "b"}, endpoint.Observation{Oddity: endpoint.CopiedRefusal, Request: "b", Answered: "a", Status: 503}},
 		"copied answer":  {[]string{sound("a"), sound("a")}, []string{"a", "b"}, endpoint.Observation{Oddity: endpoint.CopiedAnswer, Request: "b", Answered: "a", Status: 200}},
 		"foreign":        {[]string{sound("c")}, []string{"a"}, endpoint.Observation{Oddity: endpoint.ForeignAnswer, Request: "a", Answered: "c", Status: 200}},
+		"unnamed":        {[]string{sound("a"), answerWith("200 OK", "ok")}, []string{"a", "b"}, endpoint.Observation{Oddity: endpoint.UnnamedAnswer, Request: "b", Status: 200}},
+		"second send":    {[]string{refusal("a")}, []string{"a", "a"}, endpoint.Observation{Oddity: endpoint.SecondSend, Request: "a", Status: 503}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := serveScript(t, test.script)
-			var got []endpoint.Observation
-			transport := endpoint.New(endpoint.Config{
-				Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 1, IDHeader: idHeader,
-				Observe: func(observation endpoint.Observation) { got = append(got, observation) },
-			})
+			url := newAnswering(t, func(number int, _ *http.Request) string { return test.answers[number-1] })
+			transport, observed := newObserved(t)
 			for _, id := range test.ids {
-				_, _ = send(t, transport, address, id)
+				_, _ = sendCopied(t, transport, url, id)
+			}
+			test.want.Address = url[len("http://"):]
+			if len(observed) != 1 {
+				t.Fatalf("%d observations, want one", len(observed))
 			}
-			test.want.Address = address
-			if diff := cmp.Diff([]endpoint.Observation{test.want}, got); diff != "" {
-				t.Errorf("observations (-want +got):\n%s", diff)
+			if diff := cmp.Diff(test.want, <-observed); diff != "" {
+				t.Errorf("observation (-want +got):\n%s", diff)
 			}
 		})
 	}
@@ -107,6 +60,7 @@
 
 // Guards against bytes on an unused connection that nobody hears of.
 func TestUnsolicitedAnswerIsObserved(t *testing.T) {
+	const limit = 5 * time.Second
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -120,19 +74,16 @@
 		}
 		defer func() { _ = connection.Close() }()
 		reader := bufio.NewReader(connection)
+		refusal := answerWith("503 Service Unavailable", "", idHeader+": a")
 		_, _ = http.ReadRequest(reader)
-		_, _ = io.WriteString(connection, refusal("a"))
+		_, _ = io.WriteString(connection, refusal)
 		<-answered
-		_, _ = io.WriteString(connection, refusal("a"))
+		_, _ = io.WriteString(connection, refusal)
 		_, _ = io.Copy(io.Discard, reader)
 	}()
-	observed := make(chan endpoint.Observation, 1)
-	transport := endpoint.New(endpoint.Config{
-		Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 1, IDHeader: idHeader,
-		Observe: func(observation endpoint.Observation) { observed <- observation },
-	})
-	if status, err := send(t, transport, listener.Addr().String(), "a"); status != http.StatusServiceUnavailable {
-		t.Fatalf("status %d, error %v", status, err)
+	transport, observed := newObserved(t)
+	if got, err := sendCopied(t, transport, "http://"+listener.Addr().String(), "a"); got != "503 " {
+		t.Fatalf("%q, error %v", got, err)
 	}
 	close(answered)
 	select {
@@ -140,7 +91,7 @@
 		if got.Oddity != endpoint.UnsolicitedAnswer || got.Address != listener.Addr().String() {
 			t.Errorf("observation %+v", got)
 		}
-	case <-time.After(5 * time.Second):
+	case <-time.After(limit):
 		t.Error("the bytes weren't observed")
 	}
 }
--- a/core/connection/endpoint/stress_test.go
+++ b/core/connection/endpoint/stress_test.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if random.IntN(10) > 0 {
-		request.Header.Set(copiedIDHeader, strconv.Itoa(random.IntN(stressIDs)))
+		request.Header.Set(idHeader, strconv.Itoa(random.IntN(stressIDs)))
 	}
 	request.Header.Set(sendHeader, send)
 	request.Close = random.IntN(20) == 0
@@ -163,7 +163,7 @@
 	goroutines := runtime.NumGoroutine()
 	unruly := newUnruly(t, seed)
 	load := &load{t: t, url: "http://" + unruly.listener.Addr().String()}
-	load.transport = endpoint.New(endpoint.Config{Dial: load.dial, MaxIdlePerHost: 8, IdleTimeout: 5 * time.Millisecond, IDHeader: copiedIDHeader})
+	load.transport = endpoint.New(endpoint.Config{Dial: load.dial, MaxIdlePerHost: 8, IdleTimeout: 5 * time.Millisecond, IDHeader: idHeader})
 	load.run(seed)
 	waitFor(t, "connections that aren't in use and aren't kept", 0, func() int { return int(load.open.Load()) - endpoint.Kept(load.transport) })
 	load.transport.CloseIdleConnections()
--- a/core/connection/endpoint/timers_test.go
+++ b/core/connection/endpoint/timers_test.go
@@ -15,9 +15,9 @@
 func TestRequestsLeaveNoTimers(t *testing.T) {
 	const requests, maxObjects = 2000, 500
 	url := newAnswering(t, func(_ int, request *http.Request) string {
-		return answerWith("200 OK", "done", copiedIDHeader+": "+request.Header.Get(copiedIDHeader))
+		return answerWith("200 OK", "done", idHeader+": "+request.Header.Get(idHeader))
 	})
-	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Hour, IDHeader: copiedIDHeader})
+	transport := endpoint.New(endpoint.Config{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Hour, IDHeader: idHeader})
 	t.Cleanup(transport.CloseIdleConnections)
 	send := func(first, count int) uint64 {
 		for number := range count {
--- a/core/connection/endpoint/unruly_test.go
+++ b/core/connection/endpoint/unruly_test.go
@@ -87,7 +87,7 @@
 		if err != nil {
 			return
 		}
-		id := request.Header.Get(copiedIDHeader)
+		id := request.Header.Get(idHeader)
 		unruly.record(request)
 		if id == "" && len(carried) > 0 || carried[""] || carried[id] {
 			unruly.t.Errorf("request %q comes on a connection that has carried %v", id, carried)
@@ -137,7 +137,7 @@
 
 // answer returns an answer to a request, in one of the forms that there are.
 func (unruly *unruly) answer(request *http.Request) string {
-	send, id := request.Header.Get(sendHeader), copiedIDHeader+": "+request.Header.Get(copiedIDHeader)
+	send, id := request.Header.Get(sendHeader), idHeader+": "+request.Header.Get(idHeader)
 	body := "own " + send
 	if request.Method == http.MethodHead {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\n%s: %s\r\nContent-Length: 9\r\n\r\n", id, sendHeader, send)
--- a/core/connection/endpoint/unsent_test.go
+++ b/core/connection/endpoint/unsent_test.go
@@ -34,7 +34,7 @@
 	const connections = 2000
 	transport := endpoint.New(endpoint.Config{
 		Dial:           func(context.Context, string, string) (net.Conn, error) { return &brokenConn{}, nil },
-		MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: copiedIDHeader,
+		MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: idHeader,
 	})
 	for range connections {
 		if got, err := sendCopied(t, transport, "http://127.0.0.1:9", "r1"); err == nil || !endpoint.Unsent(err) {
@@ -53,7 +53,7 @@
 			t.Fatal(err)
 		}
 		request.URL.Host = address
-		request.Header.Set(copiedIDHeader, "r1")
+		request.Header.Set(idHeader, "r1")
 		response, err := transport.RoundTrip(request)
 		if err == nil {
 			_ = response.Body.Close()
