--- a/soak/process/falsehost/connection.go
+++ b/soak/process/falsehost/connection.go
@@ -38,12 +38,12 @@
 	mutex sync.Mutex
 }
 
-// lie is one way in which an answer misleads.
-type lie int
+// fault is one way in which an answer misleads.
+type fault int
 
-// The lies. A copy comes with the next request, with the next one of the same id, or before.
+// The faults. A copy comes with the next request, with the next one of the same id, or before.
 const (
-	sound lie = iota
+	sound fault = iota
 	copyWithNext
 	copyWithSame
 	copyWhileIdle
@@ -57,7 +57,7 @@
 	closeAfter
 	interim
 	runThenHang
-	lieCount
+	faultCount
 )
 
 func (connection *connection) serve() {
@@ -81,9 +81,9 @@
 func (connection *connection) answer(request *http.Request) bool {
 	connection.host.busy.Add(1)
 	defer connection.host.busy.Add(-1)
-	lie := sound
+	fault := sound
 	if connection.random.Float64() < connection.host.falsePart {
-		lie = 1 + connection.drawLie()
+		fault = 1 + connection.drawFault()
 	}
 	refuses := connection.random.Float64() < connection.host.refusedPart
 	work := time.Duration(connection.random.Int64N(int64(maxWork)))
@@ -96,18 +96,20 @@
 		connection.host.record(request)
 	}
 	time.Sleep(work)
-	return connection.tell(request, lie, connection.compose(request, lie, refuses))
+	return connection.writeAnswer(request, fault, connection.compose(request, fault, refuses))
 }
 
-func (connection *connection) drawLie() lie { return lie(connection.random.IntN(int(lieCount) - 1)) }
+func (connection *connection) drawFault() fault {
+	return fault(connection.random.IntN(int(faultCount) - 1))
+}
 
-// tell writes an answer with its lie.
-func (connection *connection) tell(request *http.Request, lie lie, answer []byte) bool {
-	if len(connection.former) > 0 && lie == formerWithNext {
+// writeAnswer writes an answer with its fault.
+func (connection *connection) writeAnswer(request *http.Request, fault fault, answer []byte) bool {
+	if len(connection.former) > 0 && fault == formerWithNext {
 		connection.late = connection.former[connection.random.IntN(len(connection.former))]
 	}
 	connection.former = append(connection.former, answer)
-	switch lie {
+	switch fault {
 	case cutWithin:
 		connection.write(answer[:connection.random.IntN(len(answer))])
 		return false
@@ -127,7 +129,7 @@
 		connection.lateByID[request.Header.Get(rest.HeaderRequestID)] = answer
 	}
 	connection.write(answer)
-	switch lie {
+	switch fault {
 	case copyAtOnce:
 		connection.write(answer)
 	case copyWhileIdle:
@@ -142,7 +144,7 @@
 }
 
 // compose returns the answer as it is written.
-func (connection *connection) compose(request *http.Request, lie lie, refuses bool) []byte {
+func (connection *connection) compose(request *http.Request, fault fault, refuses bool) []byte {
 	header := http.Header{"Content-Type": {"application/json"}, rest.HeaderRequestID: {request.Header.Get(rest.HeaderRequestID)}}
 	status := http.StatusOK
 	if refuses {
@@ -150,7 +152,7 @@
 		status = statuses[connection.random.IntN(len(statuses))]
 		header.Set(rest.HeaderOutcome, string(rest.OutcomeNotRun))
 	}
-	switch lie {
+	switch fault {
 	case foreignID:
 		header.Set(rest.HeaderRequestID, "another")
 	case noID:
