--- a/review/standins-2/twogroups.go
+++ b/review/standins-2/twogroups.go
@@ -20,7 +20,7 @@
 	defer fabric.Close()
 	late := map[*Engine][]byte{}
 	for index := range 3 {
-		engine, err := fabric.Add(index, fmt.Sprintf("i-%08x", 0x02d9e6b4+index*0x1b3d))
+		engine, err := fabric.Add(index, engineID(index))
 		if err != nil {
 			return false, err
 		}
@@ -55,6 +55,9 @@
 	return len(fabric.early) > 0, nil
 }
 
+// engineID returns the id of an engine.
+func engineID(index int) string { return fmt.Sprintf("i-%08x", 0x02d9e6b4+index*0x1b3d) }
+
 // awaitOpenHead waits for the head of an open group.
 func awaitOpenHead(ctx context.Context, fabric *Fabric) (*Engine, error) {
 	for ctx.Err() == nil {
