--- a/review/standins-2/common.go
+++ b/review/standins-2/common.go
@@ -64,7 +64,7 @@
 
 // request returns the bytes of a client's request on a connection of its own.
 func request(method, target, id, body string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\nTime-Remaining: 1400\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", method, target, id, len(body), body)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\n%s: 1400\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", method, target, id, wire("time_left"), len(body), body)
 }
 
 // send sends one request of a client to a front process and records the answer.
--- a/review/standins-2/depart.go
+++ b/review/standins-2/depart.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// drainBound is drain_ms, and touchWindow connectivity_window_ms.
+	// drainBound is the bound of draining, and touchWindow how long machines are out of touch after their start.
 	drainBound  = 2 * time.Second
 	touchWindow = 3 * time.Second
 	// lateBy is how long after its sending the delayed heartbeat arrives.
@@ -67,7 +67,7 @@
 		})
 	}
 	time.Sleep(time.Until(sentAt.Add(lateBy)))
-	core, accepted := leaving.call("/carobline/instances/"+leaving.id+"/heartbeat", late, 2*time.Second)
+	core, accepted := leaving.call(heartbeatPath(leaving.id), late, 2*time.Second)
 	run.record.Printf("the delayed heartbeat arrives: acknowledged %v by %s", accepted, core)
 	clients.Wait()
 	broken := 0
--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -57,7 +57,7 @@
 		writer.WriteHeader(http.StatusOK)
 		return
 	}
-	if expected := request.Header.Get("Expected-Instance"); expected != "" && expected != endpoint.id {
+	if expected := request.Header.Get(wire("expected")); expected != "" && expected != endpoint.id {
 		writer.Header().Set("Instance-Id", endpoint.id)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -71,7 +71,7 @@
 		endpoint.handle(writer, request)
 		return
 	}
-	writer.Header().Set("Response-Seal", "seal-"+id)
+	writer.Header().Set(wire("seal"), "seal-"+id)
 	_, _ = io.WriteString(writer, "done "+id+"\n")
 }
 
@@ -89,6 +89,9 @@
 	return append([]endpointRun{}, endpoint.runs...)
 }
 
+// heartbeatPath returns the path of the heartbeats of an instance.
+func heartbeatPath(id string) string { return wire("instances_path") + id + "/heartbeat" }
+
 // heartbeat returns the body of the next heartbeat.
 func (endpoint *Endpoint) heartbeat() []byte {
 	endpoint.mutex.Lock()
@@ -96,7 +99,7 @@
 	endpoint.sequence++
 	body, _ := json.Marshal(object{
 		"service": "order-desk", "address": endpoint.address, "zone": endpoint.zone, "version": "v1", "slots": 6, "state": endpoint.state,
-		"cold_remaining_ms": 0, "sequence": endpoint.sequence, "born": endpoint.born,
+		wire("cold"): 0, "sequence": endpoint.sequence, "born": endpoint.born,
 	})
 	return body
 }
@@ -127,7 +130,7 @@
 		silent := endpoint.silent
 		endpoint.mutex.Unlock()
 		if !silent {
-			endpoint.call("/carobline/instances/"+endpoint.id+"/heartbeat", endpoint.heartbeat(), 1100*time.Millisecond)
+			endpoint.call(heartbeatPath(endpoint.id), endpoint.heartbeat(), 1100*time.Millisecond)
 		}
 		select {
 		case <-endpoint.stop:
@@ -143,7 +146,7 @@
 	endpoint.silent = true
 	endpoint.mutex.Unlock()
 	body, _ := json.Marshal(object{"born": endpoint.born})
-	core, ok := endpoint.call("/carobline/instances/"+endpoint.id+"/leave", body, most)
+	core, ok := endpoint.call(wire("instances_path")+endpoint.id+"/leave", body, most)
 	endpoint.system.record.Printf("server %s: leave acknowledged: %v by %s", endpoint.id, ok, core)
 	return ok
 }
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -169,7 +169,7 @@
 
 func (engine *Engine) serve(writer http.ResponseWriter, request *http.Request) {
 	body, _ := io.ReadAll(request.Body)
-	if request.Method == http.MethodPost && request.URL.Path == "/carobline/order" {
+	if request.Method == http.MethodPost && request.URL.Path == wire("order_path") {
 		engine.serveOrder(writer, body)
 		return
 	}
@@ -313,7 +313,7 @@
 		models = append(models, object{"name": model, "version": 1, "adapters": []string{}})
 	}
 	fields := object{
-		"service": "pool", "address": engine.address, "zone": engine.zone, "version": "v1", "slots": 17, "state": "ready", "cold_remaining_ms": 0, "stage": "both",
+		"service": "pool", "address": engine.address, "zone": engine.zone, "version": "v1", "slots": 17, "state": "ready", wire("cold"): 0, "stage": "both",
 		"models": models, "staged": append([]string{}, engine.staged...), "domain": "fabric-0", "sequence": engine.sequence, "born": engine.born,
 	}
 	if engine.state != "" {
@@ -328,7 +328,7 @@
 	cores := engine.fabric.system.cores
 	for range cores {
 		core := cores[engine.next%len(cores)]
-		got, err := exchange(core.control(), post("/carobline/instances/"+engine.id+"/heartbeat", body), time.Second)
+		got, err := exchange(core.control(), post(heartbeatPath(engine.id), body), time.Second)
 		if err == nil && got.status/100 == 2 {
 			return true
 		}
@@ -365,8 +365,8 @@
 // poolConfiguration returns a configuration with a service of engines, whose model needs two of them.
 func poolConfiguration(version int) object {
 	configuration := deskConfiguration(version, "/desk/", "unsafe", object{
-		"name": "r-pool", "host": "desk.example", "path_prefix": "/pool/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 300, "gap_target_ms": 200,
-		"priority": 1, "service": "pool", "attempts": 2, "allow_anonymous": true, "session_affinity": true, "resumable": true,
+		"name": "r-pool", "host": "desk.example", "path_prefix": "/pool/", "kind": "streaming", "timeout_ms": 6000, wire("target"): 300, wire("gap"): 200,
+		"priority": 1, "service": "pool", "attempts": 2, wire("anonymous"): true, "session_affinity": true, "resumable": true,
 	})
 	configuration["services"] = append(configuration["services"].([]object), object{
 		"name": "pool", "health_path": "/health", "connection_limit": 288, "protocol": "h1", "tls": false, "engine": object{
--- a/review/standins-2/operator.go
+++ b/review/standins-2/operator.go
@@ -34,7 +34,7 @@
 	for ctx.Err() == nil {
 		core := operator.system.cores[operator.next%len(operator.system.cores)]
 		timeout := time.Second + time.Duration(len(body)/1000)*time.Millisecond
-		got, err := exchange(core.control(), post("/carobline/configuration/replace", body), timeout)
+		got, err := exchange(core.control(), post(wire("replace_path"), body), timeout)
 		switch {
 		case err != nil:
 			operator.system.record.Printf("operator: version %s to %s: %v", version, core.name, err)
@@ -52,7 +52,7 @@
 
 // Read reads the configuration at one node.
 func (operator *Operator) Read(core *Process) (int, []byte, error) {
-	got, err := exchange(core.control(), "GET /carobline/configuration/read HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n", 2*time.Second)
+	got, err := exchange(core.control(), "GET "+wire("read_path")+" HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n", 2*time.Second)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -62,8 +62,8 @@
 // deskConfiguration returns a configuration with one plain service and a route to it.
 func deskConfiguration(version int, prefix, kind string, extra ...object) object {
 	routes := []object{{
-		"name": "r-desk", "host": "desk.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 1500, "target_latency_ms": 300,
-		"priority": 1, "service": "order-desk", "attempts": 2, "allow_anonymous": true, "session_affinity": false, "resumable": false,
+		"name": "r-desk", "host": "desk.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 1500, wire("target"): 300,
+		"priority": 1, "service": "order-desk", "attempts": 2, wire("anonymous"): true, "session_affinity": false, "resumable": false,
 	}}
 	routes = append(routes, extra...)
 	return object{
--- a/review/standins-2/otherwriter.go
+++ b/review/standins-2/otherwriter.go
@@ -34,7 +34,7 @@
 			"sequence": 1, "born": head.born + 1000,
 		})
 		run.record.Printf("another writer sends under the id %s: %s", head.id, body)
-		got, err := exchange(system.cores[0].control(), post("/carobline/instances/"+head.id+"/heartbeat", body), time.Second)
+		got, err := exchange(system.cores[0].control(), post(heartbeatPath(head.id), body), time.Second)
 		if err != nil {
 			return false, err
 		}
--- a/review/standins-2/recover.go
+++ b/review/standins-2/recover.go
@@ -76,7 +76,7 @@
 			case <-time.After(workTime):
 			case <-request.Context().Done():
 			}
-			writer.Header().Set("Response-Seal", "seal-"+request.Header.Get("Request-Id"))
+			writer.Header().Set(wire("seal"), "seal-"+request.Header.Get("Request-Id"))
 			_, _ = io.WriteString(writer, "done\n")
 		}
 	}
--- a/review/standins-2/system.go
+++ b/review/standins-2/system.go
@@ -133,12 +133,7 @@
 		"contracts":             []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "gangs"},
 		"fault_tolerance":       map[string]int{"machines": 2, "zones": 0, "regions": 0},
 		"configuration_mode":    "highest",
-		"bounds": map[string]any{
-			"seed_lag_s": 3, "address_reuse_s": 2, "connectivity_window_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 8,
-			"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "outer_ms": 5000, "strict_revocation": true, "revoke_ms": 5000,
-			"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 109, "recovery_s": 12, "pass_ms": 120, "retry_after_s": 0, "stall_ms": 4000,
-			"fencing_required": true, "ceiling_window_s": 5, "load_burst_factor": 1.1,
-		},
+		"bounds":                bounds(),
 	}
 	if process.class == "core" {
 		values["serves"] = []string{"control"}
@@ -178,7 +173,7 @@
 		return err
 	}
 	command := exec.Command(process.system.program)
-	command.Env = append(os.Environ(), "CAROBLINE_CONFIG="+path)
+	command.Env = append(os.Environ(), wire("settings_variable")+"="+path)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -271,7 +266,7 @@
 // AwaitReady waits until a front process answers that it is ready.
 func (process *Process) AwaitReady(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if answer, err := exchange(process.ready(), "GET /carobline/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", time.Second); err == nil && answer.status == 200 {
+		if answer, err := exchange(process.ready(), "GET "+wire("ready_path")+" HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", time.Second); err == nil && answer.status == 200 {
 			return nil
 		}
 		time.Sleep(50 * time.Millisecond)
