--- a/review/standins-2/depart.go
+++ b/review/standins-2/depart.go
@@ -13,8 +13,8 @@
 	touchWindow = 3 * time.Second
 	// lateBy is how long after its sending the delayed heartbeat arrives.
 	lateBy = 5 * time.Second
-	// killedFronts are the front processes that are killed, six in ten of the three.
-	killedFronts = 2
+	// killedFronts of so many front processes are killed, six in ten.
+	allFronts, killedFronts = 5, 3
 )
 
 func init() { plays["departed"] = playDeparted }
@@ -22,7 +22,7 @@
 // playDeparted lets a server leave, kills the core and most front processes at the same moment once the departure
 // is acknowledged, and then lets a heartbeat arrive that the server had sent before it left.
 func playDeparted(ctx context.Context, run *caseRun) (bool, error) {
-	deployment, err := run.deploy(ctx, 3, 3, deskConfiguration(1, "/desk/", "unsafe"))
+	deployment, err := run.deploy(ctx, allFronts, 3, deskConfiguration(1, "/desk/", "unsafe"))
 	if err != nil {
 		return false, err
 	}
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -16,7 +16,8 @@
 // The times of orders, as the pages state them for the small deployment. A load takes a tenth before the first request.
 const (
 	rejoinTime = 200 * time.Millisecond
-	loadTime   = 1600 * time.Millisecond
+	loadTime   = 1200 * time.Millisecond
+	warmupTime = 1100 * time.Millisecond
 	formTime   = 300 * time.Millisecond
 	stallTime  = 4 * time.Second
 )
@@ -229,7 +230,11 @@
 		engine.set("")
 		return http.StatusOK
 	case "stage":
-		engine.staged = []string{order.Model}
+		time.AfterFunc(loadTime, func() {
+			engine.fabric.mutex.Lock()
+			defer engine.fabric.mutex.Unlock()
+			engine.staged = []string{order.Model}
+		})
 		return http.StatusAccepted
 	default:
 		return http.StatusBadRequest
@@ -246,8 +251,11 @@
 	}
 	engine.leaveGroup()
 	takes := loadTime
-	if slices.Contains(engine.models, order.Model) {
+	switch {
+	case slices.Contains(engine.models, order.Model):
 		takes = rejoinTime
+	case slices.Contains(engine.staged, order.Model):
+		takes = warmupTime
 	}
 	engine.group, engine.epoch, engine.members, engine.brokenAt = order.Group, order.Epoch, order.Members, time.Time{}
 	engine.models, engine.staged = []string{order.Model}, []string{order.Model}
--- a/review/standins-2/recover.go
+++ b/review/standins-2/recover.go
@@ -16,7 +16,9 @@
 	// workTime is how long a server works on a request.
 	workTime = 200 * time.Millisecond
 	// clientsPerFront is the number of clients of one front process, each of which has one request at a time.
-	clientsPerFront = 3
+	clientsPerFront = 2
+	// frontsKilled of so many fronts are killed at once, six in ten.
+	fronts, frontsKilled = 5, 3
 )
 
 func init() { plays["recover"] = playRecover }
@@ -64,7 +66,7 @@
 // playRecover kills most front processes several times while they have requests in progress, lets two machines of the
 // core lose their disks after an acknowledgement, and looks at what is served once recovery_s has passed.
 func playRecover(ctx context.Context, run *caseRun) (bool, error) {
-	deployment, err := run.deploy(ctx, 3, 2, deskConfiguration(1, "/desk/", "unsafe"))
+	deployment, err := run.deploy(ctx, fronts, 2, deskConfiguration(1, "/desk/", "unsafe"))
 	if err != nil {
 		return false, err
 	}
@@ -93,8 +95,11 @@
 	time.Sleep(15 * time.Second)
 	if run.trouble {
 		for round := range 6 {
-			killed := []*Process{system.fronts[round%3], system.fronts[(round+1)%3]}
-			run.record.Printf("%s and %s are killed", killed[0].name, killed[1].name)
+			var killed []*Process
+			for number := range frontsKilled {
+				killed = append(killed, system.fronts[(round*frontsKilled+number)%fronts])
+			}
+			run.record.Printf("%s, %s and %s are killed", killed[0].name, killed[1].name, killed[2].name)
 			KillAll(killed)
 			time.Sleep(500 * time.Millisecond)
 			for _, front := range killed {
