endpoint: an answer without a length that its upload's end cuts is broken

What callers saw: an endpoint read the head of a long upload alone, answered 200 without a length, wrote a part of the body and reset the connection, or closed it with bytes unread.

Cause: a socket gives the error of a reset out once. The write of the upload takes it, and the read beside it then sees an orderly end, which ends a body without a length. The connection below net/http passed that end on as it was.

Change: the connection follows how much of its request has been written, and records at its end whether a write had failed. A write that is under way then is ended and awaited, since it may have taken the error without having returned. An answer that only its connection ends is whole if the request had been written whole and no write had failed. Before that, an orderly end proves a refusal or a redirect, which may come early, but no success: the endpoint can't have had the request. Otherwise the body ends with ErrCutInUpload. entryapi logs answer_cut_in_upload, and the error says what happened.

Why it works: without a failed write the socket still has its error, and the read would have got it. So an end after no failed write is the endpoint's own.

--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -27,6 +27,9 @@
 	reasonForeignAnswer = "answer_to_another_request"
 	// reasonInvalidStatus is that of one whose answer has a status that no answer may have.
 	reasonInvalidStatus = "invalid_status"
+	// reasonCutInUpload is that of one whose answer has no length and may be a part, since its connection ended while the
+	// request was being written.
+	reasonCutInUpload = "answer_cut_in_upload"
 	// reasonReplaced is that of one whose call goes on at another endpoint.
 	reasonReplaced = "replaced"
 	// reasonEndpointError is that of one whose endpoint answered that it has failed. The
@@ -261,6 +264,8 @@
 		exchange.reason, exchange.err = reasonNoMemory, err
 	case errors.Is(err, body.ErrTooLarge):
 		exchange.reason = "answer_too_large"
+	case errors.Is(err, endpoint.ErrCutInUpload):
+		exchange.reason, exchange.err = reasonCutInUpload, err
 	case err != nil:
 		exchange.reason, exchange.err = "answer_broken_off", err
 	case sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(data):
--- a/core/connection/endpoint/conn.go
+++ b/core/connection/endpoint/conn.go
@@ -48,10 +48,22 @@
 }
 
 // begin records that a request with an id is sent, whose answer's head is charged.
-func (conn *conn) begin(id string, head *headCharge) {
+func (conn *conn) begin(request *http.Request, id string, head *headCharge) {
 	conn.history = append(conn.history, sentRequest{id: hashOf(id)})
 	conn.startBytes = conn.wire.writtenBytes()
-	conn.wire.setHead(head)
+	conn.wire.begin(bodyLength(request), head)
+}
+
+// bodyLength returns the length of a request's body in bytes, -1 if it isn't known.
+func bodyLength(request *http.Request) int64 {
+	switch {
+	case request.Body == nil || request.Body == http.NoBody:
+		return 0
+	case request.ContentLength == 0:
+		return -1
+	default:
+		return request.ContentLength
+	}
 }
 
 // unsent reports that no byte of the request under way was written, once its round trip has failed.
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -8,12 +8,14 @@
 //   - An answer that bears another id belongs to another request. One without an id is taken only if the connection
 //     has carried no other request, and ends it.
 //   - A request goes on a second connection by itself only if no byte of it was written on the first.
+//   - An answer without a length is whole if the endpoint has ended its connection after the request was written whole,
+//     or before that with a status that is no success. Once a write has failed, the end isn't the endpoint's.
 //
 // # Usage
 //
 //	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second, IDHeader: "X-Request-Id"})
 //	response, err := transport.RoundTrip(request) // ErrForeignAnswer for an answer to another request; see Unsent
-//	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes
+//	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes, ErrCutInUpload
 //	transport.CloseIdleConnections()
 package endpoint
 
@@ -62,6 +64,10 @@
 // ErrTooLarge reports an answer whose body is larger than MaxAnswerBytes.
 var ErrTooLarge = errors.New("the answer is larger than 16 MiB")
 
+// ErrCutInUpload reports an answer without a length whose connection ended while its request was being written. What came
+// of it may be a part, and the request may have run.
+var ErrCutInUpload = errors.New("the connection ended while the request was being written, and the answer has no length")
+
 // Config is fixed for the life of a process.
 type Config struct {
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -157,9 +163,9 @@
 		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
 	}))
 	sent.Close = conn.singleUse
-	conn.begin(request.Header.Get(transport.idHeader), head)
+	conn.begin(request, request.Header.Get(transport.idHeader), head)
 	response, err := conn.client.RoundTrip(sent)
-	conn.wire.setHead(nil)
+	conn.wire.endHead()
 	expired := timer.stop()
 	if err != nil {
 		head.charge.Close()
@@ -174,6 +180,7 @@
 			return nil, err
 		}
 	}
+	response.Body = &provenBody{ReadCloser: response.Body, response: response, wire: conn.wire}
 	if head.charge != nil {
 		response.Body = &closing{response.Body, head.charge}
 	}
