endpoint: a failed write doesn't end an answer that can still be read

What callers saw: an endpoint refused a long upload early with a whole answer (413 or 503 with a length), or answered in whole chunks, and closed its connection with bytes unread or reset it.

Cause: net/http ends a connection as soon as a write on it fails. Then the answer is lost though the socket still holds it.

Change: the error of a failed write is held back until the connection's end is read, or until it is closed. An answer's own framing then shows whether it is whole.

Why it works: a reset ends reading as well, so that the wait is as long as what the socket holds takes to be read; whoever gives the answer up closes the connection.

Price: such an answer's end comes up to 50 ms later, the time that net/http gives to an upload whose answer is complete.

--- a/core/connection/endpoint/conn.go
+++ b/core/connection/endpoint/conn.go
@@ -33,7 +33,7 @@
 
 // open dials an address.
 func (pool *pool) open(ctx context.Context, address string) (*conn, error) {
-	wire := &wire{}
+	wire := newWire()
 	client, err := pool.dialer.NewClientConn(context.WithValue(ctx, wireKey{}, wire), "http", address)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the caller names the step and the peer
--- a/core/connection/endpoint/cut_upload_test.go
+++ b/core/connection/endpoint/cut_upload_test.go
@@ -166,7 +166,8 @@
 }
 
 // Guards against sound answers that are lost since their connection breaks: after the last byte of one with a length or
-// in chunks, after a refusal that doesn't wait for the upload, and after an answer to a whole upload, which needs no length.
+// in chunks, also while the upload is being written, after a refusal that doesn't wait for the upload, and after an answer
+// to a whole upload, which needs no length.
 func TestSoundAnswersToUploadsAreKept(t *testing.T) {
 	const calls, atOnce = 64, 16
 	// All of it is on its way at once, so that a reset after it discards none.
@@ -180,12 +181,15 @@
 		status      int
 		unknownSize bool
 	}{
-		"whole upload without a length":     {answer: func(id string) string { return unframed("200 OK", long, id) }, reads: true, ends: closes, status: 200},
-		"whole upload in chunks":            {answer: func(id string) string { return unframed("200 OK", long, id) }, reads: true, ends: closes, status: 200, unknownSize: true},
-		"early refusal without a length":    {answer: func(id string) string { return unframed("413 Content Too Large", long, id) }, ends: lingers, status: 413},
-		"early refusal with a length":       {answer: func(id string) string { return answerWith("503 Service Unavailable", long, id, "Connection: close") }, ends: lingers, status: 503},
-		"whole upload with a length, reset": {answer: func(id string) string { return answerWith("200 OK", long, id) }, reads: true, ends: resets, status: 200},
-		"whole upload in chunks, reset":     {answer: func(id string) string { return unframed("200 OK", chunks, id, chunked) }, reads: true, ends: resets, status: 200},
+		"whole upload without a length":       {answer: func(id string) string { return unframed("200 OK", long, id) }, reads: true, ends: closes, status: 200},
+		"whole upload in chunks":              {answer: func(id string) string { return unframed("200 OK", long, id) }, reads: true, ends: closes, status: 200, unknownSize: true},
+		"early refusal without a length":      {answer: func(id string) string { return unframed("413 Content Too Large", long, id) }, ends: lingers, status: 413},
+		"early refusal with a length":         {answer: func(id string) string { return answerWith("503 Service Unavailable", long, id, "Connection: close") }, ends: lingers, status: 503},
+		"early refusal with a length, reset":  {answer: func(id string) string { return answerWith("413 Content Too Large", long, id) }, ends: resets, status: 413},
+		"early refusal with a length, closed": {answer: func(id string) string { return answerWith("503 Service Unavailable", long, id) }, ends: closes, status: 503},
+		"early success in chunks, reset":      {answer: func(id string) string { return unframed("200 OK", chunks, id, chunked) }, ends: resets, status: 200},
+		"whole upload with a length, reset":   {answer: func(id string) string { return answerWith("200 OK", long, id) }, reads: true, ends: resets, status: 200},
+		"whole upload in chunks, reset":       {answer: func(id string) string { return unframed("200 OK", chunks, id, chunked) }, reads: true, ends: resets, status: 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := newReader(t, func(connection *net.TCPConn, reader *bufio.Reader, request *http.Request) {
--- a/core/connection/endpoint/wire.go
+++ b/core/connection/endpoint/wire.go
@@ -15,11 +15,15 @@
 // records how the connection ended.
 //
 // The error of a reset is given out once, to a read or to a write. If a write takes it, the read beside it sees an
-// orderly end. So a write that is under way at an end is awaited before the end is judged.
+// orderly end. So a write that is under way at an end is awaited before the end is judged, and the error of a write is
+// held back until reading has ended: what the endpoint sent before the reset can still be read.
 type wire struct {
 	net.Conn
 	// writing is held during each write of Conn.
 	writing sync.Mutex
+	// finished is closed once nothing more can be read.
+	finished     chan struct{}
+	finishedOnce sync.Once
 
 	mutex   sync.Mutex
 	written int64
@@ -50,6 +54,8 @@
 // wireKey is the key of the *wire in a dial's context, into which the dialled connection is put.
 type wireKey struct{}
 
+func newWire() *wire { return &wire{finished: make(chan struct{})} }
+
 // dialWire returns a dial function that puts what it dials into the wire of the context.
 func dialWire(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -69,6 +75,9 @@
 	if errors.Is(err, io.EOF) {
 		wire.recordEnd()
 	}
+	if err != nil {
+		wire.finish()
+	}
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
 	wire.readErr = err
@@ -104,8 +113,16 @@
 	}
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. The error of a write that failed comes once nothing more can be read.
 func (wire *wire) Write(data []byte) (int, error) {
+	count, err := wire.write(data)
+	if err != nil {
+		<-wire.finished
+	}
+	return count, err
+}
+
+func (wire *wire) write(data []byte) (int, error) {
 	wire.writing.Lock()
 	defer wire.writing.Unlock()
 	count, err := wire.Conn.Write(data)
@@ -118,6 +135,15 @@
 	return count, err
 }
 
+// Close implements io.Closer.
+func (wire *wire) Close() error {
+	wire.finish()
+	return wire.Conn.Close()
+}
+
+// finish records that nothing more can be read.
+func (wire *wire) finish() { wire.finishedOnce.Do(func() { close(wire.finished) }) }
+
 // begin records that a request with a body of some length is written from now on, -1 for an unknown one, and that what
 // is read is the head of its answer.
 func (wire *wire) begin(length int64, head *headCharge) {
