callerapi: a refusal of an engine that breaks off isn't told as not run

What callers saw: an engine answered a completion with a status below 500, such as 413, and broke off within the body. The caller got that status with a part of the body and the outcome not_run.

Cause: the error of reading that body was dropped, and what had come of it counted as the engine's refusal.

Evidence: TestCutRefusalOfAnEngineIsNoRefusal failed before, also with the transport's rule for uploads in force: 413, "part", not_run, on both connections.

Change: such an answer is a failed attempt. The call may have run, and goes elsewhere only if it may repeat; else its caller gets 502 with an unknown outcome.

Why it works: the outcome not_run is stated only for an answer that was read to its end.

--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -309,10 +309,13 @@
 
 // readEngineError converts an engine's error answer. Conflicts, rate limits and
 // server errors depend on the engine's state and may be retried; any other
-// status goes to the caller.
+// status goes to the caller. An answer that breaks off is none: its call may have run.
 func readEngineError(response *http.Response) error {
 	const maxBytes = 8 << 10
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	if err != nil {
+		return errors.Wrapf(err, "read the engine's answer %s", response.Status)
+	}
 	engineError := &engineError{cause: "engine answered " + response.Status + ": " + string(bytes.TrimSpace(text))}
 	switch {
 	case response.StatusCode == http.StatusConflict, response.StatusCode == http.StatusTooManyRequests, response.StatusCode >= http.StatusInternalServerError:
