--- a/caroblined/connection/callerapi/status_test.go
+++ b/caroblined/connection/callerapi/status_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"carobline.dev/core/connection/cutconn"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/id"
 	"carobline.dev/core/process/feed"
@@ -61,3 +62,21 @@
 		})
 	}
 }
+
+// Guards against a call to a plain service that ends with an invalid status, or is sent again though it must not repeat.
+func TestInvalidStatusOfAServiceIsABrokenAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		call      serviceCall
+		status    int
+		wantSends int64
+	}{"lookup": {lookup, 200, 2}, "without a key": {quote, 502, 1}, "with a key": {keyQuote, 502, 1}, "must not repeat": {booking, 502, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			entryHost, sends := newCutHost(t, cutconn.HalfCloses, "000 Odd", "\r\nContent-Length: 4\r\n\r\nevil")
+			got := entryHost.call(t, test.call.method, "/services/desk"+test.call.path, "x", test.call.header...)
+			if got.status != test.status || sends.Load() != test.wantSends || test.status != http.StatusOK && got.outcome != string(rest.OutcomeUnknown) {
+				t.Errorf("%+v, %d sends; want %d, %d sends", got, sends.Load(), test.status, test.wantSends)
+			}
+		})
+	}
+}
