endpoint, rest: an answer with a blank in a field's name is broken

What callers saw: an endpoint's answer had a field line such as "Content-Length : 2", "Not-Run : 1" or "Two Words: a".

Cause: net/http takes a name with blanks as it stands, under which nothing is looked up. Names with control bytes, and with others that no name may hold, it refuses itself.

Evidence, on the code before: TestBlankInAFieldsNameIsAFailureOfTheEndpoint failed in 130 of 130 cases (26 forms in heads, in the first and second interim answer, in trailers of two kinds), 16 of 18 cases of entryapi (in the others a cut refusal was sent again anyway), 12 of 12 of plain services, both of completions, both of peers, and 3 of platform orders.

Change: fieldname.Check, beside status.Check, for the heads and interim answers that core/connection/endpoint reads and for trailers at a body's end, and for the heads of peers' answers in rest. A connection whose answer had such a trailer isn't kept. entryapi logs invalid_field_name; the call may have run.

Why it works: every reader of endpoints' answers uses that transport, and what net/http lets through is in the names that it hands over.

Result: all pass; TestOddButSoundFieldsAreTaken shows that sound names are taken, and TestControlByteInAFieldsNameIsAFailureOfTheEndpoint passes before and after.

--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -12,6 +12,7 @@
 
 	"carobline.dev/core/connection/body"
 	"carobline.dev/core/connection/endpoint"
+	"carobline.dev/core/connection/fieldname"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/connection/status"
 	"carobline.dev/core/process/memory"
@@ -27,6 +28,8 @@
 	reasonForeignAnswer = "answer_to_another_request"
 	// reasonInvalidStatus is that of one whose answer has a status that no answer may have.
 	reasonInvalidStatus = "invalid_status"
+	// reasonInvalidField is that of one whose answer has a field, in a head or in its trailer, whose name none may have.
+	reasonInvalidField = "invalid_field_name"
 	// reasonCutInUpload is that of one whose answer has no length and may be a part, since its connection ended while the
 	// request was being written.
 	reasonCutInUpload = "answer_cut_in_upload"
@@ -129,9 +132,7 @@
 		return exchange
 	}
 	failed := exchange.endpointFailed()
-	// An answer to another request, or with an invalid status, shows that the endpoint's process runs, as one which states
-	// that it has failed does.
-	attempt.begun = attempt.begun || failed || exchange.reason == reasonForeignAnswer || exchange.reason == reasonInvalidStatus
+	attempt.begun = attempt.begun || failed || exchange.showsProcess()
 	if !failed {
 		watch.recordAnswerHead()
 	}
@@ -180,6 +181,17 @@
 	return exchange.response != nil && exchange.response.StatusCode >= http.StatusInternalServerError
 }
 
+// showsProcess reports an answer that can't be passed on, but shows that the endpoint's process runs, as one which states
+// that it has failed does.
+func (exchange *exchange) showsProcess() bool {
+	switch exchange.reason {
+	case reasonForeignAnswer, reasonInvalidStatus, reasonInvalidField:
+		return true
+	default:
+		return false
+	}
+}
+
 // replaced records that another endpoint goes on with the call.
 func (exchange *exchange) replaced() {
 	if exchange.usable() || exchange.err != nil {
@@ -195,6 +207,8 @@
 		return reasonForeignAnswer
 	case errors.Is(err, status.ErrInvalid):
 		return reasonInvalidStatus
+	case errors.Is(err, fieldname.ErrInvalid):
+		return reasonInvalidField
 	case errors.Is(err, memory.ErrNoRoom):
 		return reasonNoMemory
 	default:
@@ -266,6 +280,8 @@
 		exchange.reason = "answer_too_large"
 	case errors.Is(err, endpoint.ErrCutInUpload):
 		exchange.reason, exchange.err = reasonCutInUpload, err
+	case errors.Is(err, fieldname.ErrInvalid):
+		exchange.reason, exchange.err = reasonInvalidField, err
 	case err != nil:
 		exchange.reason, exchange.err = "answer_broken_off", err
 	case sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(data):
--- a/core/connection/endpoint/conn.go
+++ b/core/connection/endpoint/conn.go
@@ -25,10 +25,12 @@
 	// singleUse is set for a connection that isn't kept.
 	singleUse bool
 
-	// settled is set once the request under way has its own answer, and idle while the pool keeps the connection.
-	// expiry ends the time for which it is kept, and is nil while it is used. The pool's mutex guards all three.
-	settled, idle bool
-	expiry        *time.Timer
+	// answer is that to the request under way, nil until it has come and once it has been read whole. idle is set while
+	// the pool keeps the connection. expiry ends the time for which it is kept, and is nil while it is used. The pool's
+	// mutex guards all three.
+	answer *http.Response
+	idle   bool
+	expiry *time.Timer
 }
 
 // open dials an address.
--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -15,7 +15,7 @@
 //
 //	transport := endpoint.New(endpoint.Config{Dial: dial, MaxIdlePerHost: 32, IdleTimeout: 4 * time.Second, IDHeader: "X-Request-Id"})
 //	response, err := transport.RoundTrip(request) // ErrForeignAnswer for an answer to another request; see Unsent
-//	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes, ErrCutInUpload
+//	_, err = io.Copy(target, response.Body) // ErrTooLarge past MaxAnswerBytes, ErrCutInUpload, fieldname.ErrInvalid
 //	transport.CloseIdleConnections()
 package endpoint
 
@@ -31,6 +31,7 @@
 
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/fieldname"
 	"carobline.dev/core/connection/sse"
 	"carobline.dev/core/connection/status"
 	"carobline.dev/core/process/memory"
@@ -119,9 +120,10 @@
 
 // RoundTrip implements http.RoundTripper. It returns ErrTooLarge for an answer that
 // states that it is larger than MaxAnswerBytes, ErrHeaderTimeout for one whose headers don't
-// end, status.ErrInvalid for one with a status that no answer may have, and ErrForeignAnswer for
-// one that belongs to another request, or can't be distinguished from one. The connection of the latter is closed:
-// the answer to this request would come as that to the next one.
+// end, status.ErrInvalid for one with a status that no answer may have, fieldname.ErrInvalid for one with a field, or an
+// interim answer's, whose name none may have, and ErrForeignAnswer for one that belongs to another request, or can't be
+// distinguished from one. The connection of the latter is closed: the answer to this request would come as that to the
+// next one.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	for {
 		conn, err := transport.connect(request)
@@ -160,7 +162,12 @@
 	head := transport.newHeadCharge(request)
 	sent := request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotFirstResponseByte: func() { timer.start(conn.wire) },
-		Got1xxResponse:       func(int, textproto.MIMEHeader) error { return timer.recordInterim() },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if err := fieldname.Check(http.Header(header)); err != nil {
+				return err
+			}
+			return timer.recordInterim()
+		},
 	}))
 	sent.Close = conn.singleUse
 	conn.begin(request, request.Header.Get(transport.idHeader), head)
@@ -189,7 +196,7 @@
 		_ = conn.client.Close()
 		return nil, err
 	}
-	transport.pool.settle(conn)
+	transport.pool.settle(conn, response)
 	if !transport.readerBounds(request, response) {
 		response.Body = &boundedBody{ReadCloser: response.Body, remaining: MaxAnswerBytes}
 	}
@@ -198,9 +205,12 @@
 
 // check returns why an answer's head can't be passed on, nil if it can.
 func (transport *Transport) check(conn *conn, request *http.Request, response *http.Response, expired bool) error {
+	invalidName := fieldname.Check(response.Header)
 	switch {
 	case expired:
 		return ErrHeaderTimeout
+	case invalidName != nil:
+		return invalidName
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errSwitchedProtocol
 	case !transport.attribute(conn, request, response):
--- a/core/connection/endpoint/pool.go
+++ b/core/connection/endpoint/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"carobline.dev/core/connection/fieldname"
 )
 
 // pool keeps unused connections. It gives a request none that has carried the request's id, so that an answer with this
@@ -65,9 +67,9 @@
 
 // settle records that the request under way has its own answer, and that the connection may be kept once all of that
 // has been read.
-func (pool *pool) settle(conn *conn) {
+func (pool *pool) settle(conn *conn, answer *http.Response) {
 	pool.mutex.Lock()
-	conn.settled = true
+	conn.answer = answer
 	pool.mutex.Unlock()
 	pool.update(conn)
 }
@@ -78,7 +80,7 @@
 	pool.mutex.Lock()
 	closed, available := conn.client.Err() != nil, conn.client.Available() > 0
 	lost := closed && conn.idle
-	finished := !closed && available && conn.settled
+	finished := !closed && available && conn.answer != nil
 	if lost {
 		pool.remove(conn)
 	}
@@ -94,9 +96,10 @@
 
 // put adds a connection to the unused ones. It returns false if it isn't kept. The caller holds the mutex.
 func (pool *pool) put(conn *conn) bool {
-	conn.settled = false
+	sound := fieldname.Check(conn.answer.Trailer) == nil
+	conn.answer = nil
 	idle := pool.idleByAddress[conn.address]
-	if pool.closing || !conn.keepable() || len(idle) >= pool.maxIdle {
+	if pool.closing || !sound || !conn.keepable() || len(idle) >= pool.maxIdle {
 		return false
 	}
 	conn.idle = true
--- a/core/connection/endpoint/provenbody.go
+++ b/core/connection/endpoint/provenbody.go
@@ -5,9 +5,12 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"carobline.dev/core/connection/fieldname"
 )
 
-// provenBody is the body of an answer. It fails at its end unless that shows that the answer is whole.
+// provenBody is the body of an answer. It fails at its end unless that shows that the answer is whole, and its trailer is
+// sound.
 type provenBody struct {
 	io.ReadCloser
 	response *http.Response
@@ -17,12 +20,23 @@
 // Read implements io.Reader.
 func (body *provenBody) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) && body.cut() {
-		return count, ErrCutInUpload
+	if errors.Is(err, io.EOF) {
+		err = body.end()
 	}
 	return count, err
 }
 
+// end returns io.EOF, or why the end doesn't show that the answer is whole and sound.
+func (body *provenBody) end() error {
+	if body.cut() {
+		return ErrCutInUpload
+	}
+	if err := fieldname.Check(body.response.Trailer); err != nil {
+		return errors.Wrap(err, "trailer")
+	}
+	return io.EOF
+}
+
 // cut reports that the answer may have been cut, where only the end of its connection ends it.
 func (body *provenBody) cut() bool {
 	if body.response.ContentLength >= 0 || len(body.response.TransferEncoding) > 0 {
--- a/core/connection/rest/client.go
+++ b/core/connection/rest/client.go
@@ -9,6 +9,7 @@
 	"github.com/dghubble/sling"
 	"github.com/go-faster/errors"
 
+	"carobline.dev/core/connection/fieldname"
 	"carobline.dev/core/connection/status"
 )
 
@@ -85,6 +86,9 @@
 		if invalid := status.Check(response.StatusCode); invalid != nil {
 			return errors.Wrapf(invalid, "%s at %s", step, peer)
 		}
+		if invalid := fieldname.Check(response.Header); invalid != nil {
+			return errors.Wrapf(invalid, "%s at %s", step, peer)
+		}
 	}
 	if err != nil {
 		return errors.Wrapf(err, "%s at %s", step, peer)
