endpoint: a line of a head that begins with a blank is a broken answer

What callers saw: nothing reported; found by looking for the cause of the blank in a field's name elsewhere. A blank or a tab before a name, as in " Not-Run: 1", makes net/http take the line as a part of the value before it, so that a length, an id or a refusal in it isn't seen.

Evidence, on the code before: all 21 cases of TestLineThatBeginsWithABlankIsAFailureOfTheEndpoint failed, in heads and in those of interim answers.

Change: the bytes of heads are scanned for such lines while they are read, and the answer is refused like one with an invalid name.

Why it works: no endpoint may send a folded line, and a gateway may refuse one (RFC 9112, section 5.2); a name that begins with a blank looks the same. Trailers aren't scanned: nothing reads their fields, and none are passed on.

Result: all pass; TestBlanksInABodyAreTaken shows that bodies are left alone.

--- a/core/connection/endpoint/endpoint.go
+++ b/core/connection/endpoint/endpoint.go
@@ -211,6 +211,8 @@
 		return ErrHeaderTimeout
 	case invalidName != nil:
 		return invalidName
+	case conn.wire.folded():
+		return errors.Wrap(fieldname.ErrInvalid, "a line begins with a blank")
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errSwitchedProtocol
 	case !transport.attribute(conn, request, response):
--- a/core/connection/endpoint/field_name_test.go
+++ b/core/connection/endpoint/field_name_test.go
@@ -82,6 +82,37 @@
 	})
 }
 
+// Guards against a length, an id or a refusal that isn't seen, since a blank or a tab before the name makes its line a part
+// of the value before it.
+func TestLineThatBeginsWithABlankIsAFailureOfTheEndpoint(t *testing.T) {
+	for _, place := range []placeOfField{inHead, inInterim, inLaterHint} {
+		for _, line := range []string{" Content-Length: 2", "\tNot-Run: 1", "  X: y", " ", "\t", " : a", " more of the value"} {
+			t.Run(fmt.Sprintf("%s %q", place, line), func(t *testing.T) {
+				t.Parallel()
+				_, got, err := sendForField(t, place, line)
+				if !errors.Is(err, fieldname.ErrInvalid) || endpoint.Unsent(err) {
+					t.Errorf("%q, %v; want %v, and that the request may have run", got, err, fieldname.ErrInvalid)
+				}
+			})
+		}
+	}
+}
+
+// Guards against blanks that begin a line of a body, and are taken for those of a head.
+func TestBlanksInABodyAreTaken(t *testing.T) {
+	for name, answer := range map[string]string{
+		"one read": answerWith("200 OK", "a\r\n b\n c"), "bare line feeds": "HTTP/1.1 200 OK\nContent-Length: 8\n\na\r\n b\n c",
+		"after a hint": "HTTP/1.1 100 Continue\r\n\r\n" + answerWith("200 OK", "a\r\n b\n c"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := newAnswering(t, func(int, *http.Request) string { return answer })
+			if got, err := sendCopied(t, newKeeping(t), url, "r1"); err != nil || got != "200 a\r\n b\n c" {
+				t.Errorf("%q, %v; want the answer", got, err)
+			}
+		})
+	}
+}
+
 // Guards against a field whose name holds a control byte, or another that no name may hold, and an answer that is passed
 // on with it or without it.
 func TestControlByteInAFieldsNameIsAFailureOfTheEndpoint(t *testing.T) {
--- a/core/connection/endpoint/wire.go
+++ b/core/connection/endpoint/wire.go
@@ -33,8 +33,9 @@
 	// writeFailed is set once a write has failed by itself, and ending once the end of the connection has been read.
 	writeFailed bool
 	ending      ending
-	// head is charged for what is read. It is nil while no head is read.
-	head *headCharge
+	// head is charged for what is read, and lines scans it. The head is nil while none is read.
+	head  *headCharge
+	lines headScan
 }
 
 // ending is what an orderly end of a connection shows of the answer that it ends.
@@ -84,6 +85,7 @@
 	if wire.head == nil || count == 0 {
 		return count, err
 	}
+	wire.lines.add(data[:count])
 	if chargeErr := wire.head.add(data[:count]); chargeErr != nil {
 		wire.readErr = chargeErr
 		return 0, chargeErr
@@ -150,7 +152,7 @@
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
 	wire.upload = upload{length: length}
-	wire.head = head
+	wire.head, wire.lines = head, headScan{}
 }
 
 // endHead makes the wire charge nothing of what it reads from now on.
@@ -160,6 +162,13 @@
 	wire.head = nil
 }
 
+// folded reports whether a head of the answer has a line that begins with a blank.
+func (wire *wire) folded() bool {
+	wire.mutex.Lock()
+	defer wire.mutex.Unlock()
+	return wire.lines.folded
+}
+
 // uploaded reports whether the request under way has been written whole.
 func (wire *wire) uploaded() bool {
 	wire.mutex.Lock()
