--- a/core/connection/endpoint/copied_refusal_test.go
+++ b/core/connection/endpoint/copied_refusal_test.go
@@ -24,6 +24,12 @@
 
 // newAnswering starts an endpoint and returns its URL.
 func newAnswering(t *testing.T, answer answerBytes) string {
+	t.Helper()
+	return serveEach(t, func(connection net.Conn) { answerEach(connection, answer) })
+}
+
+// serveEach starts an endpoint that serves each of its connections, and returns its URL.
+func serveEach(t *testing.T, serve func(connection net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +42,7 @@
 			if err != nil {
 				return
 			}
-			connections.Go(func() { answerEach(connection, answer) })
+			connections.Go(func() { serve(connection) })
 		}
 	})
 	t.Cleanup(func() {
--- a/core/connection/endpoint/cut_upload_test.go
+++ b/core/connection/endpoint/cut_upload_test.go
@@ -56,31 +56,13 @@
 // its URL. The connection is closed after it.
 func newReader(t *testing.T, answer func(connection *net.TCPConn, reader *bufio.Reader, request *http.Request)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var connections sync.WaitGroup
-	connections.Go(func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Go(func() {
-				defer func() { _ = connection.Close() }()
-				reader := bufio.NewReader(connection)
-				if request, err := http.ReadRequest(reader); err == nil {
-					answer(connection.(*net.TCPConn), reader, request)
-				}
-			})
+	return serveEach(t, func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		if request, err := http.ReadRequest(reader); err == nil {
+			answer(connection.(*net.TCPConn), reader, request)
 		}
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		connections.Wait()
-	})
-	return "http://" + listener.Addr().String()
 }
 
 // Guards against a part of an answer without a length that is taken for the whole, since the write of the upload took
