callerapi: an answer with an invalid name of a field is no sign of a crash

What callers would have seen: with such answers refused, the messages of their completions come under suspicion of having ended the engine's process, and may be blocked, though its answer shows that it runs.

Cause: the list of failures that show a running process didn't have the new one; entryapi's has.

Evidence: TestBlankInAFieldsNameIsNoCrash failed before: one crash reported.

Change: showsProcess names these failures in one place.

--- a/caroblined/connection/callerapi/field_name_test.go
+++ b/caroblined/connection/callerapi/field_name_test.go
@@ -55,3 +55,10 @@
 		})
 	}
 }
+
+// Guards against messages that come under suspicion of having ended an engine's process, since a field of its answer has a
+// blank in its name, which shows that it runs.
+func TestBlankInAFieldsNameIsNoCrash(t *testing.T) {
+	// The stand-in goes on with the reason phrase after it.
+	wantNoCrash(t, newOddEngine(t, "200 OK\r\nTwo Words: a\r\nPhrase:"))
+}
--- a/caroblined/connection/callerapi/foreign_answer_test.go
+++ b/caroblined/connection/callerapi/foreign_answer_test.go
@@ -19,14 +19,20 @@
 // Guards against messages that come under suspicion of having ended an engine's process, since that wrote an answer to
 // another request, which shows that it runs.
 func TestAnswerToAnotherCompletionIsNoCrash(t *testing.T) {
-	const checkTime = 300 * time.Millisecond // longer than it takes to find out whether a process has ended
 	engine := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set(rest.HeaderRequestID, "other")
 		_, _ = io.WriteString(writer, "data: [DONE]\n\n")
 	}))
 	t.Cleanup(engine.Close)
+	wantNoCrash(t, engine.Listener.Addr().String())
+}
+
+// wantNoCrash checks that a completion which fails at an engine is no sign that the engine's process has ended.
+func wantNoCrash(t *testing.T, engine string) {
+	t.Helper()
+	const checkTime = 300 * time.Millisecond // longer than it takes to find out whether a process has ended
 	group := &view.Endpoint{
-		Name: feed.Endpoint{Group: "g1"}, Model: "pulp", Host: "h1", Address: engine.Listener.Addr().String(), Load: roster.Load{Slots: 8},
+		Name: feed.Endpoint{Group: "g1"}, Model: "pulp", Host: "h1", Address: engine, Load: roster.Load{Slots: 8},
 		Accepting: true, ValidUntil: time.Now().Add(time.Hour),
 	}
 	current := newView()
--- a/caroblined/connection/callerapi/parts.go
+++ b/caroblined/connection/callerapi/parts.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/connection/endpoint"
+	"carobline.dev/core/connection/fieldname"
 	"carobline.dev/core/connection/rest"
 	"carobline.dev/core/connection/status"
 	"carobline.dev/core/request/suspicion"
@@ -30,13 +31,17 @@
 	return relay.breaks == 0 || relay.delivered() > 0 || relay.api.config.Guard.MayResend(relay.admission.Endpoint(), relay.parts, relay.breaks)
 }
 
-// recordBrokenOff records an attempt whose engine broke off before the answer had begun. One that answered another
-// request hasn't: its process runs.
+// recordBrokenOff records an attempt whose engine broke off before the answer had begun.
 func (relay *relay) recordBrokenOff(attempt *attempt, err error) {
-	var engineError *engineError
-	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || endpoint.Unsent(err) || errors.Is(err, endpoint.ErrForeignAnswer) || errors.Is(err, status.ErrInvalid) || errors.As(err, &engineError) || errors.Is(err, errCallerGone) {
+	if err == nil || attempt.ctx.Err() != nil || relay.delivered() > 0 || endpoint.Unsent(err) || showsProcess(err) || errors.Is(err, errCallerGone) {
 		return
 	}
 	relay.breaks++
 	relay.api.config.Guard.BrokeOff(relay.call.id, relay.parts, attempt.endpoint)
 }
+
+// showsProcess reports a failed attempt whose engine has written a whole head, of whatever answer: its process runs.
+func showsProcess(err error) bool {
+	var engineError *engineError
+	return errors.As(err, &engineError) || errors.Is(err, endpoint.ErrForeignAnswer) || errors.Is(err, status.ErrInvalid) || errors.Is(err, fieldname.ErrInvalid)
+}
