callerapi: a refusal of an engine that breaks off is no sign of a crash

What callers would have seen: since such a refusal counts as a failed attempt, the messages of their completions come under suspicion of having ended the engine's process.

Cause: the attempt failed with the error of reading the body, which counts as an engine that broke off before it had begun to answer. It had begun.

Evidence: TestCutRefusalOfAnEngineIsNoCrash failed before: one crash reported.

Change: the attempt fails as an engine's answer does that may be tried elsewhere.

--- a/caroblined/connection/callerapi/cut_refusal_test.go
+++ b/caroblined/connection/callerapi/cut_refusal_test.go
@@ -1,7 +1,9 @@
 package callerapi_test
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -24,3 +26,20 @@
 		})
 	}
 }
+
+// Guards against messages that come under suspicion of having ended an engine's process, since its refusal broke off: the
+// engine had begun to answer.
+func TestCutRefusalOfAnEngineIsNoCrash(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(rest.HeaderRequestID, request.Header.Get(rest.HeaderRequestID))
+		writer.Header().Set("Content-Length", "100")
+		writer.WriteHeader(http.StatusBadRequest)
+		_, _ = io.WriteString(writer, "part")
+		if err := http.NewResponseController(writer).Flush(); err != nil {
+			t.Error(err)
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(engine.Close)
+	wantNoCrash(t, engine.Listener.Addr().String())
+}
--- a/caroblined/connection/callerapi/relay.go
+++ b/caroblined/connection/callerapi/relay.go
@@ -314,7 +314,7 @@
 	const maxBytes = 8 << 10
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
 	if err != nil {
-		return errors.Wrapf(err, "read the engine's answer %s", response.Status)
+		return &engineError{retry: true, cause: "engine answered " + response.Status + " and broke off: " + err.Error()}
 	}
 	engineError := &engineError{cause: "engine answered " + response.Status + ": " + string(bytes.TrimSpace(text))}
 	switch {
