entryapi: a trailer with an invalid name of a field is no sign of a crash

What callers would have seen: the parts of their prompts come under suspicion of having ended the endpoint's process, though its answer came to its end.

Cause: whether an attempt shows a running process was recorded before the body was read, where a trailer is found out.

Evidence: TestBlankInAFieldsNameIsNoCrash failed for the trailer before, one crash reported; for heads and interim answers it passes before and after.

Change: it is recorded after the body.

--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -132,13 +132,13 @@
 		return exchange
 	}
 	failed := exchange.endpointFailed()
-	attempt.begun = attempt.begun || failed || exchange.showsProcess()
 	if !failed {
 		watch.recordAnswerHead()
 	}
 	if exchange.usable() {
 		api.readResponseBody(attemptCtx, call, attempt, exchange)
 	}
+	attempt.begun = attempt.begun || failed || exchange.showsProcess()
 	failure := api.failureAnswer(attempt, exchange)
 	exchange.replacement = watch.stop(failed || !exchange.usable())
 	if !exchange.notRun {
--- a/caroblined/connection/entryapi/field_name_test.go
+++ b/caroblined/connection/entryapi/field_name_test.go
@@ -54,3 +54,30 @@
 		}
 	}
 }
+
+// Guards against parts of prompts that come under suspicion of having ended an endpoint's process, since a field of its
+// answer has a blank in its name, which shows that it runs.
+func TestBlankInAFieldsNameIsNoCrash(t *testing.T) {
+	for name, text := range map[string]string{
+		"head":    "HTTP/1.1 200 OK\r\n%sTwo Words: a\r\nContent-Length: 4\r\n\r\ndone",
+		"interim": "HTTP/1.1 103 Early Hints\r\nTwo Words: a\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\ndone",
+		"trailer": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nTwo Words: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			routes := route(routing.RepeatStream)
+			routes[0].Attempts = 1
+			entryHost := loggedOptions(nil).start(t, routes, newService(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+				_, _ = io.WriteString(connection, fmt.Sprintf(text, "Mark: m\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\n"))
+			}))
+			got, err := call(t, entryHost.server, post("/a", "x", "Parts: aa:40,bb:800,cc:12"))
+			if err != nil || got.status != http.StatusBadGateway {
+				t.Errorf("status %d, %v; want 502", got.status, err)
+			}
+			time.Sleep(checkTime)
+			if crashes := len(entryHost.reported().Crashes); crashes != 0 {
+				t.Errorf("%d crashes are reported, want none", crashes)
+			}
+		})
+	}
+}
