--- a/caroblined/connection/entryapi/cut_upload_test.go
+++ b/caroblined/connection/entryapi/cut_upload_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,3 +73,83 @@
 		}
 	}
 }
+
+// callsTogether is the number of calls that callsAtOnce makes.
+const callsTogether = 64
+
+// callsAtOnce makes long uploads, each by its own caller, and returns the number of answers that aren't as wanted.
+func callsAtOnce(t *testing.T, server *httptest.Server, wanted func(got answer, err error) bool) int64 {
+	t.Helper()
+	var wrong atomic.Int64
+	var running sync.WaitGroup
+	upload := post("/a", strings.Repeat("x", 1500<<10))
+	for range callsTogether {
+		running.Go(func() {
+			if got, err := call(t, server, upload); !wanted(got, err) {
+				t.Logf("status %d, %.40q, error %v", got.status, got.body, err)
+				wrong.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	return wrong.Load()
+}
+
+// startReader starts an entry host in front of a service that reads heads alone, for calls that must not repeat.
+func startReader(t *testing.T, respond func(*service, net.Conn, *http.Request, int)) *httptest.Server {
+	t.Helper()
+	options := entryHostOptions{entryHosts: 1, leaseUntil: time.Now().Add(time.Hour), slots: 1000}
+	return options.start(t, route(routing.RepeatNever), newHeadReader(t, respond)).server
+}
+
+// Guards against the same on sockets, where it is a race, through a whole entry host.
+func TestManyAnswersCutInTheirUploadsAreBrokenAnswers(t *testing.T) {
+	const rounds, pause = 6, 4 * time.Millisecond
+	for name, fields := range map[string]string{"plain": "", "events": "Content-Type: text/event-stream\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int64
+			server := startReader(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+				number := sends.Add(1)
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nMark: m\r\nCall-Id: %s\r\n%s\r\ndata: part\n\n", request.Header.Get("Call-Id"), fields)
+				if number%4 == 0 {
+					time.Sleep(time.Duration(number%callsTogether) * pause)
+				}
+				if number%2 == 0 {
+					_ = connection.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			var wrong int64
+			for range rounds {
+				wrong += callsAtOnce(t, server, func(got answer, err error) bool { return err == nil && got.status == http.StatusBadGateway })
+			}
+			if wrong > 0 || sends.Load() != rounds*callsTogether {
+				t.Errorf("%d calls got no 502, %d sends; want none, and one send a call", wrong, sends.Load())
+			}
+		})
+	}
+}
+
+// Guards against a refusal with a length that is lost, or a call that is said to have an unknown outcome, since the
+// endpoint refuses the upload early and ends the connection with bytes unread.
+func TestEarlyRefusalsReachTheirCallers(t *testing.T) {
+	for name, test := range map[string]struct {
+		status, field, wantBody string
+		wantStatus              int
+	}{
+		"too large": {"413 Content Too Large", "Mark: m", "body", 413},
+		"full":      {"503 Service Unavailable", "Mark: m", "body", 503},
+		"not run":   {"503 Service Unavailable", "Not-Run: 1", "", 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startReader(t, func(_ *service, connection net.Conn, request *http.Request, _ int) {
+				reply(connection, request, test.status, "body", test.field, "Connection: close")
+			})
+			wrong := callsAtOnce(t, server, func(got answer, err error) bool {
+				return err == nil && got.status == test.wantStatus && (test.wantBody == "" || got.body == test.wantBody)
+			})
+			if wrong > 0 {
+				t.Errorf("%d refusals are lost, want none", wrong)
+			}
+		})
+	}
+}
--- a/caroblined/connection/entryapi/service_test.go
+++ b/caroblined/connection/entryapi/service_test.go
@@ -18,6 +18,8 @@
 	received   []string
 	respond    func(service *service, connection net.Conn, request *http.Request, number int)
 	goroutines sync.WaitGroup
+	// readsHeads is set for a service that reads the heads of requests alone, and ends each connection after its answer.
+	readsHeads bool
 }
 
 func newService(t *testing.T, respond func(*service, net.Conn, *http.Request, int)) *service {
@@ -35,6 +37,14 @@
 	return service
 }
 
+// newHeadReader starts a service that reads the heads of requests alone, and ends each connection after its answer.
+func newHeadReader(t *testing.T, respond func(*service, net.Conn, *http.Request, int)) *service {
+	t.Helper()
+	service := newService(t, respond)
+	service.readsHeads = true
+	return service
+}
+
 func (service *service) accept() {
 	for {
 		connection, err := service.listener.Accept()
@@ -53,6 +63,10 @@
 		if err != nil {
 			return
 		}
+		if service.readsHeads {
+			service.respond(service, connection, request, 0)
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
