endpoint: one list of the failures that show a running process

entryapi and callerapi each listed the errors of an answer whose head came whole but can't be passed on: another request's, an invalid status, an invalid name of a field. The last one was missing in callerapi's list when it came. endpoint.Answered, beside Unsent, is that list now, where the errors are made, and both call it; each keeps what it alone knows. Behaviour is unchanged: the tests of crash signs, statuses, names and foreign answers of both packages pass as they are.

--- a/caroblined/connection/callerapi/parts.go
+++ b/caroblined/connection/callerapi/parts.go
@@ -7,9 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"carobline.dev/core/connection/endpoint"
-	"carobline.dev/core/connection/fieldname"
 	"carobline.dev/core/connection/rest"
-	"carobline.dev/core/connection/status"
 	"carobline.dev/core/request/suspicion"
 )
 
@@ -43,5 +41,5 @@
 // showsProcess reports a failed attempt whose engine has written a whole head, of whatever answer: its process runs.
 func showsProcess(err error) bool {
 	var engineError *engineError
-	return errors.As(err, &engineError) || errors.Is(err, endpoint.ErrForeignAnswer) || errors.Is(err, status.ErrInvalid) || errors.Is(err, fieldname.ErrInvalid)
+	return errors.As(err, &engineError) || endpoint.Answered(err)
 }
--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -184,12 +184,7 @@
 // showsProcess reports an answer that can't be passed on, but shows that the endpoint's process runs, as one which states
 // that it has failed does.
 func (exchange *exchange) showsProcess() bool {
-	switch exchange.reason {
-	case reasonForeignAnswer, reasonInvalidStatus, reasonInvalidField:
-		return true
-	default:
-		return false
-	}
+	return exchange.reason == reasonForeignAnswer || endpoint.Answered(exchange.err)
 }
 
 // replaced records that another endpoint goes on with the call.
