entryapi: one mapping of errors to reasons, for heads and bodies

readResponseBody named two errors again that reasonOf knows, to give them the same reasons. reasonOf serves both now, with the reason that an unknown error has in each place; "answer_broken_off" and "no_answer" are constants as the other reasons are. The errors of a body that reasonOf adds can't reach it there: those of memory are handled before, those of a status and of another request come with heads alone.

--- a/caroblined/connection/entryapi/exchange.go
+++ b/caroblined/connection/entryapi/exchange.go
@@ -33,6 +33,9 @@
 	// reasonCutInUpload is that of one whose answer has no length and may be a part, since its connection ended while the
 	// request was being written.
 	reasonCutInUpload = "answer_cut_in_upload"
+	// reasonNoAnswer is that of one without a head, and reasonBrokenOff that of one whose body isn't whole.
+	reasonNoAnswer  = "no_answer"
+	reasonBrokenOff = "answer_broken_off"
 	// reasonReplaced is that of one whose call goes on at another endpoint.
 	reasonReplaced = "replaced"
 	// reasonEndpointError is that of one whose endpoint answered that it has failed. The
@@ -166,7 +169,7 @@
 // recordHead records the head of an answer, or why there is none.
 func (api *API) recordHead(call *call, attempt *attempt, exchange *exchange, response *http.Response, err error) {
 	if err != nil {
-		exchange.err, exchange.reason = err, reasonOf(err)
+		exchange.err, exchange.reason = err, reasonOf(err, reasonNoAnswer)
 		exchange.notRun = endpoint.Unsent(err)
 		return
 	}
@@ -195,8 +198,8 @@
 	exchange.reason = reasonReplaced
 }
 
-// reasonOf returns the reason of an exchange that ended without an answer of its own.
-func reasonOf(err error) string {
+// reasonOf returns the reason of an exchange without a sound answer, which is otherwise for an error that says no more.
+func reasonOf(err error, otherwise string) string {
 	switch {
 	case errors.Is(err, endpoint.ErrForeignAnswer):
 		return reasonForeignAnswer
@@ -204,10 +207,12 @@
 		return reasonInvalidStatus
 	case errors.Is(err, fieldname.ErrInvalid):
 		return reasonInvalidField
+	case errors.Is(err, endpoint.ErrCutInUpload):
+		return reasonCutInUpload
 	case errors.Is(err, memory.ErrNoRoom):
 		return reasonNoMemory
 	default:
-		return "no_answer"
+		return otherwise
 	}
 }
 
@@ -273,14 +278,10 @@
 		exchange.reason, exchange.err = reasonNoMemory, err
 	case errors.Is(err, body.ErrTooLarge):
 		exchange.reason = "answer_too_large"
-	case errors.Is(err, endpoint.ErrCutInUpload):
-		exchange.reason, exchange.err = reasonCutInUpload, err
-	case errors.Is(err, fieldname.ErrInvalid):
-		exchange.reason, exchange.err = reasonInvalidField, err
 	case err != nil:
-		exchange.reason, exchange.err = "answer_broken_off", err
+		exchange.reason, exchange.err = reasonOf(err, reasonBrokenOff), err
 	case sse.Matches(response.Header.Get("Content-Type")) && sse.Truncated(data):
-		exchange.reason, exchange.err = "answer_broken_off", sse.ErrTruncated
+		exchange.reason, exchange.err = reasonBrokenOff, sse.ErrTruncated
 	default:
 		exchange.body = data
 		// What is complete isn't ended for others, also if it was just asked to give way.
--- a/caroblined/connection/entryapi/passthrough.go
+++ b/caroblined/connection/entryapi/passthrough.go
@@ -23,7 +23,7 @@
 	if err == nil {
 		api.recordAnswer(call, attempt, exchange)
 	} else {
-		result.reason, result.outcome, result.abort = "answer_broken_off", "unknown", true
+		result.reason, result.outcome, result.abort = reasonBrokenOff, "unknown", true
 		result.breakage.by = breakerOf(ctx, call, err)
 	}
 	api.finishAttempt(call, attempt, endingOf(ctx, err))
