endpoint, fieldname: no allocation for each request's head, and a comment

The end of a request's head was copied for each request, though only a body of unknown length uses it: the copy isn't needed, as what is kept is joined anew. fieldname.Check says why trimming finds an invalid name.

--- a/core/connection/endpoint/upload.go
+++ b/core/connection/endpoint/upload.go
@@ -46,7 +46,7 @@
 			upload.matched = 0
 		}
 		if upload.headWritten() {
-			upload.tail = []byte("\r\n")
+			upload.tail = headEnd[2:]
 			return data[index+1:]
 		}
 	}
--- a/core/connection/fieldname/fieldname.go
+++ b/core/connection/fieldname/fieldname.go
@@ -23,6 +23,7 @@
 // Check returns an error that is ErrInvalid for fields of which one has an invalid name.
 func Check(fields http.Header) error {
 	for name := range fields {
+		// A name of these characters alone is trimmed to nothing.
 		if name == "" || strings.Trim(name, tokenChars) != "" {
 			return errors.Wrapf(ErrInvalid, "field %q", name)
 		}
