--- a/core/connection/cutconn/cutconn.go
+++ b/core/connection/cutconn/cutconn.go
@@ -52,22 +52,31 @@
 // Dial returns a connection for endpoint.Config.
 func (endings Endings) Dial(context.Context, string, string) (net.Conn, error) {
 	return &conn{
-		endings: endings, answered: make(chan struct{}), drained: make(chan struct{}), failed: make(chan struct{}),
-		expired: make(chan struct{}), closed: make(chan struct{}),
+		endings: endings, answered: newSignal(), drained: newSignal(), failed: newSignal(), expired: newSignal(), closed: newSignal(),
 	}, nil
 }
 
-// conn is one connection. Each of its channels is closed once.
+// signal is something that happens once. Whoever waits for it receives from done.
+type signal struct {
+	once sync.Once
+	done chan struct{}
+}
+
+func newSignal() *signal { return &signal{done: make(chan struct{})} }
+
+func (signal *signal) send() { signal.once.Do(func() { close(signal.done) }) }
+
+// conn is one connection.
 type conn struct {
 	net.Conn
 	endings Endings
-	// taken is what the endpoint has of the request. It belongs to the writer.
-	taken []byte
+	// taken is what the endpoint has of the request, and request is its head once that has come. They belong to the writer.
+	taken   []byte
+	request *http.Request
 	// answer is what hasn't been read of the answer, from answered on. It belongs to the reader.
 	answer []byte
 
-	answered, drained, failed, expired, closed                     chan struct{}
-	answeredOnce, drainedOnce, failedOnce, expiredOnce, closedOnce sync.Once
+	answered, drained, failed, expired, closed *signal
 }
 
 // Write implements io.Writer.
@@ -79,19 +88,19 @@
 		return fits, nil
 	}
 	select {
-	case <-conn.drained:
-	case <-conn.closed:
+	case <-conn.drained.done:
+	case <-conn.closed.done:
 		return fits, net.ErrClosed
 	}
 	if conn.endings.How == HalfCloses {
 		select {
-		case <-conn.expired:
+		case <-conn.expired.done:
 			return fits, os.ErrDeadlineExceeded
-		case <-conn.closed:
+		case <-conn.closed.done:
 			return fits, net.ErrClosed
 		}
 	}
-	conn.failedOnce.Do(func() { close(conn.failed) })
+	conn.failed.send()
 	if conn.endings.How == WriteFailsLater {
 		time.Sleep(returnTime)
 	}
@@ -100,23 +109,23 @@
 
 // answerHead answers once the head of the request has come.
 func (conn *conn) answerHead() {
-	if !bytes.Contains(conn.taken, []byte("\r\n\r\n")) {
+	if conn.request != nil || !bytes.Contains(conn.taken, []byte("\r\n\r\n")) {
 		return
 	}
-	conn.answeredOnce.Do(func() {
-		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(conn.taken)))
-		if err == nil {
-			conn.answer = []byte(conn.endings.Answer(request))
-		}
-		close(conn.answered)
-	})
+	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(conn.taken)))
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	conn.request, conn.answer = request, []byte(conn.endings.Answer(request))
+	conn.answered.send()
 }
 
 // Read implements io.Reader.
 func (conn *conn) Read(data []byte) (int, error) {
 	select {
-	case <-conn.answered:
-	case <-conn.closed:
+	case <-conn.answered.done:
+	case <-conn.closed.done:
 		return 0, net.ErrClosed
 	}
 	if len(conn.answer) > 0 {
@@ -124,9 +133,9 @@
 		conn.answer = conn.answer[count:]
 		return count, nil
 	}
-	conn.drainedOnce.Do(func() { close(conn.drained) })
+	conn.drained.send()
 	if conn.endings.How != HalfCloses {
-		<-conn.failed
+		<-conn.failed.done
 	}
 	if conn.endings.How == WriteFails {
 		time.Sleep(returnTime)
@@ -137,13 +146,15 @@
 // SetWriteDeadline implements net.Conn for a deadline that has passed.
 func (conn *conn) SetWriteDeadline(deadline time.Time) error {
 	if !deadline.IsZero() {
-		conn.expiredOnce.Do(func() { close(conn.expired) })
+		conn.expired.send()
 	}
 	return nil
 }
 
 // Close implements io.Closer.
 func (conn *conn) Close() error {
-	conn.closedOnce.Do(func() { close(conn.closed) })
+	conn.closed.send()
+	// A read that waits for the failure of a write would wait for ever.
+	conn.failed.send()
 	return nil
 }
--- a/core/connection/endpoint/cut_upload_test.go
+++ b/core/connection/endpoint/cut_upload_test.go
@@ -47,6 +47,14 @@
 	return upload{status: response.StatusCode, body: string(data), bodyErr: err}
 }
 
+// sendCutUpload sends the request r1 on a connection that ends in a way after an answer, while the body is being written.
+func sendCutUpload(t *testing.T, how cutconn.How, answer string) upload {
+	t.Helper()
+	endings := cutconn.Endings{Answer: func(*http.Request) string { return answer }, How: how}
+	transport := endpoint.New(endpoint.Config{Dial: endings.Dial, MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: idHeader})
+	return sendUpload(t, transport, "http://127.0.0.1:9/", "r1", bytes.NewReader(make([]byte, 1<<20)))
+}
+
 // unframed returns an answer whose body ends with its connection.
 func unframed(status, body string, lines ...string) string {
 	return strings.Join(append([]string{"HTTP/1.1 " + status}, lines...), "\r\n") + "\r\n\r\n" + body
@@ -76,9 +84,7 @@
 		} {
 			t.Run(fmt.Sprintf("%s %q", how, answer), func(t *testing.T) {
 				t.Parallel()
-				endings := cutconn.Endings{Answer: func(*http.Request) string { return answer }, How: how}
-				transport := endpoint.New(endpoint.Config{Dial: endings.Dial, MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: idHeader})
-				got := sendUpload(t, transport, "http://127.0.0.1:9/", "r1", bytes.NewReader(make([]byte, 1<<20)))
+				got := sendCutUpload(t, how, answer)
 				if got.whole() || endpoint.Unsent(got.headErr) {
 					t.Errorf("%+v; want that the answer broke off, and that the request may have run", got)
 				}
@@ -137,9 +143,7 @@
 	for status, sound := range map[string]bool{"200 OK": false, "202 Accepted": false, "307 Temporary Redirect": true, "413 Content Too Large": true, "503 Service Unavailable": true} {
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
-			endings := cutconn.Endings{Answer: func(*http.Request) string { return unframed(status, "body", idHeader+": r1") }, How: cutconn.HalfCloses}
-			transport := endpoint.New(endpoint.Config{Dial: endings.Dial, MaxIdlePerHost: 2, IdleTimeout: time.Minute, IDHeader: idHeader})
-			got := sendUpload(t, transport, "http://127.0.0.1:9/", "r1", bytes.NewReader(make([]byte, 1<<20)))
+			got := sendCutUpload(t, cutconn.HalfCloses, unframed(status, "body", idHeader+": r1"))
 			if got.whole() != sound || endpoint.Unsent(got.headErr) || !sound && !errors.Is(got.bodyErr, endpoint.ErrCutInUpload) {
 				t.Errorf("%+v; want that the answer is whole: %v", got, sound)
 			}
