--- a/review/standins-3/engine.go
+++ b/review/standins-3/engine.go
@@ -72,7 +72,7 @@
 func (engine *engine) heartbeat() []byte {
 	body := map[string]any{
 		"service": engine.service, "address": engine.address, "zone": engine.zone, "version": "v1", "slots": slots, "state": engine.state,
-		"cold_remaining_ms": 0, "sequence": engine.sequence, "born": engine.born,
+		engine.fabric.cluster.names.ColdLeft: 0, "sequence": engine.sequence, "born": engine.born,
 	}
 	if engine.domain != "" {
 		engine.addState(body)
--- a/review/standins-3/invalidconfiguration.go
+++ b/review/standins-3/invalidconfiguration.go
@@ -21,10 +21,10 @@
 const tenant = `{"name":"t1","api_keys":["key-of-t1"],"priority":1}`
 
 // defects are what the pages name: a configuration that can't be read in full, since its text isn't UTF-8, a route
-// that names an unknown service, and two tenants that share a key.
+// that names an unknown service, and two tenants that share a key. SPLIT stands for the platform's name of a split.
 var defects = []defect{
 	{"two tenants share a key", tenant, tenant + `,{"name":"t1","api_keys":["key-of-t1"],"priority":3}`},
-	{"a route names an unknown service", `"priority":1,"service":"pool"`, `"priority":1,"service":"nowhere","traffic_split":[{"service":"pool","weight":1}]`},
+	{"a route names an unknown service", `"priority":1,"service":"pool"`, `"priority":1,"service":"nowhere","SPLIT":[{"service":"pool","weight":1}]`},
 	{"can't be read in full", `"key-of-t1"`, "\"key-\xffof-t1\""},
 }
 
@@ -41,7 +41,7 @@
 			return fmt.Errorf("the configuration doesn't hold %q", defect.valid)
 		}
 		if trial.trouble {
-			text = strings.Replace(text, defect.valid, defect.invalid, 1)
+			text = strings.Replace(text, defect.valid, strings.ReplaceAll(defect.invalid, "SPLIT", cluster.names.Split), 1)
 		}
 		status, by := cluster.callAny(ctx, index, http.MethodPost, cluster.names.ReplacePath, []byte(text))
 		trial.record.add("configured", "version", version, "defect", defect.name, "invalid", trial.trouble, "status", status, "by", by)
--- a/review/standins-3/names.go
+++ b/review/standins-3/names.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 )
 
-// names are the platform's names of headers and paths, which the project's Go code outside its
+// names are the platform's names of headers, fields and paths, which the project's Go code outside its
 // adapter doesn't hold.
 type names struct {
 	RequestID     string `json:"request_id"`
@@ -24,6 +24,8 @@
 	ReplacePath   string `json:"replace_path"`
 	ReadPath      string `json:"read_path"`
 	ReadyPath     string `json:"ready_path"`
+	ColdLeft      string `json:"cold_left"`
+	Split         string `json:"split"`
 	Settings      string `json:"settings_variable"`
 }
 
@@ -36,6 +38,11 @@
 //go:embed configuration.json.txt
 var configurationText string
 
+// rootRouteText is a route for all paths of its host.
+//
+//go:embed rootroute.json.txt
+var rootRouteText string
+
 func loadNames() (names, error) {
 	var loaded names
 	err := json.Unmarshal(namesText, &loaded)
--- a/review/standins-3/oddheartbeat.go
+++ b/review/standins-3/oddheartbeat.go
@@ -23,7 +23,7 @@
 		if trial.trouble {
 			body, err := json.Marshal(map[string]any{
 				"service": "pool", "address": head.address, "zone": head.zone, "version": "v1", "slots": slots, "state": "ready",
-				"cold_remaining_ms": 0, "sequence": 1000 + sequence, "born": head.born,
+				trial.cluster.names.ColdLeft: 0, "sequence": 1000 + sequence, "born": head.born,
 			})
 			if err != nil {
 				return err
--- a/review/standins-3/slashpath.go
+++ b/review/standins-3/slashpath.go
@@ -13,10 +13,6 @@
 	"time"
 )
 
-// rootRoute is a route for all paths of its host.
-const rootRoute = `{"name":"r-root","host":"shop.example","path_prefix":"/","kind":"unsafe","timeout_ms":1000,"target_latency_ms":100,"priority":2,"service":"desk","attempts":1,"allow_anonymous":true},
-`
-
 // slashPath lets a configuration add a route for all paths, while clients send paths that begin with two slashes.
 func slashPath(ctx context.Context, trial *trial) error {
 	cluster := trial.cluster
@@ -24,7 +20,7 @@
 		return err
 	}
 	if trial.trouble {
-		text := strings.Replace(configuration(2, 1000), `{"name":"r-commit"`, rootRoute+`{"name":"r-commit"`, 1)
+		text := strings.Replace(configuration(2, 1000), `{"name":"r-commit"`, rootRouteText+`{"name":"r-commit"`, 1)
 		status, by := cluster.callAny(ctx, 0, http.MethodPost, cluster.names.ReplacePath, []byte(text))
 		trial.record.add("configured", "version", 2, "adds", "r-root", "status", status, "by", by)
 		if status != http.StatusOK {
