--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Build the stand-ins of the cases 11 to 15, without a network: they use the standard library only.
+# Build the stand-ins of the cases 11 to 14, without a network: they use the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/standins-3"
 mkdir -p ../../target/review-3
