Review: OPTIONS * is answered with a success that no engine gave

A request of the method OPTIONS with the target * is answered 200 without a seal, by the library and before the entry's handler; no route has that target and no engine gets it.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(context.Context, *trial) error{
 	"invalid-configuration": invalidConfiguration,
 	"odd-heartbeat":         oddHeartbeat,
+	"options-all":           optionsAll,
 	"restarted-departure":   restartedDeparture,
 }
 
