--- a/review/standins-3/invalidconfiguration.go
+++ b/review/standins-3/invalidconfiguration.go
@@ -43,6 +43,7 @@
 		if trial.trouble {
 			text = strings.Replace(text, defect.valid, strings.ReplaceAll(defect.invalid, "SPLIT", cluster.names.Split), 1)
 		}
+		trial.record.add("configure", "version", version, "text", fmt.Sprintf("%q", text))
 		status, by := cluster.callAny(ctx, index, http.MethodPost, cluster.names.ReplacePath, []byte(text))
 		trial.record.add("configured", "version", version, "defect", defect.name, "invalid", trial.trouble, "status", status, "by", by)
 		if status == 0 || !trial.trouble && status != http.StatusOK {
--- a/review/standins-3/restarteddeparture.go
+++ b/review/standins-3/restarteddeparture.go
@@ -43,10 +43,11 @@
 	if err != nil {
 		return err
 	}
-	startedAt := time.Now()
+	startedAt, beat := time.Now(), leaving.firstBeat()
+	trial.record.add("heartbeat_sent", "id", leaving.id, "body", string(beat))
 	deliver := func() {
-		status, to := cluster.callAny(ctx, 2, http.MethodPost, cluster.names.InstancesPath+leaving.id+"/heartbeat", leaving.firstBeat())
-		trial.record.add("heartbeat", "id", leaving.id, "born", leaving.born, "status", status, "to", to, "late_ms", time.Since(startedAt).Milliseconds())
+		status, to := cluster.callAny(ctx, 2, http.MethodPost, cluster.names.InstancesPath+leaving.id+"/heartbeat", beat)
+		trial.record.add("heartbeat_arrived", "id", leaving.id, "born", leaving.born, "status", status, "to", to, "late_ms", time.Since(startedAt).Milliseconds())
 	}
 	if trial.trouble {
 		time.AfterFunc(lateBy, deliver)
@@ -54,6 +55,7 @@
 		deliver()
 	}
 	sleep(ctx, time.Until(startedAt.Add(startTime)))
+	trial.record.add("leave_sent", "id", leaving.id)
 	status, by := cluster.callAny(ctx, 1, http.MethodPost, cluster.names.InstancesPath+leaving.id+"/leave", nil)
 	acknowledgedAt := time.Now()
 	trial.record.add("left", "id", leaving.id, "status", status, "by", by)
